--- /dev/null
+++ b/crates/bench/src/cluster.rs
@@ -0,0 +1,601 @@
+//! An environment of real processes on loopback addresses, behind the fault proxy.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::Write;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use foxtaildrift::process::clock::SystemClock;
+use foxtaildrift::process::http_platform::HttpPlatform;
+use foxtaildrift::process::operations::{OperationError, Operations};
+use foxtaildrift::process::status::Status;
+use foxtaildrift::version::configuration::Configuration;
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::args::BenchError;
+use crate::fault_proxy::{self, Network};
+
+/// The token of all daemons of a cluster.
+const TOKEN: &str = "bench";
+/// How long a cluster may take to come up.
+const START_TIME: Duration = Duration::from_secs(20);
+/// How often the state of a daemon is asked for while waiting.
+const POLL: Duration = Duration::from_millis(50);
+/// The port of a daemon's entry.
+const ENTRY_PORT: u16 = 8080;
+/// The port for other daemons.
+const PEER_PORT: u16 = 7400;
+/// The port of the administration API.
+const ADMIN_PORT: u16 = 9400;
+/// The port of an upstream.
+const UPSTREAM_PORT: u16 = 9000;
+/// What the proxy's addresses have more in their third part than the daemons' own.
+const PROXY_OFFSET: u8 = 100;
+
+/// The upstreams of one service.
+#[derive(Clone, Debug)]
+pub struct ServiceSpec {
+    /// The service.
+    pub name: &'static str,
+    /// How many upstreams it has.
+    pub upstreams: usize,
+    /// The orders that each works on at once.
+    pub slots: u32,
+    /// The orders that each bears at once when cold.
+    pub cold_slots: u32,
+    /// The time of an order, in microseconds.
+    pub service_us: u64,
+    /// The orders until an upstream is warm.
+    pub warm_after: u64,
+    /// Whether the upstreams check grants.
+    pub checks_grants: bool,
+}
+
+/// An environment to be started.
+#[derive(Clone, Debug)]
+pub struct ClusterSpec {
+    /// The failure domains.
+    pub domains: Vec<&'static str>,
+    /// The time from one domain to another, one way.
+    pub delay: Duration,
+    /// The services; their upstreams are spread over the domains in turn.
+    pub services: Vec<ServiceSpec>,
+    /// The operators' document.
+    pub document: String,
+    /// The level of the daemons' logs.
+    pub log_level: &'static str,
+}
+
+/// A host: a daemon and the upstream beside it.
+pub struct Host {
+    /// The failure domain.
+    pub domain: &'static str,
+    /// The service of the upstream.
+    pub service: &'static str,
+    /// The address that the host sends from.
+    pub ip: IpAddr,
+    /// Where the daemon takes callers.
+    pub entry: SocketAddr,
+    /// Where the daemon's administration API is.
+    pub admin: SocketAddr,
+    /// Where the upstream is.
+    pub upstream: SocketAddr,
+    spec: ServiceSpec,
+    settings: PathBuf,
+    daemon: Option<Child>,
+    process: Option<Child>,
+}
+
+/// A running environment; dropping it ends all its processes.
+pub struct Cluster {
+    /// The hosts.
+    pub hosts: Vec<Host>,
+    /// The network between the daemons.
+    pub network: Arc<Network>,
+    /// The folder of settings, logs and journals.
+    pub folder: PathBuf,
+    platform_address: SocketAddr,
+    platform: Option<Child>,
+}
+
+impl Cluster {
+    /// Starts an environment and waits until it serves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a process can't be started or does not come up in time.
+    pub fn start(spec: &ClusterSpec) -> Result<Self, BenchError> {
+        let mut cluster = Self::prepare(spec)?;
+        cluster.start_platform()?;
+        cluster
+            .apply(&spec.document)
+            .map_err(BenchError::turn("document"))?;
+        for number in 0..cluster.hosts.len() {
+            cluster.start_daemon(number)?;
+            cluster.start_upstream(number)?;
+        }
+        cluster.wait_until("all daemons serve", START_TIME, Self::serves)?;
+        Ok(cluster)
+    }
+
+    /// Lays out addresses and settings, and starts the proxies.
+    fn prepare(spec: &ClusterSpec) -> Result<Self, BenchError> {
+        let network = Arc::new(Network::default());
+        // Runs side by side must not meet, so each takes a network of its own.
+        let net = 2 + u8::try_from(std::process::id() % 250).unwrap_or(0);
+        let folder = std::env::temp_dir().join(format!("foxtaildrift-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&folder);
+        fs::create_dir_all(&folder).map_err(BenchError::turn("folder"))?;
+        let platform_address = SocketAddr::from(([127, net, 200, 1], 8500));
+        let mut cluster = Self {
+            hosts: Vec::new(),
+            network,
+            folder,
+            platform_address,
+            platform: None,
+        };
+        let mut in_domain = vec![0u8; spec.domains.len()];
+        let upstreams = spec
+            .services
+            .iter()
+            .flat_map(|s| std::iter::repeat_n(s, s.upstreams))
+            .enumerate();
+        for (number, service) in upstreams {
+            let domain = number % spec.domains.len();
+            in_domain[domain] += 1;
+            let third = u8::try_from(domain).unwrap_or(0);
+            let ip = [127, net, third, in_domain[domain]];
+            let front = [127, net, third + PROXY_OFFSET, in_domain[domain]];
+            let host = cluster.lay_out(spec, spec.domains[domain], service, ip, front, number)?;
+            cluster.hosts.push(host);
+        }
+        cluster.set_delays(spec.delay);
+        Ok(cluster)
+    }
+
+    fn lay_out(
+        &self,
+        spec: &ClusterSpec,
+        domain: &'static str,
+        service: &ServiceSpec,
+        ip: [u8; 4],
+        front: [u8; 4],
+        number: usize,
+    ) -> Result<Host, BenchError> {
+        let at = |port| SocketAddr::from((ip, port));
+        let advertise = SocketAddr::from((front, PEER_PORT));
+        fault_proxy::start(&self.network, advertise, at(PEER_PORT))
+            .map_err(BenchError::turn("proxy"))?;
+        let settings = self.folder.join(format!("{number}.yaml"));
+        let text = format!(
+            "environment: production\ndomain: {domain}\nentry: {}\npeer: {}\nadvertise: {advertise}\n\
+             admin: {}\nplatform: http://{}\ntoken: {TOKEN}\nlog_level: {}\n",
+            at(ENTRY_PORT),
+            at(PEER_PORT),
+            at(ADMIN_PORT),
+            self.platform_address,
+            spec.log_level,
+        );
+        fs::write(&settings, text).map_err(BenchError::turn("settings"))?;
+        Ok(Host {
+            domain,
+            service: service.name,
+            ip: IpAddr::V4(Ipv4Addr::from(ip)),
+            entry: at(ENTRY_PORT),
+            admin: at(ADMIN_PORT),
+            upstream: at(UPSTREAM_PORT),
+            spec: service.clone(),
+            settings,
+            daemon: None,
+            process: None,
+        })
+    }
+
+    fn set_delays(&self, delay: Duration) {
+        for a in &self.hosts {
+            for b in self.hosts.iter().filter(|b| b.domain != a.domain) {
+                self.network.set_delay(a.ip, b.ip, delay);
+            }
+        }
+    }
+
+    /// Starts the platform's stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not come up.
+    pub fn start_platform(&mut self) -> Result<(), BenchError> {
+        let address = self.platform_address.to_string();
+        let args = ["platform", "--listen", &address];
+        self.platform = Some(self.spawn("platform", &args)?);
+        self.wait_until("the platform answers", START_TIME, |c| {
+            c.control_platform("calls", "").is_ok()
+        })
+    }
+
+    /// Starts the daemon of a host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the process can't be started.
+    pub fn start_daemon(&mut self, number: usize) -> Result<(), BenchError> {
+        let settings = self.hosts[number].settings.display().to_string();
+        let child = self.spawn(
+            &format!("daemon-{number}"),
+            &["daemon", "--settings", &settings],
+        )?;
+        self.hosts[number].daemon = Some(child);
+        Ok(())
+    }
+
+    /// Starts the upstream of a host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the process can't be started.
+    pub fn start_upstream(&mut self, number: usize) -> Result<(), BenchError> {
+        let host = &self.hosts[number];
+        let journal = self.folder.join(format!("{number}.journal"));
+        let mut args = vec![
+            "upstream".to_owned(),
+            format!("--listen={}", host.upstream),
+            format!("--service={}", host.service),
+            format!("--slots={}", host.spec.slots),
+            format!("--cold-slots={}", host.spec.cold_slots),
+            format!("--service-us={}", host.spec.service_us),
+            format!("--warm-after={}", host.spec.warm_after),
+            format!("--announce={}", host.admin),
+            format!("--token={TOKEN}"),
+            format!("--journal={}", journal.display()),
+        ];
+        if host.spec.checks_grants {
+            args.push("--checks-grants".to_owned());
+        }
+        let args: Vec<&str> = args.iter().map(String::as_str).collect();
+        let child = self.spawn(&format!("upstream-{number}"), &args)?;
+        self.hosts[number].process = Some(child);
+        Ok(())
+    }
+
+    fn spawn(&self, name: &str, args: &[&str]) -> Result<Child, BenchError> {
+        let turn = BenchError::turn(name);
+        let mut log = fs::OpenOptions::new();
+        log.create(true).append(true);
+        let log = log
+            .open(self.folder.join(format!("{name}.log")))
+            .map_err(&turn)?;
+        let program = std::env::current_exe().map_err(&turn)?;
+        let mut command = Command::new(program);
+        command
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log);
+        command.spawn().map_err(&turn)
+    }
+
+    /// Returns operations on the platform.
+    pub fn operations(&self) -> Operations {
+        let base = format!("http://{}", self.platform_address);
+        Operations::new(Arc::new(HttpPlatform::new(&base)), Arc::new(SystemClock))
+    }
+
+    /// Tries and promotes a document.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it is refused.
+    pub fn apply(&self, document: &str) -> Result<Configuration, OperationError> {
+        let operations = self.operations();
+        let tried = operations.trial(document)?;
+        operations.promote(&tried.digest)
+    }
+
+    /// Calls a switch of the platform's stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not answer.
+    pub fn control_platform(&self, setting: &str, value: &str) -> Result<String, BenchError> {
+        put(
+            &format!("http://{}/stand-in/{setting}", self.platform_address),
+            value,
+        )
+    }
+
+    /// Calls a switch of an upstream's stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not answer.
+    pub fn control_upstream(
+        &self,
+        number: usize,
+        setting: &str,
+        value: &str,
+    ) -> Result<String, BenchError> {
+        put(
+            &format!("http://{}/stand-in/{setting}", self.hosts[number].upstream),
+            value,
+        )
+    }
+
+    /// Returns what a daemon says of itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not answer.
+    pub fn status(&self, number: usize) -> Result<Status, BenchError> {
+        let url = format!("http://{}/v1/status", self.hosts[number].admin);
+        let text = get(&url)?;
+        serde_json::from_str(&text).map_err(BenchError::turn("status"))
+    }
+
+    /// Returns whether every running daemon is live, knows all members, and finds each slice
+    /// owned.
+    pub fn serves(&self) -> bool {
+        let running = self.hosts.iter().filter(|h| h.daemon.is_some()).count();
+        let numbers = (0..self.hosts.len()).filter(|&n| self.hosts[n].daemon.is_some());
+        let mut epochs = Vec::new();
+        for number in numbers {
+            let Ok(status) = self.status(number) else {
+                return false;
+            };
+            let owned = status.owners.values().all(|o| !o.contains_key("nobody"));
+            let has_services = status.owners.len() >= self.service_count();
+            if status.lease_ms.is_none() || !owned || !has_services {
+                return false;
+            }
+            let with_upstream = status
+                .members
+                .iter()
+                .filter(|m| m.upstream.is_some())
+                .count();
+            if with_upstream != running || status.members.len() != running {
+                return false;
+            }
+            epochs.push(status.epoch);
+        }
+        epochs.windows(2).all(|w| w[0] == w[1])
+    }
+
+    fn service_count(&self) -> usize {
+        let names: std::collections::BTreeSet<_> = self.hosts.iter().map(|h| h.service).collect();
+        names.len()
+    }
+
+    /// Waits until `condition` holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not hold within `limit`.
+    pub fn wait_until(
+        &self,
+        what: &str,
+        limit: Duration,
+        condition: impl Fn(&Self) -> bool,
+    ) -> Result<(), BenchError> {
+        let until = Instant::now() + limit;
+        while !condition(self) {
+            if Instant::now() > until {
+                return Err(BenchError(format!("not within {limit:?}: {what}")));
+            }
+            thread::sleep(POLL);
+        }
+        Ok(())
+    }
+
+    /// Returns the numbers of the hosts of a service.
+    pub fn hosts_of(&self, service: &str) -> Vec<usize> {
+        (0..self.hosts.len())
+            .filter(|&n| self.hosts[n].service == service)
+            .collect()
+    }
+
+    /// Returns the numbers of the hosts of a failure domain.
+    pub fn hosts_in(&self, domain: &str) -> Vec<usize> {
+        (0..self.hosts.len())
+            .filter(|&n| self.hosts[n].domain == domain)
+            .collect()
+    }
+
+    /// Returns the addresses of all hosts.
+    pub fn ips(&self) -> Vec<IpAddr> {
+        self.hosts.iter().map(|h| h.ip).collect()
+    }
+
+    /// Returns the entries of all daemons.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|h| h.entry).collect()
+    }
+
+    /// Kills the daemon and the upstream of a host.
+    pub fn kill_host(&mut self, number: usize) {
+        self.kill_daemon(number);
+        self.kill_upstream(number);
+    }
+
+    /// Kills the daemon of a host.
+    pub fn kill_daemon(&mut self, number: usize) {
+        end(self.hosts[number].daemon.take());
+    }
+
+    /// Kills the upstream of a host.
+    pub fn kill_upstream(&mut self, number: usize) {
+        end(self.hosts[number].process.take());
+    }
+
+    /// Returns whether the upstream of a host has ended by itself; forgets it then.
+    pub fn upstream_has_ended(&mut self, number: usize) -> bool {
+        let process = &mut self.hosts[number].process;
+        let ended = process
+            .as_mut()
+            .is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))));
+        if ended {
+            *process = None;
+        }
+        ended
+    }
+
+    /// Sends a signal to the daemon, and to the upstream too where `both` says so.
+    pub fn signal(&self, number: usize, signal: Signal, both: bool) {
+        let host = &self.hosts[number];
+        let upstream = host.process.as_ref().filter(|_| both);
+        for child in host.daemon.as_ref().into_iter().chain(upstream) {
+            if let Some(pid) = i32::try_from(child.id()).ok().and_then(Pid::from_raw) {
+                let _ = kill_process(pid, signal);
+            }
+        }
+    }
+
+    /// Asks the daemon of a host to stop as planned; returns whether it ended well within
+    /// `limit`.
+    pub fn stop_daemon(&mut self, number: usize, limit: Duration) -> bool {
+        self.signal(number, Signal::TERM, false);
+        let until = Instant::now() + limit;
+        let Some(mut child) = self.hosts[number].daemon.take() else {
+            return false;
+        };
+        while Instant::now() < until {
+            if let Ok(Some(status)) = child.try_wait() {
+                return status.success();
+            }
+            thread::sleep(POLL);
+        }
+        end(Some(child));
+        false
+    }
+
+    /// Returns the processor time and resident memory of a host's daemon.
+    pub fn usage(&self, number: usize) -> Usage {
+        let daemon = self.hosts[number].daemon.as_ref();
+        daemon.map(|c| usage_of(c.id())).unwrap_or_default()
+    }
+
+    /// Returns the value of a metric of a daemon, summed over its labels that contain `label`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the daemon does not answer.
+    pub fn metric(&self, number: usize, name: &str, label: &str) -> Result<f64, BenchError> {
+        let text = get(&format!("http://{}/metrics", self.hosts[number].admin))?;
+        let lines = text
+            .lines()
+            .filter(|l| l.starts_with(name) && l.contains(label));
+        let values = lines.filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok());
+        Ok(values.sum())
+    }
+
+    /// Returns the number of slices that each host owns, by service, as daemon `seen_by` sees it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the daemon does not answer.
+    pub fn owned(&self, seen_by: usize) -> Result<BTreeMap<(String, usize), u32>, BenchError> {
+        let status = self.status(seen_by)?;
+        let mut owned = BTreeMap::new();
+        for (service, owners) in &status.owners {
+            for (session, slices) in owners {
+                let member = status
+                    .members
+                    .iter()
+                    .find(|m| m.session.to_string() == *session);
+                let host = member.and_then(|m| self.hosts.iter().position(|h| h.entry == m.entry));
+                if let Some(host) = host {
+                    *owned.entry((service.to_string(), host)).or_default() += slices;
+                }
+            }
+        }
+        Ok(owned)
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.network.close();
+        for host in &mut self.hosts {
+            end(host.daemon.take());
+            end(host.process.take());
+        }
+        end(self.platform.take());
+        if std::env::var_os("FOXTAILDRIFT_KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.folder);
+        } else {
+            let _ = writeln!(std::io::stderr(), "kept: {}", self.folder.display());
+        }
+    }
+}
+
+/// What a process used so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Processor time, in seconds.
+    pub cpu_seconds: f64,
+    /// Resident memory, in bytes.
+    pub resident: u64,
+    /// The private part of the resident memory: what one more process adds, in bytes.
+    pub threads: u64,
+}
+
+fn usage_of(pid: u32) -> Usage {
+    let path = PathBuf::from(format!("/proc/{pid}"));
+    let stat = read(&path.join("stat"));
+    // The second field is the program's name in parentheses, which may hold spaces.
+    let fields: Vec<&str> = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or("")
+        .split_whitespace()
+        .collect();
+    let field = |n: usize| {
+        fields
+            .get(n)
+            .and_then(|f| f.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
+    let status = read(&path.join("status"));
+    let line = |name: &str| {
+        let line = status.lines().find(|l| l.starts_with(name));
+        line.and_then(|l| l.split_whitespace().nth(1)?.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
+    let ticks = rustix::param::clock_ticks_per_second() as f64;
+    Usage {
+        cpu_seconds: (field(11) + field(12)) as f64 / ticks,
+        resident: line("VmRSS:") * 1024,
+        threads: line("Threads:"),
+    }
+}
+
+fn read(path: &Path) -> String {
+    fs::read_to_string(path).unwrap_or_default()
+}
+
+fn end(child: Option<Child>) {
+    if let Some(mut child) = child {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
+fn agent() -> ureq::Agent {
+    let config = ureq::Agent::config_builder().timeout_global(Some(Duration::from_secs(2)));
+    config.proxy(None).build().new_agent()
+}
+
+fn get(url: &str) -> Result<String, BenchError> {
+    let turn = BenchError::turn(url);
+    let response = agent().get(url).call().map_err(&turn)?;
+    response.into_body().read_to_string().map_err(&turn)
+}
+
+fn put(url: &str, value: &str) -> Result<String, BenchError> {
+    let turn = BenchError::turn(url);
+    let response = agent().put(url).send(value).map_err(&turn)?;
+    response.into_body().read_to_string().map_err(&turn)
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,11 @@
+//! The test side of foxtaildrift: stand-ins, a fault proxy, load, and experiments. None of it
+//! ships.
+
+pub mod args;
+pub mod cluster;
+pub mod fault_proxy;
+pub mod journal;
+pub mod load;
+pub mod platform_stand_in;
+pub mod runs;
+pub mod upstream_stand_in;
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,28 @@
+//! Runs a stand-in or an experiment.
+
+use std::process::ExitCode;
+
+use foxtaildrift_bench::args::BenchError;
+use foxtaildrift_bench::{platform_stand_in, runs, upstream_stand_in};
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let Some((name, rest)) = args.split_first() else {
+        eprintln!("usage: foxtaildrift-bench COMMAND; see docs/PROOF.md");
+        return ExitCode::from(2);
+    };
+    let result = match name.as_str() {
+        "platform" => platform_stand_in::run(rest),
+        "upstream" => upstream_stand_in::run(rest),
+        "daemon" => return foxtaildrift::cmd::daemon::execute(rest),
+        "demo" => runs::demo::run(),
+        _ => Err(BenchError(format!("`{name}` is no command"))),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("foxtaildrift-bench {name}: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/runs/environment.rs
@@ -0,0 +1,63 @@
+//! The environments of the brief, in small.
+
+use std::time::Duration;
+
+use crate::cluster::{ClusterSpec, ServiceSpec};
+
+/// The one-way time between two failure domains of the co-operative.
+const MEDENINE_DELAY: Duration = Duration::from_micros(1400);
+/// The one-way time between two failure domains of Golobnik.
+const LJUBLJANA_DELAY: Duration = Duration::from_micros(900);
+
+/// Returns a service's upstreams as the brief sizes them for the co-operative.
+fn service(name: &'static str, upstreams: usize, slots: u32) -> ServiceSpec {
+    ServiceSpec {
+        name,
+        upstreams,
+        slots,
+        cold_slots: 3,
+        service_us: 3000,
+        warm_after: 0,
+        checks_grants: true,
+    }
+}
+
+/// Returns the co-operative's environment.
+pub fn cooperative() -> ClusterSpec {
+    let document = "\
+services:
+  order-desk:
+    kind: keyed
+    objective: {availability_percent: 99.9, latency_ms: 100}
+    routes:
+      - {method: GET, path: /stock, repeatable: true}
+      - {method: POST, path: /bookings, repeatable: false}
+  export-office:
+    kind: shared
+";
+    ClusterSpec {
+        domains: vec!["zarzis", "ben-guerdane", "medenine-hq", "djerba"],
+        delay: MEDENINE_DELAY,
+        services: vec![service("order-desk", 6, 9), service("export-office", 4, 9)],
+        document: document.to_owned(),
+        log_level: "info",
+    }
+}
+
+/// Returns Golobnik's environment; ring checks are GETs of `/stock`.
+pub fn golobnik() -> ClusterSpec {
+    let document = "\
+services:
+  loftdesk:
+    kind: keyed
+  ringvault:
+    kind: shared
+";
+    ClusterSpec {
+        domains: vec!["center", "bezigrad", "vic"],
+        delay: LJUBLJANA_DELAY,
+        services: vec![service("loftdesk", 6, 12), service("ringvault", 3, 12)],
+        document: document.to_owned(),
+        log_level: "info",
+    }
+}
--- /dev/null
+++ b/src/cmd/history.rs
@@ -0,0 +1,38 @@
+//! `history`: prints the latest changes of a configuration.
+
+use getopts::{Matches, Options};
+
+use crate::cmd::command::{self, Command, CommandError};
+
+/// Returns the subcommand.
+pub fn command() -> Command {
+    Command {
+        name: "history",
+        usage: "[OPTIONS]",
+        about: "show the latest changes of the configuration",
+        declare,
+        execute,
+    }
+}
+
+fn declare(options: &mut Options) {
+    command::declare_platform(options);
+    command::declare_environment(options);
+    command::declare_json(options);
+}
+
+fn execute(matches: &Matches) -> Result<String, CommandError> {
+    let environment = command::environment(matches);
+    let configuration = command::operations(matches).show(&environment)?;
+    if matches.opt_present("json") {
+        return command::json(&configuration.history);
+    }
+    let mut text = String::from("VERSION  AT (ms since 1970)  ACTION\n");
+    for change in &configuration.history {
+        text.push_str(&format!(
+            "{:<8} {:<19}  {}\n",
+            change.version, change.at, change.action
+        ));
+    }
+    Ok(text)
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,14 @@
+//! The subcommands of the operators' command, and the daemon's command line.
+//!
+//! Each module has a function that declares its arguments and one that executes it.
+
+pub mod burn;
+pub mod check;
+pub mod command;
+pub mod daemon;
+pub mod drain;
+pub mod history;
+pub mod promote;
+pub mod show;
+pub mod status;
+pub mod trial;
--- /dev/null
+++ b/src/cmd/show.rs
@@ -0,0 +1,43 @@
+//! `show`: prints the configuration that the platform holds.
+
+use getopts::{Matches, Options};
+
+use crate::cmd::command::{self, Command, CommandError};
+
+/// Returns the subcommand.
+pub fn command() -> Command {
+    Command {
+        name: "show",
+        usage: "[OPTIONS]",
+        about: "show the configuration that the platform holds",
+        declare,
+        execute,
+    }
+}
+
+fn declare(options: &mut Options) {
+    command::declare_platform(options);
+    command::declare_environment(options);
+    command::declare_json(options);
+}
+
+fn execute(matches: &Matches) -> Result<String, CommandError> {
+    let environment = command::environment(matches);
+    let configuration = command::operations(matches).show(&environment)?;
+    if matches.opt_present("json") {
+        return command::json(&configuration);
+    }
+    let mut text = format!(
+        "environment {environment}, version {}, document {}\n",
+        configuration.version, configuration.digest
+    );
+    for domain in &configuration.drained_domains {
+        text.push_str(&format!("drained: failure domain {domain}\n"));
+    }
+    for upstream in &configuration.drained_upstreams {
+        text.push_str(&format!("drained: upstream {upstream}\n"));
+    }
+    text.push_str("---\n");
+    text.push_str(&configuration.text);
+    Ok(text)
+}
--- /dev/null
+++ b/src/cmd/trial.rs
@@ -0,0 +1,29 @@
+//! `trial`: puts a document in force in the trial environment.
+
+use getopts::{Matches, Options};
+
+use crate::cmd::command::{self, Command, CommandError};
+use crate::process::operations::TRIAL;
+
+/// Returns the subcommand.
+pub fn command() -> Command {
+    Command {
+        name: "trial",
+        usage: "[OPTIONS] FILE",
+        about: "try a document in the trial environment",
+        declare,
+        execute,
+    }
+}
+
+fn declare(options: &mut Options) {
+    command::declare_platform(options);
+    command::declare_json(options);
+}
+
+fn execute(matches: &Matches) -> Result<String, CommandError> {
+    let path = command::one_argument(matches, "FILE")?;
+    let text = command::read_document(&path)?;
+    let configuration = command::operations(matches).trial(&text)?;
+    command::accepted(matches, TRIAL, &configuration)
+}
--- /dev/null
+++ b/src/connection/caller.rs
@@ -0,0 +1,215 @@
+//! Takes callers' requests over HTTP.
+
+use std::io::Read;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use tiny_http::{Header, Request, Response, Server};
+
+use crate::connection::upstream_link::{IDEMPOTENCY_HEADER, KEY_HEADER, OUTCOME_HEADER};
+use crate::request::answer::Answer;
+use crate::request::body::{BODY_BYTES_MAX, Body};
+use crate::request::envelope::Envelope;
+use crate::request::idempotency_key::IdempotencyKey;
+use crate::request::refusal::Refusal;
+use crate::request::request_id::RequestId;
+use crate::version::service_name::ServiceName;
+
+/// The header that tells how long the caller waits, in milliseconds.
+pub const TIMEOUT_HEADER: &str = "foxtaildrift-timeout-ms";
+/// The header by which the caller marks its first attempt, with the value `first`.
+pub const ATTEMPT_HEADER: &str = "foxtaildrift-attempt";
+/// The header that names the request in logs.
+pub const REQUEST_ID_HEADER: &str = "foxtaildrift-request-id";
+/// The longest time that a caller may ask for.
+const TIMEOUT_MAX: Duration = Duration::from_secs(600);
+/// The longest key, in bytes.
+const KEY_BYTES_MAX: usize = 1024;
+
+/// The methods whose requests take no body.
+const BODILESS: [&str; 6] = ["GET", "HEAD", "DELETE", "OPTIONS", "TRACE", "CONNECT"];
+
+/// Serves callers' requests.
+pub trait CallerHandler: Send + Sync {
+    /// Returns the answer to a request.
+    fn handle(&self, envelope: Envelope) -> Answer;
+
+    /// Returns how long a request may take when its caller doesn't say, and whether it is
+    /// repeatable; `None` where there is no such service.
+    fn terms(&self, service: &ServiceName, method: &str, path: &str) -> Option<Terms>;
+}
+
+/// What the document says of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// How long the request may take when its caller doesn't say.
+    pub deadline: Duration,
+    /// Whether it may be run more than once.
+    pub repeatable: bool,
+}
+
+/// The callers' listener and its workers.
+pub struct CallerServer {
+    server: Arc<Server>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl CallerServer {
+    /// Starts `workers` threads that serve callers on `listener`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the listener or a thread can't be set up.
+    pub fn start(
+        listener: TcpListener,
+        workers: u32,
+        handler: &Arc<dyn CallerHandler>,
+    ) -> std::io::Result<Self> {
+        let server = Server::from_listener(listener, None).map_err(std::io::Error::other)?;
+        let server = Arc::new(server);
+        let mut threads = Vec::new();
+        for _ in 0..workers {
+            let (server, handler) = (Arc::clone(&server), Arc::clone(handler));
+            let builder = thread::Builder::new().name("caller".to_owned());
+            threads.push(builder.spawn(move || serve(&server, &*handler))?);
+        }
+        Ok(Self { server, threads })
+    }
+
+    /// Takes no more requests and joins the workers.
+    pub fn stop(&mut self) {
+        for _ in &self.threads {
+            self.server.unblock();
+        }
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for CallerServer {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn serve(server: &Server, handler: &dyn CallerHandler) {
+    while let Ok(mut request) = server.recv() {
+        let id = RequestId::draw();
+        let answer = match read_envelope(&mut request, id, handler) {
+            Ok(envelope) => handler.handle(envelope),
+            Err(refusal) => Answer::not_run(refusal),
+        };
+        if let Err(e) = request.respond(response(id, answer)) {
+            tracing::debug!(request = %id, error = %e, "the caller is gone");
+        }
+    }
+}
+
+/// Reads a request whole, and checks it.
+fn read_envelope(
+    request: &mut Request,
+    id: RequestId,
+    handler: &dyn CallerHandler,
+) -> Result<Envelope, Refusal> {
+    let malformed = |reason: &str| Refusal::Malformed(reason.to_owned());
+    let method = request.method().to_string();
+    let url = request.url().to_owned();
+    let (service, path) =
+        split_service(&url).ok_or_else(|| malformed("the path names no service"))?;
+    let terms = handler
+        .terms(&service, &method, path)
+        .ok_or(Refusal::NoSuchService)?;
+    let key = header(request, KEY_HEADER).unwrap_or_default().into_bytes();
+    if key.len() > KEY_BYTES_MAX {
+        return Err(malformed("the key is longer than 1024 bytes"));
+    }
+    let idempotency_key = header(request, IDEMPOTENCY_HEADER)
+        .map(|text| text.trim_matches('"').parse::<IdempotencyKey>())
+        .transpose()
+        .map_err(|e| Refusal::Malformed(e.to_string()))?;
+    let remaining = match header(request, TIMEOUT_HEADER) {
+        Some(text) => {
+            timeout(&text).ok_or_else(|| malformed("the timeout is no number from 1 to 600000"))?
+        }
+        None => terms.deadline,
+    };
+    let fresh = header(request, ATTEMPT_HEADER).is_some_and(|a| a.eq_ignore_ascii_case("first"));
+    let content_type = header(request, "content-type");
+    let body = read_body(request)?;
+    if !body.0.is_empty() && BODILESS.contains(&method.as_str()) {
+        return Err(malformed("a request of this method takes no body"));
+    }
+    Ok(Envelope {
+        id,
+        service,
+        method,
+        path: path.to_owned(),
+        key,
+        idempotency_key,
+        fresh,
+        repeatable: terms.repeatable,
+        remaining,
+        content_type,
+        body,
+    })
+}
+
+/// Splits a path such as `/order-desk/bookings` behind the service's name.
+fn split_service(url: &str) -> Option<(ServiceName, &str)> {
+    let rest = url.strip_prefix('/')?;
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let path = if rest[end..].starts_with('/') {
+        &rest[end..]
+    } else {
+        "/"
+    };
+    Some((rest[..end].parse().ok()?, path))
+}
+
+fn timeout(text: &str) -> Option<Duration> {
+    let span = Duration::from_millis(text.trim().parse().ok()?);
+    (!span.is_zero() && span <= TIMEOUT_MAX).then_some(span)
+}
+
+fn header(request: &Request, name: &str) -> Option<String> {
+    let found = request
+        .headers()
+        .iter()
+        .find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name));
+    found.map(|h| h.value.as_str().to_owned())
+}
+
+/// Reads the body, and refuses one that ends before its announced length.
+fn read_body(request: &mut Request) -> Result<Body, Refusal> {
+    let announced = request.body_length();
+    let mut bytes = Vec::new();
+    let limit = u64::try_from(BODY_BYTES_MAX).unwrap_or(u64::MAX) + 1;
+    let read = request.as_reader().take(limit).read_to_end(&mut bytes);
+    read.map_err(|e| Refusal::Malformed(format!("the body could not be read: {e}")))?;
+    if bytes.len() > BODY_BYTES_MAX {
+        return Err(Refusal::Malformed(format!(
+            "the body is larger than {BODY_BYTES_MAX} bytes"
+        )));
+    }
+    if announced.is_some_and(|length| length != bytes.len()) {
+        return Err(Refusal::Malformed("the body ended early".to_owned()));
+    }
+    Ok(Body(bytes))
+}
+
+fn response(id: RequestId, answer: Answer) -> Response<std::io::Cursor<Vec<u8>>> {
+    let mut response = Response::from_data(answer.body.0).with_status_code(answer.status);
+    let outcome = answer.outcome.to_string();
+    let id = id.to_string();
+    let mut headers = vec![(OUTCOME_HEADER, outcome), (REQUEST_ID_HEADER, id)];
+    headers.extend(answer.content_type.map(|t| ("content-type", t)));
+    for (name, value) in headers {
+        if let Ok(header) = Header::from_bytes(name, value) {
+            response.add_header(header);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/src/connection/frame.rs
@@ -0,0 +1,69 @@
+//! Frames on a connection between daemons: a length, then a postcard value.
+
+use std::io::{self, Read, Write};
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+/// The largest frame, in bytes.
+pub const FRAME_BYTES_MAX: usize = 32 * 1024 * 1024;
+/// The length that stands before a frame, in bytes.
+const LENGTH_BYTES: usize = 4;
+
+/// A frame that could not be sent or read.
+#[derive(Debug, Error)]
+pub enum FrameError {
+    /// The connection failed.
+    #[error("connection: {0}")]
+    Io(#[from] io::Error),
+    /// The frame holds no such value.
+    #[error("malformed frame: {0}")]
+    Malformed(#[from] postcard::Error),
+    /// The frame is larger than one may be.
+    #[error("a frame of {0} bytes is larger than {FRAME_BYTES_MAX}")]
+    TooLarge(usize),
+}
+
+/// Writes `value` as one frame.
+///
+/// # Errors
+///
+/// Returns an error where the connection fails or the value is too large.
+pub fn write(to: &mut impl Write, value: &impl Serialize) -> Result<(), FrameError> {
+    let mut bytes = postcard::to_extend(value, vec![0; LENGTH_BYTES])?;
+    let length = bytes.len() - LENGTH_BYTES;
+    if length > FRAME_BYTES_MAX {
+        return Err(FrameError::TooLarge(length));
+    }
+    let prefix = u32::try_from(length).map_err(|_| FrameError::TooLarge(length))?;
+    bytes[..LENGTH_BYTES].copy_from_slice(&prefix.to_be_bytes());
+    to.write_all(&bytes)?;
+    Ok(())
+}
+
+/// Reads one frame.
+///
+/// # Errors
+///
+/// Returns an error where the connection fails or ends, or the frame is malformed.
+pub fn read<T: DeserializeOwned>(from: &mut impl Read) -> Result<T, FrameError> {
+    let mut prefix = [0; LENGTH_BYTES];
+    from.read_exact(&mut prefix)?;
+    let length = usize::try_from(u32::from_be_bytes(prefix)).unwrap_or(usize::MAX);
+    if length > FRAME_BYTES_MAX {
+        return Err(FrameError::TooLarge(length));
+    }
+    let mut bytes = Vec::new();
+    let read = from.take(length as u64).read_to_end(&mut bytes)?;
+    if read < length {
+        return Err(FrameError::Io(io::ErrorKind::UnexpectedEof.into()));
+    }
+    let (value, rest) = postcard::take_from_bytes(&bytes)?;
+    if !rest.is_empty() {
+        return Err(FrameError::Malformed(
+            postcard::Error::DeserializeBadEncoding,
+        ));
+    }
+    Ok(value)
+}
--- /dev/null
+++ b/src/connection/peer_server.rs
@@ -0,0 +1,161 @@
+//! Takes calls of other daemons, with a thread for each connection.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use crate::connection::frame;
+use crate::connection::peer_message::{PeerReply, PeerRequest};
+
+/// The most connections at once; more are closed at once.
+const CONNECTIONS_MAX: usize = 4096;
+/// How long to wait after a connection could not be taken.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long a reply may take to be written.
+const WRITE_TIME: Duration = Duration::from_secs(5);
+
+/// Serves the calls of other daemons.
+pub trait PeerHandler: Send + Sync {
+    /// Returns the reply to a call.
+    fn handle(&self, request: PeerRequest) -> PeerReply;
+
+    /// Counts a frame that could not be read.
+    fn malformed(&self);
+}
+
+struct Shared {
+    handler: Arc<dyn PeerHandler>,
+    stopping: AtomicBool,
+    open: Mutex<HashMap<u64, TcpStream>>,
+    threads: Mutex<Vec<JoinHandle<()>>>,
+}
+
+/// The listener and its connections; [`PeerServer::stop`] joins all threads.
+pub struct PeerServer {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    acceptor: Option<JoinHandle<()>>,
+}
+
+impl PeerServer {
+    /// Starts to take connections on `listener`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the listener has no address or no thread can be started.
+    pub fn start(listener: TcpListener, handler: Arc<dyn PeerHandler>) -> io::Result<Self> {
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            handler,
+            stopping: AtomicBool::new(false),
+            open: Mutex::default(),
+            threads: Mutex::default(),
+        });
+        let for_thread = Arc::clone(&shared);
+        let acceptor = thread::Builder::new()
+            .name("peer-accept".to_owned())
+            .spawn(move || accept(&listener, &for_thread))?;
+        Ok(Self {
+            shared,
+            address,
+            acceptor: Some(acceptor),
+        })
+    }
+
+    /// Closes all connections and joins all threads.
+    pub fn stop(&mut self) {
+        self.shared.stopping.store(true, Ordering::SeqCst);
+        // A connection to ourselves wakes the acceptor.
+        let _ = TcpStream::connect_timeout(&self.address, ACCEPT_PAUSE);
+        if let Some(acceptor) = self.acceptor.take() {
+            let _ = acceptor.join();
+        }
+        for stream in lock(&self.shared.open).values() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        let threads: Vec<_> = lock(&self.shared.threads).drain(..).collect();
+        for thread in threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for PeerServer {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
+    let mut number = 0;
+    while !shared.stopping.load(Ordering::SeqCst) {
+        let Ok((stream, _)) = listener.accept() else {
+            thread::sleep(ACCEPT_PAUSE);
+            continue;
+        };
+        number += 1;
+        if let Err(e) = admit(stream, number, shared) {
+            tracing::warn!(error = %e, "connection of another daemon refused");
+        }
+        let mut threads = lock(&shared.threads);
+        for done in threads.extract_if(.., |t| t.is_finished()) {
+            let _ = done.join();
+        }
+    }
+}
+
+fn admit(stream: TcpStream, number: u64, shared: &Arc<Shared>) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    stream.set_write_timeout(Some(WRITE_TIME))?;
+    let mut open = lock(&shared.open);
+    if open.len() >= CONNECTIONS_MAX || shared.stopping.load(Ordering::SeqCst) {
+        return Ok(());
+    }
+    open.insert(number, stream.try_clone()?);
+    drop(open);
+    let for_thread = Arc::clone(shared);
+    let started = thread::Builder::new()
+        .name("peer".to_owned())
+        .spawn(move || {
+            serve(stream, &for_thread);
+            lock(&for_thread.open).remove(&number);
+        });
+    match started {
+        Ok(thread) => lock(&shared.threads).push(thread),
+        Err(e) => {
+            lock(&shared.open).remove(&number);
+            return Err(e);
+        }
+    }
+    Ok(())
+}
+
+/// Serves one connection, one call at a time, until it ends.
+fn serve(mut stream: TcpStream, shared: &Shared) {
+    loop {
+        let request = match frame::read::<PeerRequest>(&mut stream) {
+            Ok(request) => request,
+            Err(frame::FrameError::Io(_)) => return,
+            Err(_) => {
+                shared.handler.malformed();
+                return;
+            }
+        };
+        let confirms = matches!(request, PeerRequest::Forward(_) | PeerRequest::Run { .. });
+        if confirms && frame::write(&mut stream, &PeerReply::Received).is_err() {
+            return;
+        }
+        let reply = shared.handler.handle(request);
+        if frame::write(&mut stream, &reply).is_err() {
+            return;
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/process/admin.rs
@@ -0,0 +1,168 @@
+//! The administration API of a daemon, over HTTP.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+
+use serde::Serialize;
+use tiny_http::{Header, Method, Request, Response, Server};
+
+use crate::process::daemon::Shared;
+use crate::version::upstream::Upstream;
+
+/// The threads that serve the API.
+const THREADS: usize = 2;
+/// The largest body that the API takes, in bytes.
+const BODY_BYTES_MAX: u64 = 64 * 1024;
+
+/// An answer of the API.
+struct Reply {
+    status: u16,
+    content_type: &'static str,
+    text: String,
+}
+
+impl Reply {
+    fn text(status: u16, text: impl Into<String>) -> Self {
+        Self {
+            status,
+            content_type: "text/plain; charset=utf-8",
+            text: text.into(),
+        }
+    }
+
+    fn json(value: &impl Serialize) -> Self {
+        match serde_json::to_string(value) {
+            Ok(text) => Self {
+                status: 200,
+                content_type: "application/json",
+                text,
+            },
+            Err(e) => Self::text(500, format!("{e}\n")),
+        }
+    }
+}
+
+/// The listener of the API and its threads.
+pub struct AdminServer {
+    server: Arc<Server>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl AdminServer {
+    /// Starts to serve the API on `listener`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the listener or a thread can't be set up.
+    pub fn start(listener: TcpListener, shared: &Arc<Shared>) -> std::io::Result<Self> {
+        let server = Server::from_listener(listener, None).map_err(std::io::Error::other)?;
+        let server = Arc::new(server);
+        let mut threads = Vec::new();
+        for _ in 0..THREADS {
+            let (server, shared) = (Arc::clone(&server), Arc::clone(shared));
+            let builder = thread::Builder::new().name("admin".to_owned());
+            threads.push(builder.spawn(move || serve(&server, &shared))?);
+        }
+        Ok(Self { server, threads })
+    }
+
+    /// Stops the API and joins its threads.
+    pub fn stop(&mut self) {
+        for _ in &self.threads {
+            self.server.unblock();
+        }
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for AdminServer {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn serve(server: &Server, shared: &Shared) {
+    while let Ok(mut request) = server.recv() {
+        let reply = answer(&mut request, shared);
+        let mut response = Response::from_string(reply.text).with_status_code(reply.status);
+        if let Ok(header) = Header::from_bytes("content-type", reply.content_type) {
+            response.add_header(header);
+        }
+        if let Err(e) = request.respond(response) {
+            tracing::debug!(error = %e, "the operator is gone");
+        }
+    }
+}
+
+fn answer(request: &mut Request, shared: &Shared) -> Reply {
+    let path = request.url().split('?').next().unwrap_or("").to_owned();
+    match (request.method(), path.as_str()) {
+        (Method::Get, "/health") => Reply::text(200, "ok\n"),
+        (Method::Get, "/ready") if shared.is_ready() => Reply::text(200, "ready\n"),
+        (Method::Get, "/ready") => Reply::text(503, "not ready\n"),
+        (Method::Get, "/v1/status") => Reply::json(&shared.status()),
+        (Method::Get, "/metrics") => match shared.metrics().text() {
+            Ok(text) => Reply::text(200, text),
+            Err(e) => Reply::text(500, format!("{e}\n")),
+        },
+        (Method::Put, "/v1/upstream") => guarded(request, shared, announce),
+        (_, "/health" | "/ready" | "/v1/status" | "/metrics" | "/v1/upstream") => {
+            Reply::text(405, "this path does not take that method\n")
+        }
+        _ => Reply::text(404, "no such path\n"),
+    }
+}
+
+/// Lets a call that changes state pass only with the token from the settings.
+fn guarded(
+    request: &mut Request,
+    shared: &Shared,
+    call: impl FnOnce(&mut Request, &Shared) -> Reply,
+) -> Reply {
+    let expected = &shared.settings().token;
+    if expected.is_empty() {
+        return Reply::text(403, "refused: the settings hold no token\n");
+    }
+    let presented = request
+        .headers()
+        .iter()
+        .find(|h| h.field.equiv("authorization"));
+    let presented = presented.map(|h| h.value.as_str()).unwrap_or("");
+    let fits = presented
+        .strip_prefix("Bearer ")
+        .is_some_and(|t| is_same(t, expected));
+    if !fits {
+        let from = request.remote_addr().map(ToString::to_string);
+        tracing::warn!(
+            from,
+            path = request.url(),
+            "call with a wrong token refused"
+        );
+        return Reply::text(401, "refused: wrong token\n");
+    }
+    call(request, shared)
+}
+
+/// Compares two secrets in a time that does not tell where they differ.
+fn is_same(a: &str, b: &str) -> bool {
+    let pairs = a.bytes().zip(b.bytes());
+    a.len() == b.len() && pairs.fold(0, |differs, (x, y)| differs | (x ^ y)) == 0
+}
+
+fn announce(request: &mut Request, shared: &Shared) -> Reply {
+    let mut text = String::new();
+    let mut body = std::io::Read::take(request.as_reader(), BODY_BYTES_MAX);
+    if let Err(e) = std::io::Read::read_to_string(&mut body, &mut text) {
+        return Reply::text(400, format!("the body could not be read: {e}\n"));
+    }
+    match serde_json::from_str::<Upstream>(&text) {
+        Ok(upstream) => {
+            shared.announce(&upstream);
+            Reply::text(200, "announced\n")
+        }
+        Err(e) => Reply::text(400, format!("the announcement is malformed: {e}\n")),
+    }
+}
--- /dev/null
+++ b/src/process/gate.rs
@@ -0,0 +1,455 @@
+//! The gate to the upstream beside this daemon: nothing else speaks to it.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::mpsc::{self, RecvTimeoutError, SyncSender};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+use crate::connection::upstream_error::UpstreamError;
+use crate::connection::upstream_link::{self, Fence, UpstreamLink};
+use crate::process::clock::Clock;
+use crate::process::moment::Moment;
+use crate::process::sync;
+use crate::request::answer::Answer;
+use crate::request::envelope::Envelope;
+use crate::request::fingerprint::Fingerprint;
+use crate::request::limiter::{Admission, Limiter, Ticket};
+use crate::request::outcome::Outcome;
+use crate::request::quarantine::{Quarantine, Standing, Suspicion};
+use crate::request::refusal::Refusal;
+use crate::request::request_id::RequestId;
+use crate::version::service::Service;
+use crate::version::service_name::ServiceName;
+use crate::version::slice_id::SliceId;
+use crate::version::token::Token;
+use crate::version::upstream::{Upstream, UpstreamBoot};
+
+/// How long a probe for a crashed upstream may take.
+const PROBE_TIME: Duration = Duration::from_millis(200);
+/// The least time that is worth giving an order.
+const ORDER_TIME_MIN: Duration = Duration::from_millis(1);
+
+/// How long a grant holds unless a higher token replaces it; orders are bounded by the lease.
+const GRANT_TIME: Duration = Duration::from_secs(24 * 3600);
+
+/// A slice of a service.
+pub type SliceOf = (ServiceName, SliceId);
+
+/// The right to give an order now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Right {
+    /// The fence, where the service is divided by key.
+    pub fence: Option<Fence>,
+    /// When the right ends.
+    pub until: Moment,
+}
+
+/// How a request fared at the gate.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Passage {
+    /// This is the answer.
+    Answer(Answer),
+    /// The right was lost before the order was given.
+    NotServing(String),
+}
+
+/// An order that the upstream was or is about to be given.
+#[derive(Clone, Debug)]
+struct Flight {
+    slice: Option<SliceOf>,
+    fingerprint: Fingerprint,
+    envelope: Arc<Envelope>,
+}
+
+#[derive(Default)]
+struct State {
+    link: Option<Arc<UpstreamLink>>,
+    limiter: Limiter,
+    waiters: HashMap<Ticket, SyncSender<()>>,
+    flights: HashMap<RequestId, Flight>,
+    granted: BTreeMap<SliceId, Token>,
+    quarantine: Quarantine,
+    suspect: Option<RequestId>,
+    crashed: BTreeSet<UpstreamBoot>,
+    served: BTreeMap<SliceId, u64>,
+}
+
+/// The load that an upstream carries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GateLoad {
+    /// Orders in flight.
+    pub in_flight: u32,
+    /// Orders that may be in flight.
+    pub limit: u32,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// The mean time in the upstream, in microseconds.
+    pub mean_micros: u64,
+    /// The capacity that the upstream has now, in per mille.
+    pub capacity: u32,
+}
+
+/// The gate to one upstream.
+pub struct Gate {
+    clock: Arc<dyn Clock>,
+    state: Mutex<State>,
+    changed: Condvar,
+    on_crash: Box<dyn Fn(Vec<Suspicion>) + Send + Sync>,
+}
+
+impl Gate {
+    /// Creates a gate without an upstream; `on_crash` hears of the requests in flight at a crash.
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        on_crash: impl Fn(Vec<Suspicion>) + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            clock,
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            on_crash: Box::new(on_crash),
+        }
+    }
+
+    /// Takes in the upstream's announcement; returns whether it changes anything.
+    pub fn announce(&self, upstream: &Upstream, service: &Service) -> bool {
+        let now = self.clock.now();
+        let mut state = sync::lock(&self.state);
+        state.limiter.configure(service.policy, service.queue);
+        let present = state.link.as_ref().map(|l| l.upstream().clone());
+        if present.as_ref() == Some(upstream) {
+            return false;
+        }
+        state.limiter.announce(now, upstream);
+        state.granted.clear();
+        state.link = Some(Arc::new(UpstreamLink::new(upstream.clone())));
+        let replaced = present.filter(|p| p.boot != upstream.boot);
+        let suspects = replaced.map(|p| suspects_of(&mut state, now, p.boot));
+        let admitted = state.limiter.admit();
+        wake(&mut state, admitted);
+        drop(state);
+        if let Some(suspects) = suspects {
+            (self.on_crash)(suspects);
+        }
+        true
+    }
+
+    /// Forgets the upstream; it must announce itself again.
+    pub fn close(&self) {
+        sync::lock(&self.state).link = None;
+    }
+
+    /// Returns the link to the upstream, where there is one.
+    pub fn link(&self) -> Option<Arc<UpstreamLink>> {
+        sync::lock(&self.state).link.clone()
+    }
+
+    /// Returns the load that the upstream carries.
+    pub fn load(&self) -> GateLoad {
+        let state = sync::lock(&self.state);
+        GateLoad {
+            in_flight: state.limiter.in_flight(),
+            limit: state.limiter.limit(),
+            waiting: state.limiter.waiting(),
+            mean_micros: state.limiter.mean_micros(),
+            capacity: state.limiter.capacity_per_mille(),
+        }
+    }
+
+    /// Returns how many orders of each slice were given since the last call.
+    pub fn take_served(&self) -> BTreeMap<SliceId, u64> {
+        std::mem::take(&mut sync::lock(&self.state).served)
+    }
+
+    /// Takes in requests that other daemons suspect.
+    pub fn suspect(&self, suspects: &[Suspicion]) {
+        let now = self.clock.now();
+        let mut state = sync::lock(&self.state);
+        for suspicion in suspects {
+            state.quarantine.suspect(now, suspicion);
+        }
+    }
+
+    /// Waits up to `span` until no order of a slice that `released` names is in flight; returns
+    /// whether that is so.
+    pub fn wait_idle(&self, span: Duration, released: impl Fn(&SliceOf) -> bool) -> bool {
+        let state = sync::lock(&self.state);
+        let busy = |s: &mut State| {
+            s.flights
+                .values()
+                .any(|f| f.slice.as_ref().is_some_and(&released))
+        };
+        let waited = self.changed.wait_timeout_while(state, span, busy);
+        !waited.unwrap_or_else(PoisonError::into_inner).1.timed_out()
+    }
+
+    /// Asks the upstream to stop the orders of the slices that `released` names.
+    pub fn cancel(&self, released: impl Fn(&SliceOf) -> bool) {
+        let state = sync::lock(&self.state);
+        let Some(link) = state.link.clone() else {
+            return;
+        };
+        let named = |f: &&Flight| f.slice.as_ref().is_some_and(&released);
+        let orders: Vec<_> = state
+            .flights
+            .values()
+            .filter(named)
+            .map(|f| Arc::clone(&f.envelope))
+            .collect();
+        drop(state);
+        for envelope in orders {
+            let cancelled = link.cancel(&envelope);
+            tracing::info!(request = %envelope.id, ?cancelled, "order cancelled");
+        }
+    }
+
+    /// Brings a request to the upstream, within its limit, and returns its answer.
+    ///
+    /// `right` is asked right before the order is given.
+    pub fn pass(
+        &self,
+        envelope: &Arc<Envelope>,
+        slice: Option<SliceOf>,
+        deadline: Moment,
+        right: impl Fn(Moment) -> Result<Right, String>,
+    ) -> Passage {
+        let fingerprint = Fingerprint::of(envelope);
+        if let Err(refusal) = self.admit(envelope.id, fingerprint, deadline) {
+            return Passage::Answer(Answer::not_run(refusal));
+        }
+        let flight = Flight {
+            slice,
+            fingerprint,
+            envelope: Arc::clone(envelope),
+        };
+        let link = {
+            let mut state = sync::lock(&self.state);
+            if let Some((_, slice)) = &flight.slice {
+                *state.served.entry(*slice).or_default() += 1;
+            }
+            state.flights.insert(envelope.id, flight);
+            state.link.clone()
+        };
+        // The flight is noted before the right is asked for, so that a release that starts in
+        // between waits for it.
+        let right = right(self.clock.now());
+        let passage = match (link, right) {
+            (_, Err(reason)) => Passage::NotServing(reason),
+            (None, _) => Passage::Answer(Answer::not_run(upstream_down())),
+            (Some(link), Ok(right)) => {
+                return Passage::Answer(self.give(&link, envelope, fingerprint, right, deadline));
+            }
+        };
+        self.land(envelope.id, None, None);
+        passage
+    }
+
+    /// Waits for the request's turn.
+    fn admit(
+        &self,
+        id: RequestId,
+        fingerprint: Fingerprint,
+        deadline: Moment,
+    ) -> Result<(), Refusal> {
+        let now = self.clock.now();
+        let mut state = sync::lock(&self.state);
+        match state.quarantine.standing(now, fingerprint) {
+            Standing::Quarantined => return Err(Refusal::Quarantined),
+            Standing::Suspect => state = self.wait_as_suspect(state, id, deadline)?,
+            Standing::Clear => {}
+        }
+        if state.link.is_none() {
+            release_suspect(&mut state, id);
+            return Err(upstream_down());
+        }
+        let admission = state.limiter.arrive(now, deadline);
+        let refusal = match admission {
+            Admission::Run => return Ok(()),
+            Admission::Wait(ticket) => return self.wait_turn(state, id, ticket, deadline),
+            Admission::Full => Refusal::Overloaded("the queue is full".to_owned()),
+            Admission::TooLate => Refusal::Overloaded("it would end too late".to_owned()),
+        };
+        release_suspect(&mut state, id);
+        Err(refusal)
+    }
+
+    /// Waits until no other suspect is in flight.
+    fn wait_as_suspect<'s>(
+        &'s self,
+        state: std::sync::MutexGuard<'s, State>,
+        id: RequestId,
+        deadline: Moment,
+    ) -> Result<std::sync::MutexGuard<'s, State>, Refusal> {
+        let span = deadline.since(self.clock.now());
+        let waited = self
+            .changed
+            .wait_timeout_while(state, span, |s| s.suspect.is_some());
+        let (mut state, timeout) = waited.unwrap_or_else(PoisonError::into_inner);
+        if timeout.timed_out() {
+            return Err(Refusal::Overloaded("other suspects run first".to_owned()));
+        }
+        state.suspect = Some(id);
+        Ok(state)
+    }
+
+    fn wait_turn(
+        &self,
+        mut state: std::sync::MutexGuard<'_, State>,
+        id: RequestId,
+        ticket: Ticket,
+        deadline: Moment,
+    ) -> Result<(), Refusal> {
+        let (tx, rx) = mpsc::sync_channel(1);
+        state.waiters.insert(ticket, tx);
+        drop(state);
+        let span = deadline.since(self.clock.now());
+        if rx.recv_timeout(span) == Err(RecvTimeoutError::Timeout) {
+            let mut state = sync::lock(&self.state);
+            if state.waiters.remove(&ticket).is_some() {
+                state.limiter.leave(deadline, ticket);
+                release_suspect(&mut state, id);
+                return Err(Refusal::Overloaded("it waited too long".to_owned()));
+            }
+        }
+        Ok(())
+    }
+
+    /// Gives the order.
+    fn give(
+        &self,
+        link: &UpstreamLink,
+        envelope: &Envelope,
+        fingerprint: Fingerprint,
+        right: Right,
+        deadline: Moment,
+    ) -> Answer {
+        if let Err(e) = self.grant(link, right) {
+            self.land(envelope.id, None, None);
+            return Answer::not_run(Refusal::UpstreamRefused(e.to_string()));
+        }
+        let given = self.clock.now();
+        let limit = deadline.min(right.until).since(given);
+        if limit < ORDER_TIME_MIN {
+            self.land(envelope.id, None, None);
+            return Answer::not_run(Refusal::DeadlinePassed);
+        }
+        match link.order(envelope, right.fence, limit, self.clock.wall()) {
+            Ok(answer) => {
+                let now = self.clock.now();
+                let took = (answer.outcome == Outcome::Ran).then(|| now.since(given));
+                self.land(envelope.id, took, Some(fingerprint));
+                answer
+            }
+            Err(e) => {
+                self.look_for_crash(link);
+                self.land(envelope.id, None, None);
+                answer_to(&e)
+            }
+        }
+    }
+
+    /// Grants the upstream the slice, where it checks that and does not have the token yet.
+    fn grant(&self, link: &UpstreamLink, right: Right) -> Result<(), UpstreamError> {
+        let Some(fence) = right.fence else {
+            return Ok(());
+        };
+        if !link.upstream().checks_grants {
+            return Ok(());
+        }
+        let granted = sync::lock(&self.state).granted.get(&fence.slice).copied();
+        debug_assert!(
+            granted.is_none_or(|t| t <= fence.token),
+            "a slice's token never falls"
+        );
+        if granted == Some(fence.token) {
+            return Ok(());
+        }
+        link.grant(fence, self.clock.wall().after(GRANT_TIME))?;
+        sync::lock(&self.state)
+            .granted
+            .insert(fence.slice, fence.token);
+        Ok(())
+    }
+
+    /// Ends a flight; `ran` names the request where an upstream ran it without a crash.
+    fn land(&self, id: RequestId, took: Option<Duration>, ran: Option<Fingerprint>) {
+        let now = self.clock.now();
+        let mut state = sync::lock(&self.state);
+        state.flights.remove(&id);
+        release_suspect(&mut state, id);
+        if let Some(fingerprint) = ran {
+            state.quarantine.clear(now, fingerprint);
+        }
+        let admitted = state.limiter.done(now, took);
+        wake(&mut state, admitted);
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// Finds out whether the upstream crashed, and what was in flight then.
+    fn look_for_crash(&self, link: &UpstreamLink) {
+        if upstream_link::is_listening(link.upstream().address, PROBE_TIME) {
+            return;
+        }
+        let now = self.clock.now();
+        let mut state = sync::lock(&self.state);
+        let boot = link.upstream().boot;
+        if state.crashed.contains(&boot) {
+            return;
+        }
+        let suspects = suspects_of(&mut state, now, boot);
+        let present = state.link.as_ref().map(|l| l.upstream().boot);
+        if present == Some(boot) {
+            state.link = None;
+        }
+        drop(state);
+        tracing::warn!(%boot, suspects = suspects.len(), "upstream crashed");
+        (self.on_crash)(suspects);
+    }
+}
+
+/// Suspects all that was in flight when the run `boot` of the upstream ended.
+fn suspects_of(state: &mut State, now: Moment, boot: UpstreamBoot) -> Vec<Suspicion> {
+    if !state.crashed.insert(boot) {
+        return Vec::new();
+    }
+    let alone = state.flights.len() == 1;
+    let suspicion = |f: &Flight| Suspicion {
+        fingerprint: f.fingerprint,
+        boot,
+        alone,
+    };
+    let suspects: Vec<Suspicion> = state.flights.values().map(suspicion).collect();
+    for suspicion in &suspects {
+        state.quarantine.suspect(now, suspicion);
+    }
+    suspects
+}
+
+fn release_suspect(state: &mut State, id: RequestId) {
+    if state.suspect == Some(id) {
+        state.suspect = None;
+    }
+}
+
+fn wake(state: &mut State, admitted: Vec<Ticket>) {
+    for ticket in admitted {
+        if let Some(waiter) = state.waiters.remove(&ticket) {
+            let _ = waiter.try_send(());
+        }
+    }
+}
+
+fn upstream_down() -> Refusal {
+    Refusal::UpstreamRefused("the upstream is down".to_owned())
+}
+
+/// Returns the answer to an order that the upstream did not answer.
+fn answer_to(e: &UpstreamError) -> Answer {
+    match e {
+        UpstreamError::NotGiven(_) | UpstreamError::Malformed(_) => {
+            Answer::not_run(Refusal::UpstreamRefused(e.to_string()))
+        }
+        UpstreamError::MaybeGiven(_) => Answer::unknown(Refusal::UpstreamFailed(e.to_string())),
+    }
+}
--- /dev/null
+++ b/src/process/lease_times.rs
@@ -0,0 +1,33 @@
+//! The times that a lease goes by.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// The times of the lease protocol, the same on every daemon of an environment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseTimes {
+    /// How often a holder renews.
+    pub renewal: Duration,
+    /// How long a grant holds, counted by the holder from the sending of its renewal.
+    pub lease: Duration,
+    /// What a witness waits on top of the lease, for clocks that drift.
+    pub margin: Duration,
+}
+
+impl Default for LeaseTimes {
+    fn default() -> Self {
+        Self {
+            renewal: Duration::from_millis(500),
+            lease: Duration::from_millis(2000),
+            margin: Duration::from_millis(100),
+        }
+    }
+}
+
+impl LeaseTimes {
+    /// Returns how long a witness waits after a renewal before it states an end.
+    pub fn silence(&self) -> Duration {
+        self.lease + self.margin
+    }
+}
--- /dev/null
+++ b/src/process/load_report.rs
@@ -0,0 +1,40 @@
+//! What a daemon tells the planner of its load.
+
+use serde::{Deserialize, Serialize};
+
+use crate::version::key_hash::KeyHash;
+use crate::version::session_id::SessionId;
+use crate::version::slice_id::SliceId;
+
+/// The load of one upstream, as the daemon beside it measured it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// The session of the daemon.
+    pub session: Option<SessionId>,
+    /// Requests a second by slice, the busiest first.
+    pub slices: Vec<SliceLoad>,
+    /// Requests a second over all slices.
+    pub rate: u32,
+    /// The capacity that the upstream has now, in per mille of its normal one.
+    pub capacity: u32,
+    /// The busiest single keys of the busiest slice, in requests a second.
+    pub keys: Vec<KeyLoad>,
+}
+
+/// The load of one slice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SliceLoad {
+    /// The slice.
+    pub slice: SliceId,
+    /// Requests a second.
+    pub rate: u32,
+}
+
+/// The load of one key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyLoad {
+    /// The hash of the key.
+    pub key: KeyHash,
+    /// Requests a second.
+    pub rate: u32,
+}
--- /dev/null
+++ b/src/process/logging.rs
@@ -0,0 +1,27 @@
+//! Structured logs.
+
+use serde::{Deserialize, Serialize};
+use tracing_subscriber::EnvFilter;
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// One line of text an event.
+    #[default]
+    Text,
+    /// One JSON object an event.
+    Json,
+}
+
+/// Starts to log to standard error; a second call has no effect.
+pub fn start(format: LogFormat, level: &str) {
+    let filter = EnvFilter::new(level);
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    let _ = match format {
+        LogFormat::Text => builder.with_ansi(false).try_init(),
+        LogFormat::Json => builder.json().try_init(),
+    };
+}
--- /dev/null
+++ b/src/process/membership.rs
@@ -0,0 +1,353 @@
+//! Drives the ownership rules of this process over the network.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::Duration;
+
+use crate::connection::peer_message::{PeerReply, PeerRequest};
+use crate::connection::peer_pool::{Called, PeerPool};
+use crate::process::clock::Clock;
+use crate::process::datagram::{DATAGRAM_BYTES_MAX, Datagram, Message};
+use crate::process::load_report::LoadReport;
+use crate::process::metrics::Metrics;
+use crate::process::moment::Moment;
+use crate::process::ownership::{Output, Ownership};
+use crate::process::stop::Stop;
+use crate::process::sync;
+use crate::request::quarantine::Suspicion;
+use crate::version::configuration::Configuration;
+use crate::version::document::Document;
+use crate::version::document_error::DocumentError;
+use crate::version::document_version::DocumentVersion;
+use crate::version::epoch::Epoch;
+use crate::version::instance_id::InstanceId;
+use crate::version::member::{Member, MemberInfo};
+use crate::version::service_name::ServiceName;
+use crate::version::session_id::SessionId;
+use crate::version::table::Table;
+
+/// How often time-driven work is looked at.
+pub const TICK: Duration = Duration::from_millis(50);
+/// How long a table or configuration may take to come from another daemon.
+const FETCH_TIME: Duration = Duration::from_secs(2);
+
+/// Something that the rest of the process must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A table was adopted: let go of what it took away.
+    Adopted(Epoch),
+    /// The lease lapsed: cancel all work.
+    Lapsed,
+    /// The session ended: forget what it held.
+    Ended(SessionId),
+    /// Requests are suspected of crashing upstreams.
+    Suspects(Vec<Suspicion>),
+    /// Another daemon holds a newer table.
+    FetchTable {
+        /// The daemon.
+        from: SocketAddr,
+        /// Its epoch.
+        epoch: Epoch,
+    },
+    /// Another daemon holds a newer configuration.
+    FetchConfiguration {
+        /// The daemon.
+        from: SocketAddr,
+        /// Its version.
+        version: DocumentVersion,
+    },
+}
+
+/// The configuration in force in this process.
+#[derive(Clone, Debug, Default)]
+pub struct Active {
+    /// Its version.
+    pub version: DocumentVersion,
+    /// The document with the drains applied.
+    pub document: Document,
+    /// The configuration as the platform holds it.
+    pub configuration: Option<Configuration>,
+}
+
+/// The membership of this process: ownership rules, datagrams, table and configuration.
+pub struct Membership {
+    clock: Arc<dyn Clock>,
+    ownership: Mutex<Ownership>,
+    socket: UdpSocket,
+    pool: Arc<PeerPool>,
+    metrics: Arc<Metrics>,
+    active: RwLock<Arc<Active>>,
+    joins: Mutex<BTreeMap<InstanceId, MemberInfo>>,
+    loads: Mutex<BTreeMap<SessionId, LoadReport>>,
+    events: Sender<Event>,
+}
+
+impl Membership {
+    /// Creates the membership; `socket` is bound to this daemon's peer address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the socket's time limit can't be set.
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        ownership: Ownership,
+        socket: UdpSocket,
+        pool: Arc<PeerPool>,
+        metrics: Arc<Metrics>,
+        events: Sender<Event>,
+    ) -> io::Result<Self> {
+        socket.set_read_timeout(Some(TICK))?;
+        Ok(Self {
+            clock,
+            ownership: Mutex::new(ownership),
+            socket,
+            pool,
+            metrics,
+            active: RwLock::default(),
+            joins: Mutex::default(),
+            loads: Mutex::default(),
+            events,
+        })
+    }
+
+    /// Runs `f` on the ownership rules, then does what they ask for.
+    pub fn with<R>(&self, f: impl FnOnce(&mut Ownership, Moment) -> R) -> R {
+        let mut ownership = sync::lock(&self.ownership);
+        let result = f(&mut ownership, self.clock.now());
+        let outputs = ownership.take_outputs();
+        drop(ownership);
+        for output in outputs {
+            self.perform(output);
+        }
+        result
+    }
+
+    /// Returns the configuration in force.
+    pub fn active(&self) -> Arc<Active> {
+        Arc::clone(&sync::read(&self.active))
+    }
+
+    /// Returns the table that this daemon works by.
+    pub fn table(&self) -> Arc<Table> {
+        self.with(|o, _| Arc::clone(o.table()))
+    }
+
+    /// Returns the members whose upstreams may take new work of `service`.
+    pub fn upstreams(&self, service: &ServiceName) -> Vec<Member> {
+        let active = self.active();
+        let table = self.table();
+        let fit = table.members.values().filter(|m| {
+            let upstream = m.info.upstream.as_ref().filter(|u| u.service == *service);
+            let wanted = upstream.is_some_and(|u| !active.document.is_drained(u.address));
+            wanted && !m.info.leaving && active.document.takes_work(&m.info.domain)
+        });
+        fit.cloned().collect()
+    }
+
+    /// Returns what daemons that want to join, or that changed, say of themselves.
+    pub fn joins(&self) -> BTreeMap<InstanceId, MemberInfo> {
+        let mut joins = sync::lock(&self.joins).clone();
+        let own = self.with(|o, _| o.info().clone());
+        joins.insert(own.session.instance, own);
+        joins
+    }
+
+    /// Forgets the wishes that `table` fulfils.
+    pub fn forget_joins(&self, table: &Table) {
+        let fulfilled = |info: &MemberInfo| {
+            table
+                .members
+                .get(&info.session)
+                .is_some_and(|m| m.info == *info)
+        };
+        sync::lock(&self.joins).retain(|_, info| !fulfilled(info));
+    }
+
+    /// Returns the newest load report of each member.
+    pub fn loads(&self) -> BTreeMap<SessionId, LoadReport> {
+        sync::lock(&self.loads).clone()
+    }
+
+    /// Tells the planner this daemon's load.
+    pub fn report_load(&self, mut report: LoadReport) {
+        self.with(|o, _| {
+            report.session = Some(o.info().session);
+            let planner = o.table().member_of(o.table().planner).map(|m| m.info.peer);
+            match planner {
+                Some(peer) if peer != o.info().peer => {
+                    o.send(peer, Message::Load(Box::new(report)));
+                }
+                Some(_) => {
+                    sync::lock(&self.loads).insert(o.info().session, report);
+                }
+                None => {}
+            }
+        });
+    }
+
+    /// Tells all members of requests in flight at a crash.
+    pub fn report_suspects(&self, suspects: &[Suspicion]) {
+        self.with(|o, _| {
+            for peer in o.other_peers() {
+                o.send(peer, Message::Suspects(suspects.to_vec()));
+            }
+        });
+    }
+
+    /// Adopts a configuration where it is newer than the one in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where its document is refused; the present one stays in force.
+    pub fn adopt_configuration(&self, configuration: Configuration) -> Result<(), DocumentError> {
+        let document = configuration.document()?;
+        let version = configuration.version;
+        let mut active = sync::write(&self.active);
+        if version <= active.version {
+            return Ok(());
+        }
+        *active = Arc::new(Active {
+            version,
+            document,
+            configuration: Some(configuration),
+        });
+        drop(active);
+        tracing::info!(%version, "configuration in force");
+        self.with(|o, _| {
+            if version > o.document() {
+                o.adopt_document(version);
+                o.announce_versions();
+            }
+        });
+        Ok(())
+    }
+
+    /// Gets the table of the daemon at `from` and adopts it.
+    pub fn fetch_table(&self, from: SocketAddr) {
+        match self.pool.call(from, &PeerRequest::Table, FETCH_TIME) {
+            Ok(Called {
+                reply: PeerReply::Table(Some(table)),
+                ..
+            }) => {
+                self.with(|o, now| o.adopt(now, table.into()));
+            }
+            Ok(_) => {}
+            Err(e) => tracing::debug!(%from, error = %e, "table not fetched"),
+        }
+    }
+
+    /// Gets the configuration of the daemon at `from` and adopts it.
+    pub fn fetch_configuration(&self, from: SocketAddr) {
+        match self
+            .pool
+            .call(from, &PeerRequest::Configuration, FETCH_TIME)
+        {
+            Ok(Called {
+                reply: PeerReply::Configuration(Some(configuration)),
+                ..
+            }) => {
+                if let Err(e) = self.adopt_configuration(*configuration) {
+                    tracing::error!(error = %e, "configuration refused");
+                }
+            }
+            Ok(_) => {}
+            Err(e) => tracing::debug!(%from, error = %e, "configuration not fetched"),
+        }
+    }
+
+    /// Takes datagrams, and looks at time-driven work, until the process stops.
+    pub fn run(&self, stop: &Stop) {
+        let mut buf = vec![0; DATAGRAM_BYTES_MAX];
+        let mut next_tick = self.clock.now();
+        while !stop.is_raised() {
+            match self.socket.recv_from(&mut buf) {
+                Ok((length, _)) => self.take(&buf[..length]),
+                Err(e) if is_timeout(&e) => {}
+                Err(e) => tracing::debug!(error = %e, "no datagram"),
+            }
+            let now = self.clock.now();
+            if now >= next_tick {
+                next_tick = now + TICK;
+                self.with(|o, now| o.tick(now));
+            }
+        }
+    }
+
+    fn take(&self, bytes: &[u8]) {
+        self.metrics.datagram_received(bytes.len());
+        let Ok(datagram) = Datagram::decode(bytes) else {
+            self.metrics.malformed();
+            return;
+        };
+        match &datagram.message {
+            Message::Join(info) => {
+                sync::lock(&self.joins).insert(info.session.instance, (**info).clone());
+            }
+            Message::Load(report) => {
+                if let Some(session) = report.session {
+                    sync::lock(&self.loads).insert(session, (**report).clone());
+                }
+            }
+            Message::Suspects(suspects) => self.emit(Event::Suspects(suspects.clone())),
+            _ => {}
+        }
+        self.with(|o, now| o.receive(now, datagram));
+    }
+
+    fn perform(&self, output: Output) {
+        match output {
+            Output::Send { to, datagram } => self.send(to, &datagram),
+            Output::FetchTable { from, epoch } => self.emit(Event::FetchTable { from, epoch }),
+            Output::FetchDocument { from, version } => {
+                self.emit(Event::FetchConfiguration { from, version });
+            }
+            Output::Adopted(epoch) => {
+                tracing::info!(%epoch, "table adopted");
+                self.emit(Event::Adopted(epoch));
+            }
+            Output::Lapsed => {
+                tracing::warn!("lease lapsed");
+                self.emit(Event::Lapsed);
+            }
+            Output::Live => tracing::info!("lease live"),
+            Output::Ended(session) => {
+                tracing::warn!(%session, "session ended");
+                self.emit(Event::Ended(session));
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddr, datagram: &Datagram) {
+        let bytes = match datagram.encode() {
+            Ok(bytes) if bytes.len() <= DATAGRAM_BYTES_MAX => bytes,
+            Ok(bytes) => {
+                tracing::error!(bytes = bytes.len(), "datagram too large, not sent");
+                return;
+            }
+            Err(e) => {
+                tracing::error!(error = %e, "datagram not encoded");
+                return;
+            }
+        };
+        match self.socket.send_to(&bytes, to) {
+            Ok(length) => self.metrics.datagram_sent(length),
+            Err(e) => tracing::debug!(%to, error = %e, "datagram not sent"),
+        }
+    }
+
+    fn emit(&self, event: Event) {
+        // The receiver is gone only once the process stops.
+        let _ = self.events.send(event);
+    }
+}
+
+/// Returns whether a read ran into its time limit.
+fn is_timeout(e: &io::Error) -> bool {
+    matches!(
+        e.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
+}
--- /dev/null
+++ b/src/process/mod.rs
@@ -0,0 +1,35 @@
+//! What lives for a process: settings, session, witness, planner, platform, and their threads.
+
+pub mod admin;
+pub mod burn;
+pub mod burn_plot;
+pub mod choice;
+pub mod clock;
+pub mod custodian;
+pub mod daemon;
+pub mod datagram;
+pub mod facts;
+pub mod gate;
+pub mod http_platform;
+pub mod lease_times;
+pub mod load_report;
+pub mod logging;
+pub mod membership;
+pub mod metrics;
+pub mod moment;
+pub mod operations;
+pub mod owner;
+pub mod ownership;
+pub mod planner;
+pub mod platform;
+pub mod router;
+pub mod settings;
+pub mod settings_error;
+pub mod status;
+pub mod stop;
+pub mod sync;
+pub mod tenure;
+pub mod upkeep;
+pub mod wall_time;
+pub mod witness;
+pub mod workers;
--- /dev/null
+++ b/src/process/owner.rs
@@ -0,0 +1,340 @@
+//! Serves requests as the owner of their keys.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use crate::connection::peer_message::{Handover, PeerReply, PeerRequest};
+use crate::connection::peer_pool::PeerPool;
+use crate::connection::upstream_link::Fence;
+use crate::process::clock::Clock;
+use crate::process::gate::{Gate, Passage, Right, SliceOf};
+use crate::process::membership::Membership;
+use crate::process::moment::Moment;
+use crate::process::ownership::Serving;
+use crate::process::sync;
+use crate::request::answer::Answer;
+use crate::request::envelope::Envelope;
+use crate::request::fingerprint::Fingerprint;
+use crate::request::idempotency_key::IdempotencyKey;
+use crate::request::records::{Records, SliceRecords, Verdict};
+use crate::request::refusal::Refusal;
+use crate::request::request_id::RequestId;
+use crate::version::epoch::Epoch;
+
+/// How long handed-over records may take to arrive.
+const HANDOVER_TIME: Duration = Duration::from_secs(2);
+
+/// A request that is being served, which repeats of it join.
+#[derive(Default)]
+struct Pending {
+    reply: Mutex<Option<PeerReply>>,
+    done: Condvar,
+}
+
+/// What is kept of the slices served here.
+struct Kept {
+    records: Records,
+    handed_over: BTreeMap<SliceOf, (Epoch, SliceRecords)>,
+}
+
+/// Brings an admitted request to an upstream: the one beside the daemon, or one of a shared
+/// service.
+pub trait Runner: Send + Sync {
+    /// Runs the request and returns what became of it.
+    fn run(&self, envelope: &Arc<Envelope>, serving: &Serving, deadline: Moment) -> Passage;
+}
+
+/// The owner's side of a daemon.
+pub struct Owner {
+    clock: Arc<dyn Clock>,
+    membership: Arc<Membership>,
+    gate: Arc<Gate>,
+    pool: Arc<PeerPool>,
+    skew: Duration,
+    kept: Mutex<Kept>,
+    recorded: Condvar,
+    pending: Mutex<HashMap<RequestId, Arc<Pending>>>,
+}
+
+impl Owner {
+    /// Creates the owner's side; records take `record_bytes` at the most, and clocks of hosts and
+    /// callers are `skew` apart at the most.
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        membership: Arc<Membership>,
+        gate: Arc<Gate>,
+        pool: Arc<PeerPool>,
+        record_bytes: usize,
+        skew: Duration,
+    ) -> Self {
+        let records = Records::new(record_bytes);
+        Self {
+            clock,
+            membership,
+            gate,
+            pool,
+            skew,
+            kept: Mutex::new(Kept {
+                records,
+                handed_over: BTreeMap::new(),
+            }),
+            recorded: Condvar::new(),
+            pending: Mutex::default(),
+        }
+    }
+
+    /// Serves a request whose key this daemon owns; a repeat of a request that is being served
+    /// joins it.
+    pub fn serve(&self, envelope: Envelope, runner: &dyn Runner) -> PeerReply {
+        let deadline = self.clock.now() + envelope.remaining;
+        let id = envelope.id;
+        let (pending, first) = {
+            let mut all = sync::lock(&self.pending);
+            let known = all.get(&id).cloned();
+            let first = known.is_none();
+            let pending = known.unwrap_or_default();
+            all.entry(id).or_insert_with(|| Arc::clone(&pending));
+            (pending, first)
+        };
+        if !first {
+            return self.join(&pending, deadline);
+        }
+        let reply = self.serve_first(&Arc::new(envelope), deadline, runner);
+        sync::lock(&self.pending).remove(&id);
+        *sync::lock(&pending.reply) = Some(reply.clone());
+        pending.done.notify_all();
+        reply
+    }
+
+    fn join(&self, pending: &Pending, deadline: Moment) -> PeerReply {
+        let span = deadline.since(self.clock.now());
+        let reply = sync::lock(&pending.reply);
+        let waited = pending
+            .done
+            .wait_timeout_while(reply, span, |r| r.is_none());
+        let reply = waited.unwrap_or_else(PoisonError::into_inner).0.clone();
+        reply.unwrap_or_else(|| PeerReply::Answer(Answer::unknown(Refusal::DeadlinePassed)))
+    }
+
+    fn serve_first(
+        &self,
+        envelope: &Arc<Envelope>,
+        deadline: Moment,
+        runner: &dyn Runner,
+    ) -> PeerReply {
+        let hash = envelope.hash();
+        let serving = self
+            .membership
+            .with(|o, now| o.serve(now, &envelope.service, hash));
+        let serving = match serving {
+            Ok(serving) => serving,
+            Err(e) => return PeerReply::NotServing(e.to_string()),
+        };
+        let Some(id) = envelope.idempotency_key.filter(|_| !envelope.repeatable) else {
+            return reply_of(runner.run(envelope, &serving, deadline));
+        };
+        match self.begin(envelope, &serving, id, deadline) {
+            Verdict::Run => {}
+            Verdict::Answered(answer) => return PeerReply::Answer(answer),
+            Verdict::Running => {
+                return PeerReply::Answer(Answer::unknown(Refusal::DeadlinePassed));
+            }
+            Verdict::Lost => return PeerReply::Answer(Answer::unknown(Refusal::RecordLost)),
+            Verdict::Reused => return PeerReply::Answer(Answer::not_run(Refusal::KeyReused)),
+            Verdict::NotServed => return PeerReply::NotServing("released just now".to_owned()),
+        }
+        let passage = runner.run(envelope, &serving, deadline);
+        let answer = match &passage {
+            Passage::Answer(answer) => answer.clone(),
+            Passage::NotServing(reason) => Answer::not_run(Refusal::NoOwner(reason.clone())),
+        };
+        let mut kept = sync::lock(&self.kept);
+        kept.records
+            .finish(&envelope.service, serving.slice, id, &answer);
+        drop(kept);
+        self.recorded.notify_all();
+        reply_of(passage)
+    }
+
+    /// Records the request before it is run; waits where the same work is running.
+    fn begin(
+        &self,
+        envelope: &Envelope,
+        serving: &Serving,
+        id: IdempotencyKey,
+        deadline: Moment,
+    ) -> Verdict {
+        let fingerprint = Fingerprint::of(envelope);
+        let mut kept = sync::lock(&self.kept);
+        self.take_up(
+            &mut kept,
+            &(envelope.service.clone(), serving.slice),
+            serving,
+        );
+        loop {
+            let (service, slice) = (&envelope.service, serving.slice);
+            let verdict = kept
+                .records
+                .begin(service, slice, id, fingerprint, envelope.fresh);
+            let span = deadline.since(self.clock.now());
+            if verdict != Verdict::Running || span.is_zero() {
+                return verdict;
+            }
+            let waited = self.recorded.wait_timeout(kept, span);
+            kept = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Takes up the records of each slice that this daemon has begun to serve.
+    pub fn take_up_all(&self) {
+        let served = self.membership.with(|o, now| {
+            let served = o.served(now);
+            let serving = served.into_keys().filter_map(|(service, slice)| {
+                let serving = o.serve_slice(now, &service, slice).ok()?;
+                Some(((service, slice), serving))
+            });
+            serving.collect::<Vec<_>>()
+        });
+        let mut kept = sync::lock(&self.kept);
+        for (at, serving) in served {
+            self.take_up(&mut kept, &at, &serving);
+        }
+        kept.records.expire(self.clock.wall());
+    }
+
+    fn take_up(&self, kept: &mut MutexGuard<'_, Kept>, at: &SliceOf, serving: &Serving) {
+        let (service, slice) = at;
+        if kept.records.serves(service, *slice) {
+            return;
+        }
+        let handed_over = kept.handed_over.remove(at);
+        let fits = handed_over.filter(|(since, _)| *since == serving.token.since);
+        let whole = self
+            .membership
+            .with(|o, _| o.handover_is_whole(service, *slice));
+        let mut records = fits.map(|(_, records)| records);
+        if records.is_none() || !whole {
+            let horizon = self.clock.wall().after(self.skew);
+            records.get_or_insert_default().horizon = horizon;
+        }
+        kept.records
+            .take_up(service, *slice, records.unwrap_or_default());
+    }
+
+    /// Takes in records that a former owner hands over.
+    pub fn take_handover(&self, handovers: Vec<Handover>) {
+        let mut kept = sync::lock(&self.kept);
+        for handover in handovers {
+            let at = (handover.service, handover.slice);
+            if !kept.records.serves(&at.0, at.1) {
+                kept.handed_over
+                    .insert(at, (handover.since, handover.records));
+            }
+        }
+    }
+
+    /// Lets go of what the table of `epoch` took away: waits for the work, cancels what takes too
+    /// long, hands the records over, and tells the others.
+    pub fn release(&self, epoch: Epoch, patience: Duration) {
+        let released = |at: &SliceOf| {
+            self.membership.with(|o, _| {
+                let mine = o
+                    .table()
+                    .assignment(&at.0, at.1)
+                    .and_then(|a| a.candidates.first());
+                mine.is_none_or(|&s| s != o.info().session)
+            })
+        };
+        if !self.gate.wait_idle(patience, released) {
+            self.gate.cancel(released);
+            // Each order ends by itself with the lease that it was given under.
+            while !self.gate.wait_idle(patience, released) {}
+        }
+        self.hand_over(released);
+        self.membership.with(|o, now| o.let_go(now, epoch));
+    }
+
+    /// Hands the records of released slices to the next owners.
+    fn hand_over(&self, released: impl Fn(&SliceOf) -> bool) {
+        let slices: Vec<SliceOf> = sync::lock(&self.kept).records.slices();
+        let mut by_owner: BTreeMap<_, Vec<Handover>> = BTreeMap::new();
+        for at in slices.into_iter().filter(|at| released(at)) {
+            let records = sync::lock(&self.kept).records.drop_slice(&at.0, at.1);
+            let next = self.membership.with(|o, now| {
+                let table = o.table();
+                let assignment = table.assignment(&at.0, at.1)?;
+                let owner = assignment.candidates.first()?;
+                // Records of a session that lapsed may have gaps by now.
+                o.live_until(now)?;
+                Some((table.peer(*owner)?, assignment.since))
+            });
+            if let (Some(records), Some((peer, since))) = (records, next) {
+                let (service, slice) = at;
+                let handover = Handover {
+                    service,
+                    slice,
+                    since,
+                    records,
+                };
+                by_owner.entry(peer).or_default().push(handover);
+            }
+        }
+        for (peer, handovers) in by_owner {
+            let slices = handovers.len();
+            let request = PeerRequest::Handover(handovers);
+            match self.pool.call(peer, &request, HANDOVER_TIME) {
+                Ok(_) => tracing::info!(%peer, slices, "records handed over"),
+                Err(e) => tracing::warn!(%peer, slices, error = %e, "records not handed over"),
+            }
+        }
+    }
+
+    /// Forgets all records: the session that they belong to has ended.
+    pub fn forget(&self) {
+        let mut kept = sync::lock(&self.kept);
+        kept.records.clear();
+        kept.handed_over.clear();
+    }
+
+    /// Returns the memory that the records take, in bytes.
+    pub fn record_bytes(&self) -> usize {
+        sync::lock(&self.kept).records.bytes()
+    }
+}
+
+/// Runs keyed requests on the upstream beside the daemon.
+pub struct GateRunner {
+    /// The gate to the upstream.
+    pub gate: Arc<Gate>,
+    /// The membership that holds the right.
+    pub membership: Arc<Membership>,
+}
+
+impl Runner for GateRunner {
+    fn run(&self, envelope: &Arc<Envelope>, serving: &Serving, deadline: Moment) -> Passage {
+        let slice = (envelope.service.clone(), serving.slice);
+        let right = |_| {
+            let serving = self
+                .membership
+                .with(|o, now| o.serve_slice(now, &envelope.service, serving.slice));
+            let serving = serving.map_err(|e| e.to_string())?;
+            let fence = Fence {
+                slice: serving.slice,
+                token: serving.token,
+            };
+            Ok(Right {
+                fence: Some(fence),
+                until: serving.until,
+            })
+        };
+        self.gate.pass(envelope, Some(slice), deadline, right)
+    }
+}
+
+fn reply_of(passage: Passage) -> PeerReply {
+    match passage {
+        Passage::Answer(answer) => PeerReply::Answer(answer),
+        Passage::NotServing(reason) => PeerReply::NotServing(reason),
+    }
+}
--- /dev/null
+++ b/src/process/ownership.rs
@@ -0,0 +1,744 @@
+//! The ownership rules of one daemon: time and messages in, actions out.
+//!
+//! A daemon serves a slice while its own session is live, it holds a certificate that each
+//! candidate before it has ended, and each leaving session has let go. `docs/DESIGN.md` gives the
+//! argument that two daemons never serve one slice.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+use rand::{RngExt, SeedableRng};
+use thiserror::Error;
+
+use crate::process::datagram::{Datagram, Message};
+use crate::process::facts::Facts;
+use crate::process::lease_times::LeaseTimes;
+use crate::process::moment::Moment;
+use crate::process::tenure::Tenure;
+use crate::process::witness::Witness;
+use crate::version::assignment::Leaving;
+use crate::version::document_version::DocumentVersion;
+use crate::version::epoch::Epoch;
+use crate::version::instance_id::InstanceId;
+use crate::version::key_hash::KeyHash;
+use crate::version::member::{Member, MemberInfo};
+use crate::version::service_name::ServiceName;
+use crate::version::session_id::SessionId;
+use crate::version::slice_id::SliceId;
+use crate::version::table::Table;
+use crate::version::token::Token;
+
+/// How often a daemon tells all that it knows to a few others.
+const ANTI_ENTROPY: Duration = Duration::from_millis(1000);
+/// How many others it tells then.
+const ANTI_ENTROPY_PEERS: usize = 2;
+/// How often a daemon repeats its wish to join.
+const JOIN_REPEAT: Duration = Duration::from_millis(500);
+/// How long a session may stay lapsed before its holder gives it up for a new one.
+const LAPSE_MAX: Duration = Duration::from_secs(10);
+/// A gap between two ticks that shows that the process was paused.
+const PAUSE_MIN: Duration = Duration::from_millis(300);
+
+/// The right to serve a slice for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Serving {
+    /// The slice.
+    pub slice: SliceId,
+    /// The fence token of the right.
+    pub token: Token,
+    /// When the right ends, unless it is renewed.
+    pub until: Moment,
+}
+
+/// Why a daemon does not serve a slice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum NotServing {
+    /// The table has no such service or slice.
+    #[error("no upstream is known for this service yet")]
+    UnknownSlice,
+    /// The daemon's session is not live.
+    #[error("the daemon's lease has lapsed")]
+    Lapsed,
+    /// The daemon is no candidate of the slice.
+    #[error("the daemon does not own this key")]
+    NotCandidate,
+    /// A candidate before this one is not known to have ended.
+    #[error("another daemon owns this key")]
+    NotFirst,
+    /// A former candidate is not known to have let go.
+    #[error("the former owner has not let go yet")]
+    Waiting,
+    /// The witnesses have not confirmed the epoch that gave the slice to this daemon.
+    #[error("the grant is not confirmed yet")]
+    Unconfirmed,
+}
+
+/// What the daemon must do.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Send a datagram.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// What.
+        datagram: Datagram,
+    },
+    /// Get the table of a daemon that holds a newer one.
+    FetchTable {
+        /// The daemon.
+        from: SocketAddr,
+        /// Its epoch.
+        epoch: Epoch,
+    },
+    /// Get the document of a daemon that holds a newer one.
+    FetchDocument {
+        /// The daemon.
+        from: SocketAddr,
+        /// Its version.
+        version: DocumentVersion,
+    },
+    /// Finish or cancel the work on slices served no more, hand their records over, and call
+    /// [`Ownership::let_go`] with the epoch.
+    Adopted(Epoch),
+    /// Cancel all work: the lease has lapsed.
+    Lapsed,
+    /// The session is live again.
+    Live,
+    /// The session has ended and a new one wants to join.
+    Ended(SessionId),
+}
+
+/// The ownership state of one daemon process.
+#[derive(Debug)]
+pub struct Ownership {
+    cell: u64,
+    times: LeaseTimes,
+    info: MemberInfo,
+    tenure: Tenure,
+    joined: bool,
+    witness: Witness,
+    facts: Facts,
+    certified: BTreeMap<SessionId, Epoch>,
+    table: Arc<Table>,
+    document: DocumentVersion,
+    held: BTreeMap<(ServiceName, SliceId), Token>,
+    renew_at: Moment,
+    gossip_at: Moment,
+    join_at: Moment,
+    lapsed_since: Moment,
+    last_tick: Moment,
+    rng: SmallRng,
+    out: Vec<Output>,
+}
+
+impl Ownership {
+    /// Creates the state of a process that has just started and is no member yet.
+    pub fn new(cell: u64, times: LeaseTimes, info: MemberInfo, now: Moment, seed: u64) -> Self {
+        Self {
+            cell,
+            times,
+            tenure: Tenure::new(info.session),
+            info,
+            joined: false,
+            witness: Witness::default(),
+            facts: Facts::default(),
+            certified: BTreeMap::new(),
+            table: Arc::default(),
+            document: DocumentVersion::default(),
+            held: BTreeMap::new(),
+            renew_at: now,
+            gossip_at: now,
+            join_at: now,
+            lapsed_since: now,
+            last_tick: now,
+            rng: SmallRng::seed_from_u64(seed),
+            out: Vec::new(),
+        }
+    }
+
+    /// Returns the table that the daemon works by.
+    pub fn table(&self) -> &Arc<Table> {
+        &self.table
+    }
+
+    /// Returns the statements that the daemon holds.
+    pub fn facts(&self) -> &Facts {
+        &self.facts
+    }
+
+    /// Returns the sessions known to have ended, with their last epochs.
+    pub fn certified(&self) -> &BTreeMap<SessionId, Epoch> {
+        &self.certified
+    }
+
+    /// Returns what the daemon says of itself.
+    pub fn info(&self) -> &MemberInfo {
+        &self.info
+    }
+
+    /// Returns the version of the document that the daemon works by.
+    pub fn document(&self) -> DocumentVersion {
+        self.document
+    }
+
+    /// Returns until when the daemon's session is live, where it is.
+    pub fn live_until(&self, now: Moment) -> Option<Moment> {
+        let member = self.table.members.get(&self.tenure.id)?;
+        let until = self.tenure.live_until(&member.witnesses, &self.times)?;
+        (until > now).then_some(until)
+    }
+
+    /// Takes the outputs that have gathered.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Says something new of the daemon itself; the planner hears it with the next join message.
+    pub fn describe(&mut self, now: Moment, change: impl FnOnce(&mut MemberInfo)) {
+        change(&mut self.info);
+        self.info.session = self.tenure.id;
+        self.join_at = now;
+    }
+
+    /// Notes the version of the document now in force here.
+    pub fn adopt_document(&mut self, version: DocumentVersion) {
+        debug_assert!(version >= self.document, "a document version never falls");
+        self.document = version;
+    }
+
+    /// Does what is due at `now`.
+    pub fn tick(&mut self, now: Moment) {
+        self.forgive_pause(now);
+        self.state_ends(now);
+        self.observe_lease(now);
+        if now >= self.renew_at {
+            self.renew_at = now + self.times.renewal;
+            self.renew(now);
+        }
+        if now >= self.join_at {
+            self.join_at = now + JOIN_REPEAT;
+            self.ask_to_join();
+        }
+        if now >= self.gossip_at {
+            self.gossip_at = now + ANTI_ENTROPY;
+            self.tell_all_facts();
+        }
+    }
+
+    /// Takes in a datagram.
+    pub fn receive(&mut self, now: Moment, datagram: Datagram) {
+        if datagram.cell != self.cell || datagram.from == self.info.session.instance {
+            return;
+        }
+        self.forgive_pause(now);
+        if datagram.epoch > self.table.epoch {
+            self.out.push(Output::FetchTable {
+                from: datagram.peer,
+                epoch: datagram.epoch,
+            });
+        }
+        if datagram.document > self.document {
+            let (from, version) = (datagram.peer, datagram.document);
+            self.out.push(Output::FetchDocument { from, version });
+        }
+        match datagram.message {
+            Message::Renew {
+                session,
+                sent,
+                epoch,
+            } => {
+                self.answer_renewal(now, datagram.peer, session, sent, epoch);
+            }
+            Message::Grant {
+                session,
+                sent,
+                epoch,
+            } => {
+                self.take_grant(now, datagram.from, session, sent, epoch);
+            }
+            Message::Facts(facts) => self.learn(now, facts),
+            Message::Join(_) | Message::Load(_) | Message::Suspects(_) => {}
+        }
+    }
+
+    /// Adopts `table` where it is newer than the present one.
+    pub fn adopt(&mut self, now: Moment, table: Arc<Table>) {
+        if table.epoch <= self.table.epoch {
+            return;
+        }
+        let before = self.served(now);
+        self.table = table;
+        let members = &self.table.members;
+        self.facts.retain(|s| members.contains_key(&s));
+        self.certified.retain(|s, _| members.contains_key(s));
+        self.witness
+            .adopt(now, &self.table, self.info.session.instance);
+        self.certify(now);
+        self.check_membership(now);
+        self.held = self.still_entitled(now, before);
+        self.out.push(Output::Adopted(self.table.epoch));
+        self.renew_at = now + self.times.renewal;
+        self.renew(now);
+    }
+
+    /// States that all work which `epoch` took from this daemon is done or stopped.
+    pub fn let_go(&mut self, now: Moment, epoch: Epoch) {
+        if epoch != self.table.epoch {
+            return;
+        }
+        let mut news = Facts::default();
+        news.adopted.insert(self.tenure.id, epoch);
+        self.learn(now, news);
+    }
+
+    /// Ends the daemon's session by its own word, and starts the next.
+    pub fn resign(&mut self, now: Moment) {
+        let old = self.tenure.id;
+        let mut news = Facts::default();
+        news.resigned.insert(old, self.table.epoch);
+        self.push_and_merge(news);
+        self.start_session(now);
+        self.certify(now);
+    }
+
+    /// States the end of former processes on this daemon's own address.
+    ///
+    /// Sound only after this process has held the address for a lease and its margin, with a
+    /// table read after that: grants go to the address in the table, so the former process can
+    /// have had none since.
+    pub fn succeed_address(&mut self, now: Moment) {
+        let me = self.info.session.instance;
+        let peer = self.info.peer;
+        let former = self.table.members.keys().filter(|s| s.instance != me);
+        let former = former.filter(|s| self.table.peer(**s) == Some(peer));
+        let ended = former.map(|&s| (s, self.table.epoch));
+        let news = Facts {
+            resigned: ended.collect(),
+            ..Facts::default()
+        };
+        self.learn(now, news);
+    }
+
+    /// Returns the right of this daemon to serve `key` now.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the daemon does not serve it.
+    pub fn serve(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        key: KeyHash,
+    ) -> Result<Serving, NotServing> {
+        let slices = self
+            .table
+            .services
+            .get(service)
+            .ok_or(NotServing::UnknownSlice)?;
+        let slice = slices.slice_of(key).ok_or(NotServing::UnknownSlice)?;
+        self.serve_slice(now, service, slice)
+    }
+
+    /// Returns the right of this daemon to serve `slice` now.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the daemon does not serve it.
+    pub fn serve_slice(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        slice: SliceId,
+    ) -> Result<Serving, NotServing> {
+        let (rank, until) = self.entitled(now, service, slice)?;
+        let assignment = self
+            .table
+            .assignment(service, slice)
+            .ok_or(NotServing::UnknownSlice)?;
+        let member = self
+            .table
+            .members
+            .get(&self.tenure.id)
+            .ok_or(NotServing::NotCandidate)?;
+        let held = self.held.get(&(service.clone(), slice)).copied();
+        if self.tenure.confirmed(&member.witnesses) < assignment.since {
+            let token = held.ok_or(NotServing::Unconfirmed)?;
+            return Ok(Serving {
+                slice,
+                token,
+                until,
+            });
+        }
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        let incarnation = self.tenure.incarnation;
+        let token = Token {
+            since: assignment.since,
+            rank,
+            incarnation,
+        };
+        debug_assert!(
+            held.is_none_or(|h| h <= token),
+            "a slice's token never falls"
+        );
+        Ok(Serving {
+            slice,
+            token,
+            until,
+        })
+    }
+
+    /// Returns whether what was handed over for the slice's present assignment is all there is:
+    /// each former candidate let go by its own word, and none ended before it did.
+    pub fn handover_is_whole(&self, service: &ServiceName, slice: SliceId) -> bool {
+        let Some(assignment) = self.table.assignment(service, slice) else {
+            return false;
+        };
+        let let_go = |(&s, former): (&SessionId, &Leaving)| {
+            s == self.tenure.id
+                || former.behind.contains(&self.tenure.id)
+                || self.facts.adopted(s) >= former.since
+        };
+        assignment.unrecorded <= assignment.since && assignment.leaving.iter().all(let_go)
+    }
+
+    /// Returns the daemon that most likely serves `key`: the first candidate not known to have
+    /// ended.
+    pub fn owner(&self, service: &ServiceName, key: KeyHash) -> Option<&Member> {
+        let slices = self.table.services.get(service)?;
+        let assignment = slices.assignment(slices.slice_of(key)?)?;
+        let mut candidates = assignment.candidates.iter();
+        let first = candidates.find(|s| !self.certified.contains_key(s))?;
+        self.table.members.get(first)
+    }
+
+    /// Returns all slices that this daemon serves now, with their tokens.
+    pub fn served(&self, now: Moment) -> BTreeMap<(ServiceName, SliceId), Token> {
+        let mine = self
+            .table
+            .assignments()
+            .filter(|(_, _, a)| a.rank(self.tenure.id).is_some());
+        let served = mine.filter_map(|(service, slice, _)| {
+            let serving = self.serve_slice(now, service, slice).ok()?;
+            Some(((service.clone(), slice), serving.token))
+        });
+        served.collect()
+    }
+
+    /// Applies the serve rule; returns this daemon's rank and until when its lease holds.
+    fn entitled(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        slice: SliceId,
+    ) -> Result<(usize, Moment), NotServing> {
+        let assignment = self
+            .table
+            .assignment(service, slice)
+            .ok_or(NotServing::UnknownSlice)?;
+        let rank = assignment
+            .rank(self.tenure.id)
+            .ok_or(NotServing::NotCandidate)?;
+        let until = self.live_until(now).ok_or(NotServing::Lapsed)?;
+        if !assignment.candidates[..rank]
+            .iter()
+            .all(|&s| self.has_ended(s))
+        {
+            return Err(NotServing::NotFirst);
+        }
+        if !assignment
+            .leaving
+            .iter()
+            .all(|(&s, former)| self.has_left(s, former))
+        {
+            return Err(NotServing::Waiting);
+        }
+        Ok((rank, until))
+    }
+
+    /// Returns whether `session` is known to have ended, with no epoch that is unknown here.
+    fn has_ended(&self, session: SessionId) -> bool {
+        self.certified
+            .get(&session)
+            .is_some_and(|&epoch| epoch <= self.table.epoch)
+    }
+
+    /// Returns whether `session` has let go, or cannot serve while this daemon is live.
+    fn has_left(&self, session: SessionId, former: &Leaving) -> bool {
+        session == self.tenure.id
+            || former.behind.contains(&self.tenure.id)
+            || self.facts.adopted(session) >= former.since
+            || self.has_ended(session)
+    }
+
+    /// Keeps of `before` what the present table leaves to this daemon without a break.
+    fn still_entitled(
+        &self,
+        now: Moment,
+        before: BTreeMap<(ServiceName, SliceId), Token>,
+    ) -> BTreeMap<(ServiceName, SliceId), Token> {
+        let entitled =
+            |(service, slice): &(ServiceName, SliceId)| self.entitled(now, service, *slice).is_ok();
+        before.into_iter().filter(|(at, _)| entitled(at)).collect()
+    }
+
+    /// Counts no time in which this process was paused against the sessions it watches.
+    fn forgive_pause(&mut self, now: Moment) {
+        let gap = now.since(self.last_tick);
+        self.last_tick = now;
+        if gap > PAUSE_MIN {
+            self.witness.postpone(gap);
+        }
+    }
+
+    fn state_ends(&mut self, now: Moment) {
+        let me = self.info.session.instance;
+        let mut news = Facts::default();
+        for (session, epoch) in self.witness.expire(now, &self.times) {
+            news.ended.insert(session, BTreeMap::from([(me, epoch)]));
+        }
+        self.learn(now, news);
+    }
+
+    fn observe_lease(&mut self, now: Moment) {
+        let live = self.live_until(now).is_some();
+        match self.tenure.observe(live) {
+            Some(true) => self.out.push(Output::Live),
+            Some(false) => {
+                self.lapsed_since = now;
+                self.held.clear();
+                self.out.push(Output::Lapsed);
+            }
+            None => {}
+        }
+        if self.joined && !live && now.since(self.lapsed_since) > LAPSE_MAX {
+            self.resign(now);
+        }
+    }
+
+    fn renew(&mut self, now: Moment) {
+        let session = self.tenure.id;
+        let Some(member) = self.table.members.get(&session) else {
+            return;
+        };
+        let me = self.info.session.instance;
+        let mut witnesses: Vec<_> = member.witnesses.iter().flat_map(|set| &set.0).collect();
+        witnesses.sort_unstable();
+        witnesses.dedup();
+        let epoch = self.table.epoch;
+        let mut by_me = false;
+        let mut to = Vec::new();
+        for witness in witnesses {
+            by_me |= witness.instance == me;
+            if witness.instance != me {
+                to.push(witness.peer);
+            }
+        }
+        for peer in to {
+            self.send(
+                peer,
+                Message::Renew {
+                    session,
+                    sent: now,
+                    epoch,
+                },
+            );
+        }
+        if by_me && let Some(granted) = self.witness.renew(now, session, epoch, &self.times) {
+            self.tenure.granted(me, now, granted);
+            self.observe_lease(now);
+        }
+    }
+
+    fn answer_renewal(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        session: SessionId,
+        sent: Moment,
+        epoch: Epoch,
+    ) {
+        // The reply goes to the address in the table, which a successor on that address relies on.
+        let to = self.table.peer(session).unwrap_or(from);
+        let known = epoch.min(self.table.epoch);
+        if let Some(epoch) = self.witness.renew(now, session, known, &self.times) {
+            self.send(
+                to,
+                Message::Grant {
+                    session,
+                    sent,
+                    epoch,
+                },
+            );
+        } else if let Some(statements) = self.facts.ended.get(&session) {
+            let ended = BTreeMap::from([(session, statements.clone())]);
+            self.send(
+                to,
+                Message::Facts(Facts {
+                    ended,
+                    ..Facts::default()
+                }),
+            );
+        }
+    }
+
+    fn take_grant(
+        &mut self,
+        now: Moment,
+        from: InstanceId,
+        session: SessionId,
+        sent: Moment,
+        epoch: Epoch,
+    ) {
+        if session != self.tenure.id || sent > now {
+            return;
+        }
+        self.tenure.granted(from, sent, epoch);
+        self.observe_lease(now);
+    }
+
+    /// Takes in statements, and passes this daemon's own news on to all.
+    fn learn(&mut self, now: Moment, facts: Facts) {
+        if facts.is_empty() {
+            return;
+        }
+        self.push_and_merge(facts);
+        self.certify(now);
+    }
+
+    fn push_and_merge(&mut self, facts: Facts) {
+        let members = &self.table.members;
+        let me = self.info.session.instance;
+        let news = self.facts.merge(facts, |s| members.contains_key(&s));
+        let mine = Facts {
+            adopted: news
+                .adopted
+                .into_iter()
+                .filter(|(s, _)| s.instance == me)
+                .collect(),
+            ended: only_of(news.ended, me),
+            resigned: news.resigned,
+        };
+        if mine.is_empty() {
+            return;
+        }
+        for peer in self.other_peers() {
+            self.send(peer, Message::Facts(mine.clone()));
+        }
+    }
+
+    /// Forms the certificates that the statements allow; each is final.
+    fn certify(&mut self, now: Moment) {
+        for (&session, member) in &self.table.members {
+            if self.certified.contains_key(&session) {
+                continue;
+            }
+            if let Some(epoch) = self.facts.certificate(session, &member.witnesses) {
+                self.certified.insert(session, epoch);
+            }
+        }
+        if self.certified.contains_key(&self.tenure.id) {
+            self.start_session(now);
+        }
+    }
+
+    /// Starts a new session where the table no longer lists the present one.
+    fn check_membership(&mut self, now: Moment) {
+        if self.table.members.contains_key(&self.tenure.id) {
+            if !self.joined {
+                self.lapsed_since = now;
+            }
+            self.joined = true;
+        } else if self.joined {
+            self.start_session(now);
+        }
+    }
+
+    fn start_session(&mut self, now: Moment) {
+        let old = self.tenure.id;
+        let next = SessionId {
+            instance: old.instance,
+            tenure: old.tenure + 1,
+        };
+        self.tenure = Tenure::new(next);
+        self.info.session = next;
+        self.joined = false;
+        self.held.clear();
+        self.join_at = now;
+        self.out.push(Output::Lapsed);
+        self.out.push(Output::Ended(old));
+    }
+
+    fn ask_to_join(&mut self) {
+        let listed = self.table.members.get(&self.tenure.id);
+        if listed.is_some_and(|m| m.info == self.info) {
+            return;
+        }
+        for peer in self.other_peers() {
+            self.send(peer, Message::Join(Box::new(self.info.clone())));
+        }
+    }
+
+    fn tell_all_facts(&mut self) {
+        let peers = self.other_peers();
+        let some = peers.into_iter().sample(&mut self.rng, ANTI_ENTROPY_PEERS);
+        let jitter = self
+            .rng
+            .random_range(0..ANTI_ENTROPY.as_millis() as u64 / 4);
+        self.gossip_at = self.gossip_at + Duration::from_millis(jitter);
+        for peer in some {
+            self.send(peer, Message::Facts(self.facts.clone()));
+        }
+    }
+
+    /// Tells all members which versions this daemon holds.
+    pub fn announce_versions(&mut self) {
+        for peer in self.other_peers() {
+            self.send(peer, Message::Facts(Facts::default()));
+        }
+    }
+
+    /// Returns the addresses of all members but this daemon.
+    pub fn other_peers(&self) -> Vec<SocketAddr> {
+        let me = self.info.session.instance;
+        let others = self
+            .table
+            .members
+            .values()
+            .filter(|m| m.info.session.instance != me);
+        let mut peers: Vec<SocketAddr> = others.map(|m| m.info.peer).collect();
+        peers.sort_unstable();
+        peers.dedup();
+        peers
+    }
+
+    /// Sends `message` with this daemon's versions.
+    pub fn send(&mut self, to: SocketAddr, message: Message) {
+        let datagram = Datagram {
+            cell: self.cell,
+            from: self.info.session.instance,
+            peer: self.info.peer,
+            epoch: self.table.epoch,
+            document: self.document,
+            message,
+        };
+        self.out.push(Output::Send { to, datagram });
+    }
+}
+
+/// Keeps the end statements that `witness` made.
+fn only_of(
+    ended: BTreeMap<SessionId, BTreeMap<InstanceId, Epoch>>,
+    witness: InstanceId,
+) -> BTreeMap<SessionId, BTreeMap<InstanceId, Epoch>> {
+    let own = |by: BTreeMap<InstanceId, Epoch>| {
+        by.into_iter()
+            .filter(|(i, _)| *i == witness)
+            .collect::<BTreeMap<_, _>>()
+    };
+    let kept = ended.into_iter().map(|(s, by)| (s, own(by)));
+    kept.filter(|(_, by)| !by.is_empty()).collect()
+}
--- /dev/null
+++ b/src/process/planner/members.rs
@@ -0,0 +1,39 @@
+//! Plans who is a member.
+
+use std::collections::BTreeMap;
+
+use crate::process::planner::PlanInput;
+use crate::version::epoch::Epoch;
+use crate::version::member::{Member, MemberInfo};
+use crate::version::session_id::SessionId;
+
+/// Returns the members of the next table: the present ones that are not known to have ended, with
+/// their newest particulars, and those that want to join.
+pub fn plan(input: &PlanInput<'_>) -> BTreeMap<SessionId, Member> {
+    let mut members = input.table.members.clone();
+    members.retain(|&s, _| !input.is_gone(s));
+    for info in input.joins.values() {
+        if !input.is_gone(info.session) && is_newest(&members, info) {
+            let member = members.entry(info.session).or_insert_with(|| joining(info));
+            member.info = info.clone();
+        }
+    }
+    members
+}
+
+/// Returns whether no later session of the same process is a member already.
+fn is_newest(members: &BTreeMap<SessionId, Member>, info: &MemberInfo) -> bool {
+    let same = members
+        .keys()
+        .filter(|s| s.instance == info.session.instance);
+    same.max().is_none_or(|&newest| newest <= info.session)
+}
+
+/// Returns a member without witnesses yet.
+fn joining(info: &MemberInfo) -> Member {
+    Member {
+        info: info.clone(),
+        witnesses: Vec::new(),
+        witnesses_since: Epoch::default(),
+    }
+}
--- /dev/null
+++ b/src/process/planner/mod.rs
@@ -0,0 +1,71 @@
+//! Plans the next assignment table; keeps no state of its own.
+//!
+//! A plan is a pure function of the present table, the document and what the planner's own daemon
+//! knows, so a planner that is killed half-way leaves nothing to clean up.
+
+pub mod members;
+pub mod slices;
+pub mod witnesses;
+
+use std::collections::BTreeMap;
+
+use crate::process::facts::Facts;
+use crate::process::load_report::LoadReport;
+use crate::version::document::Document;
+use crate::version::document_version::DocumentVersion;
+use crate::version::epoch::Epoch;
+use crate::version::instance_id::InstanceId;
+use crate::version::member::MemberInfo;
+use crate::version::session_id::SessionId;
+use crate::version::table::Table;
+
+/// What a plan is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanInput<'a> {
+    /// The table that the planner's daemon has adopted.
+    pub table: &'a Table,
+    /// The document that the planner's daemon has adopted.
+    pub document: &'a Document,
+    /// The version of the document.
+    pub version: DocumentVersion,
+    /// What daemons that want to join, or that changed, say of themselves.
+    pub joins: &'a BTreeMap<InstanceId, MemberInfo>,
+    /// The statements that the planner's daemon holds.
+    pub facts: &'a Facts,
+    /// The sessions that the planner's daemon knows to have ended.
+    pub certified: &'a BTreeMap<SessionId, Epoch>,
+    /// The newest load report of each session.
+    pub loads: &'a BTreeMap<SessionId, LoadReport>,
+    /// The process that plans.
+    pub planner: InstanceId,
+}
+
+impl PlanInput<'_> {
+    /// Returns whether `session` is known to have ended.
+    pub fn is_gone(&self, session: SessionId) -> bool {
+        self.certified.contains_key(&session)
+    }
+}
+
+/// Returns the table that should follow, or `None` where the present one is right.
+pub fn plan(input: &PlanInput<'_>) -> Option<Table> {
+    let epoch = input.table.epoch.next();
+    let mut next = input.table.clone();
+    next.epoch = epoch;
+    next.document = input.table.document.max(input.version);
+    next.members = members::plan(input);
+    witnesses::plan(input, epoch, &mut next.members);
+    next.services = slices::plan(input, epoch, &next.members);
+    if !differs(input.table, &next) {
+        return None;
+    }
+    next.planner = input.planner;
+    Some(next)
+}
+
+/// Returns whether `next` changes more than its epoch.
+fn differs(table: &Table, next: &Table) -> bool {
+    table.members != next.members
+        || table.services != next.services
+        || table.document != next.document
+}
--- /dev/null
+++ b/src/process/planner/slices.rs
@@ -0,0 +1,285 @@
+//! Plans which daemons may own each slice.
+
+use std::collections::BTreeMap;
+
+use crate::process::planner::PlanInput;
+use crate::version::assignment::{Assignment, CANDIDATES_MAX};
+use crate::version::epoch::Epoch;
+use crate::version::member::Member;
+use crate::version::rendezvous;
+use crate::version::service::Service;
+use crate::version::service_name::ServiceName;
+use crate::version::session_id::SessionId;
+use crate::version::table::ServiceSlices;
+
+/// The share of its fair number of slices that an owner may hold on top, in per cent.
+const SURPLUS_PERCENT: u32 = 10;
+/// The part of its fair number of slices that an owner gets more in one plan: one in so many.
+const FILL_STEPS: u32 = 4;
+
+/// Returns the slices of each service for the table of `epoch`.
+pub fn plan(
+    input: &PlanInput<'_>,
+    epoch: Epoch,
+    members: &BTreeMap<SessionId, Member>,
+) -> BTreeMap<ServiceName, ServiceSlices> {
+    let mut services = BTreeMap::new();
+    for (name, service) in &input.document.services {
+        let owners = eligible(input, name, members);
+        let present = input.table.services.get(name);
+        let slices = match present {
+            Some(present) => present.slices.clone(),
+            None => vec![Assignment::default(); usize::try_from(service.slices).unwrap_or(1)],
+        };
+        let slices = plan_service(input, epoch, name, service, &slices, &owners);
+        services.insert(name.clone(), ServiceSlices { slices });
+    }
+    for (name, present) in &input.table.services {
+        let removed = || release(input, epoch, present);
+        services.entry(name.clone()).or_insert_with(removed);
+    }
+    services
+}
+
+/// Returns the members that may own slices of `service`, with their weights.
+fn eligible<'m>(
+    input: &PlanInput<'_>,
+    service: &ServiceName,
+    members: &'m BTreeMap<SessionId, Member>,
+) -> BTreeMap<SessionId, &'m Member> {
+    let fit = members.iter().filter(|(_, m)| {
+        let info = &m.info;
+        let runs = info.upstream.as_ref().filter(|u| u.service == *service);
+        let wanted = runs.is_some_and(|u| !input.document.is_drained(u.address));
+        wanted && !info.leaving && info.weight > 0 && input.document.takes_work(&info.domain)
+    });
+    fit.map(|(&s, m)| (s, m)).collect()
+}
+
+/// Keeps a service that the document no longer names, with no candidates.
+fn release(input: &PlanInput<'_>, epoch: Epoch, present: &ServiceSlices) -> ServiceSlices {
+    let slices = present.slices.iter();
+    let released = slices.map(|a| succeed(input, epoch, a, Vec::new()));
+    ServiceSlices {
+        slices: released.collect(),
+    }
+}
+
+/// Plans the slices of one service.
+fn plan_service(
+    input: &PlanInput<'_>,
+    epoch: Epoch,
+    name: &ServiceName,
+    _service: &Service,
+    slices: &[Assignment],
+    owners: &BTreeMap<SessionId, &Member>,
+) -> Vec<Assignment> {
+    let mut shares = Shares::new(slices.len(), owners);
+    let mut first: Vec<Option<SessionId>> = Vec::with_capacity(slices.len());
+    for assignment in slices {
+        let present = assignment
+            .candidates
+            .iter()
+            .copied()
+            .find(|&s| !input.is_gone(s));
+        let kept = present.filter(|s| owners.contains_key(s));
+        if let Some(owner) = kept {
+            shares.take(owner);
+        }
+        first.push(kept);
+    }
+    place_orphans(name, slices, owners, &mut shares, &mut first);
+    rebalance(name, owners, &mut shares, &mut first);
+    let numbered = slices.iter().zip(first).enumerate();
+    let planned = numbered.map(|(number, (assignment, owner))| {
+        let item = item_of(name, number);
+        let candidates = candidates(item, assignment, owner, owners);
+        succeed(input, epoch, assignment, candidates)
+    });
+    planned.collect()
+}
+
+/// Gives each slice without an owner to its next candidate, or to the one that ranks best.
+fn place_orphans(
+    name: &ServiceName,
+    slices: &[Assignment],
+    owners: &BTreeMap<SessionId, &Member>,
+    shares: &mut Shares,
+    first: &mut [Option<SessionId>],
+) {
+    for (number, assignment) in slices.iter().enumerate() {
+        if first[number].is_some() {
+            continue;
+        }
+        let next = assignment
+            .candidates
+            .iter()
+            .copied()
+            .find(|s| owners.contains_key(s));
+        let next = next.filter(|&s| shares.has_room(s));
+        let item = item_of(name, number);
+        let owner = next.or_else(|| shares.best(item, owners));
+        if let Some(owner) = owner {
+            shares.take(owner);
+            first[number] = Some(owner);
+        }
+    }
+}
+
+/// Moves slices from owners above their bound to owners below their fair number.
+fn rebalance(
+    name: &ServiceName,
+    owners: &BTreeMap<SessionId, &Member>,
+    shares: &mut Shares,
+    first: &mut [Option<SessionId>],
+) {
+    let mut filled: BTreeMap<SessionId, u32> = BTreeMap::new();
+    for number in 0..first.len() {
+        let Some(owner) = first[number] else { continue };
+        if !shares.is_above(owner) {
+            continue;
+        }
+        let item = item_of(name, number);
+        let domain = &owners[&owner].info.domain;
+        let wanting = owners.iter().filter(|(s, _)| {
+            let got = filled.get(s).copied().unwrap_or(0);
+            shares.is_below(**s) && got < shares.step(**s)
+        });
+        let target = wanting.max_by(|(a, m), (b, n)| {
+            let near = |m: &Member| m.info.domain == *domain;
+            let score = |m: &Member| rendezvous::score(item, node_of(m), m.info.weight);
+            near(m)
+                .cmp(&near(n))
+                .then(score(m).total_cmp(&score(n)))
+                .then(a.cmp(b))
+        });
+        if let Some((&target, _)) = target {
+            shares.give_back(owner);
+            shares.take(target);
+            *filled.entry(target).or_default() += 1;
+            first[number] = Some(target);
+        }
+    }
+}
+
+/// Returns the candidates of a slice: its owner, then others in other failure domains.
+fn candidates(
+    item: u64,
+    assignment: &Assignment,
+    owner: Option<SessionId>,
+    owners: &BTreeMap<SessionId, &Member>,
+) -> Vec<SessionId> {
+    let Some(owner) = owner else {
+        return Vec::new();
+    };
+    let mut ranked: Vec<(&SessionId, &&Member)> = owners.iter().collect();
+    ranked.sort_by(|(a, m), (b, n)| {
+        let place = |s: &SessionId| assignment.rank(*s).unwrap_or(CANDIDATES_MAX);
+        let score = |m: &Member| rendezvous::score(item, node_of(m), m.info.weight);
+        place(a).cmp(&place(b)).then(score(n).total_cmp(&score(m)))
+    });
+    let mut chosen = vec![owner];
+    let mut domains = vec![&owners[&owner].info.domain];
+    for (&session, member) in ranked {
+        if chosen.len() < CANDIDATES_MAX && !domains.contains(&&member.info.domain) {
+            chosen.push(session);
+            domains.push(&member.info.domain);
+        }
+    }
+    chosen
+}
+
+/// Returns the assignment that follows `present` with `candidates`.
+fn succeed(
+    input: &PlanInput<'_>,
+    epoch: Epoch,
+    present: &Assignment,
+    candidates: Vec<SessionId>,
+) -> Assignment {
+    present.succeed(
+        candidates,
+        epoch,
+        |s| input.is_gone(s),
+        |s| input.facts.adopted(s),
+    )
+}
+
+/// Returns the item that stands for a slice in rendezvous hashing.
+fn item_of(name: &ServiceName, number: usize) -> u64 {
+    let text = format!("{name}/{number}");
+    xxhash_rust::xxh3::xxh3_64(text.as_bytes())
+}
+
+/// Returns the node that stands for a member in rendezvous hashing: its address, which outlives
+/// its process.
+fn node_of(member: &Member) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(member.info.peer.to_string().as_bytes())
+}
+
+/// How many slices each owner holds, and how many are its fair number.
+struct Shares {
+    held: BTreeMap<SessionId, u32>,
+    fair: BTreeMap<SessionId, f64>,
+}
+
+impl Shares {
+    fn new(slices: usize, owners: &BTreeMap<SessionId, &Member>) -> Self {
+        let total: f64 = owners.values().map(|m| f64::from(m.info.weight)).sum();
+        let fair = owners.iter().map(|(&s, m)| {
+            let share = f64::from(m.info.weight) / total;
+            (s, share * slices as f64)
+        });
+        Self {
+            held: BTreeMap::new(),
+            fair: fair.collect(),
+        }
+    }
+
+    fn held(&self, owner: SessionId) -> f64 {
+        f64::from(self.held.get(&owner).copied().unwrap_or(0))
+    }
+
+    fn fair(&self, owner: SessionId) -> f64 {
+        self.fair.get(&owner).copied().unwrap_or(0.0)
+    }
+
+    fn bound(&self, owner: SessionId) -> f64 {
+        (self.fair(owner) * f64::from(100 + SURPLUS_PERCENT) / 100.0).ceil()
+    }
+
+    fn has_room(&self, owner: SessionId) -> bool {
+        self.held(owner) < self.bound(owner)
+    }
+
+    fn is_above(&self, owner: SessionId) -> bool {
+        self.held(owner) > self.bound(owner)
+    }
+
+    fn is_below(&self, owner: SessionId) -> bool {
+        self.held(owner) < self.fair(owner).floor()
+    }
+
+    fn step(&self, owner: SessionId) -> u32 {
+        let steps = (self.fair(owner) / f64::from(FILL_STEPS)).ceil();
+        steps as u32
+    }
+
+    fn take(&mut self, owner: SessionId) {
+        *self.held.entry(owner).or_default() += 1;
+    }
+
+    fn give_back(&mut self, owner: SessionId) {
+        if let Some(held) = self.held.get_mut(&owner) {
+            *held -= 1;
+        }
+    }
+
+    /// Returns the owner with room that ranks best for `item`.
+    fn best(&self, item: u64, owners: &BTreeMap<SessionId, &Member>) -> Option<SessionId> {
+        let score = |m: &Member| rendezvous::score(item, node_of(m), m.info.weight);
+        let with_room = owners.iter().filter(|(s, _)| self.has_room(**s));
+        with_room
+            .max_by(|(_, m), (_, n)| score(m).total_cmp(&score(n)))
+            .map(|(&s, _)| s)
+    }
+}
--- /dev/null
+++ b/src/process/planner/witnesses.rs
@@ -0,0 +1,110 @@
+//! Plans who grants each session its lease.
+//!
+//! A witness set is changed in two steps, so that every two daemons that may work at once have a
+//! set in common: first the old and the new set both count; the old one is dropped when each
+//! member is known to have adopted an epoch that holds both.
+
+use std::collections::BTreeMap;
+
+use crate::process::planner::PlanInput;
+use crate::version::domain_name::DomainName;
+use crate::version::epoch::Epoch;
+use crate::version::instance_id::InstanceId;
+use crate::version::member::{Member, WEIGHT_FULL};
+use crate::version::rendezvous;
+use crate::version::session_id::SessionId;
+use crate::version::witness_set::{WitnessAddress, WitnessSet};
+
+/// The witnesses of a session where the cell is large enough.
+const WITNESSES: usize = 5;
+/// The most witnesses of a session in one failure domain.
+const WITNESSES_PER_DOMAIN: usize = 2;
+
+/// Gives each member its witness sets for the table of `epoch`.
+pub fn plan(input: &PlanInput<'_>, epoch: Epoch, members: &mut BTreeMap<SessionId, Member>) {
+    let everybody = members.clone();
+    let lowest = everybody
+        .keys()
+        .map(|&s| input.facts.adopted(s))
+        .min()
+        .unwrap_or_default();
+    for member in members.values_mut() {
+        if member.witnesses.len() > 1 {
+            if lowest >= member.witnesses_since {
+                member.witnesses.remove(0);
+                member.witnesses_since = epoch;
+            }
+            continue;
+        }
+        let present = member.witnesses.first().cloned().unwrap_or_default();
+        let wanted = choose(input, &member.info.session, &present, &everybody);
+        if wanted != present {
+            member.witnesses.push(wanted);
+            member.witnesses_since = epoch;
+        }
+    }
+}
+
+/// Chooses the witnesses of `session`, with as many of the present ones as still fit.
+fn choose(
+    input: &PlanInput<'_>,
+    session: &SessionId,
+    present: &WitnessSet,
+    members: &BTreeMap<SessionId, Member>,
+) -> WitnessSet {
+    let mut others = fit_witnesses(input, session, members);
+    let item = session.instance.0;
+    others.sort_by(|a, b| {
+        let stays = |m: &Member| present.contains(m.info.session.instance);
+        let score = |m: &Member| rendezvous::score(item, m.info.session.instance.0, WEIGHT_FULL);
+        stays(b).cmp(&stays(a)).then(score(b).total_cmp(&score(a)))
+    });
+    let mut chosen = spread(others);
+    if chosen.len() % 2 == 0
+        && let Some(own) = members.get(session)
+    {
+        chosen.push(address_of(own));
+    }
+    chosen.sort_unstable();
+    WitnessSet(chosen)
+}
+
+/// Returns the other members that may be witnesses of `session`.
+fn fit_witnesses<'m>(
+    input: &PlanInput<'_>,
+    session: &SessionId,
+    members: &'m BTreeMap<SessionId, Member>,
+) -> Vec<&'m Member> {
+    let stated = input.facts.ended.get(session);
+    let has_stated = |i: InstanceId| stated.is_some_and(|by| by.contains_key(&i));
+    let others = members
+        .values()
+        .filter(|m| m.info.session.instance != session.instance);
+    let fit = others.filter(|m| !m.info.leaving && !has_stated(m.info.session.instance));
+    fit.collect()
+}
+
+/// Takes the first members that keep within the bounds.
+fn spread(ordered: Vec<&Member>) -> Vec<WitnessAddress> {
+    let mut by_domain: BTreeMap<&DomainName, usize> = BTreeMap::new();
+    let mut chosen: Vec<WitnessAddress> = Vec::new();
+    for member in ordered {
+        let in_domain = by_domain.entry(&member.info.domain).or_default();
+        let known = chosen
+            .iter()
+            .any(|w| w.instance == member.info.session.instance);
+        if chosen.len() < WITNESSES && *in_domain < WITNESSES_PER_DOMAIN && !known {
+            *in_domain += 1;
+            chosen.push(address_of(member));
+        }
+    }
+    chosen
+}
+
+/// Returns the member's process as a witness.
+fn address_of(member: &Member) -> WitnessAddress {
+    WitnessAddress {
+        instance: member.info.session.instance,
+        peer: member.info.peer,
+    }
+}
--- /dev/null
+++ b/src/process/router.rs
@@ -0,0 +1,535 @@
+//! Brings each request to where it is served, and its answer back.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{self, RecvTimeoutError};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crate::connection::peer_error::PeerError;
+use crate::connection::peer_message::{PeerReply, PeerRequest};
+use crate::connection::peer_pool::PeerPool;
+use crate::process::choice::Choice;
+use crate::process::clock::Clock;
+use crate::process::gate::{Gate, Passage, Right};
+use crate::process::membership::Membership;
+use crate::process::metrics::Metrics;
+use crate::process::moment::Moment;
+use crate::process::owner::{GateRunner, Owner, Runner};
+use crate::process::ownership::Serving;
+use crate::process::sync;
+use crate::process::workers::Workers;
+use crate::request::answer::Answer;
+use crate::request::budget::Budget;
+use crate::request::envelope::Envelope;
+use crate::request::outcome::Outcome;
+use crate::request::refusal::Refusal;
+use crate::request::request_id::RequestId;
+use crate::version::instance_id::InstanceId;
+use crate::version::key_hash::KeyHash;
+use crate::version::member::Member;
+use crate::version::service::{Policy, Service, ServiceKind};
+use crate::version::service_name::ServiceName;
+
+/// The first pause before another try for a key without an owner.
+const PAUSE_MIN: Duration = Duration::from_millis(2);
+/// The longest such pause.
+const PAUSE_MAX: Duration = Duration::from_millis(25);
+/// The part of the workers that may wait for keys without an owner: one in so many.
+const WAITERS_ONE_IN: u32 = 2;
+/// How long a finished order of a shared service is remembered after its deadline.
+const RAN_GRACE: Duration = Duration::from_secs(5);
+
+/// The budgets of one service.
+struct Budgets {
+    retry: Budget,
+    hedge: Budget,
+}
+
+/// An order of a shared service given here, and its answer once there is one.
+struct Ran {
+    until: Moment,
+    answer: Option<PeerReply>,
+}
+
+/// The routing of one daemon.
+pub struct Router {
+    clock: Arc<dyn Clock>,
+    membership: Arc<Membership>,
+    owner: Arc<Owner>,
+    gate: Arc<Gate>,
+    pool: Arc<PeerPool>,
+    metrics: Arc<Metrics>,
+    choice: Choice,
+    hedgers: Workers,
+    budgets: Mutex<HashMap<ServiceName, Budgets>>,
+    ran: Mutex<HashMap<RequestId, Ran>>,
+    ran_changed: std::sync::Condvar,
+    waiters: AtomicU32,
+    waiters_max: u32,
+    instance: InstanceId,
+}
+
+/// How one try of a request ended.
+enum Try {
+    Answered(Answer, Repeated),
+    Elsewhere(String, Repeated),
+    NotSent(String),
+    MaybeSent(String),
+}
+
+/// Whether a call was sent more than once.
+type Repeated = bool;
+
+impl Router {
+    /// Creates the routing of a daemon whose process is `instance` and that works on `workers`
+    /// requests at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a thread can't be started.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        membership: Arc<Membership>,
+        owner: Arc<Owner>,
+        gate: Arc<Gate>,
+        pool: Arc<PeerPool>,
+        metrics: Arc<Metrics>,
+        instance: InstanceId,
+        workers: u32,
+    ) -> std::io::Result<Self> {
+        Ok(Self {
+            clock,
+            membership,
+            owner,
+            gate,
+            pool,
+            metrics,
+            choice: Choice::default(),
+            hedgers: Workers::start("hedge", workers)?,
+            budgets: Mutex::default(),
+            ran: Mutex::default(),
+            ran_changed: std::sync::Condvar::new(),
+            waiters: AtomicU32::new(0),
+            waiters_max: (workers / WAITERS_ONE_IN).max(1),
+            instance,
+        })
+    }
+
+    /// Routes a caller's request and returns its answer.
+    pub fn route(self: &Arc<Self>, envelope: Envelope) -> Answer {
+        let active = self.membership.active();
+        let Some(service) = active.document.services.get(&envelope.service) else {
+            return Answer::not_run(Refusal::NoSuchService);
+        };
+        if service.kind == ServiceKind::Keyed && envelope.key.is_empty() {
+            return Answer::not_run(Refusal::NoKey);
+        }
+        if !envelope.repeatable && envelope.idempotency_key.is_none() {
+            return Answer::not_run(Refusal::NoIdempotencyKey);
+        }
+        self.with_budgets(&envelope.service, service, |b| {
+            b.retry.deposit();
+            b.hedge.deposit();
+        });
+        let deadline = self.clock.now() + envelope.remaining;
+        if service.kind == ServiceKind::Shared && envelope.repeatable {
+            return self.route_shared(envelope, service, deadline);
+        }
+        self.route_owned(envelope, service, deadline)
+    }
+
+    /// Serves a call of another daemon's entry.
+    pub fn serve_forwarded(self: &Arc<Self>, envelope: Envelope) -> PeerReply {
+        let active = self.membership.active();
+        let kind = active
+            .document
+            .services
+            .get(&envelope.service)
+            .map(|s| s.kind);
+        match kind {
+            None => PeerReply::NotServing("no such service here yet".to_owned()),
+            Some(ServiceKind::Keyed) => {
+                let gate = Arc::clone(&self.gate);
+                let runner = GateRunner {
+                    gate,
+                    membership: Arc::clone(&self.membership),
+                };
+                self.owner.serve(envelope, &runner)
+            }
+            Some(ServiceKind::Shared) => {
+                let runner = SharedRunner {
+                    router: Arc::clone(self),
+                };
+                self.owner.serve(envelope, &runner)
+            }
+        }
+    }
+
+    /// Runs a request of a shared service on the upstream beside this daemon.
+    ///
+    /// A repeated call joins the first, also after that has ended.
+    pub fn run_here(&self, instance: InstanceId, envelope: Envelope) -> PeerReply {
+        if instance != self.instance {
+            return PeerReply::NotServing("that process is gone".to_owned());
+        }
+        let now = self.clock.now();
+        let deadline = now + envelope.remaining;
+        let id = envelope.id;
+        let mut ran = sync::lock(&self.ran);
+        ran.retain(|_, r| r.until > now || r.answer.is_none());
+        if ran.contains_key(&id) {
+            return self.join_run(ran, id, deadline);
+        }
+        ran.insert(
+            id,
+            Ran {
+                until: deadline + RAN_GRACE,
+                answer: None,
+            },
+        );
+        drop(ran);
+        let leaving = self.membership.with(|o, _| o.info().leaving);
+        let right = |_| match leaving {
+            true => Err("the upstream is leaving".to_owned()),
+            false => Ok(Right {
+                fence: None,
+                until: deadline,
+            }),
+        };
+        let passage = self.gate.pass(&Arc::new(envelope), None, deadline, right);
+        let reply = match passage {
+            Passage::Answer(answer) => PeerReply::Answer(answer),
+            Passage::NotServing(reason) => PeerReply::NotServing(reason),
+        };
+        if let Some(ran) = sync::lock(&self.ran).get_mut(&id) {
+            ran.answer = Some(reply.clone());
+        }
+        self.ran_changed.notify_all();
+        reply
+    }
+
+    fn join_run(
+        &self,
+        ran: std::sync::MutexGuard<'_, HashMap<RequestId, Ran>>,
+        id: RequestId,
+        deadline: Moment,
+    ) -> PeerReply {
+        let span = deadline.since(self.clock.now());
+        let running =
+            |all: &mut HashMap<RequestId, Ran>| all.get(&id).is_some_and(|r| r.answer.is_none());
+        let waited = self.ran_changed.wait_timeout_while(ran, span, running);
+        let ran = waited.unwrap_or_else(std::sync::PoisonError::into_inner).0;
+        let answer = ran.get(&id).and_then(|r| r.answer.clone());
+        answer.unwrap_or_else(|| PeerReply::Answer(Answer::unknown(Refusal::DeadlinePassed)))
+    }
+
+    /// Brings a request to the owner of its key, or of its idempotency key.
+    fn route_owned(
+        self: &Arc<Self>,
+        mut envelope: Envelope,
+        service: &Service,
+        deadline: Moment,
+    ) -> Answer {
+        let hash = envelope.hash();
+        let mut pause = PAUSE_MIN;
+        let mut maybe_run = false;
+        let mut reason = String::from("no daemon owns it");
+        loop {
+            let now = self.clock.now();
+            envelope.remaining = deadline.since(now);
+            if envelope.remaining.is_zero() {
+                break;
+            }
+            match self.try_owner(&envelope, hash) {
+                Some(Try::Answered(answer, repeated)) => {
+                    maybe_run |= repeated;
+                    return truthful(answer, maybe_run);
+                }
+                Some(Try::Elsewhere(why, repeated)) => {
+                    maybe_run |= repeated;
+                    reason = why;
+                }
+                Some(Try::NotSent(why)) => reason = why,
+                Some(Try::MaybeSent(why)) => {
+                    maybe_run = true;
+                    reason = why;
+                    let repeatable = envelope.repeatable;
+                    if repeatable && !self.may_retry(&envelope.service, service) {
+                        break;
+                    }
+                }
+                None => {}
+            }
+            envelope.fresh &= !maybe_run;
+            if !self.pause(pause, deadline) {
+                break;
+            }
+            pause = (pause * 2).min(PAUSE_MAX);
+        }
+        if maybe_run {
+            return Answer::unknown(Refusal::OwnerFailed(reason));
+        }
+        Answer::not_run(Refusal::NoOwner(reason))
+    }
+
+    /// Tries the daemon that most likely owns `hash`; `None` where there is none.
+    fn try_owner(self: &Arc<Self>, envelope: &Envelope, hash: KeyHash) -> Option<Try> {
+        let owner = self
+            .membership
+            .with(|o, _| o.owner(&envelope.service, hash).cloned())?;
+        if owner.info.session.instance == self.instance {
+            return Some(match self.serve_forwarded(envelope.clone()) {
+                PeerReply::Answer(answer) => Try::Answered(answer, false),
+                PeerReply::NotServing(why) => Try::Elsewhere(why, false),
+                _ => Try::Elsewhere("no reply".to_owned(), false),
+            });
+        }
+        let request = PeerRequest::Forward(envelope.clone());
+        Some(self.call(&owner, &request, envelope.remaining))
+    }
+
+    fn call(&self, member: &Member, request: &PeerRequest, limit: Duration) -> Try {
+        match self.pool.call(member.info.peer, request, limit) {
+            Ok(called) => match called.reply {
+                PeerReply::Answer(answer) => Try::Answered(answer, called.repeated),
+                PeerReply::NotServing(why) => Try::Elsewhere(why, called.repeated),
+                _ => Try::MaybeSent(PeerError::Mismatch.to_string()),
+            },
+            Err(e) if e.is_unsent() => Try::NotSent(e.to_string()),
+            Err(e) => Try::MaybeSent(e.to_string()),
+        }
+    }
+
+    /// Brings a repeatable request to an upstream of a shared service, with retries and hedges.
+    fn route_shared(
+        self: &Arc<Self>,
+        mut envelope: Envelope,
+        service: &Service,
+        deadline: Moment,
+    ) -> Answer {
+        let mut tried = Vec::new();
+        let mut maybe_run = false;
+        let mut last = Answer::not_run(Refusal::NoOwner("no upstream is known".to_owned()));
+        loop {
+            envelope.remaining = deadline.since(self.clock.now());
+            if envelope.remaining.is_zero() {
+                break;
+            }
+            let members = self.membership.upstreams(&envelope.service);
+            let Some(member) = self.choice.pick(&members, &tried, service.policy) else {
+                if tried.is_empty() && self.pause(PAUSE_MAX, deadline) {
+                    continue;
+                }
+                break;
+            };
+            let tried_now = self.run_hedged(&envelope, service, &members, member, deadline);
+            tried.push(member.info.session.instance);
+            match tried_now {
+                Try::Answered(answer, repeated) => {
+                    maybe_run |= repeated || answer.outcome == Outcome::Unknown;
+                    if answer.outcome == Outcome::Ran {
+                        return answer;
+                    }
+                    last = answer;
+                }
+                Try::Elsewhere(why, repeated) => {
+                    maybe_run |= repeated;
+                    last = Answer::not_run(Refusal::NoOwner(why));
+                }
+                Try::NotSent(why) => last = Answer::not_run(Refusal::NoOwner(why)),
+                Try::MaybeSent(why) => {
+                    maybe_run = true;
+                    last = Answer::unknown(Refusal::OwnerFailed(why));
+                }
+            }
+            if last.refusal == Some(Refusal::Quarantined)
+                || !self.may_retry(&envelope.service, service)
+            {
+                break;
+            }
+        }
+        truthful(last, maybe_run)
+    }
+
+    /// Runs a request on `member`, and on another one too where that takes unusually long.
+    fn run_hedged(
+        self: &Arc<Self>,
+        envelope: &Envelope,
+        service: &Service,
+        members: &[Member],
+        member: &Member,
+        deadline: Moment,
+    ) -> Try {
+        if service.policy == Policy::Baseline || service.hedge_percent == 0 || members.len() < 2 {
+            return self.run_on(member, envelope);
+        }
+        let (tx, rx) = mpsc::channel();
+        self.submit_run(member, envelope, &tx);
+        match rx.recv_timeout(self.choice.hedge_after(members)) {
+            Ok(done) => return done,
+            Err(RecvTimeoutError::Disconnected) => {
+                return Try::MaybeSent("the call was dropped".to_owned());
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+        }
+        let avoid = [member.info.session.instance];
+        let other = self.choice.pick(members, &avoid, service.policy);
+        let allowed = self.with_budgets(&envelope.service, service, |b| b.hedge.withdraw());
+        if let (Some(other), true) = (other, allowed) {
+            self.metrics.hedged();
+            let remaining = deadline.since(self.clock.now());
+            self.submit_run(
+                other,
+                &Envelope {
+                    remaining,
+                    ..envelope.clone()
+                },
+                &tx,
+            );
+        }
+        drop(tx);
+        let mut result = Try::MaybeSent("no answer came".to_owned());
+        while let Ok(done) = rx.recv_timeout(deadline.since(self.clock.now())) {
+            let ran = matches!(&done, Try::Answered(a, _) if a.outcome == Outcome::Ran);
+            result = done;
+            if ran {
+                break;
+            }
+        }
+        result
+    }
+
+    fn submit_run(self: &Arc<Self>, member: &Member, envelope: &Envelope, tx: &mpsc::Sender<Try>) {
+        let (router, tx) = (Arc::clone(self), tx.clone());
+        let (member, envelope) = (member.clone(), envelope.clone());
+        self.hedgers.submit(move || {
+            let _ = tx.send(router.run_on(&member, &envelope));
+        });
+    }
+
+    /// Runs a request on the upstream beside `member`.
+    fn run_on(&self, member: &Member, envelope: &Envelope) -> Try {
+        let instance = member.info.session.instance;
+        self.choice.start(instance);
+        let started = self.clock.now();
+        let result = if instance == self.instance {
+            match self.run_here(instance, envelope.clone()) {
+                PeerReply::Answer(answer) => Try::Answered(answer, false),
+                PeerReply::NotServing(why) => Try::Elsewhere(why, false),
+                _ => Try::Elsewhere("no reply".to_owned(), false),
+            }
+        } else {
+            let request = PeerRequest::Run {
+                instance,
+                envelope: envelope.clone(),
+            };
+            self.call(member, &request, envelope.remaining)
+        };
+        self.choice.end(instance, self.clock.now().since(started));
+        result
+    }
+
+    /// Waits before another try; returns whether one makes sense.
+    fn pause(&self, span: Duration, deadline: Moment) -> bool {
+        if self.clock.now() + span >= deadline {
+            return false;
+        }
+        let waiting = self.waiters.fetch_add(1, Ordering::SeqCst);
+        let room = waiting < self.waiters_max;
+        if room {
+            thread::sleep(span);
+        }
+        self.waiters.fetch_sub(1, Ordering::SeqCst);
+        room
+    }
+
+    fn may_retry(&self, name: &ServiceName, service: &Service) -> bool {
+        let allowed = self.with_budgets(name, service, |b| b.retry.withdraw());
+        if allowed {
+            self.metrics.retried();
+        }
+        allowed
+    }
+
+    fn with_budgets<R>(
+        &self,
+        name: &ServiceName,
+        service: &Service,
+        f: impl FnOnce(&mut Budgets) -> R,
+    ) -> R {
+        let mut all = sync::lock(&self.budgets);
+        let budgets = all.entry(name.clone()).or_insert_with(|| Budgets {
+            retry: Budget::new(service.retry_percent),
+            hedge: Budget::new(service.hedge_percent),
+        });
+        budgets.retry.set_percent(service.retry_percent);
+        budgets.hedge.set_percent(service.hedge_percent);
+        f(budgets)
+    }
+}
+
+/// Runs recorded requests of a shared service on the upstream that the owner of the record
+/// chooses.
+struct SharedRunner {
+    router: Arc<Router>,
+}
+
+impl Runner for SharedRunner {
+    fn run(&self, envelope: &Arc<Envelope>, serving: &Serving, deadline: Moment) -> Passage {
+        let router = &self.router;
+        let active = router.membership.active();
+        let Some(service) = active.document.services.get(&envelope.service) else {
+            return Passage::Answer(Answer::not_run(Refusal::NoSuchService));
+        };
+        let members = router.membership.upstreams(&envelope.service);
+        let mut tried = Vec::new();
+        let mut last = Answer::not_run(Refusal::NoOwner("no upstream is known".to_owned()));
+        while let Some(member) = router.choice.pick(&members, &tried, service.policy) {
+            let right = router.membership.with(|o, now| {
+                o.serve_slice(now, &envelope.service, serving.slice)
+                    .map(|s| s.until)
+            });
+            let until = match right {
+                Ok(until) => until.min(deadline),
+                Err(e) => return Passage::NotServing(e.to_string()),
+            };
+            let remaining = until.since(router.clock.now());
+            if remaining.is_zero() {
+                break;
+            }
+            tried.push(member.info.session.instance);
+            let one = Envelope {
+                remaining,
+                fresh: false,
+                ..(**envelope).clone()
+            };
+            match router.run_on(member, &one) {
+                Try::Answered(answer, repeated) => {
+                    let answer = truthful(answer, repeated);
+                    if answer.outcome != Outcome::NotRun {
+                        return Passage::Answer(answer);
+                    }
+                    last = answer;
+                }
+                Try::Elsewhere(why, false) | Try::NotSent(why) => {
+                    last = Answer::not_run(Refusal::NoOwner(why));
+                }
+                Try::Elsewhere(why, true) | Try::MaybeSent(why) => {
+                    return Passage::Answer(Answer::unknown(Refusal::OwnerFailed(why)));
+                }
+            }
+        }
+        Passage::Answer(last)
+    }
+}
+
+/// Turns "not run" into "unknown" where an earlier call may have been run.
+fn truthful(answer: Answer, maybe_run: bool) -> Answer {
+    match answer.refusal {
+        Some(refusal) if maybe_run && answer.outcome == Outcome::NotRun => Answer::unknown(refusal),
+        refusal => Answer { refusal, ..answer },
+    }
+}
--- /dev/null
+++ b/src/process/settings.rs
@@ -0,0 +1,167 @@
+//! The settings of one daemon process.
+//!
+//! ```
+//! use foxtaildrift::process::settings::Settings;
+//!
+//! let settings = Settings::parse("domain: zarzis\n")?;
+//! assert_eq!(settings.domain.as_str(), "zarzis");
+//! # Ok::<(), foxtaildrift::process::settings_error::SettingsError>(())
+//! ```
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::process::lease_times::LeaseTimes;
+use crate::process::logging::LogFormat;
+use crate::process::settings_error::SettingsError;
+use crate::version::domain_name::DomainName;
+
+/// What a daemon process learns from its YAML file; every field has a default.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// The environment whose document the daemon follows.
+    pub environment: DomainName,
+    /// The cell whose table the daemon shares.
+    pub cell: u32,
+    /// The failure domain of the host.
+    pub domain: DomainName,
+    /// Where callers' requests are taken.
+    pub entry: SocketAddr,
+    /// Where datagrams and connections of other daemons are taken.
+    pub peer: SocketAddr,
+    /// Where others reach `peer`, if that differs.
+    pub advertise: Option<SocketAddr>,
+    /// Where the administration API is served.
+    pub admin: SocketAddr,
+    /// The platform.
+    pub platform: String,
+    /// What a call that changes state must present; where it is empty, such calls are refused.
+    pub token: String,
+    /// How many callers' requests are worked on at once.
+    pub workers: u32,
+    /// How often a lease is renewed, in milliseconds.
+    pub renewal_ms: u64,
+    /// How long a lease holds, in milliseconds.
+    pub lease_ms: u64,
+    /// How far clocks of hosts and callers may be apart, in milliseconds.
+    pub clock_skew_ms: u64,
+    /// The memory for records of requests that may not be repeated, in mebibytes.
+    pub record_mb: u32,
+    /// How long a planned stop may take, in milliseconds.
+    pub stop_ms: u64,
+    /// How logs are written.
+    pub log_format: LogFormat,
+    /// The least level that is logged: error, warn, info, debug or trace.
+    pub log_level: String,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            environment: "production".parse().expect("the default is a name"),
+            cell: 0,
+            domain: "default".parse().expect("the default is a name"),
+            entry: ([127, 0, 0, 1], 8080).into(),
+            peer: ([127, 0, 0, 1], 7400).into(),
+            advertise: None,
+            admin: ([127, 0, 0, 1], 9400).into(),
+            platform: "http://127.0.0.1:8500".to_owned(),
+            token: String::new(),
+            workers: 64,
+            renewal_ms: 500,
+            lease_ms: 2000,
+            clock_skew_ms: 500,
+            record_mb: 24,
+            stop_ms: 10_000,
+            log_format: LogFormat::Text,
+            log_level: "info".to_owned(),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong, with the line where the YAML tells it.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        if text.trim().is_empty() {
+            return Ok(Self::default());
+        }
+        let settings: Option<Self> = serde_yaml_ng::from_str(text)?;
+        let settings = settings.unwrap_or_default();
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Reads and checks the settings in a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong, and in which file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path);
+        let text = text.map_err(|e| SettingsError::File {
+            path: path.to_owned(),
+            source: e,
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Returns the times of the lease protocol.
+    pub fn lease_times(&self) -> LeaseTimes {
+        let lease = Duration::from_millis(self.lease_ms);
+        let renewal = Duration::from_millis(self.renewal_ms);
+        LeaseTimes {
+            renewal,
+            lease,
+            margin: lease / 20,
+        }
+    }
+
+    /// Returns where others reach this daemon.
+    pub fn advertised(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.peer)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let range = |field, value: u64, range| {
+            Err(SettingsError::Range {
+                field,
+                value,
+                range,
+            })
+        };
+        if !(1..=4096).contains(&self.workers) {
+            return range("workers", self.workers.into(), "1 to 4096");
+        }
+        if !(100..=60_000).contains(&self.lease_ms) {
+            return range("lease_ms", self.lease_ms, "100 to 60000");
+        }
+        if self.renewal_ms < 10 || self.renewal_ms > self.lease_ms / 3 {
+            return range("renewal_ms", self.renewal_ms, "10 to a third of lease_ms");
+        }
+        if self.clock_skew_ms > 60_000 {
+            return range("clock_skew_ms", self.clock_skew_ms, "0 to 60000");
+        }
+        if !(1..=4096).contains(&self.record_mb) {
+            return range("record_mb", self.record_mb.into(), "1 to 4096");
+        }
+        if !(100..=600_000).contains(&self.stop_ms) {
+            return range("stop_ms", self.stop_ms, "100 to 600000");
+        }
+        let levels = ["error", "warn", "info", "debug", "trace"];
+        if !levels.contains(&self.log_level.as_str()) {
+            return Err(SettingsError::LogLevel(self.log_level.clone()));
+        }
+        if !self.platform.starts_with("http://") {
+            return Err(SettingsError::Platform(self.platform.clone()));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/process/status.rs
@@ -0,0 +1,75 @@
+//! What a daemon tells operators of itself.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::process::burn::BurnReport;
+use crate::version::digest::Digest;
+use crate::version::document_version::DocumentVersion;
+use crate::version::domain_name::DomainName;
+use crate::version::epoch::Epoch;
+use crate::version::service_name::ServiceName;
+use crate::version::session_id::SessionId;
+
+/// The state of a daemon, and the cell as it sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The environment.
+    pub environment: String,
+    /// The daemon's session.
+    pub session: SessionId,
+    /// How long its lease still holds, in milliseconds, where it is live.
+    pub lease_ms: Option<u64>,
+    /// The epoch of the table in force.
+    pub epoch: Epoch,
+    /// The version of the configuration in force.
+    pub configuration: DocumentVersion,
+    /// The digest of the document in force.
+    pub digest: Option<Digest>,
+    /// The members of the cell.
+    pub members: Vec<MemberStatus>,
+    /// The number of slices that each session owns, by service.
+    pub owners: BTreeMap<ServiceName, BTreeMap<String, u32>>,
+    /// The load of the upstream beside the daemon.
+    pub upstream: UpstreamStatus,
+    /// The use of the objectives' budgets by this daemon's callers.
+    pub burn: Vec<BurnReport>,
+}
+
+/// A member of the cell as a daemon sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Its session.
+    pub session: SessionId,
+    /// Where other daemons reach it.
+    pub peer: SocketAddr,
+    /// Where callers reach it.
+    pub entry: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// The service and address of the upstream beside it.
+    pub upstream: Option<(ServiceName, SocketAddr)>,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// Whether its session is known to have ended.
+    pub ended: bool,
+    /// The epoch that it is known to have adopted.
+    pub adopted: Epoch,
+}
+
+/// The load of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamStatus {
+    /// Whether it has announced itself.
+    pub up: bool,
+    /// Orders in flight.
+    pub in_flight: u32,
+    /// Orders that may be in flight.
+    pub limit: u32,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// The mean time in the upstream, in microseconds.
+    pub mean_micros: u64,
+}
--- /dev/null
+++ b/src/process/tenure.rs
@@ -0,0 +1,86 @@
+//! A daemon's own session, as its holder sees it.
+
+use std::collections::BTreeMap;
+
+use crate::process::lease_times::LeaseTimes;
+use crate::process::moment::Moment;
+use crate::version::epoch::Epoch;
+use crate::version::instance_id::InstanceId;
+use crate::version::session_id::SessionId;
+use crate::version::witness_set::WitnessSet;
+
+/// The newest grant of one witness.
+#[derive(Clone, Copy, Debug, Default)]
+struct Grant {
+    sent: Moment,
+    epoch: Epoch,
+}
+
+/// A session with the grants that keep it live.
+#[derive(Debug)]
+pub struct Tenure {
+    /// The session.
+    pub id: SessionId,
+    /// How many times the session came back from a lapse.
+    pub incarnation: u32,
+    grants: BTreeMap<InstanceId, Grant>,
+    live: bool,
+}
+
+impl Tenure {
+    /// Creates a session that nobody has granted yet.
+    pub fn new(id: SessionId) -> Self {
+        Self {
+            id,
+            incarnation: 0,
+            grants: BTreeMap::new(),
+            live: false,
+        }
+    }
+
+    /// Records the grant of `witness` for the renewal sent at `sent`.
+    pub fn granted(&mut self, witness: InstanceId, sent: Moment, epoch: Epoch) {
+        let grant = self.grants.entry(witness).or_default();
+        grant.sent = grant.sent.max(sent);
+        grant.epoch = grant.epoch.max(epoch);
+    }
+
+    /// Returns until when a majority of each set has granted the lease.
+    pub fn live_until(&self, sets: &[WitnessSet], times: &LeaseTimes) -> Option<Moment> {
+        let sent = self.of_majorities(sets, |g| g.sent)?;
+        (sent > Moment::default()).then(|| sent + times.lease)
+    }
+
+    /// Returns the highest epoch that a majority of each set has granted.
+    pub fn confirmed(&self, sets: &[WitnessSet]) -> Epoch {
+        self.of_majorities(sets, |g| g.epoch).unwrap_or_default()
+    }
+
+    /// Notes whether the session is live now; returns the change, if there is one.
+    pub fn observe(&mut self, live: bool) -> Option<bool> {
+        if live == self.live {
+            return None;
+        }
+        self.live = live;
+        if live {
+            self.incarnation += 1;
+        }
+        Some(live)
+    }
+
+    /// Returns the highest value that a majority of each set reaches.
+    fn of_majorities<T: Ord + Default + Copy>(
+        &self,
+        sets: &[WitnessSet],
+        value: impl Fn(&Grant) -> T,
+    ) -> Option<T> {
+        let reached = |set: &WitnessSet| {
+            let grants = set.instances().map(|i| self.grants.get(&i));
+            let mut values: Vec<T> = grants.map(|g| g.map(&value).unwrap_or_default()).collect();
+            values.sort_unstable();
+            values.reverse();
+            values.get(set.majority() - 1).copied().unwrap_or_default()
+        };
+        sets.iter().map(reached).min()
+    }
+}
--- /dev/null
+++ b/src/process/upkeep.rs
@@ -0,0 +1,176 @@
+//! Watches the upstream beside the daemon, and reports its load.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::process::gate::Gate;
+use crate::process::lease_times::LeaseTimes;
+use crate::process::load_report::{LoadReport, SliceLoad};
+use crate::process::membership::{Membership, TICK};
+use crate::process::metrics::Metrics;
+use crate::process::owner::Owner;
+use crate::process::stop::Stop;
+
+/// How often the upstream's health is asked for, and how long the answer may take.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// How many probes in a row must fail for the upstream to count as frozen.
+const PROBES_FAILED_MAX: u32 = 4;
+/// How long the planner may take to move the slices of a daemon without an upstream.
+const RESIGN_AFTER: Duration = Duration::from_millis(1500);
+/// How often the load is reported.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// The most slices in a load report.
+const REPORT_SLICES_MAX: usize = 16;
+
+/// The regular duties of a daemon.
+pub struct Upkeep {
+    membership: Arc<Membership>,
+    gate: Arc<Gate>,
+    owner: Arc<Owner>,
+    metrics: Arc<Metrics>,
+    times: LeaseTimes,
+}
+
+/// What the duties remember from round to round.
+struct Round {
+    started: Instant,
+    succeeded: bool,
+    probed: Instant,
+    probes_failed: u32,
+    without_upstream: Option<Instant>,
+    reported: Instant,
+}
+
+impl Upkeep {
+    /// Creates the duties.
+    pub fn new(
+        membership: Arc<Membership>,
+        gate: Arc<Gate>,
+        owner: Arc<Owner>,
+        metrics: Arc<Metrics>,
+        times: LeaseTimes,
+    ) -> Self {
+        Self {
+            membership,
+            gate,
+            owner,
+            metrics,
+            times,
+        }
+    }
+
+    /// Does the duties until the process stops.
+    pub fn run(&self, stop: &Stop) {
+        let now = Instant::now();
+        let mut round = Round {
+            started: now,
+            succeeded: false,
+            probed: now,
+            probes_failed: 0,
+            without_upstream: None,
+            reported: now,
+        };
+        while !stop.wait(TICK) {
+            self.owner.take_up_all();
+            self.succeed_address(&mut round);
+            self.probe(&mut round);
+            self.resign_without_upstream(&mut round);
+            self.report(&mut round);
+        }
+    }
+
+    /// States the end of former processes on this daemon's address, once nothing can still go to
+    /// them.
+    fn succeed_address(&self, round: &mut Round) {
+        if !round.succeeded && round.started.elapsed() > self.times.silence() + self.times.renewal {
+            round.succeeded = true;
+            self.membership.with(|o, now| o.succeed_address(now));
+        }
+    }
+
+    fn probe(&self, round: &mut Round) {
+        if round.probed.elapsed() < PROBE_INTERVAL {
+            return;
+        }
+        round.probed = Instant::now();
+        let Some(link) = self.gate.link() else {
+            round.probes_failed = 0;
+            self.lose_upstream();
+            return;
+        };
+        match link.health(PROBE_INTERVAL) {
+            Ok(_) => round.probes_failed = 0,
+            Err(e) => {
+                round.probes_failed += 1;
+                tracing::debug!(error = %e, "the upstream does not answer");
+            }
+        }
+        if round.probes_failed >= PROBES_FAILED_MAX {
+            tracing::warn!("the upstream is frozen or gone");
+            self.gate.close();
+            self.lose_upstream();
+        }
+    }
+
+    /// Tells the planner that there is no upstream here.
+    fn lose_upstream(&self) {
+        self.membership.with(|o, now| {
+            if o.info().upstream.is_some() {
+                o.describe(now, |info| info.upstream = None);
+            }
+        });
+    }
+
+    /// Ends the session where the planner does not move the slices of a lost upstream in time.
+    fn resign_without_upstream(&self, round: &mut Round) {
+        let stuck = self.gate.link().is_none()
+            && self.membership.with(|o, _| {
+                let me = o.info().session;
+                let mut all = o.table().assignments();
+                all.any(|(_, _, a)| a.rank(me).is_some())
+            });
+        if !stuck {
+            round.without_upstream = None;
+            return;
+        }
+        let since = *round.without_upstream.get_or_insert_with(Instant::now);
+        if since.elapsed() > RESIGN_AFTER {
+            round.without_upstream = None;
+            tracing::warn!("session resigned: no upstream");
+            self.membership.with(|o, now| o.resign(now));
+        }
+    }
+
+    fn report(&self, round: &mut Round) {
+        let span = round.reported.elapsed();
+        if span < REPORT_INTERVAL {
+            return;
+        }
+        round.reported = Instant::now();
+        let load = self.gate.load();
+        self.metrics.gate(load.in_flight, load.limit, load.waiting);
+        if self.gate.link().is_none() {
+            return;
+        }
+        let rate = |orders: u64| (orders as f64 / span.as_secs_f64()) as u32;
+        let served = self.gate.take_served();
+        let mut slices: Vec<SliceLoad> = served
+            .iter()
+            .map(|(&slice, &n)| SliceLoad {
+                slice,
+                rate: rate(n),
+            })
+            .collect();
+        slices.sort_by_key(|s| std::cmp::Reverse(s.rate));
+        let total = rate(served.values().sum());
+        slices.truncate(REPORT_SLICES_MAX);
+        let report = LoadReport {
+            session: None,
+            slices,
+            rate: total,
+            capacity: load.capacity,
+            keys: Vec::new(),
+        };
+        self.membership.report_load(report);
+    }
+}
--- /dev/null
+++ b/src/request/answer.rs
@@ -0,0 +1,104 @@
+//! The answer to a request.
+
+use std::fmt;
+
+use serde::de::{SeqAccess, Visitor};
+use serde::ser::SerializeStruct;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::request::body::Body;
+use crate::request::envelope;
+use crate::request::outcome::Outcome;
+use crate::request::refusal::Refusal;
+
+/// The fields of an answer, in the order of the encoding.
+const FIELDS: &[&str] = &["outcome", "status", "refusal", "content_type", "body"];
+
+/// The answer to a request, with what became of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// The HTTP status.
+    pub status: u16,
+    /// Why the system answers in place of an upstream.
+    pub refusal: Option<Refusal>,
+    /// The type of the body.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Body,
+}
+
+impl Answer {
+    /// Returns the answer of an upstream that ran the request.
+    pub fn ran(status: u16, content_type: Option<String>, body: Vec<u8>) -> Self {
+        let body = Body(body);
+        Self {
+            outcome: Outcome::Ran,
+            status,
+            refusal: None,
+            content_type,
+            body,
+        }
+    }
+
+    /// Returns the answer to a request that no upstream was given.
+    pub fn not_run(refusal: Refusal) -> Self {
+        Self::refused(Outcome::NotRun, refusal)
+    }
+
+    /// Returns the answer to a request that an upstream may have run.
+    pub fn unknown(refusal: Refusal) -> Self {
+        Self::refused(Outcome::Unknown, refusal)
+    }
+
+    fn refused(outcome: Outcome, refusal: Refusal) -> Self {
+        let body = Body(format!("{outcome}: {refusal}\n").into_bytes());
+        let content_type = Some("text/plain; charset=utf-8".to_owned());
+        Self {
+            outcome,
+            status: refusal.status(),
+            refusal: Some(refusal),
+            content_type,
+            body,
+        }
+    }
+}
+
+impl Serialize for Answer {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut s = serializer.serialize_struct("Answer", FIELDS.len())?;
+        s.serialize_field("outcome", &self.outcome)?;
+        s.serialize_field("status", &self.status)?;
+        s.serialize_field("refusal", &self.refusal)?;
+        s.serialize_field("content_type", &self.content_type)?;
+        s.serialize_field("body", &self.body)?;
+        s.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for Answer {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_struct("Answer", FIELDS, AnswerVisitor)
+    }
+}
+
+struct AnswerVisitor;
+
+impl<'de> Visitor<'de> for AnswerVisitor {
+    type Value = Answer;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an answer")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Answer, A::Error> {
+        Ok(Answer {
+            outcome: envelope::field(&mut seq, 0)?,
+            status: envelope::field(&mut seq, 1)?,
+            refusal: envelope::field(&mut seq, 2)?,
+            content_type: envelope::field(&mut seq, 3)?,
+            body: envelope::field(&mut seq, 4)?,
+        })
+    }
+}
--- /dev/null
+++ b/src/request/quarantine.rs
@@ -0,0 +1,108 @@
+//! Keeps requests that crash upstreams away from the next one.
+//!
+//! A request in flight when an upstream crashed is a suspect. One that was in flight at two
+//! crashes, or alone at one, is quarantined. Each daemon runs suspects one at a time, so that the
+//! second crash tells the guilty one from the rest.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::process::moment::Moment;
+use crate::request::fingerprint::Fingerprint;
+use crate::version::upstream::UpstreamBoot;
+
+/// How long a suspicion lasts.
+pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+/// The most suspects remembered.
+const SUSPECTS_MAX: usize = 4096;
+/// How many crashes convict a request that was not alone.
+const CRASHES: usize = 2;
+
+/// A request that was in flight when an upstream crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspicion {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The run of the upstream that crashed.
+    pub boot: UpstreamBoot,
+    /// Whether no other request was in flight.
+    pub alone: bool,
+}
+
+/// How far a request is suspected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Not at all.
+    Clear,
+    /// It was in flight at one crash: it runs, but not beside another suspect.
+    Suspect,
+    /// It crashes upstreams: it is refused.
+    Quarantined,
+}
+
+#[derive(Clone, Debug)]
+struct Case {
+    boots: BTreeSet<UpstreamBoot>,
+    alone: bool,
+    until: Moment,
+}
+
+/// The suspects that a daemon knows of.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    cases: BTreeMap<Fingerprint, Case>,
+}
+
+impl Quarantine {
+    /// Takes in a suspicion.
+    pub fn suspect(&mut self, now: Moment, suspicion: &Suspicion) {
+        self.make_room(now);
+        let fresh = || Case {
+            boots: BTreeSet::new(),
+            alone: false,
+            until: now,
+        };
+        let case = self
+            .cases
+            .entry(suspicion.fingerprint)
+            .or_insert_with(fresh);
+        case.boots.insert(suspicion.boot);
+        case.alone |= suspicion.alone;
+        case.until = now + QUARANTINE_TIME;
+    }
+
+    /// Returns how far a request is suspected.
+    pub fn standing(&self, now: Moment, fingerprint: Fingerprint) -> Standing {
+        match self.cases.get(&fingerprint) {
+            Some(case) if case.until <= now => Standing::Clear,
+            Some(case) if case.alone || case.boots.len() >= CRASHES => Standing::Quarantined,
+            Some(_) => Standing::Suspect,
+            None => Standing::Clear,
+        }
+    }
+
+    /// Clears a suspect that an upstream ran without a crash.
+    pub fn clear(&mut self, now: Moment, fingerprint: Fingerprint) {
+        if self.standing(now, fingerprint) == Standing::Suspect {
+            self.cases.remove(&fingerprint);
+        }
+    }
+
+    fn make_room(&mut self, now: Moment) {
+        if self.cases.len() < SUSPECTS_MAX {
+            return;
+        }
+        self.cases.retain(|_, c| c.until > now);
+        while self.cases.len() >= SUSPECTS_MAX {
+            let oldest = self
+                .cases
+                .iter()
+                .min_by_key(|(_, c)| c.until)
+                .map(|(&f, _)| f);
+            let Some(oldest) = oldest else { return };
+            self.cases.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/src/version/document_version.rs
@@ -0,0 +1,8 @@
+//! The version of the operators' document.
+
+use crate::newtype;
+
+newtype::decimal! {
+    /// A version of the operators' document; it only rises.
+    DocumentVersion
+}
--- /dev/null
+++ b/src/version/mod.rs
@@ -0,0 +1,26 @@
+//! What lives for a version: the operators' document, and the assignment table.
+
+pub mod assignment;
+pub mod configuration;
+pub mod digest;
+pub mod document;
+pub mod document_error;
+pub mod document_version;
+pub mod domain_name;
+pub mod domain_state;
+pub mod epoch;
+pub mod instance_id;
+pub mod key_hash;
+pub mod member;
+pub mod name_error;
+pub mod objective;
+pub mod rendezvous;
+pub mod route;
+pub mod service;
+pub mod service_name;
+pub mod session_id;
+pub mod slice_id;
+pub mod table;
+pub mod token;
+pub mod upstream;
+pub mod witness_set;
--- /dev/null
+++ b/src/version/service.rs
@@ -0,0 +1,136 @@
+//! A service of the operators' document.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::version::document_error::DocumentError;
+use crate::version::objective::Objective;
+use crate::version::route::Route;
+use crate::version::service_name::ServiceName;
+
+/// How the upstreams of a service share its keys.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ServiceKind {
+    /// Each key has a sole owner.
+    #[default]
+    Keyed,
+    /// Any upstream serves any request.
+    Shared,
+}
+
+/// How a service's load is limited and placed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Policy {
+    /// Limits, ramps, moves and hedges follow what the daemons measure.
+    #[default]
+    Adaptive,
+    /// Fixed limits at the announced slots; no ramp, no early refusal, no moves, no hedges.
+    Baseline,
+}
+
+/// What operators decide for one service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Service {
+    /// How the upstreams share the keys.
+    pub kind: ServiceKind,
+    /// How load is limited and placed.
+    pub policy: Policy,
+    /// Into how many slices the keys are split; a change takes effect for new services only.
+    pub slices: u32,
+    /// How long a request may take when its caller doesn't say, in milliseconds.
+    pub deadline_ms: u64,
+    /// How many requests may wait for each upstream.
+    pub queue: u32,
+    /// Retries allowed for each hundred requests.
+    pub retry_percent: u32,
+    /// Hedges allowed for each hundred requests.
+    pub hedge_percent: u32,
+    /// What the service promises.
+    pub objective: Objective,
+    /// Which requests are repeatable; the first route that fits decides.
+    pub routes: Vec<Route>,
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Self {
+            kind: ServiceKind::Keyed,
+            policy: Policy::Adaptive,
+            slices: 64,
+            deadline_ms: 1000,
+            queue: 64,
+            retry_percent: 10,
+            hedge_percent: 5,
+            objective: Objective::default(),
+            routes: Vec::new(),
+        }
+    }
+}
+
+impl Service {
+    /// Returns the time that a request may take when its caller doesn't say.
+    pub fn deadline(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms)
+    }
+
+    /// Returns whether a request may be run more than once.
+    ///
+    /// Where no route fits, only the methods that HTTP calls safe are repeatable (RFC 9110,
+    /// section 9.2.1).
+    pub fn is_repeatable(&self, method: &str, path: &str) -> bool {
+        let route = self.routes.iter().find(|r| r.fits(method, path));
+        route.map_or_else(|| matches!(method, "GET" | "HEAD"), |r| r.repeatable)
+    }
+
+    /// Checks the ranges of the fields.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first field that is out of its range.
+    pub fn check(&self, name: &ServiceName) -> Result<(), DocumentError> {
+        let range = |field, value: String, range| {
+            Err(DocumentError::Range {
+                service: name.clone(),
+                field,
+                value,
+                range,
+            })
+        };
+        if !(1..=4096).contains(&self.slices) {
+            return range("slices", self.slices.to_string(), "1 to 4096");
+        }
+        if !(1..=600_000).contains(&self.deadline_ms) {
+            return range("deadline_ms", self.deadline_ms.to_string(), "1 to 600000");
+        }
+        if self.queue > 100_000 {
+            return range("queue", self.queue.to_string(), "0 to 100000");
+        }
+        if self.retry_percent > 100 {
+            return range("retry_percent", self.retry_percent.to_string(), "0 to 100");
+        }
+        if self.hedge_percent > 100 {
+            return range("hedge_percent", self.hedge_percent.to_string(), "0 to 100");
+        }
+        let availability = self.objective.availability_percent;
+        if !(availability > 0.0 && availability < 100.0) {
+            let field = "objective.availability_percent";
+            return range(field, availability.to_string(), "above 0 and below 100");
+        }
+        if !(1..=600_000).contains(&self.objective.latency_ms) {
+            let value = self.objective.latency_ms.to_string();
+            return range("objective.latency_ms", value, "1 to 600000");
+        }
+        match self.routes.iter().find(|r| !r.path.starts_with('/')) {
+            Some(route) => range(
+                "routes.path",
+                route.path.clone(),
+                "a path that starts with /",
+            ),
+            None => Ok(()),
+        }
+    }
+}
