Drive the ownership rules through long randomised runs, and mend four faults they found

The runs put the shipped state machine and planner under partitions (also one-way), pauses, losses, restarts with empty memory, platform outages, lost answers and racing planners, in virtual time with seeded choices. After each event they assert: one daemon a slice, tokens that rise, versions that don't fall; at the end, that each slice is served and the planner is at rest.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod args;
 pub mod cluster;
+pub mod explore;
 pub mod fault_proxy;
 pub mod journal;
 pub mod load;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use foxtaildrift_bench::args::BenchError;
-use foxtaildrift_bench::{platform_stand_in, runs, upstream_stand_in};
+use foxtaildrift_bench::{explore, platform_stand_in, runs, upstream_stand_in};
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
@@ -16,6 +16,7 @@
         "upstream" => upstream_stand_in::run(rest),
         "daemon" => return foxtaildrift::cmd::daemon::execute(rest),
         "demo" => runs::demo::run(),
+        "explore" => explore::run(rest),
         _ => Err(BenchError(format!("`{name}` is no command"))),
     };
     match result {
--- a/crates/bench/src/upstream_stand_in.rs
+++ b/crates/bench/src/upstream_stand_in.rs
@@ -67,6 +67,10 @@
 /// # Errors
 ///
 /// Returns an error where the arguments don't fit or the address can't be listened on.
+///
+/// # Panics
+///
+/// Panics where the default service's name is none.
 pub fn run(args: &[String]) -> Result<(), BenchError> {
     let matches = args::parse(args, |o| {
         o.optopt("", "listen", "where to listen", "ADDRESS");
--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -1,1 +1,3 @@
-//! Tests.
+//! Tests of the system under faults: randomised runs, and real processes behind the fault proxy.
+
+mod explore;
--- a/src/newtype.rs
+++ b/src/newtype.rs
@@ -86,8 +86,22 @@
 
         impl<'de> serde::Deserialize<'de> for $name {
             fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
-                let text = String::deserialize(d)?;
-                text.parse().map_err(serde::de::Error::custom)
+                // Parsed inside the deserializer, which then knows where the name stands.
+                struct NameVisitor;
+
+                impl serde::de::Visitor<'_> for NameVisitor {
+                    type Value = $name;
+
+                    fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                        f.write_str("a name")
+                    }
+
+                    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<$name, E> {
+                        text.parse().map_err(E::custom)
+                    }
+                }
+
+                d.deserialize_str(NameVisitor)
             }
         }
     };
--- a/src/process/custodian.rs
+++ b/src/process/custodian.rs
@@ -132,7 +132,7 @@
             revision: stored.revision,
             epoch: table.epoch,
         };
-        self.membership.with(|o, now| o.adopt(now, table.into()));
+        self.membership.adopt_from_platform(table);
         Ok(base)
     }
 
--- a/src/process/facts.rs
+++ b/src/process/facts.rs
@@ -14,6 +14,8 @@
 pub struct Facts {
     /// The highest epoch that each session has adopted, by its own word.
     pub adopted: BTreeMap<SessionId, Epoch>,
+    /// The highest epoch that each session's witnesses are known to have confirmed, by its own word.
+    pub confirmed: BTreeMap<SessionId, Epoch>,
     /// The witnesses that state a session's end, with the highest epoch each granted it.
     pub ended: BTreeMap<SessionId, BTreeMap<InstanceId, Epoch>>,
     /// The sessions that ended by their own or their successor's word, with their last epoch.
@@ -23,7 +25,10 @@
 impl Facts {
     /// Returns whether there is no statement.
     pub fn is_empty(&self) -> bool {
-        self.adopted.is_empty() && self.ended.is_empty() && self.resigned.is_empty()
+        self.adopted.is_empty()
+            && self.confirmed.is_empty()
+            && self.ended.is_empty()
+            && self.resigned.is_empty()
     }
 
     /// Returns the epoch that `session` is known to have adopted.
@@ -31,19 +36,27 @@
         self.adopted.get(&session).copied().unwrap_or_default()
     }
 
+    /// Returns the epoch that the witnesses of `session` are known to have confirmed.
+    pub fn confirmed(&self, session: SessionId) -> Epoch {
+        self.confirmed.get(&session).copied().unwrap_or_default()
+    }
+
     /// Takes in the statements of `other` on sessions that `wanted` names; returns the new ones.
     pub fn merge(&mut self, other: Facts, wanted: impl Fn(SessionId) -> bool) -> Facts {
         let mut news = Facts::default();
-        for (session, epoch) in other.adopted.into_iter().filter(|(s, _)| wanted(*s)) {
-            if raise(&mut self.adopted, session, epoch) {
-                news.adopted.insert(session, epoch);
-            }
-        }
-        for (session, epoch) in other.resigned.into_iter().filter(|(s, _)| wanted(*s)) {
-            if raise(&mut self.resigned, session, epoch) {
-                news.resigned.insert(session, epoch);
-            }
-        }
+        raise_all(&mut self.adopted, other.adopted, &wanted, &mut news.adopted);
+        raise_all(
+            &mut self.confirmed,
+            other.confirmed,
+            &wanted,
+            &mut news.confirmed,
+        );
+        raise_all(
+            &mut self.resigned,
+            other.resigned,
+            &wanted,
+            &mut news.resigned,
+        );
         for (session, statements) in other.ended.into_iter().filter(|(s, _)| wanted(*s)) {
             let known = self.ended.entry(session).or_default();
             for (witness, epoch) in statements {
@@ -61,6 +74,7 @@
     /// Forgets the sessions that `keep` does not name.
     pub fn retain(&mut self, keep: impl Fn(SessionId) -> bool) {
         self.adopted.retain(|&s, _| keep(s));
+        self.confirmed.retain(|&s, _| keep(s));
         self.ended.retain(|&s, _| keep(s));
         self.resigned.retain(|&s, _| keep(s));
     }
@@ -87,6 +101,20 @@
     }
 }
 
+/// Raises the entries of `known` to those of `other` that are wanted; notes the new ones.
+fn raise_all(
+    known: &mut BTreeMap<SessionId, Epoch>,
+    other: BTreeMap<SessionId, Epoch>,
+    wanted: impl Fn(SessionId) -> bool,
+    news: &mut BTreeMap<SessionId, Epoch>,
+) {
+    for (session, epoch) in other.into_iter().filter(|(s, _)| wanted(*s)) {
+        if raise(known, session, epoch) {
+            news.insert(session, epoch);
+        }
+    }
+}
+
 /// Raises the entry of `key` to `epoch`; returns whether that is news.
 fn raise<K: Ord>(map: &mut BTreeMap<K, Epoch>, key: K, epoch: Epoch) -> bool {
     match map.get_mut(&key) {
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use crate::connection::peer_pool::{Called, PeerPool};
 use crate::process::clock::Clock;
 use crate::process::datagram::{DATAGRAM_BYTES_MAX, Datagram, Message};
+use crate::process::joins::Joins;
 use crate::process::load_report::LoadReport;
 use crate::process::metrics::Metrics;
 use crate::process::moment::Moment;
@@ -80,9 +82,10 @@
     pool: Arc<PeerPool>,
     metrics: Arc<Metrics>,
     active: RwLock<Arc<Active>>,
-    joins: Mutex<BTreeMap<InstanceId, MemberInfo>>,
+    joins: Mutex<Joins>,
     loads: Mutex<BTreeMap<SessionId, LoadReport>>,
     events: Sender<Event>,
+    read_platform: AtomicBool,
 }
 
 impl Membership {
@@ -110,6 +113,7 @@
             joins: Mutex::default(),
             loads: Mutex::default(),
             events,
+            read_platform: AtomicBool::new(false),
         })
     }
 
@@ -125,6 +129,17 @@
         result
     }
 
+    /// Adopts a table that the platform holds now.
+    pub fn adopt_from_platform(&self, table: Table) {
+        self.with(|o, now| o.adopt(now, table.into()));
+        self.read_platform.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether this process has read the platform's table since it started.
+    pub fn has_read_platform(&self) -> bool {
+        self.read_platform.load(Ordering::SeqCst)
+    }
+
     /// Returns the configuration in force.
     pub fn active(&self) -> Arc<Active> {
         Arc::clone(&sync::read(&self.active))
@@ -149,7 +164,7 @@
 
     /// Returns what daemons that want to join, or that changed, say of themselves.
     pub fn joins(&self) -> BTreeMap<InstanceId, MemberInfo> {
-        let mut joins = sync::lock(&self.joins).clone();
+        let mut joins = sync::lock(&self.joins).current(self.clock.now());
         let own = self.with(|o, _| o.info().clone());
         joins.insert(own.session.instance, own);
         joins
@@ -157,13 +172,7 @@
 
     /// Forgets the wishes that `table` fulfils.
     pub fn forget_joins(&self, table: &Table) {
-        let fulfilled = |info: &MemberInfo| {
-            table
-                .members
-                .get(&info.session)
-                .is_some_and(|m| m.info == *info)
-        };
-        sync::lock(&self.joins).retain(|_, info| !fulfilled(info));
+        sync::lock(&self.joins).forget_fulfilled(table);
     }
 
     /// Returns the newest load report of each member.
@@ -284,7 +293,7 @@
         };
         match &datagram.message {
             Message::Join(info) => {
-                sync::lock(&self.joins).insert(info.session.instance, (**info).clone());
+                sync::lock(&self.joins).hear(self.clock.now(), (**info).clone());
             }
             Message::Load(report) => {
                 if let Some(session) = report.session {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -11,6 +11,7 @@
 pub mod facts;
 pub mod gate;
 pub mod http_platform;
+pub mod joins;
 pub mod lease_times;
 pub mod load_report;
 pub mod logging;
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -307,9 +307,9 @@
 
     /// States the end of former processes on this daemon's own address.
     ///
-    /// Sound only after this process has held the address for a lease and its margin, with a
-    /// table read after that: grants go to the address in the table, so the former process can
-    /// have had none since.
+    /// Sound only after this process has held the address for a lease and its margin, and after
+    /// it has read the platform's table: grants go to the address in the table, so a former
+    /// process can have had none since, and it ended under no newer table.
     pub fn succeed_address(&mut self, now: Moment) {
         let me = self.info.session.instance;
         let peer = self.info.peer;
@@ -550,6 +550,7 @@
         if by_me && let Some(granted) = self.witness.renew(now, session, epoch, &self.times) {
             self.tenure.granted(me, now, granted);
             self.observe_lease(now);
+            self.state_confirmed(now);
         }
     }
 
@@ -598,6 +599,29 @@
         }
         self.tenure.granted(from, sent, epoch);
         self.observe_lease(now);
+        self.state_confirmed(now);
+    }
+
+    /// States which epoch the witnesses have confirmed, while a change of them is under way.
+    fn state_confirmed(&mut self, now: Moment) {
+        let session = self.tenure.id;
+        let Some(member) = self.table.members.get(&session) else {
+            return;
+        };
+        if member.witnesses.len() < 2 {
+            return;
+        }
+        let confirmed = self.tenure.confirmed(&member.witnesses);
+        if confirmed > self.facts.confirmed(session) {
+            let confirmed = BTreeMap::from([(session, confirmed)]);
+            self.learn(
+                now,
+                Facts {
+                    confirmed,
+                    ..Facts::default()
+                },
+            );
+        }
     }
 
     /// Takes in statements, and passes this daemon's own news on to all.
@@ -614,11 +638,8 @@
         let me = self.info.session.instance;
         let news = self.facts.merge(facts, |s| members.contains_key(&s));
         let mine = Facts {
-            adopted: news
-                .adopted
-                .into_iter()
-                .filter(|(s, _)| s.instance == me)
-                .collect(),
+            adopted: of_instance(news.adopted, me),
+            confirmed: of_instance(news.confirmed, me),
             ended: only_of(news.ended, me),
             resigned: news.resigned,
         };
@@ -631,12 +652,19 @@
     }
 
     /// Forms the certificates that the statements allow; each is final.
+    ///
+    /// A process gives its session up before it starts the next, so a later session of the same
+    /// process is a proof too.
     fn certify(&mut self, now: Moment) {
-        for (&session, member) in &self.table.members {
+        let mut later: Option<SessionId> = None;
+        for (&session, member) in self.table.members.iter().rev() {
+            let superseded = later.is_some_and(|s| s.instance == session.instance);
+            later = Some(session);
             if self.certified.contains_key(&session) {
                 continue;
             }
-            if let Some(epoch) = self.facts.certificate(session, &member.witnesses) {
+            let stated = self.facts.certificate(session, &member.witnesses);
+            if let Some(epoch) = stated.or(superseded.then_some(self.table.epoch)) {
                 self.certified.insert(session, epoch);
             }
         }
@@ -729,6 +757,17 @@
     }
 }
 
+/// Keeps what concerns the sessions of `instance`.
+fn of_instance(
+    statements: BTreeMap<SessionId, Epoch>,
+    instance: InstanceId,
+) -> BTreeMap<SessionId, Epoch> {
+    statements
+        .into_iter()
+        .filter(|(s, _)| s.instance == instance)
+        .collect()
+}
+
 /// Keeps the end statements that `witness` made.
 fn only_of(
     ended: BTreeMap<SessionId, BTreeMap<InstanceId, Epoch>>,
--- a/src/process/planner/members.rs
+++ b/src/process/planner/members.rs
@@ -35,5 +35,6 @@
         info: info.clone(),
         witnesses: Vec::new(),
         witnesses_since: Epoch::default(),
+        settling: false,
     }
 }
--- a/src/process/planner/slices.rs
+++ b/src/process/planner/slices.rs
@@ -134,8 +134,8 @@
     first: &mut [Option<SessionId>],
 ) {
     let mut filled: BTreeMap<SessionId, u32> = BTreeMap::new();
-    for number in 0..first.len() {
-        let Some(owner) = first[number] else { continue };
+    for (number, place) in first.iter_mut().enumerate() {
+        let Some(owner) = *place else { continue };
         if !shares.is_above(owner) {
             continue;
         }
@@ -157,7 +157,7 @@
             shares.give_back(owner);
             shares.take(target);
             *filled.entry(target).or_default() += 1;
-            first[number] = Some(target);
+            *place = Some(target);
         }
     }
 }
--- a/src/process/planner/witnesses.rs
+++ b/src/process/planner/witnesses.rs
@@ -1,8 +1,11 @@
 //! Plans who grants each session its lease.
 //!
-//! A witness set is changed in two steps, so that every two daemons that may work at once have a
-//! set in common: first the old and the new set both count; the old one is dropped when each
-//! member is known to have adopted an epoch that holds both.
+//! A witness set is changed in steps, so that every two daemons that may work at once have a set
+//! in common, and no session comes back after a certificate of its end. First the old and the new
+//! set both count. When each member is known to have adopted that, none can form a certificate
+//! from the old set alone any more; but one may have formed it before. So the session must then
+//! show that a majority of each set has granted it under a still later epoch, which a witness that
+//! stated its end would not have done. Only then the old set is dropped.
 
 use std::collections::BTreeMap;
 
@@ -30,10 +33,7 @@
         .unwrap_or_default();
     for member in members.values_mut() {
         if member.witnesses.len() > 1 {
-            if lowest >= member.witnesses_since {
-                member.witnesses.remove(0);
-                member.witnesses_since = epoch;
-            }
+            advance(input, epoch, lowest, member);
             continue;
         }
         let present = member.witnesses.first().cloned().unwrap_or_default();
@@ -45,6 +45,19 @@
     }
 }
 
+/// Takes the next step of a change of witness sets, where the last one is known to be done.
+fn advance(input: &PlanInput<'_>, epoch: Epoch, lowest: Epoch, member: &mut Member) {
+    let since = member.witnesses_since;
+    if !member.settling && lowest >= since {
+        member.settling = true;
+        member.witnesses_since = epoch;
+    } else if member.settling && input.facts.confirmed(member.info.session) >= since {
+        member.settling = false;
+        member.witnesses.remove(0);
+        member.witnesses_since = epoch;
+    }
+}
+
 /// Chooses the witnesses of `session`, with as many of the present ones as still fit.
 fn choose(
     input: &PlanInput<'_>,
@@ -60,7 +73,7 @@
         stays(b).cmp(&stays(a)).then(score(b).total_cmp(&score(a)))
     });
     let mut chosen = spread(others);
-    if chosen.len() % 2 == 0
+    if chosen.len().is_multiple_of(2)
         && let Some(own) = members.get(session)
     {
         chosen.push(address_of(own));
--- a/src/process/upkeep.rs
+++ b/src/process/upkeep.rs
@@ -34,7 +34,6 @@
 /// What the duties remember from round to round.
 struct Round {
     started: Instant,
-    succeeded: bool,
     probed: Instant,
     probes_failed: u32,
     without_upstream: Option<Instant>,
@@ -64,7 +63,6 @@
         let now = Instant::now();
         let mut round = Round {
             started: now,
-            succeeded: false,
             probed: now,
             probes_failed: 0,
             without_upstream: None,
@@ -72,7 +70,7 @@
         };
         while !stop.wait(TICK) {
             self.owner.take_up_all();
-            self.succeed_address(&mut round);
+            self.succeed_address(&round);
             self.probe(&mut round);
             self.resign_without_upstream(&mut round);
             self.report(&mut round);
@@ -80,10 +78,10 @@
     }
 
     /// States the end of former processes on this daemon's address, once nothing can still go to
-    /// them.
-    fn succeed_address(&self, round: &mut Round) {
-        if !round.succeeded && round.started.elapsed() > self.times.silence() + self.times.renewal {
-            round.succeeded = true;
+    /// them and a table was read that is newer than any they had.
+    fn succeed_address(&self, round: &Round) {
+        let waited = round.started.elapsed() > self.times.silence() + self.times.renewal;
+        if waited && self.membership.has_read_platform() {
             self.membership.with(|o, now| o.succeed_address(now));
         }
     }
--- a/src/version/member.rs
+++ b/src/version/member.rs
@@ -39,6 +39,9 @@
     pub info: MemberInfo,
     /// The witness sets that all count: two while a change is under way.
     pub witnesses: Vec<WitnessSet>,
-    /// The epoch that last changed the witness sets.
+    /// The epoch of the last step of a change of the witness sets.
     pub witnesses_since: Epoch,
+    /// Whether a change is in its last step: the session must show that it is live under both
+    /// sets before the old one is dropped.
+    pub settling: bool,
 }
--- /dev/null
+++ b/tests/testsuite/command.rs
@@ -0,0 +1,66 @@
+//! The operators' command line: help, and errors with their exit codes.
+
+use foxtaildrift::cmd::command::{self, CommandError};
+use insta::assert_snapshot;
+
+fn execute(line: &[&str]) -> Result<String, CommandError> {
+    let args: Vec<String> = line[1..].iter().map(ToString::to_string).collect();
+    let commands = command::commands();
+    let found = commands.iter().find(|c| c.name == line[0]).unwrap();
+    command::execute(found, &args)
+}
+
+#[test]
+fn help_lists_all_commands() {
+    assert_snapshot!(command::help());
+}
+
+#[test]
+fn each_command_explains_itself() {
+    for command in command::commands() {
+        let text = execute(&[command.name, "--help"]).unwrap();
+        assert!(text.contains(command.about), "{text}");
+        assert!(text.contains("--help"), "{text}");
+    }
+}
+
+#[test]
+fn bad_arguments_are_usage_errors() {
+    let lines: [&[&str]; 6] = [
+        &["check"],
+        &["check", "a", "b"],
+        &["show", "--colour"],
+        &["drain"],
+        &["drain", "--domain", "a", "--upstream", "127.0.0.1:1"],
+        &["promote", "latest"],
+    ];
+    for line in lines {
+        assert_eq!(execute(line).unwrap_err().code(), 2, "{line:?}");
+    }
+}
+
+#[test]
+fn a_platform_that_does_not_answer_is_named() {
+    let line = ["show", "--platform", "http://127.0.0.1:9"];
+    let e = execute(&line).unwrap_err();
+    assert_eq!(e.code(), 1);
+    assert!(e.to_string().contains("http://127.0.0.1:9"), "{e}");
+}
+
+#[test]
+fn check_tells_a_valid_document_from_a_bad_one() {
+    let folder = std::env::temp_dir();
+    let path = folder.join(format!("foxtaildrift-check-{}.yaml", std::process::id()));
+    let text = path.display().to_string();
+    std::fs::write(&path, "services: {order-desk: {}}\n").unwrap();
+    assert!(
+        execute(&["check", &text])
+            .unwrap()
+            .contains("valid, 1 services")
+    );
+    std::fs::write(&path, "services: {order-desk: {slice: 1}}\n").unwrap();
+    let e = execute(&["check", &text]).unwrap_err();
+    assert!(e.to_string().contains("unknown field `slice`"), "{e}");
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(execute(&["check", &text]).unwrap_err().code(), 1);
+}
--- /dev/null
+++ b/tests/testsuite/limiter.rs
@@ -0,0 +1,119 @@
+//! The limit and queue of an upstream.
+
+use std::time::Duration;
+
+use foxtaildrift::process::moment::Moment;
+use foxtaildrift::request::limiter::{Admission, Limiter};
+use foxtaildrift::version::service::Policy;
+use foxtaildrift::version::upstream::{Upstream, UpstreamBoot};
+
+fn upstream(boot: u64) -> Upstream {
+    Upstream {
+        service: "order-desk".parse().unwrap(),
+        address: ([127, 0, 0, 1], 9000).into(),
+        boot: UpstreamBoot(boot),
+        slots: 8,
+        cold_slots: 2,
+        connections: 100,
+        checks_grants: true,
+    }
+}
+
+fn limiter(policy: Policy) -> Limiter {
+    let mut limiter = Limiter::new();
+    limiter.configure(policy, 4);
+    limiter.announce(Moment(0), &upstream(1));
+    limiter
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+/// Runs `count` requests one after the other, each of `took`.
+fn serve(limiter: &mut Limiter, from: u64, count: u64, took: Duration) -> u64 {
+    let mut millis = from;
+    for _ in 0..count {
+        assert_eq!(
+            limiter.arrive(at(millis), at(millis + 10_000)),
+            Admission::Run
+        );
+        millis += 20;
+        limiter.done(at(millis), Some(took));
+    }
+    millis
+}
+
+#[test]
+fn a_new_upstream_gets_no_more_than_it_bears_cold_and_then_more() {
+    let mut limiter = limiter(Policy::Adaptive);
+    assert_eq!(limiter.limit(), 2);
+    serve(&mut limiter, 0, 200, Duration::from_millis(5));
+    assert_eq!(limiter.limit(), 8);
+}
+
+#[test]
+fn a_new_run_of_the_upstream_is_cold_again() {
+    let mut limiter = limiter(Policy::Adaptive);
+    let now = serve(&mut limiter, 0, 200, Duration::from_millis(5));
+    limiter.announce(at(now), &upstream(2));
+    assert_eq!(limiter.limit(), 2);
+}
+
+#[test]
+fn a_suddenly_slow_upstream_is_taken_for_cold() {
+    let mut limiter = limiter(Policy::Adaptive);
+    let now = serve(&mut limiter, 0, 200, Duration::from_millis(5));
+    serve(&mut limiter, now, 8, Duration::from_millis(25));
+    assert!(limiter.limit() < 8, "{}", limiter.limit());
+}
+
+#[test]
+fn the_baseline_uses_the_announced_slots() {
+    let mut limiter = limiter(Policy::Baseline);
+    assert_eq!(limiter.limit(), 8);
+    let now = serve(&mut limiter, 0, 20, Duration::from_millis(5));
+    serve(&mut limiter, now, 20, Duration::from_millis(100));
+    assert_eq!(limiter.limit(), 8);
+}
+
+#[test]
+fn the_earliest_deadline_goes_first_and_a_full_queue_refuses() {
+    let mut limiter = limiter(Policy::Adaptive);
+    for _ in 0..2 {
+        assert_eq!(limiter.arrive(at(0), at(1000)), Admission::Run);
+    }
+    let tickets: Vec<_> = [900, 500, 700, 800]
+        .map(|deadline| limiter.arrive(at(0), at(deadline)))
+        .into_iter()
+        .collect();
+    assert_eq!(limiter.arrive(at(0), at(1000)), Admission::Full);
+    let Admission::Wait(soonest) = tickets[1] else {
+        panic!("{tickets:?}")
+    };
+    assert_eq!(limiter.done(at(10), None), vec![soonest]);
+}
+
+#[test]
+fn what_would_end_too_late_is_refused_at_once() {
+    let mut limiter = limiter(Policy::Adaptive);
+    let now = serve(&mut limiter, 0, 10, Duration::from_millis(50));
+    assert_eq!(limiter.arrive(at(now), at(now + 20)), Admission::TooLate);
+    let mut baseline = self::limiter(Policy::Baseline);
+    let now = serve(&mut baseline, 0, 10, Duration::from_millis(50));
+    assert_eq!(baseline.arrive(at(now), at(now + 20)), Admission::Run);
+}
+
+#[test]
+fn one_that_gave_up_waiting_takes_no_place() {
+    let mut limiter = limiter(Policy::Adaptive);
+    for _ in 0..2 {
+        limiter.arrive(at(0), at(1000));
+    }
+    let Admission::Wait(ticket) = limiter.arrive(at(0), at(500)) else {
+        panic!("it must wait")
+    };
+    limiter.leave(at(500), ticket);
+    assert_eq!(limiter.waiting(), 0);
+    assert_eq!(limiter.done(at(10), None), vec![]);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,12 @@
-//! Tests.
+//! Tests of the library, one file a topic.
+
+mod assignment;
+mod codec;
+mod command;
+mod configuration;
+mod limiter;
+mod names;
+mod operations;
+mod quarantine;
+mod records;
+mod settings;
--- /dev/null
+++ b/tests/testsuite/names.rs
@@ -0,0 +1,74 @@
+//! Newtypes: what they print they also read.
+
+use std::fmt::{Debug, Display};
+use std::str::FromStr;
+
+use foxtaildrift::process::moment::Moment;
+use foxtaildrift::process::wall_time::WallTime;
+use foxtaildrift::request::idempotency_key::IdempotencyKey;
+use foxtaildrift::request::outcome::Outcome;
+use foxtaildrift::version::digest::Digest;
+use foxtaildrift::version::epoch::Epoch;
+use foxtaildrift::version::instance_id::InstanceId;
+use foxtaildrift::version::service_name::ServiceName;
+use foxtaildrift::version::session_id::SessionId;
+use foxtaildrift::version::token::Token;
+
+fn reads_what_it_prints<T: Display + FromStr + PartialEq + Debug>(value: T)
+where
+    T::Err: Debug,
+{
+    assert_eq!(value.to_string().parse::<T>().unwrap(), value);
+}
+
+#[test]
+fn newtypes_read_what_they_print() {
+    reads_what_it_prints(Epoch(17));
+    reads_what_it_prints(InstanceId(0xfeed));
+    reads_what_it_prints(SessionId {
+        instance: InstanceId(9),
+        tenure: 3,
+    });
+    reads_what_it_prints(Token {
+        since: Epoch(4),
+        rank: 1,
+        incarnation: 2,
+    });
+    reads_what_it_prints(Moment(12));
+    reads_what_it_prints(Outcome::NotRun);
+    reads_what_it_prints(Digest::of(b"text"));
+    reads_what_it_prints("order-desk".parse::<ServiceName>().unwrap());
+    reads_what_it_prints(IdempotencyKey::draw());
+}
+
+#[test]
+fn malformed_names_are_refused() {
+    for text in ["", "Order", "a_b", "a b", &"x".repeat(64)] {
+        assert!(text.parse::<ServiceName>().is_err(), "{text}");
+    }
+    for text in ["", "7", "1.x", "1.2"] {
+        assert!(text.parse::<Token>().is_err(), "{text}");
+    }
+}
+
+#[test]
+fn tokens_order_by_epoch_then_rank_then_incarnation() {
+    let token = |since, rank, incarnation| Token {
+        since: Epoch(since),
+        rank,
+        incarnation,
+    };
+    assert!(token(2, 0, 1) > token(1, 2, 9));
+    assert!(token(1, 2, 1) > token(1, 1, 9));
+    assert!(token(1, 1, 2) > token(1, 1, 1));
+}
+
+#[test]
+fn idempotency_keys_are_of_version_seven_and_tell_when_they_were_minted() {
+    let key = IdempotencyKey::from_parts(WallTime(1_700_000_000_123), [7; 10]);
+    assert_eq!(key.minted(), WallTime(1_700_000_000_123));
+    assert_eq!(key.to_string().parse(), Ok(key));
+    let version_four = "f47ac10b-58cc-4372-a567-0e02b2c3d479";
+    assert!(version_four.parse::<IdempotencyKey>().is_err());
+    assert!("booking-7".parse::<IdempotencyKey>().is_err());
+}
