Convict a request of crashing upstreams at its second crash only

Ruled out: a shorter quarantine (a poisonous request is sent again at any interval). Now two crashes convict, suspects run one at a time, and one that ran well is cleared everywhere.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -91,6 +91,18 @@
     process: Option<Child>,
 }
 
+impl Host {
+    /// Returns whether the daemon was started and not ended since.
+    pub fn has_daemon(&self) -> bool {
+        self.daemon.is_some()
+    }
+
+    /// Returns whether the upstream was started and not ended since.
+    pub fn has_upstream(&self) -> bool {
+        self.process.is_some()
+    }
+}
+
 /// A running environment; dropping it ends all its processes.
 pub struct Cluster {
     /// The hosts.
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -15,9 +15,11 @@
         "platform" => platform_stand_in::run(rest),
         "upstream" => upstream_stand_in::run(rest),
         "daemon" => return foxtaildrift::cmd::daemon::execute(rest),
-        "demo" => runs::demo::run(),
         "explore" => explore::run(rest),
-        _ => Err(BenchError(format!("`{name}` is no command"))),
+        _ => match runs::RUNS.iter().find(|(n, _)| n == name) {
+            Some((_, run)) => run(rest),
+            None => Err(BenchError(format!("`{name}` is no command"))),
+        },
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/bench/src/runs/environment.rs
+++ b/crates/bench/src/runs/environment.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use crate::cluster::{ClusterSpec, ServiceSpec};
+use crate::cluster::{Cluster, ClusterSpec, ServiceSpec};
+use crate::load::LoadSpec;
 
 /// The one-way time between two failure domains of the co-operative.
 const MEDENINE_DELAY: Duration = Duration::from_micros(1400);
@@ -61,3 +62,28 @@
         log_level: "info",
     }
 }
+
+/// Returns callers of a keyed service, each with a key of its own, that look up and book.
+pub fn bookings(cluster: &Cluster, callers: usize) -> LoadSpec {
+    LoadSpec {
+        service: cluster.hosts[0].service,
+        entries: cluster.entries(),
+        callers,
+        keys: 1,
+        change_percent: 40,
+        pace: Duration::from_millis(10),
+        timeout: Duration::from_millis(300),
+        persists: true,
+        keyed: true,
+        seed: 1,
+    }
+}
+
+/// Returns callers of a shared service that look up and upload.
+pub fn uploads(cluster: &Cluster, service: &'static str, callers: usize) -> LoadSpec {
+    LoadSpec {
+        service,
+        keyed: false,
+        ..bookings(cluster, callers)
+    }
+}
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -122,9 +122,8 @@
             events,
         )?);
         let for_crash = Arc::clone(&membership);
-        let gate = Arc::new(Gate::new(Arc::clone(&clock), move |suspects| {
-            for_crash.report_suspects(&suspects);
-        }));
+        let tell_all = move |message| for_crash.tell_all(&message);
+        let gate = Arc::new(Gate::new(Arc::clone(&clock), tell_all));
         let owner = Arc::new(Owner::new(
             Arc::clone(&clock),
             Arc::clone(&membership),
@@ -429,6 +428,7 @@
             Event::Lapsed => releasers.submit(move || shared.gate.cancel(|_| true)),
             Event::Ended(_) => shared.owner.forget(),
             Event::Suspects(suspects) => shared.gate.suspect(&suspects),
+            Event::Cleared(fingerprint) => shared.gate.clear(fingerprint),
             Event::FetchTable { from, epoch } => fetchers.submit(move || {
                 if shared.membership.table().epoch < epoch {
                     shared.membership.fetch_table(from);
--- a/src/process/datagram.rs
+++ b/src/process/datagram.rs
@@ -8,6 +8,7 @@
 use crate::process::facts::Facts;
 use crate::process::load_report::LoadReport;
 use crate::process::moment::Moment;
+use crate::request::fingerprint::Fingerprint;
 use crate::request::quarantine::Suspicion;
 use crate::version::document_version::DocumentVersion;
 use crate::version::epoch::Epoch;
@@ -69,6 +70,8 @@
     Load(Box<LoadReport>),
     /// Requests that were in flight when an upstream crashed.
     Suspects(Vec<Suspicion>),
+    /// A suspect that an upstream ran without a crash.
+    Cleared(Fingerprint),
 }
 
 impl Datagram {
--- a/src/process/gate.rs
+++ b/src/process/gate.rs
@@ -8,6 +8,7 @@
 use crate::connection::upstream_error::UpstreamError;
 use crate::connection::upstream_link::{self, Fence, UpstreamLink};
 use crate::process::clock::Clock;
+use crate::process::datagram::Message;
 use crate::process::moment::Moment;
 use crate::process::sync;
 use crate::request::answer::Answer;
@@ -94,20 +95,17 @@
     clock: Arc<dyn Clock>,
     state: Mutex<State>,
     changed: Condvar,
-    on_crash: Box<dyn Fn(Vec<Suspicion>) + Send + Sync>,
+    tell_all: Box<dyn Fn(Message) + Send + Sync>,
 }
 
 impl Gate {
-    /// Creates a gate without an upstream; `on_crash` hears of the requests in flight at a crash.
-    pub fn new(
-        clock: Arc<dyn Clock>,
-        on_crash: impl Fn(Vec<Suspicion>) + Send + Sync + 'static,
-    ) -> Self {
+    /// Creates a gate without an upstream; `tell_all` tells the other daemons of suspects.
+    pub fn new(clock: Arc<dyn Clock>, tell_all: impl Fn(Message) + Send + Sync + 'static) -> Self {
         Self {
             clock,
             state: Mutex::default(),
             changed: Condvar::new(),
-            on_crash: Box::new(on_crash),
+            tell_all: Box::new(tell_all),
         }
     }
 
@@ -129,7 +127,7 @@
         wake(&mut state, admitted);
         drop(state);
         if let Some(suspects) = suspects {
-            (self.on_crash)(suspects);
+            (self.tell_all)(Message::Suspects(suspects));
         }
         true
     }
@@ -170,6 +168,12 @@
         }
     }
 
+    /// Takes in that another daemon's upstream ran a suspect without a crash.
+    pub fn clear(&self, fingerprint: Fingerprint) {
+        let now = self.clock.now();
+        sync::lock(&self.state).quarantine.clear(now, fingerprint);
+    }
+
     /// Waits up to `span` until no order of a slice that `released` names is in flight; returns
     /// whether that is so.
     pub fn wait_idle(&self, span: Duration, released: impl Fn(&SliceOf) -> bool) -> bool {
@@ -377,13 +381,14 @@
         let mut state = sync::lock(&self.state);
         state.flights.remove(&id);
         release_suspect(&mut state, id);
-        if let Some(fingerprint) = ran {
-            state.quarantine.clear(now, fingerprint);
-        }
+        let cleared = ran.filter(|&f| state.quarantine.clear(now, f));
         let admitted = state.limiter.done(now, took);
         wake(&mut state, admitted);
         drop(state);
         self.changed.notify_all();
+        if let Some(fingerprint) = cleared {
+            (self.tell_all)(Message::Cleared(fingerprint));
+        }
     }
 
     /// Finds out whether the upstream crashed, and what was in flight then.
@@ -404,7 +409,7 @@
         }
         drop(state);
         tracing::warn!(%boot, suspects = suspects.len(), "upstream crashed");
-        (self.on_crash)(suspects);
+        (self.tell_all)(Message::Suspects(suspects));
     }
 }
 
@@ -413,11 +418,9 @@
     if !state.crashed.insert(boot) {
         return Vec::new();
     }
-    let alone = state.flights.len() == 1;
     let suspicion = |f: &Flight| Suspicion {
         fingerprint: f.fingerprint,
         boot,
-        alone,
     };
     let suspects: Vec<Suspicion> = state.flights.values().map(suspicion).collect();
     for suspicion in &suspects {
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -19,6 +19,7 @@
 use crate::process::ownership::{Output, Ownership};
 use crate::process::stop::Stop;
 use crate::process::sync;
+use crate::request::fingerprint::Fingerprint;
 use crate::request::quarantine::Suspicion;
 use crate::version::configuration::Configuration;
 use crate::version::document::Document;
@@ -47,6 +48,8 @@
     Ended(SessionId),
     /// Requests are suspected of crashing upstreams.
     Suspects(Vec<Suspicion>),
+    /// A suspect ran without a crash.
+    Cleared(Fingerprint),
     /// Another daemon holds a newer table.
     FetchTable {
         /// The daemon.
@@ -197,11 +200,11 @@
         });
     }
 
-    /// Tells all members of requests in flight at a crash.
-    pub fn report_suspects(&self, suspects: &[Suspicion]) {
+    /// Tells all members.
+    pub fn tell_all(&self, message: &Message) {
         self.with(|o, _| {
             for peer in o.other_peers() {
-                o.send(peer, Message::Suspects(suspects.to_vec()));
+                o.send(peer, message.clone());
             }
         });
     }
@@ -301,6 +304,7 @@
                 }
             }
             Message::Suspects(suspects) => self.emit(Event::Suspects(suspects.clone())),
+            Message::Cleared(fingerprint) => self.emit(Event::Cleared(*fingerprint)),
             _ => {}
         }
         self.with(|o, now| o.receive(now, datagram));
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -261,7 +261,7 @@
                 self.take_grant(now, datagram.from, session, sent, epoch);
             }
             Message::Facts(facts) => self.learn(now, facts),
-            Message::Join(_) | Message::Load(_) | Message::Suspects(_) => {}
+            Message::Join(_) | Message::Load(_) | Message::Suspects(_) | Message::Cleared(_) => {}
         }
     }
 
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -31,6 +31,7 @@
 use crate::version::member::Member;
 use crate::version::service::{Policy, Service, ServiceKind};
 use crate::version::service_name::ServiceName;
+use crate::version::session_id::SessionId;
 
 /// The first pause before another try for a key without an owner.
 const PAUSE_MIN: Duration = Duration::from_millis(2);
@@ -237,13 +238,14 @@
         let mut pause = PAUSE_MIN;
         let mut maybe_run = false;
         let mut reason = String::from("no daemon owns it");
+        let mut avoid = None;
         loop {
             let now = self.clock.now();
             envelope.remaining = deadline.since(now);
             if envelope.remaining.is_zero() {
                 break;
             }
-            match self.try_owner(&envelope, hash) {
+            match self.try_owner(&envelope, hash, avoid) {
                 Some(Try::Answered(answer, repeated)) => {
                     maybe_run |= repeated;
                     return truthful(answer, maybe_run);
@@ -256,9 +258,9 @@
                 Some(Try::MaybeSent(why)) => {
                     maybe_run = true;
                     reason = why;
-                    let repeatable = envelope.repeatable;
-                    if repeatable && !self.may_retry(&envelope.service, service) {
-                        break;
+                    // Without budget, only another owner may be tried.
+                    if envelope.repeatable && !self.may_retry(&envelope.service, service) {
+                        avoid = self.owner_of(&envelope.service, hash);
                     }
                 }
                 None => {}
@@ -275,11 +277,23 @@
         Answer::not_run(Refusal::NoOwner(reason))
     }
 
-    /// Tries the daemon that most likely owns `hash`; `None` where there is none.
-    fn try_owner(self: &Arc<Self>, envelope: &Envelope, hash: KeyHash) -> Option<Try> {
+    /// Returns the session that most likely owns `hash`.
+    fn owner_of(&self, service: &ServiceName, hash: KeyHash) -> Option<SessionId> {
+        self.membership
+            .with(|o, _| o.owner(service, hash).map(|m| m.info.session))
+    }
+
+    /// Tries the daemon that most likely owns `hash`; `None` where there is none but `avoid`.
+    fn try_owner(
+        self: &Arc<Self>,
+        envelope: &Envelope,
+        hash: KeyHash,
+        avoid: Option<SessionId>,
+    ) -> Option<Try> {
         let owner = self
             .membership
-            .with(|o, _| o.owner(&envelope.service, hash).cloned())?;
+            .with(|o, _| o.owner(&envelope.service, hash).cloned());
+        let owner = owner.filter(|m| Some(m.info.session) != avoid)?;
         if owner.info.session.instance == self.instance {
             return Some(match self.serve_forwarded(envelope.clone()) {
                 PeerReply::Answer(answer) => Try::Answered(answer, false),
--- a/src/request/quarantine.rs
+++ b/src/request/quarantine.rs
@@ -1,8 +1,9 @@
 //! Keeps requests that crash upstreams away from the next one.
 //!
-//! A request in flight when an upstream crashed is a suspect. One that was in flight at two
-//! crashes, or alone at one, is quarantined. Each daemon runs suspects one at a time, so that the
-//! second crash tells the guilty one from the rest.
+//! A request in flight when an upstream crashed is a suspect; one that was in flight at two crashes
+//! is quarantined. Each daemon runs suspects one at a time, so that the second crash tells the
+//! guilty one from the rest, and a suspect that runs well is cleared everywhere. To be alone at one
+//! crash convicts nobody: upstreams also go down for reasons of their own.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -13,11 +14,11 @@
 use crate::request::fingerprint::Fingerprint;
 use crate::version::upstream::UpstreamBoot;
 
-/// How long a suspicion lasts.
+/// How long a suspicion lasts, and a conviction from the last crash on.
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 /// The most suspects remembered.
 const SUSPECTS_MAX: usize = 4096;
-/// How many crashes convict a request that was not alone.
+/// How many crashes convict a request.
 const CRASHES: usize = 2;
 
 /// A request that was in flight when an upstream crashed.
@@ -27,8 +28,6 @@
     pub fingerprint: Fingerprint,
     /// The run of the upstream that crashed.
     pub boot: UpstreamBoot,
-    /// Whether no other request was in flight.
-    pub alone: bool,
 }
 
 /// How far a request is suspected.
@@ -45,7 +44,6 @@
 #[derive(Clone, Debug)]
 struct Case {
     boots: BTreeSet<UpstreamBoot>,
-    alone: bool,
     until: Moment,
 }
 
@@ -61,7 +59,6 @@
         self.make_room(now);
         let fresh = || Case {
             boots: BTreeSet::new(),
-            alone: false,
             until: now,
         };
         let case = self
@@ -69,7 +66,6 @@
             .entry(suspicion.fingerprint)
             .or_insert_with(fresh);
         case.boots.insert(suspicion.boot);
-        case.alone |= suspicion.alone;
         case.until = now + QUARANTINE_TIME;
     }
 
@@ -77,17 +73,19 @@
     pub fn standing(&self, now: Moment, fingerprint: Fingerprint) -> Standing {
         match self.cases.get(&fingerprint) {
             Some(case) if case.until <= now => Standing::Clear,
-            Some(case) if case.alone || case.boots.len() >= CRASHES => Standing::Quarantined,
+            Some(case) if case.boots.len() >= CRASHES => Standing::Quarantined,
             Some(_) => Standing::Suspect,
             None => Standing::Clear,
         }
     }
 
-    /// Clears a suspect that an upstream ran without a crash.
-    pub fn clear(&mut self, now: Moment, fingerprint: Fingerprint) {
-        if self.standing(now, fingerprint) == Standing::Suspect {
+    /// Clears a suspect that an upstream ran without a crash; returns whether it was one.
+    pub fn clear(&mut self, now: Moment, fingerprint: Fingerprint) -> bool {
+        let suspect = self.standing(now, fingerprint) == Standing::Suspect;
+        if suspect {
             self.cases.remove(&fingerprint);
         }
+        suspect
     }
 
     fn make_room(&mut self, now: Moment) {
