--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -371,6 +371,9 @@
             if with_upstream != running || status.members.len() != running {
                 return false;
             }
+            if !status.members.iter().all(|m| m.watched) {
+                return false;
+            }
             epochs.push(status.epoch);
         }
         epochs.windows(2).all(|w| w[0] == w[1])
--- a/src/process/custodian.rs
+++ b/src/process/custodian.rs
@@ -18,8 +18,8 @@
 
 /// How many daemons of a cell watch the platform.
 const WATCHERS: usize = 3;
-/// How long one watch waits.
-const WATCH_TIME: Duration = Duration::from_secs(10);
+/// How long one watch waits; a process that stops must wait for it.
+const WATCH_TIME: Duration = Duration::from_secs(2);
 /// How often a daemon that does not watch asks for the configuration.
 const POLL_INTERVAL: Duration = Duration::from_secs(10);
 /// How often a daemon that is no member asks for the table.
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -38,7 +38,7 @@
 use crate::version::epoch::Epoch;
 use crate::version::instance_id::InstanceId;
 use crate::version::key_hash::KeyHash;
-use crate::version::member::{MemberInfo, WEIGHT_FULL};
+use crate::version::member::{Member, MemberInfo, WEIGHT_FULL};
 use crate::version::service::Service;
 use crate::version::service_name::ServiceName;
 use crate::version::session_id::SessionId;
@@ -83,6 +83,7 @@
     metrics: Arc<Metrics>,
     burn: Mutex<BurnLog>,
     stop: Arc<Stop>,
+    stop_watching: Arc<Stop>,
 }
 
 /// A running daemon.
@@ -91,6 +92,7 @@
     callers: CallerServer,
     peers: PeerServer,
     admin: AdminServer,
+    watcher: JoinHandle<()>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -152,9 +154,10 @@
             metrics,
             burn: Mutex::default(),
             stop,
+            stop_watching: Arc::default(),
             settings,
         });
-        let threads = start_threads(&shared, received, instance)?;
+        let (watcher, threads) = start_threads(&shared, received, instance)?;
         let peers = PeerServer::start(peer_listener, Arc::clone(&shared) as Arc<dyn PeerHandler>)?;
         let handler = Arc::clone(&shared) as Arc<dyn CallerHandler>;
         let callers = CallerServer::start(entry_listener, shared.settings.workers, &handler)?;
@@ -164,6 +167,7 @@
             callers,
             peers,
             admin,
+            watcher,
             threads,
         })
     }
@@ -172,7 +176,10 @@
     /// and joins all threads.
     pub fn stop(mut self) {
         tracing::info!("daemon stops");
+        self.shared.stop_watching.raise();
         self.shared.leave();
+        let _ = self.watcher.join();
+        // Callers are served to the last: by now other daemons own all keys.
         self.callers.stop();
         self.shared.stop.raise();
         for thread in self.threads.drain(..) {
@@ -362,12 +369,12 @@
     }
 }
 
-/// Starts the threads that live as long as the process.
+/// Starts the thread that watches the configuration, and those that live as long as the process.
 fn start_threads(
     shared: &Arc<Shared>,
     events: Receiver<Event>,
     instance: InstanceId,
-) -> Result<Vec<JoinHandle<()>>, DaemonError> {
+) -> Result<(JoinHandle<()>, Vec<JoinHandle<()>>), DaemonError> {
     let platform: Arc<dyn Platform> = Arc::new(HttpPlatform::new(&shared.settings.platform));
     let custodian = Arc::new(Custodian::new(
         platform,
@@ -385,24 +392,24 @@
     );
     let stop = || Arc::clone(&shared.stop);
     let (membership, stop_datagrams) = (Arc::clone(&shared.membership), stop());
-    let (follower, stop_following) = (Arc::clone(&custodian), stop());
+    let (follower, stop_following) = (Arc::clone(&custodian), Arc::clone(&shared.stop_watching));
     let (planner, stop_planning) = (custodian, stop());
     let stop_upkeep = stop();
     let (for_events, stop_events) = (Arc::clone(shared), stop());
     let fetchers = Workers::start("fetch", 2)?;
     let releasers = Workers::start("release", 1)?;
+    let watcher = spawn("configuration", move || {
+        follower.follow_configuration(&stop_following)
+    })?;
     let threads = vec![
         spawn("datagrams", move || membership.run(&stop_datagrams))?,
-        spawn("configuration", move || {
-            follower.follow_configuration(&stop_following)
-        })?,
         spawn("planner", move || planner.plan(&stop_planning))?,
         spawn("upkeep", move || upkeep.run(&stop_upkeep))?,
         spawn("events", move || {
             react(&for_events, &events, &stop_events, &fetchers, &releasers);
         })?,
     ];
-    Ok(threads)
+    Ok((watcher, threads))
 }
 
 /// Does what the membership asks of the rest of the process.
@@ -516,10 +523,19 @@
         leaving: m.info.leaving,
         ended: ownership.certified().contains_key(&m.info.session),
         adopted: ownership.facts().adopted(m.info.session),
+        watched: is_watched(m),
     });
     status.collect()
 }
 
+/// Returns whether a majority of others can notice the loss of a member.
+fn is_watched(member: &Member) -> bool {
+    member.witnesses.iter().all(|set| {
+        let own = usize::from(set.contains(member.info.session.instance));
+        set.0.len() - own >= set.majority()
+    })
+}
+
 fn owners(
     ownership: &Ownership,
 ) -> std::collections::BTreeMap<ServiceName, std::collections::BTreeMap<String, u32>> {
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -33,7 +33,7 @@
 use crate::version::table::Table;
 
 /// How often time-driven work is looked at.
-pub const TICK: Duration = Duration::from_millis(50);
+pub const TICK: Duration = Duration::from_millis(25);
 /// How long a table or configuration may take to come from another daemon.
 const FETCH_TIME: Duration = Duration::from_secs(2);
 
--- a/src/process/owner.rs
+++ b/src/process/owner.rs
@@ -167,11 +167,7 @@
     ) -> Verdict {
         let fingerprint = Fingerprint::of(envelope);
         let mut kept = sync::lock(&self.kept);
-        self.take_up(
-            &mut kept,
-            &(envelope.service.clone(), serving.slice),
-            serving,
-        );
+        self.take_up(&mut kept, &(envelope.service.clone(), serving.slice));
         loop {
             let (service, slice) = (&envelope.service, serving.slice);
             let verdict = kept
@@ -188,38 +184,31 @@
 
     /// Takes up the records of each slice that this daemon has begun to serve.
     pub fn take_up_all(&self) {
-        let served = self.membership.with(|o, now| {
-            let served = o.served(now);
-            let serving = served.into_keys().filter_map(|(service, slice)| {
-                let serving = o.serve_slice(now, &service, slice).ok()?;
-                Some(((service, slice), serving))
-            });
-            serving.collect::<Vec<_>>()
-        });
+        let served = self.membership.with(|o, now| o.served(now));
         let mut kept = sync::lock(&self.kept);
-        for (at, serving) in served {
-            self.take_up(&mut kept, &at, &serving);
+        for at in served.keys() {
+            self.take_up(&mut kept, at);
         }
         kept.records.expire(self.clock.wall());
     }
 
-    fn take_up(&self, kept: &mut MutexGuard<'_, Kept>, at: &SliceOf, serving: &Serving) {
+    fn take_up(&self, kept: &mut MutexGuard<'_, Kept>, at: &SliceOf) {
         let (service, slice) = at;
         if kept.records.serves(service, *slice) {
             return;
         }
         let handed_over = kept.handed_over.remove(at);
-        let fits = handed_over.filter(|(since, _)| *since == serving.token.since);
-        let whole = self
-            .membership
-            .with(|o, _| o.handover_is_whole(service, *slice));
-        let mut records = fits.map(|(_, records)| records);
-        if records.is_none() || !whole {
-            let horizon = self.clock.wall().after(self.skew);
-            records.get_or_insert_default().horizon = horizon;
-        }
-        kept.records
-            .take_up(service, *slice, records.unwrap_or_default());
+        let whole = handed_over.filter(|(handed, _)| {
+            self.membership
+                .with(|o, _| o.handover_is_whole(service, *slice, *handed))
+        });
+        let records = whole
+            .map(|(_, records)| records)
+            .unwrap_or_else(|| SliceRecords {
+                horizon: self.clock.wall().after(self.skew),
+                ..SliceRecords::default()
+            });
+        kept.records.take_up(service, *slice, records);
     }
 
     /// Takes in records that a former owner hands over.
@@ -238,13 +227,8 @@
     /// long, hands the records over, and tells the others.
     pub fn release(&self, epoch: Epoch, patience: Duration) {
         let released = |at: &SliceOf| {
-            self.membership.with(|o, _| {
-                let mine = o
-                    .table()
-                    .assignment(&at.0, at.1)
-                    .and_then(|a| a.candidates.first());
-                mine.is_none_or(|&s| s != o.info().session)
-            })
+            self.membership
+                .with(|o, now| !o.is_entitled(now, &at.0, at.1))
         };
         if !self.gate.wait_idle(patience, released) {
             self.gate.cancel(released);
@@ -257,19 +241,19 @@
 
     /// Hands the records of released slices to the next owners.
     fn hand_over(&self, released: impl Fn(&SliceOf) -> bool) {
-        let slices: Vec<SliceOf> = sync::lock(&self.kept).records.slices();
         let mut by_owner: BTreeMap<_, Vec<Handover>> = BTreeMap::new();
-        for at in slices.into_iter().filter(|at| released(at)) {
-            let records = sync::lock(&self.kept).records.drop_slice(&at.0, at.1);
+        for (at, records) in self.take_released(released) {
             let next = self.membership.with(|o, now| {
-                let table = o.table();
-                let assignment = table.assignment(&at.0, at.1)?;
-                let owner = assignment.candidates.first()?;
+                let assignment = o.table().assignment(&at.0, at.1)?;
+                let owner = assignment
+                    .candidates
+                    .first()
+                    .filter(|&&s| s != o.info().session)?;
                 // Records of a session that lapsed may have gaps by now.
                 o.live_until(now)?;
-                Some((table.peer(*owner)?, assignment.since))
+                Some((o.table().peer(*owner)?, assignment.since))
             });
-            if let (Some(records), Some((peer, since))) = (records, next) {
+            if let Some((peer, since)) = next {
                 let (service, slice) = at;
                 let handover = Handover {
                     service,
@@ -290,6 +274,37 @@
         }
     }
 
+    /// Takes the records of released slices out: those of slices that were served, and those that
+    /// were handed over for slices that moved on before they were served.
+    fn take_released(&self, released: impl Fn(&SliceOf) -> bool) -> Vec<(SliceOf, SliceRecords)> {
+        let mut taken = Vec::new();
+        let mut kept = sync::lock(&self.kept);
+        for at in kept.records.slices().into_iter().filter(&released) {
+            if let Some(records) = kept.records.drop_slice(&at.0, at.1) {
+                taken.push((at, records));
+            }
+        }
+        let moved_on = |at: &SliceOf, handed: Epoch| {
+            self.membership.with(|o, _| {
+                let assignment = o.table().assignment(&at.0, at.1);
+                assignment.is_some_and(|a| a.since > handed) && !o.is_first(&at.0, at.1)
+            })
+        };
+        let passed: Vec<_> = kept
+            .handed_over
+            .extract_if(.., |at, (handed, _)| moved_on(at, *handed))
+            .collect();
+        for (at, (handed, records)) in passed {
+            if self
+                .membership
+                .with(|o, _| o.handover_is_whole(&at.0, at.1, handed))
+            {
+                taken.push((at, records));
+            }
+        }
+        taken
+    }
+
     /// Forgets all records: the session that they belong to has ended.
     pub fn forget(&self) {
         let mut kept = sync::lock(&self.kept);
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -219,6 +219,7 @@
             self.renew_at = now + self.times.renewal;
             self.renew(now);
         }
+        self.renew_unconfirmed(now);
         if now >= self.join_at {
             self.join_at = now + JOIN_REPEAT;
             self.ask_to_join();
@@ -391,9 +392,9 @@
         })
     }
 
-    /// Returns whether what was handed over for the slice's present assignment is all there is:
-    /// each former candidate let go by its own word, and none ended before it did.
-    pub fn handover_is_whole(&self, service: &ServiceName, slice: SliceId) -> bool {
+    /// Returns whether records handed over at `handed` are all there is of a slice: each former
+    /// candidate let go by its own word, and none ended before it did.
+    pub fn handover_is_whole(&self, service: &ServiceName, slice: SliceId, handed: Epoch) -> bool {
         let Some(assignment) = self.table.assignment(service, slice) else {
             return false;
         };
@@ -402,7 +403,19 @@
                 || former.behind.contains(&self.tenure.id)
                 || self.facts.adopted(s) >= former.since
         };
-        assignment.unrecorded <= assignment.since && assignment.leaving.iter().all(let_go)
+        let recent = handed == assignment.since || handed == assignment.before;
+        recent && assignment.unrecorded < handed && assignment.leaving.iter().all(let_go)
+    }
+
+    /// Returns whether this daemon's session is the first candidate of a slice.
+    pub fn is_first(&self, service: &ServiceName, slice: SliceId) -> bool {
+        let assignment = self.table.assignment(service, slice);
+        assignment.is_some_and(|a| a.candidates.first() == Some(&self.tenure.id))
+    }
+
+    /// Returns whether the serve rule lets this daemon work on a slice now.
+    pub fn is_entitled(&self, now: Moment, service: &ServiceName, slice: SliceId) -> bool {
+        self.entitled(now, service, slice).is_ok()
     }
 
     /// Returns the daemon that most likely serves `key`: the first candidate not known to have
@@ -519,27 +532,41 @@
         }
     }
 
+    /// Asks all witnesses for the lease.
     fn renew(&mut self, now: Moment) {
+        self.renew_by(now, |_, _| true);
+    }
+
+    /// Asks those witnesses again that granted before they had adopted the present epoch.
+    fn renew_unconfirmed(&mut self, now: Moment) {
+        let Some(member) = self.table.members.get(&self.tenure.id) else {
+            return;
+        };
+        let epoch = self.table.epoch;
+        if self.tenure.confirmed(&member.witnesses) < epoch {
+            self.renew_by(now, |tenure, witness| tenure.granted_epoch(witness) < epoch);
+        }
+    }
+
+    /// Asks the witnesses that `asked` names for the lease.
+    fn renew_by(&mut self, now: Moment, asked: impl Fn(&Tenure, InstanceId) -> bool) {
         let session = self.tenure.id;
         let Some(member) = self.table.members.get(&session) else {
             return;
         };
         let me = self.info.session.instance;
-        let mut witnesses: Vec<_> = member.witnesses.iter().flat_map(|set| &set.0).collect();
+        let mut witnesses: Vec<_> = member
+            .witnesses
+            .iter()
+            .flat_map(|set| set.0.clone())
+            .collect();
+        witnesses.retain(|w| asked(&self.tenure, w.instance));
         witnesses.sort_unstable();
         witnesses.dedup();
         let epoch = self.table.epoch;
-        let mut by_me = false;
-        let mut to = Vec::new();
-        for witness in witnesses {
-            by_me |= witness.instance == me;
-            if witness.instance != me {
-                to.push(witness.peer);
-            }
-        }
-        for peer in to {
+        for witness in witnesses.iter().filter(|w| w.instance != me) {
             self.send(
-                peer,
+                witness.peer,
                 Message::Renew {
                     session,
                     sent: now,
@@ -547,6 +574,7 @@
                 },
             );
         }
+        let by_me = witnesses.iter().any(|w| w.instance == me);
         if by_me && let Some(granted) = self.witness.renew(now, session, epoch, &self.times) {
             self.tenure.granted(me, now, granted);
             self.observe_lease(now);
--- a/src/process/status.rs
+++ b/src/process/status.rs
@@ -57,6 +57,8 @@
     pub ended: bool,
     /// The epoch that it is known to have adopted.
     pub adopted: Epoch,
+    /// Whether enough witnesses watch its session for its loss to be noticed.
+    pub watched: bool,
 }
 
 /// The load of an upstream.
--- a/src/process/tenure.rs
+++ b/src/process/tenure.rs
@@ -45,6 +45,14 @@
         grant.epoch = grant.epoch.max(epoch);
     }
 
+    /// Returns the highest epoch that `witness` has granted.
+    pub fn granted_epoch(&self, witness: InstanceId) -> Epoch {
+        self.grants
+            .get(&witness)
+            .map(|g| g.epoch)
+            .unwrap_or_default()
+    }
+
     /// Returns until when a majority of each set has granted the lease.
     pub fn live_until(&self, sets: &[WitnessSet], times: &LeaseTimes) -> Option<Moment> {
         let sent = self.of_majorities(sets, |g| g.sent)?;
--- a/src/version/assignment.rs
+++ b/src/version/assignment.rs
@@ -30,6 +30,8 @@
     pub leaving: BTreeMap<SessionId, Leaving>,
     /// The epoch that gave the slice its present candidates.
     pub since: Epoch,
+    /// The value of `since` before the present candidates.
+    pub before: Epoch,
     /// The last epoch that dropped a session which ended before it let go: what it recorded is
     /// lost.
     pub unrecorded: Epoch,
@@ -86,10 +88,16 @@
         } else {
             epoch
         };
+        let before = if since == self.since {
+            self.before
+        } else {
+            self.since
+        };
         Self {
             candidates,
             leaving,
             since,
+            before,
             unrecorded,
         }
     }
