Vouch for a first attempt only while no other can exist

A first attempt was held up on its way to a frozen daemon; its caller sent again elsewhere, that ran, and its owner was lost with the record. The late first attempt then passed the horizon as 'first'.

Ruled out: a bound from the lease (a former owner may run work up to the end of its lease, so the next may follow at once); a look at the caller's connection (a partition hides its end). Now the mark holds until the idempotency key's mint time plus the caller's own time limit, less the clocks' skew, and the owner checks it when it records: a caller that marks sends no other attempt before that. Also: a daemon that returns with an old table hears of the newer one with the next renewal, and probes reuse their connection.

--- a/crates/bench/src/journal.rs
+++ b/crates/bench/src/journal.rs
@@ -135,6 +135,19 @@
     }
 }
 
+/// Returns the runs of each request that may not be repeated and ran more than once.
+pub fn repeated(runs: &[Run]) -> Vec<&Run> {
+    let mut by_id: HashMap<&str, Vec<&Run>> = HashMap::new();
+    for run in runs.iter().filter(|r| r.changes && !r.id.is_empty()) {
+        by_id.entry(&run.id).or_default().push(run);
+    }
+    by_id
+        .into_values()
+        .filter(|runs| runs.len() > 1)
+        .flatten()
+        .collect()
+}
+
 /// Counts the runs that another owner's later run came before.
 fn count_token_falls(runs: &[Run]) -> usize {
     let mut highest: BTreeMap<(&str, &str), (Token, &str)> = BTreeMap::new();
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -22,6 +22,8 @@
 const WORK_TIME: Duration = Duration::from_secs(8);
 /// How long a caller waits before it sends again.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// How long a caller gives the system at least for a request that changes state.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often a caller asks again what became of a request before it takes "unknown" as final.
 const UNKNOWN_MAX: u32 = 2;
 /// The least gap between two answers that counts as unavailable time.
@@ -42,7 +44,7 @@
     pub change_percent: u32,
     /// How long a caller pauses between two requests.
     pub pace: Duration,
-    /// How long a caller gives the system for each attempt.
+    /// How long a caller gives the system to look something up.
     pub timeout: Duration,
     /// Whether a caller sends again until the request ran.
     pub persists: bool,
@@ -199,7 +201,7 @@
         let mut rng = SmallRng::seed_from_u64(spec.seed ^ (number as u64) << 20);
         let config = ureq::Agent::config_builder()
             .http_status_as_error(false)
-            .timeout_global(Some(spec.timeout + GRACE))
+            .timeout_global(Some(CHANGE_TIMEOUT.max(spec.timeout) + GRACE))
             .proxy(None);
         let entry = rng.random_range(0..spec.entries.len());
         let agent = config.build().new_agent();
@@ -223,25 +225,36 @@
             self.rng.random_range(0..self.spec.keys)
         );
         let changes = self.rng.random_range(0..100) < self.spec.change_percent;
-        let id = changes.then(IdempotencyKey::draw);
+        let mut id = changes.then(IdempotencyKey::draw);
         let started = Instant::now();
-        let mut all_not_run = true;
+        let mut sent = Instant::now();
         let mut first = true;
         let mut unknown = 0;
         let ran = loop {
             let reply = self.attempt(&key, id, first);
             first = false;
-            all_not_run &= reply.outcome == Some(Outcome::NotRun);
-            if reply.outcome == Some(Outcome::Ran) {
-                self.check(&reply.text, &key, id);
-                break true;
+            match reply.outcome {
+                Some(Outcome::Ran) => {
+                    self.check(&reply.text, &key, id);
+                    break true;
+                }
+                Some(Outcome::NotRun) if unknown == 0 => {
+                    // What was surely not run is new work under a new idempotency key.
+                    self.seen.told.not_run.extend(id.map(|i| i.to_string()));
+                    id = changes.then(IdempotencyKey::draw);
+                    (first, sent) = (true, Instant::now());
+                }
+                Some(Outcome::NotRun) => {}
+                Some(Outcome::Unknown) | None => {
+                    unknown += 1;
+                    if reply.outcome.is_none() && changes {
+                        // The first attempt may still be on its way until its time is over.
+                        thread::sleep(self.timeout(changes).saturating_sub(sent.elapsed()));
+                    }
+                }
             }
-            unknown += u32::from(reply.outcome == Some(Outcome::Unknown));
             let may_go_on = self.spec.persists || reply.outcome.is_none();
-            if unknown > UNKNOWN_MAX {
-                break false;
-            }
-            if !may_go_on || started.elapsed() > WORK_TIME {
+            if !may_go_on || unknown > UNKNOWN_MAX || started.elapsed() > WORK_TIME {
                 break false;
             }
             thread::sleep(RETRY_PAUSE);
@@ -252,13 +265,17 @@
         } else {
             self.seen.failed += 1;
         }
-        let Some(id) = id.map(|i| i.to_string()) else {
-            return;
-        };
-        if ran {
-            self.seen.told.ran.insert(id);
-        } else if all_not_run {
-            self.seen.told.not_run.insert(id);
+        if let Some(id) = id.filter(|_| ran) {
+            self.seen.told.ran.insert(id.to_string());
+        }
+    }
+
+    /// Returns how long the system is given for an attempt.
+    fn timeout(&self, changes: bool) -> Duration {
+        if changes {
+            CHANGE_TIMEOUT.max(self.spec.timeout)
+        } else {
+            self.spec.timeout
         }
     }
 
@@ -267,7 +284,7 @@
         let entry = self.spec.entries[self.entry];
         let path = if id.is_some() { "bookings" } else { "stock" };
         let url = format!("http://{entry}/{}/{path}", self.spec.service);
-        let timeout = self.spec.timeout.as_millis().to_string();
+        let timeout = self.timeout(id.is_some()).as_millis().to_string();
         let mut request = ureq::http::Request::builder()
             .method(if id.is_some() { "POST" } else { "GET" })
             .uri(url)
--- /dev/null
+++ b/crates/bench/src/runs/late.rs
@@ -0,0 +1,82 @@
+//! `late`: a first attempt is held up on its way while its caller sends again elsewhere, the work
+//! runs, and its owner is lost with the record. When the first attempt arrives at last, the work
+//! must not run again.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use foxtaildrift::request::idempotency_key::IdempotencyKey;
+
+use crate::args::BenchError;
+use crate::cluster::Cluster;
+use crate::journal;
+use crate::runs::environment;
+use crate::runs::report::Report;
+
+/// How long the caller gives the system for each attempt.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a takeover may take.
+const TAKEOVER: Duration = Duration::from_secs(4);
+
+/// Runs the late attempt.
+///
+/// # Errors
+///
+/// Returns an error where the work ran twice.
+pub fn run(_args: &[String]) -> Result<(), BenchError> {
+    let mut cluster = Cluster::start(&environment::cooperative())?;
+    let (entry, other) = (cluster.hosts[6].entry, cluster.hosts[7].entry);
+    let id = IdempotencyKey::draw();
+    thread::sleep(TIMEOUT);
+    let second = book(other, id, false);
+    let runs = journal::read_all(&cluster.folder).map_err(BenchError::turn("journals"))?;
+    let owner = runs
+        .iter()
+        .find(|r| r.id == id.to_string())
+        .map(|r| r.upstream.clone());
+    let owner = owner.and_then(|o| {
+        cluster
+            .hosts
+            .iter()
+            .position(|h| h.upstream.to_string() == o)
+    });
+    let owner = owner.ok_or_else(|| BenchError("the work did not run".to_owned()))?;
+    cluster.kill_host(owner);
+    thread::sleep(TAKEOVER);
+    let first = book(entry, id, true);
+    let runs = journal::read_all(&cluster.folder).map_err(BenchError::turn("journals"))?;
+    let times = runs.iter().filter(|r| r.id == id.to_string()).count();
+    let mut report = Report::new("late");
+    report.figure("first", first);
+    report.figure("second", second);
+    report.target("times_run", times, times == 1);
+    report.end()
+}
+
+/// Sends a booking and returns its outcome.
+fn book(entry: SocketAddr, id: IdempotencyKey, first: bool) -> String {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(TIMEOUT));
+    let mut request = config
+        .build()
+        .new_agent()
+        .post(format!("http://{entry}/order-desk/bookings"))
+        .header("foxtaildrift-key", "member-1")
+        .header("foxtaildrift-timeout-ms", TIMEOUT.as_millis().to_string())
+        .header("idempotency-key", id.to_string());
+    if first {
+        request = request.header("foxtaildrift-attempt", "first");
+    }
+    let outcome = request.send("a booking").ok().and_then(|r| {
+        Some(
+            r.headers()
+                .get("foxtaildrift-outcome")?
+                .to_str()
+                .ok()?
+                .to_owned(),
+        )
+    });
+    outcome.unwrap_or_else(|| "none".to_owned())
+}
--- a/crates/bench/src/runs/mod.rs
+++ b/crates/bench/src/runs/mod.rs
@@ -6,6 +6,7 @@
 pub mod environment;
 pub mod failover;
 pub mod faults;
+pub mod late;
 pub mod outage;
 pub mod poison;
 pub mod report;
@@ -26,5 +27,6 @@
     ("crossed", crossed::run),
     ("poison", poison::run),
     ("restart", restart::run),
+    ("late", late::run),
     ("faults", faults::run),
 ];
--- a/crates/bench/src/runs/report.rs
+++ b/crates/bench/src/runs/report.rs
@@ -53,6 +53,9 @@
             told.not_run.extend(seen.told.not_run.iter().cloned());
         }
         let verdict = journal::judge(&runs, &told);
+        for run in journal::repeated(&runs) {
+            println!("repeated: {run:?}");
+        }
         let sum = |f: fn(&Seen) -> u64| seen.iter().map(|s| f(s)).sum::<u64>();
         self.figure("requests", sum(|s| s.attempts));
         self.figure("ran", sum(|s| s.ran));
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -20,6 +20,9 @@
 /// The header that tells how long the caller waits, in milliseconds.
 pub const TIMEOUT_HEADER: &str = "foxtaildrift-timeout-ms";
 /// The header by which the caller marks its first attempt, with the value `first`.
+///
+/// Without an answer, the caller sends the same idempotency key again only when the time that it
+/// gave has passed since it minted the key.
 pub const ATTEMPT_HEADER: &str = "foxtaildrift-attempt";
 /// The header that names the request in logs.
 pub const REQUEST_ID_HEADER: &str = "foxtaildrift-request-id";
@@ -48,6 +51,8 @@
     pub deadline: Duration,
     /// Whether it may be run more than once.
     pub repeatable: bool,
+    /// How far clocks of hosts and callers may be apart.
+    pub clock_skew: Duration,
 }
 
 /// The callers' listener and its workers.
@@ -136,7 +141,11 @@
         }
         None => terms.deadline,
     };
-    let fresh = header(request, ATTEMPT_HEADER).is_some_and(|a| a.eq_ignore_ascii_case("first"));
+    let first = header(request, ATTEMPT_HEADER).is_some_and(|a| a.eq_ignore_ascii_case("first"));
+    // A caller that marks its first attempt sends no other before its time is over, so until then
+    // no other exists, whichever way round the attempts arrive.
+    let sole_until = |id: IdempotencyKey| id.minted().after(remaining).before(terms.clock_skew);
+    let fresh_until = idempotency_key.filter(|_| first).map(sole_until);
     let content_type = header(request, "content-type");
     let body = read_body(request)?;
     if !body.0.is_empty() && BODILESS.contains(&method.as_str()) {
@@ -149,7 +158,7 @@
         path: path.to_owned(),
         key,
         idempotency_key,
-        fresh,
+        fresh_until,
         repeatable: terms.repeatable,
         remaining,
         content_type,
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -197,7 +197,7 @@
 fn unfreshened(request: &PeerRequest) -> PeerRequest {
     match request {
         PeerRequest::Forward(e) => PeerRequest::Forward(Envelope {
-            fresh: false,
+            fresh_until: None,
             ..e.clone()
         }),
         other => other.clone(),
--- a/src/connection/upstream_link.rs
+++ b/src/connection/upstream_link.rs
@@ -165,7 +165,7 @@
         let url = format!("http://{}/foxtaildrift/health", self.upstream.address);
         let request = Request::get(url).body(Vec::new());
         let request = request.map_err(|e| UpstreamError::Malformed(e.to_string()))?;
-        self.run(request, limit).map(|r| r.status().as_u16())
+        status_of(self.run(request, limit)?)
     }
 
     fn post(&self, path: &str, headers: &[(&str, String)]) -> Result<u16, UpstreamError> {
@@ -176,7 +176,7 @@
         }
         let request = request.body(Vec::new());
         let request = request.map_err(|e| UpstreamError::Malformed(e.to_string()))?;
-        self.run(request, CONTROL_TIME).map(|r| r.status().as_u16())
+        status_of(self.run(request, CONTROL_TIME)?)
     }
 
     fn run(
@@ -203,6 +203,14 @@
     }
 }
 
+/// Returns the status of an answer; reads the rest, so that its connection can be used again.
+fn status_of(response: Response<Body>) -> Result<u16, UpstreamError> {
+    let status = response.status().as_u16();
+    let read = response.into_body().read_to_vec();
+    read.map_err(|e| UpstreamError::MaybeGiven(format!("cut answer: {e}")))?;
+    Ok(status)
+}
+
 /// Reads an upstream's answer whole.
 fn read_answer(response: Response<Body>) -> Result<Answer, UpstreamError> {
     let status = response.status().as_u16();
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -320,9 +320,11 @@
         let active = self.membership.active();
         let service = active.document.services.get(service)?;
         let repeatable = service.is_repeatable(method, path);
+        let clock_skew = Duration::from_millis(self.settings.clock_skew_ms);
         Some(Terms {
             deadline: service.deadline(),
             repeatable,
+            clock_skew,
         })
     }
 }
--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -16,7 +16,8 @@
 
 /// Starts to log to standard error; a second call has no effect.
 pub fn start(format: LogFormat, level: &str) {
-    let filter = EnvFilter::new(level);
+    // Libraries only speak up when something is wrong.
+    let filter = EnvFilter::new(format!("warn,foxtaildrift={level}"));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(std::io::stderr);
--- a/src/process/owner.rs
+++ b/src/process/owner.rs
@@ -166,13 +166,14 @@
         deadline: Moment,
     ) -> Verdict {
         let fingerprint = Fingerprint::of(envelope);
+        let fresh = envelope
+            .fresh_until
+            .is_some_and(|until| self.clock.wall() <= until);
         let mut kept = sync::lock(&self.kept);
         self.take_up(&mut kept, &(envelope.service.clone(), serving.slice));
         loop {
             let (service, slice) = (&envelope.service, serving.slice);
-            let verdict = kept
-                .records
-                .begin(service, slice, id, fingerprint, envelope.fresh);
+            let verdict = kept.records.begin(service, slice, id, fingerprint, fresh);
             let span = deadline.since(self.clock.now());
             if verdict != Verdict::Running || span.is_zero() {
                 return verdict;
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -602,8 +602,10 @@
                     epoch,
                 },
             );
-        } else if let Some(statements) = self.facts.ended.get(&session) {
-            let ended = BTreeMap::from([(session, statements.clone())]);
+        } else {
+            // Even without a statement, the reply tells the sender of a newer table.
+            let statements = self.facts.ended.get(&session).cloned();
+            let ended = statements.map(|by| (session, by)).into_iter().collect();
             self.send(
                 to,
                 Message::Facts(Facts {
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -265,7 +265,9 @@
                 }
                 None => {}
             }
-            envelope.fresh &= !maybe_run;
+            if maybe_run {
+                envelope.fresh_until = None;
+            }
             if !self.pause(pause, deadline) {
                 break;
             }
@@ -517,7 +519,7 @@
             tried.push(member.info.session.instance);
             let one = Envelope {
                 remaining,
-                fresh: false,
+                fresh_until: None,
                 ..(**envelope).clone()
             };
             match router.run_on(member, &one) {
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -74,7 +74,7 @@
             workers: 64,
             renewal_ms: 500,
             lease_ms: 2000,
-            clock_skew_ms: 500,
+            clock_skew_ms: 250,
             record_mb: 24,
             stop_ms: 10_000,
             log_format: LogFormat::Text,
--- a/src/request/envelope.rs
+++ b/src/request/envelope.rs
@@ -7,6 +7,7 @@
 use serde::ser::SerializeStruct;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+use crate::process::wall_time::WallTime;
 use crate::request::body::Body;
 use crate::request::idempotency_key::IdempotencyKey;
 use crate::request::request_id::RequestId;
@@ -21,7 +22,7 @@
     "path",
     "key",
     "idempotency_key",
-    "fresh",
+    "fresh_until",
     "repeatable",
     "remaining",
     "content_type",
@@ -43,9 +44,9 @@
     pub key: Vec<u8>,
     /// The caller's name for the work.
     pub idempotency_key: Option<IdempotencyKey>,
-    /// Whether the caller says that this is its first attempt and the entry vouches that it gave
-    /// the request to no daemon before.
-    pub fresh: bool,
+    /// Until when no other attempt at the work exists, by the caller's word, where the entry
+    /// vouches that it gave the request to no daemon before.
+    pub fresh_until: Option<WallTime>,
     /// Whether the request may be run more than once.
     pub repeatable: bool,
     /// How long the caller still waits.
@@ -76,7 +77,7 @@
         s.serialize_field("path", &self.path)?;
         s.serialize_field("key", &self.key)?;
         s.serialize_field("idempotency_key", &self.idempotency_key)?;
-        s.serialize_field("fresh", &self.fresh)?;
+        s.serialize_field("fresh_until", &self.fresh_until)?;
         s.serialize_field("repeatable", &self.repeatable)?;
         s.serialize_field("remaining", &self.remaining)?;
         s.serialize_field("content_type", &self.content_type)?;
@@ -108,7 +109,7 @@
             path: field(&mut seq, 3)?,
             key: field(&mut seq, 4)?,
             idempotency_key: field(&mut seq, 5)?,
-            fresh: field(&mut seq, 6)?,
+            fresh_until: field(&mut seq, 6)?,
             repeatable: field(&mut seq, 7)?,
             remaining: field(&mut seq, 8)?,
             content_type: field(&mut seq, 9)?,
--- a/src/request/records.rs
+++ b/src/request/records.rs
@@ -119,8 +119,8 @@
 
     /// Decides on a request that may not be repeated.
     ///
-    /// `fresh` tells that the caller calls this its first attempt and that the entry gave it to no
-    /// daemon before.
+    /// `fresh` tells that no other attempt at the work exists or did, so that no former owner can
+    /// have run it.
     pub fn begin(
         &mut self,
         service: &ServiceName,
--- a/tests/testsuite/codec.rs
+++ b/tests/testsuite/codec.rs
@@ -7,6 +7,7 @@
 use foxtaildrift::connection::peer_message::{PeerReply, PeerRequest};
 use foxtaildrift::process::datagram::{Datagram, Message};
 use foxtaildrift::process::facts::Facts;
+use foxtaildrift::process::wall_time::WallTime;
 use foxtaildrift::request::answer::Answer;
 use foxtaildrift::request::body::Body;
 use foxtaildrift::request::envelope::Envelope;
@@ -26,7 +27,7 @@
         path: "/bookings?day=3".to_owned(),
         key: b"member-17".to_vec(),
         idempotency_key: Some(IdempotencyKey::draw()),
-        fresh: true,
+        fresh_until: Some(WallTime(9)),
         repeatable: false,
         remaining: Duration::from_millis(250),
         content_type: Some("text/plain".to_owned()),
