Serve queued connections at once, balance by measured load, and add runs and pages

Cause: one caller in some thousand waited out its time limit without an answer ('timeout: global' in domain, restart and straggler). The HTTP library queues a new connection when a thread of its pool was free a moment ago, and serves it only when some other connection ends. Ruled out: our workers (32 of 64 were idle), the upstream's time limit.

Also here: planner::balance, the runs straggler, domain, cold, hot, capacity, control with the baseline beside them, tests with real processes, pages.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -37,6 +38,9 @@
 /// What the proxy's addresses have more in their third part than the daemons' own.
 const PROXY_OFFSET: u8 = 100;
 
+/// The clusters that this process has started.
+static CLUSTERS: AtomicU32 = AtomicU32::new(0);
+
 /// The upstreams of one service.
 #[derive(Clone, Debug)]
 pub struct ServiceSpec {
@@ -69,6 +73,8 @@
     pub document: String,
     /// The level of the daemons' logs.
     pub log_level: &'static str,
+    /// How many callers' requests a daemon works on at once.
+    pub workers: u32,
 }
 
 /// A host: a daemon and the upstream beside it.
@@ -97,6 +103,11 @@
         self.daemon.is_some()
     }
 
+    /// Returns where the daemon itself takes datagrams and connections, past the proxy.
+    pub fn peer(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, PEER_PORT)
+    }
+
     /// Returns whether the upstream was started and not ended since.
     pub fn has_upstream(&self) -> bool {
         self.process.is_some()
@@ -111,6 +122,7 @@
     pub network: Arc<Network>,
     /// The folder of settings, logs and journals.
     pub folder: PathBuf,
+    program: PathBuf,
     platform_address: SocketAddr,
     platform: Option<Child>,
 }
@@ -122,7 +134,17 @@
     ///
     /// Returns an error where a process can't be started or does not come up in time.
     pub fn start(spec: &ClusterSpec) -> Result<Self, BenchError> {
-        let mut cluster = Self::prepare(spec)?;
+        let program = std::env::current_exe().map_err(BenchError::turn("program"))?;
+        Self::start_with(&program, spec)
+    }
+
+    /// Starts an environment whose processes are subcommands of `program`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a process can't be started or does not come up in time.
+    pub fn start_with(program: &Path, spec: &ClusterSpec) -> Result<Self, BenchError> {
+        let mut cluster = Self::prepare(program, spec)?;
         cluster.start_platform()?;
         cluster
             .apply(&spec.document)
@@ -135,12 +157,37 @@
         Ok(cluster)
     }
 
+    /// Starts an environment of daemons that have no upstreams, and waits until all are members.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a process can't be started or does not come up in time.
+    pub fn start_daemons_only(spec: &ClusterSpec) -> Result<Self, BenchError> {
+        let program = std::env::current_exe().map_err(BenchError::turn("program"))?;
+        let mut cluster = Self::prepare(&program, spec)?;
+        cluster.start_platform()?;
+        cluster
+            .apply(&spec.document)
+            .map_err(BenchError::turn("document"))?;
+        for number in 0..cluster.hosts.len() {
+            cluster.start_daemon(number)?;
+        }
+        let count = cluster.hosts.len();
+        cluster.wait_until("all daemons are members", START_TIME * 2, |c| {
+            let last = c.status(count - 1);
+            last.is_ok_and(|s| s.members.len() == count && s.members.iter().all(|m| m.watched))
+        })?;
+        Ok(cluster)
+    }
+
     /// Lays out addresses and settings, and starts the proxies.
-    fn prepare(spec: &ClusterSpec) -> Result<Self, BenchError> {
+    fn prepare(program: &Path, spec: &ClusterSpec) -> Result<Self, BenchError> {
         let network = Arc::new(Network::default());
         // Runs side by side must not meet, so each takes a network of its own.
-        let net = 2 + u8::try_from(std::process::id() % 250).unwrap_or(0);
-        let folder = std::env::temp_dir().join(format!("foxtaildrift-{}", std::process::id()));
+        let process = std::process::id();
+        let number = CLUSTERS.fetch_add(1, Ordering::SeqCst);
+        let net = 2 + u8::try_from((process + number * 97) % 250).unwrap_or(0);
+        let folder = std::env::temp_dir().join(format!("foxtaildrift-{process}-{number}"));
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).map_err(BenchError::turn("folder"))?;
         let platform_address = SocketAddr::from(([127, net, 200, 1], 8500));
@@ -148,6 +195,7 @@
             hosts: Vec::new(),
             network,
             folder,
+            program: program.to_owned(),
             platform_address,
             platform: None,
         };
@@ -186,12 +234,13 @@
         let settings = self.folder.join(format!("{number}.yaml"));
         let text = format!(
             "environment: production\ndomain: {domain}\nentry: {}\npeer: {}\nadvertise: {advertise}\n\
-             admin: {}\nplatform: http://{}\ntoken: {TOKEN}\nlog_level: {}\n",
+             admin: {}\nplatform: http://{}\ntoken: {TOKEN}\nlog_level: {}\nworkers: {}\n",
             at(ENTRY_PORT),
             at(PEER_PORT),
             at(ADMIN_PORT),
             self.platform_address,
             spec.log_level,
+            spec.workers,
         );
         fs::write(&settings, text).map_err(BenchError::turn("settings"))?;
         Ok(Host {
@@ -281,8 +330,7 @@
         let log = log
             .open(self.folder.join(format!("{name}.log")))
             .map_err(&turn)?;
-        let program = std::env::current_exe().map_err(&turn)?;
-        let mut command = Command::new(program);
+        let mut command = Command::new(&self.program);
         command
             .args(args)
             .stdin(Stdio::null())
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -12,6 +12,7 @@
 use foxtaildrift::request::outcome::Outcome;
 use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
 use crate::journal::Told;
@@ -50,6 +51,8 @@
     pub persists: bool,
     /// Whether the requests bear keys.
     pub keyed: bool,
+    /// The keys that half of the requests go to, where there are such; they may change.
+    pub hot: Option<Arc<Mutex<Vec<String>>>>,
     /// The seed of the callers' choices.
     pub seed: u64,
 }
@@ -219,11 +222,7 @@
 
     /// Does one piece of work.
     fn work(&mut self) {
-        let key = format!(
-            "member-{}-{}",
-            self.number,
-            self.rng.random_range(0..self.spec.keys)
-        );
+        let key = self.draw_key();
         let changes = self.rng.random_range(0..100) < self.spec.change_percent;
         let mut id = changes.then(IdempotencyKey::draw);
         let started = Instant::now();
@@ -270,6 +269,21 @@
         }
     }
 
+    /// Draws one of the caller's own keys, or one of the hot ones.
+    fn draw_key(&mut self) -> String {
+        if let Some(hot) = &self.spec.hot
+            && self.rng.random_ratio(1, 2)
+            && let Some(key) = sync::lock(hot).choose(&mut self.rng)
+        {
+            return key.clone();
+        }
+        format!(
+            "member-{}-{}",
+            self.number,
+            self.rng.random_range(0..self.spec.keys)
+        )
+    }
+
     /// Returns how long the system is given for an attempt.
     fn timeout(&self, changes: bool) -> Duration {
         if changes {
--- a/crates/bench/src/platform_stand_in.rs
+++ b/crates/bench/src/platform_stand_in.rs
@@ -2,7 +2,7 @@
 //! published HTTP interface, with faults that can be switched on.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -10,13 +10,14 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use foxtaildrift::connection::http_server::{HttpHandler, HttpServer};
 use foxtaildrift::process::sync;
-use tiny_http::{Method, Request, Response, Server};
+use tiny_http::{Method, Request, Response};
 
 use crate::args::{self, BenchError};
 
 /// The threads that serve calls; each waiting watch takes one.
-const THREADS: usize = 400;
+const THREADS: u32 = 400;
 /// How often lapsed sessions are looked for.
 const SWEEP: Duration = Duration::from_millis(200);
 /// The largest value, in bytes.
@@ -64,24 +65,18 @@
         o.optopt("", "listen", "where to listen", "ADDRESS");
     })?;
     let listen: SocketAddr = args::value(&matches, "listen", ([127, 0, 0, 1], 8500).into())?;
-    let server = Server::http(listen).map_err(BenchError::turn("platform"))?;
-    let server = Arc::new(server);
+    let listener = TcpListener::bind(listen).map_err(BenchError::turn("platform"))?;
     let platform = Arc::new(Platform::default());
-    for _ in 0..THREADS {
-        let (server, platform) = (Arc::clone(&server), Arc::clone(&platform));
-        thread::spawn(move || {
-            while let Ok(request) = server.recv() {
-                platform.serve(request);
-            }
-        });
-    }
+    let handler = Arc::clone(&platform) as Arc<dyn HttpHandler>;
+    let server = HttpServer::start("platform", listener, THREADS, &handler);
+    let _server = server.map_err(BenchError::turn("platform"))?;
     loop {
         thread::sleep(SWEEP);
         platform.sweep();
     }
 }
 
-impl Platform {
+impl HttpHandler for Platform {
     fn serve(&self, mut request: Request) {
         let url = request.url().to_owned();
         let (path, query) = url.split_once('?').unwrap_or((&url, ""));
@@ -117,7 +112,9 @@
         };
         let _ = request.respond(Response::from_string(text).with_status_code(status));
     }
+}
 
+impl Platform {
     /// Switches faults, and tells the number of calls.
     fn control(&self, setting: &str, body: &[u8]) -> (u16, String) {
         let number = String::from_utf8_lossy(body).trim().parse().unwrap_or(0);
--- a/crates/bench/src/runs/environment.rs
+++ b/crates/bench/src/runs/environment.rs
@@ -42,6 +42,19 @@
         services: vec![service("order-desk", 6, 9), service("export-office", 4, 9)],
         document: document.to_owned(),
         log_level: "info",
+        workers: 64,
+    }
+}
+
+/// Returns an environment of so many daemons in the co-operative's domains.
+pub fn of_size(daemons: usize) -> ClusterSpec {
+    let spec = cooperative();
+    let services = vec![service("order-desk", daemons, 9)];
+    ClusterSpec {
+        services,
+        log_level: "warn",
+        workers: 2,
+        ..spec
     }
 }
 
@@ -60,6 +73,21 @@
         services: vec![service("loftdesk", 6, 12), service("ringvault", 3, 12)],
         document: document.to_owned(),
         log_level: "info",
+        workers: 64,
+    }
+}
+
+/// Returns the environment with the simplest policy for all services.
+pub fn with_baseline(spec: &ClusterSpec) -> ClusterSpec {
+    let plain = |kind: &str| format!("kind: {kind}\n");
+    let baseline = |kind: &str| format!("kind: {kind}\n    policy: baseline\n");
+    let mut document = spec.document.clone();
+    for kind in ["keyed", "shared"] {
+        document = document.replace(&plain(kind), &baseline(kind));
+    }
+    ClusterSpec {
+        document,
+        ..spec.clone()
     }
 }
 
@@ -75,6 +103,7 @@
         timeout: Duration::from_millis(300),
         persists: true,
         keyed: true,
+        hot: None,
         seed: 1,
     }
 }
--- a/crates/bench/src/runs/mod.rs
+++ b/crates/bench/src/runs/mod.rs
@@ -1,17 +1,24 @@
 //! The runs: each starts an environment, brings about a failure, and holds what callers were told
 //! against the journals.
 
+pub mod capacity;
+pub mod cold;
+pub mod compare;
+pub mod control;
 pub mod crossed;
 pub mod demo;
+pub mod domain;
 pub mod environment;
 pub mod failover;
 pub mod faults;
+pub mod hot;
 pub mod late;
 pub mod outage;
 pub mod poison;
 pub mod report;
 pub mod restart;
 pub mod silent;
+pub mod straggler;
 
 use crate::args::BenchError;
 
@@ -29,4 +36,10 @@
     ("restart", restart::run),
     ("late", late::run),
     ("faults", faults::run),
+    ("straggler", straggler::run),
+    ("domain", domain::run),
+    ("cold", cold::run),
+    ("hot", hot::run),
+    ("capacity", capacity::run),
+    ("control", control::run),
 ];
--- a/crates/bench/src/upstream_stand_in.rs
+++ b/crates/bench/src/upstream_stand_in.rs
@@ -2,13 +2,14 @@
 //! and cancellation, starts cold, sheds, reports a lagging load, and keeps a journal.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use foxtaildrift::connection::http_server::{HttpHandler, HttpServer};
 use foxtaildrift::connection::upstream_link::{
     DEADLINE_HEADER, IDEMPOTENCY_HEADER, KEY_HEADER, ORDER_HEADER, OUTCOME_HEADER, SLICE_HEADER,
     TOKEN_HEADER,
@@ -16,7 +17,7 @@
 use foxtaildrift::process::sync;
 use foxtaildrift::version::token::Token;
 use foxtaildrift::version::upstream::{Upstream, UpstreamBoot};
-use tiny_http::{Header, Method, Request, Response, Server};
+use tiny_http::{Header, Method, Request, Response};
 
 use crate::args::{self, BenchError};
 use crate::journal::{self, Journal, Run};
@@ -128,17 +129,12 @@
         shed: AtomicU64::new(0),
         crossed: AtomicBool::new(false),
     });
-    let server = Server::http(listen).map_err(BenchError::turn("upstream"))?;
-    let server = Arc::new(server);
+    let listener = TcpListener::bind(listen).map_err(BenchError::turn("upstream"))?;
     // One more thread than connections, so that health answers while all are busy.
-    for _ in 0..=stand_in.settings.upstream.connections {
-        let (server, stand_in) = (Arc::clone(&server), Arc::clone(&stand_in));
-        thread::spawn(move || {
-            while let Ok(request) = server.recv() {
-                stand_in.serve(request);
-            }
-        });
-    }
+    let workers = stand_in.settings.upstream.connections + 1;
+    let handler = Arc::clone(&stand_in) as Arc<dyn HttpHandler>;
+    let server = HttpServer::start("upstream", listener, workers, &handler);
+    let _server = server.map_err(BenchError::turn("upstream"))?;
     stand_in.announce_forever();
     Ok(())
 }
@@ -157,7 +153,9 @@
             thread::sleep(ANNOUNCE_INTERVAL);
         }
     }
+}
 
+impl HttpHandler for StandIn {
     fn serve(&self, mut request: Request) {
         let mut body = Vec::new();
         if request.as_reader().read_to_end(&mut body).is_err() {
@@ -199,7 +197,9 @@
         }
         let _ = request.respond(response);
     }
+}
 
+impl StandIn {
     /// Works on an order; returns status, answer, and whether it was not run.
     fn order(&self, order: &Order, path: &str, body: &str) -> (u16, String, bool) {
         if body == POISON {
--- /dev/null
+++ b/crates/bench/tests/testsuite/daemon.rs
@@ -0,0 +1,167 @@
+//! A daemon's answers to bad input, from outside.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream, UdpSocket};
+use std::process::Command;
+use std::sync::{LazyLock, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use foxtaildrift_bench::cluster::Cluster;
+use foxtaildrift_bench::runs::environment;
+
+/// Only one environment runs at a time: they would slow each other down.
+static TURN: LazyLock<Mutex<()>> = LazyLock::new(Mutex::default);
+
+/// Waits for the turn to run an environment.
+pub fn turn() -> MutexGuard<'static, ()> {
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Starts three hosts; the stand-ins are subcommands of the bench program.
+fn cluster() -> Cluster {
+    let program = env!("CARGO_BIN_EXE_foxtaildrift-bench");
+    let cluster = Cluster::start_with(program.as_ref(), &environment::of_size(3));
+    cluster.expect("the environment comes up")
+}
+
+/// Sends raw bytes and returns all that comes back.
+fn send(to: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(to).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .unwrap();
+    stream.write_all(text.as_bytes()).unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    answer
+}
+
+fn request(line: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!("{line} HTTP/1.1\r\nhost: a\r\n{headers}content-length: {length}\r\n\r\n{body}")
+}
+
+#[test]
+fn bad_input_is_refused_plainly_and_loses_nothing() {
+    let _turn = turn();
+    let cluster = cluster();
+    refuses_bad_requests(&cluster);
+    drops_noise(&cluster);
+    guards_changes(&cluster);
+    names_an_address_in_use(&cluster);
+    let served = send(
+        cluster.hosts[0].entry,
+        &request(
+            "GET /order-desk/stock",
+            "foxtaildrift-key: member\r\nconnection: close\r\n",
+            "",
+        ),
+    );
+    assert!(served.starts_with("HTTP/1.1 200"), "{served}");
+    assert!(
+        served.to_lowercase().contains("foxtaildrift-outcome: ran"),
+        "{served}"
+    );
+}
+
+fn refuses_bad_requests(cluster: &Cluster) {
+    let key = "foxtaildrift-key: member\r\n";
+    let cases = [
+        ("GET /", key.to_owned(), "", "400"),
+        ("GET /Order%20Desk/stock", key.to_owned(), "", "400"),
+        ("GET /nowhere/stock", key.to_owned(), "", "404"),
+        ("GET /order-desk/stock", String::new(), "", "400"),
+        ("GET /order-desk/stock", key.to_owned(), "body", "400"),
+        ("POST /order-desk/bookings", key.to_owned(), "book", "400"),
+        (
+            "POST /order-desk/bookings",
+            format!("{key}idempotency-key: 7\r\n"),
+            "book",
+            "400",
+        ),
+        (
+            "GET /order-desk/stock",
+            format!("{key}foxtaildrift-timeout-ms: soon\r\n"),
+            "",
+            "400",
+        ),
+        (
+            "GET /order-desk/stock",
+            format!("{key}foxtaildrift-timeout-ms: 0\r\n"),
+            "",
+            "400",
+        ),
+        (
+            "GET /order-desk/stock",
+            format!("foxtaildrift-key: {}\r\n", "k".repeat(1025)),
+            "",
+            "400",
+        ),
+    ];
+    for (line, headers, body, status) in cases {
+        let headers = format!("{headers}connection: close\r\n");
+        let answer = send(cluster.hosts[0].entry, &request(line, &headers, body));
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status}")),
+            "{line} {headers}: {answer}"
+        );
+        let outcome = "foxtaildrift-outcome: not-run";
+        assert!(
+            answer.to_lowercase().contains(outcome),
+            "{line} {headers}: {answer}"
+        );
+    }
+    let cut = "POST /order-desk/bookings HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\nshort";
+    let answer = send(cluster.hosts[0].entry, cut);
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+}
+
+fn drops_noise(cluster: &Cluster) {
+    let peer = cluster.hosts[0].peer();
+    let socket = UdpSocket::bind(("127.0.0.1", 0)).unwrap();
+    socket.send_to(&[0xff; 100], peer).unwrap();
+    socket.send_to(&[], peer).unwrap();
+    send(peer, "\u{0}\u{0}\u{0}\u{5}noise");
+    let counted = |c: &Cluster| c.metric(0, "malformed_total", "").is_ok_and(|n| n >= 2.0);
+    let limit = Duration::from_secs(5);
+    cluster
+        .wait_until("noise is counted", limit, counted)
+        .unwrap();
+}
+
+fn guards_changes(cluster: &Cluster) {
+    let admin = cluster.hosts[0].admin;
+    let wrong = request(
+        "PUT /v1/upstream",
+        "authorization: Bearer guess\r\nconnection: close\r\n",
+        "{}",
+    );
+    assert!(send(admin, &wrong).starts_with("HTTP/1.1 401"));
+    let none = request("PUT /v1/upstream", "connection: close\r\n", "{}");
+    assert!(send(admin, &none).starts_with("HTTP/1.1 401"));
+    let right = "authorization: Bearer bench\r\nconnection: close\r\n";
+    let malformed = request("PUT /v1/upstream", right, "{\"slots\": 1}");
+    assert!(send(admin, &malformed).starts_with("HTTP/1.1 400"));
+    let unknown = request("GET /v1/secrets", "connection: close\r\n", "");
+    assert!(send(admin, &unknown).starts_with("HTTP/1.1 404"));
+}
+
+fn names_an_address_in_use(cluster: &Cluster) {
+    let program = env!("CARGO_BIN_EXE_foxtaildrift-bench");
+    let settings = cluster.folder.join("0.yaml");
+    let second = Command::new(program)
+        .arg("daemon")
+        .arg("--settings")
+        .arg(settings)
+        .output();
+    let second = second.unwrap();
+    let text = String::from_utf8(second.stderr).unwrap();
+    assert_eq!(second.status.code(), Some(1), "{text}");
+    let line = text.lines().last().unwrap_or("");
+    assert!(line.contains("peer: can't listen on"), "{text}");
+    assert!(
+        line.contains(&cluster.hosts[0].peer().to_string()),
+        "{text}"
+    );
+}
--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -1,3 +1,6 @@
 //! Tests of the system under faults: randomised runs, and real processes behind the fault proxy.
 
+mod daemon;
 mod explore;
+mod journal;
+mod runs;
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -1,13 +1,12 @@
 //! Takes callers' requests over HTTP.
 
 use std::io::Read;
-use std::net::TcpListener;
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use tiny_http::{Header, Request, Response, Server};
+use tiny_http::{Header, Request, Response};
 
+use crate::connection::http_server::HttpHandler;
 use crate::connection::upstream_link::{IDEMPOTENCY_HEADER, KEY_HEADER, OUTCOME_HEADER};
 use crate::request::answer::Answer;
 use crate::request::body::{BODY_BYTES_MAX, Body};
@@ -55,56 +54,23 @@
     pub clock_skew: Duration,
 }
 
-/// The callers' listener and its workers.
-pub struct CallerServer {
-    server: Arc<Server>,
-    threads: Vec<JoinHandle<()>>,
+/// Turns callers' requests into envelopes, and answers into responses.
+pub struct CallerFront {
+    handler: Arc<dyn CallerHandler>,
 }
 
-impl CallerServer {
-    /// Starts `workers` threads that serve callers on `listener`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error where the listener or a thread can't be set up.
-    pub fn start(
-        listener: TcpListener,
-        workers: u32,
-        handler: &Arc<dyn CallerHandler>,
-    ) -> std::io::Result<Self> {
-        let server = Server::from_listener(listener, None).map_err(std::io::Error::other)?;
-        let server = Arc::new(server);
-        let mut threads = Vec::new();
-        for _ in 0..workers {
-            let (server, handler) = (Arc::clone(&server), Arc::clone(handler));
-            let builder = thread::Builder::new().name("caller".to_owned());
-            threads.push(builder.spawn(move || serve(&server, &*handler))?);
-        }
-        Ok(Self { server, threads })
-    }
-
-    /// Takes no more requests and joins the workers.
-    pub fn stop(&mut self) {
-        for _ in &self.threads {
-            self.server.unblock();
-        }
-        for thread in self.threads.drain(..) {
-            let _ = thread.join();
-        }
-    }
-}
-
-impl Drop for CallerServer {
-    fn drop(&mut self) {
-        self.stop();
+impl CallerFront {
+    /// Creates a front whose requests `handler` serves.
+    pub fn new(handler: Arc<dyn CallerHandler>) -> Self {
+        Self { handler }
     }
 }
 
-fn serve(server: &Server, handler: &dyn CallerHandler) {
-    while let Ok(mut request) = server.recv() {
+impl HttpHandler for CallerFront {
+    fn serve(&self, mut request: Request) {
         let id = RequestId::draw();
-        let answer = match read_envelope(&mut request, id, handler) {
-            Ok(envelope) => handler.handle(envelope),
+        let answer = match read_envelope(&mut request, id, &*self.handler) {
+            Ok(envelope) => self.handler.handle(envelope),
             Err(refusal) => Answer::not_run(refusal),
         };
         if let Err(e) = request.respond(response(id, answer)) {
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod frame;
+pub mod http_server;
 pub mod peer_error;
 pub mod peer_message;
 pub mod peer_pool;
--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -1,17 +1,16 @@
 //! The administration API of a daemon, over HTTP.
 
-use std::net::TcpListener;
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
 
 use serde::Serialize;
-use tiny_http::{Header, Method, Request, Response, Server};
+use tiny_http::{Header, Method, Request, Response};
 
+use crate::connection::http_server::HttpHandler;
 use crate::process::daemon::Shared;
 use crate::version::upstream::Upstream;
 
 /// The threads that serve the API.
-const THREADS: usize = 2;
+pub const THREADS: u32 = 2;
 /// The largest body that the API takes, in bytes.
 const BODY_BYTES_MAX: u64 = 64 * 1024;
 
@@ -43,50 +42,21 @@
     }
 }
 
-/// The listener of the API and its threads.
-pub struct AdminServer {
-    server: Arc<Server>,
-    threads: Vec<JoinHandle<()>>,
+/// The administration API of a daemon.
+pub struct AdminApi {
+    shared: Arc<Shared>,
 }
 
-impl AdminServer {
-    /// Starts to serve the API on `listener`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error where the listener or a thread can't be set up.
-    pub fn start(listener: TcpListener, shared: &Arc<Shared>) -> std::io::Result<Self> {
-        let server = Server::from_listener(listener, None).map_err(std::io::Error::other)?;
-        let server = Arc::new(server);
-        let mut threads = Vec::new();
-        for _ in 0..THREADS {
-            let (server, shared) = (Arc::clone(&server), Arc::clone(shared));
-            let builder = thread::Builder::new().name("admin".to_owned());
-            threads.push(builder.spawn(move || serve(&server, &shared))?);
-        }
-        Ok(Self { server, threads })
-    }
-
-    /// Stops the API and joins its threads.
-    pub fn stop(&mut self) {
-        for _ in &self.threads {
-            self.server.unblock();
-        }
-        for thread in self.threads.drain(..) {
-            let _ = thread.join();
-        }
-    }
-}
-
-impl Drop for AdminServer {
-    fn drop(&mut self) {
-        self.stop();
+impl AdminApi {
+    /// Creates the API of the daemon with the parts in `shared`.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
     }
 }
 
-fn serve(server: &Server, shared: &Shared) {
-    while let Ok(mut request) = server.recv() {
-        let reply = answer(&mut request, shared);
+impl HttpHandler for AdminApi {
+    fn serve(&self, mut request: Request) {
+        let reply = answer(&mut request, &self.shared);
         let mut response = Response::from_string(reply.text).with_status_code(reply.status);
         if let Ok(header) = Header::from_bytes("content-type", reply.content_type) {
             response.add_header(header);
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -9,11 +9,12 @@
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 use thiserror::Error;
 
-use crate::connection::caller::{CallerHandler, CallerServer, Terms};
+use crate::connection::caller::{CallerFront, CallerHandler, Terms};
+use crate::connection::http_server::{HttpHandler, HttpServer};
 use crate::connection::peer_message::{PeerReply, PeerRequest};
 use crate::connection::peer_pool::PeerPool;
 use crate::connection::peer_server::{PeerHandler, PeerServer};
-use crate::process::admin::AdminServer;
+use crate::process::admin::{self, AdminApi};
 use crate::process::burn::BurnLog;
 use crate::process::clock::{Clock, SystemClock};
 use crate::process::custodian::Custodian;
@@ -89,9 +90,9 @@
 /// A running daemon.
 pub struct Daemon {
     shared: Arc<Shared>,
-    callers: CallerServer,
+    callers: HttpServer,
     peers: PeerServer,
-    admin: AdminServer,
+    admin: HttpServer,
     watcher: JoinHandle<()>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -159,9 +160,12 @@
         });
         let (watcher, threads) = start_threads(&shared, received, instance)?;
         let peers = PeerServer::start(peer_listener, Arc::clone(&shared) as Arc<dyn PeerHandler>)?;
-        let handler = Arc::clone(&shared) as Arc<dyn CallerHandler>;
-        let callers = CallerServer::start(entry_listener, shared.settings.workers, &handler)?;
-        let admin = AdminServer::start(admin_listener, &shared)?;
+        let front = CallerFront::new(Arc::clone(&shared) as Arc<dyn CallerHandler>);
+        let front: Arc<dyn HttpHandler> = Arc::new(front);
+        let workers = shared.settings.workers;
+        let callers = HttpServer::start("caller", entry_listener, workers, &front)?;
+        let api: Arc<dyn HttpHandler> = Arc::new(AdminApi::new(Arc::clone(&shared)));
+        let admin = HttpServer::start("admin", admin_listener, admin::THREADS, &api)?;
         Ok(Self {
             shared,
             callers,
--- a/src/process/load_report.rs
+++ b/src/process/load_report.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::version::key_hash::KeyHash;
+use crate::version::epoch::Epoch;
 use crate::version::session_id::SessionId;
 use crate::version::slice_id::SliceId;
 
@@ -11,14 +11,14 @@
 pub struct LoadReport {
     /// The session of the daemon.
     pub session: Option<SessionId>,
+    /// The epoch of the table under which all of this was measured.
+    pub epoch: Epoch,
     /// Requests a second by slice, the busiest first.
     pub slices: Vec<SliceLoad>,
     /// Requests a second over all slices.
     pub rate: u32,
     /// The capacity that the upstream has now, in per mille of its normal one.
     pub capacity: u32,
-    /// The busiest single keys of the busiest slice, in requests a second.
-    pub keys: Vec<KeyLoad>,
 }
 
 /// The load of one slice.
@@ -29,12 +29,3 @@
     /// Requests a second.
     pub rate: u32,
 }
-
-/// The load of one key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KeyLoad {
-    /// The hash of the key.
-    pub key: KeyHash,
-    /// Requests a second.
-    pub rate: u32,
-}
--- a/src/process/planner/mod.rs
+++ b/src/process/planner/mod.rs
@@ -3,6 +3,7 @@
 //! A plan is a pure function of the present table, the document and what the planner's own daemon
 //! knows, so a planner that is killed half-way leaves nothing to clean up.
 
+pub mod balance;
 pub mod members;
 pub mod slices;
 pub mod witnesses;
--- a/src/process/planner/slices.rs
+++ b/src/process/planner/slices.rs
@@ -1,19 +1,22 @@
 //! Plans which daemons may own each slice.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use crate::process::planner::PlanInput;
+use crate::process::planner::{PlanInput, balance};
 use crate::version::assignment::{Assignment, CANDIDATES_MAX};
 use crate::version::epoch::Epoch;
 use crate::version::member::Member;
 use crate::version::rendezvous;
-use crate::version::service::Service;
+use crate::version::service::{Policy, Service, ServiceKind};
 use crate::version::service_name::ServiceName;
 use crate::version::session_id::SessionId;
 use crate::version::table::ServiceSlices;
 
-/// The share of its fair number of slices that an owner may hold on top, in per cent.
-const SURPLUS_PERCENT: u32 = 10;
+/// The share of its fair number of slices that an owner may hold on top, in per cent; within it,
+/// measured load decides.
+const SURPLUS_PERCENT: u32 = 50;
+/// The share of its fair number of slices below which an owner is filled up, in per cent.
+const FILL_BELOW_PERCENT: u32 = 50;
 /// The part of its fair number of slices that an owner gets more in one plan: one in so many.
 const FILL_STEPS: u32 = 4;
 
@@ -70,7 +73,7 @@
     input: &PlanInput<'_>,
     epoch: Epoch,
     name: &ServiceName,
-    _service: &Service,
+    service: &Service,
     slices: &[Assignment],
     owners: &BTreeMap<SessionId, &Member>,
 ) -> Vec<Assignment> {
@@ -90,6 +93,9 @@
     }
     place_orphans(name, slices, owners, &mut shares, &mut first);
     rebalance(name, owners, &mut shares, &mut first);
+    if service.policy == Policy::Adaptive && service.kind == ServiceKind::Keyed {
+        balance::spread(input, owners, &mut first);
+    }
     let numbered = slices.iter().zip(first).enumerate();
     let planned = numbered.map(|(number, (assignment, owner))| {
         let item = item_of(name, number);
@@ -126,7 +132,8 @@
     }
 }
 
-/// Moves slices from owners above their bound to owners below their fair number.
+/// Moves slices from owners above their bound, and from any above their fair number to owners far
+/// below it.
 fn rebalance(
     name: &ServiceName,
     owners: &BTreeMap<SessionId, &Member>,
@@ -134,16 +141,19 @@
     first: &mut [Option<SessionId>],
 ) {
     let mut filled: BTreeMap<SessionId, u32> = BTreeMap::new();
+    let empty: BTreeSet<SessionId> = owners
+        .keys()
+        .copied()
+        .filter(|&s| shares.is_nearly_empty(s))
+        .collect();
     for (number, place) in first.iter_mut().enumerate() {
         let Some(owner) = *place else { continue };
-        if !shares.is_above(owner) {
-            continue;
-        }
         let item = item_of(name, number);
         let domain = &owners[&owner].info.domain;
         let wanting = owners.iter().filter(|(s, _)| {
             let got = filled.get(s).copied().unwrap_or(0);
-            shares.is_below(**s) && got < shares.step(**s)
+            let wants = shares.is_above(owner) || (shares.has_more(owner) && empty.contains(s));
+            wants && shares.is_below(**s) && got < shares.step(**s)
         });
         let target = wanting.max_by(|(a, m), (b, n)| {
             let near = |m: &Member| m.info.domain == *domain;
@@ -255,6 +265,14 @@
         self.held(owner) > self.bound(owner)
     }
 
+    fn has_more(&self, owner: SessionId) -> bool {
+        self.held(owner) > self.fair(owner).ceil()
+    }
+
+    fn is_nearly_empty(&self, owner: SessionId) -> bool {
+        self.held(owner) < self.fair(owner) * f64::from(FILL_BELOW_PERCENT) / 100.0
+    }
+
     fn is_below(&self, owner: SessionId) -> bool {
         self.held(owner) < self.fair(owner).floor()
     }
--- a/src/process/upkeep.rs
+++ b/src/process/upkeep.rs
@@ -10,6 +10,7 @@
 use crate::process::metrics::Metrics;
 use crate::process::owner::Owner;
 use crate::process::stop::Stop;
+use crate::version::epoch::Epoch;
 
 /// How often the upstream's health is asked for, and how long the answer may take.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -18,7 +19,7 @@
 /// How long the planner may take to move the slices of a daemon without an upstream.
 const RESIGN_AFTER: Duration = Duration::from_millis(1500);
 /// How often the load is reported.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// The most slices in a load report.
 const REPORT_SLICES_MAX: usize = 16;
 
@@ -38,6 +39,7 @@
     probes_failed: u32,
     without_upstream: Option<Instant>,
     reported: Instant,
+    epoch: Epoch,
 }
 
 impl Upkeep {
@@ -67,6 +69,7 @@
             probes_failed: 0,
             without_upstream: None,
             reported: now,
+            epoch: Epoch::default(),
         };
         while !stop.wait(TICK) {
             self.owner.take_up_all();
@@ -162,12 +165,14 @@
         slices.sort_by_key(|s| std::cmp::Reverse(s.rate));
         let total = rate(served.values().sum());
         slices.truncate(REPORT_SLICES_MAX);
+        let epoch = std::mem::replace(&mut round.epoch, self.membership.table().epoch);
+        let capacity = load.capacity;
         let report = LoadReport {
             session: None,
+            epoch,
             slices,
             rate: total,
-            capacity: load.capacity,
-            keys: Vec::new(),
+            capacity,
         };
         self.membership.report_load(report);
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod limiter;
 mod names;
 mod operations;
+mod pages;
 mod quarantine;
 mod records;
 mod settings;
