Tell a straggler from a cold upstream by how its answers follow its load

Ruled out: its load report (lags), a longer mean (late). Now a slow upstream is tried with half of its share: if its answers become faster it was overloaded, so cold; if not, it gets its share back. The cold stand-in now gets slower with each order above what it bears.

--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -104,6 +104,11 @@
         self.latency.value_at_quantile(quantile) as f64 / 1000.0
     }
 
+    /// Returns the mean latency, in milliseconds.
+    pub fn mean_ms(&self) -> f64 {
+        self.latency.mean() / 1000.0
+    }
+
     /// Returns the longest unavailable time of any key, in milliseconds.
     pub fn max_unavailable_ms(&self) -> u64 {
         self.unavailable.values().copied().max().unwrap_or(0)
--- a/crates/bench/src/upstream_stand_in.rs
+++ b/crates/bench/src/upstream_stand_in.rs
@@ -236,7 +236,11 @@
         let mut state = waited.unwrap_or_else(PoisonError::into_inner);
         state.running += 1;
         let cold = state.cold_left > 0;
-        let factor = if cold { COLD_FACTOR } else { 1 } * state.slow_factor;
+        let factor = if cold {
+            COLD_FACTOR * self.overload(&state)
+        } else {
+            1
+        } * state.slow_factor;
         drop(state);
         thread::sleep(self.settings.service_time * u32::try_from(factor).unwrap_or(1));
         let mut state = sync::lock(&self.state);
@@ -281,6 +285,12 @@
         )
     }
 
+    /// Returns how many times more orders a cold upstream has than it bears: it only gets slower.
+    fn overload(&self, state: &State) -> u64 {
+        let bears = self.settings.upstream.cold_slots.max(1);
+        u64::from(state.running.div_ceil(bears)).max(1)
+    }
+
     /// Takes a grant where its token is no lower than the present one.
     fn grant(&self, order: &Order) -> u16 {
         let Ok(token) = order.token.parse::<Token>() else {
--- a/src/process/gate.rs
+++ b/src/process/gate.rs
@@ -19,7 +19,7 @@
 use crate::request::quarantine::{Quarantine, Standing, Suspicion};
 use crate::request::refusal::Refusal;
 use crate::request::request_id::RequestId;
-use crate::version::service::Service;
+use crate::version::service::{Policy, Service};
 use crate::version::service_name::ServiceName;
 use crate::version::slice_id::SliceId;
 use crate::version::token::Token;
@@ -88,6 +88,12 @@
     pub mean_micros: u64,
     /// The capacity that the upstream has now, in per mille.
     pub capacity: u32,
+    /// The part of its full share that the upstream gets, in per mille.
+    pub share: u32,
+    /// The orders that the upstream works on at once when warm.
+    pub slots: u32,
+    /// How the limit is set.
+    pub policy: Policy,
 }
 
 /// The gate to one upstream.
@@ -149,8 +155,11 @@
             in_flight: state.limiter.in_flight(),
             limit: state.limiter.limit(),
             waiting: state.limiter.waiting(),
-            mean_micros: state.limiter.mean_micros(),
-            capacity: state.limiter.capacity_per_mille(),
+            mean_micros: state.limiter.pace().mean_micros() as u64,
+            capacity: state.limiter.pace().capacity_per_mille(),
+            share: state.limiter.pace().share_per_mille(),
+            slots: state.limiter.pace().slots(),
+            policy: state.limiter.policy(),
         }
     }
 
--- a/src/process/load_report.rs
+++ b/src/process/load_report.rs
@@ -17,6 +17,8 @@
     pub slices: Vec<SliceLoad>,
     /// Requests a second over all slices.
     pub rate: u32,
+    /// How much of what the upstream can do at its usual speed is in use, in per mille.
+    pub busy: u32,
     /// The capacity that the upstream has now, in per mille of its normal one.
     pub capacity: u32,
 }
--- a/src/process/planner/balance.rs
+++ b/src/process/planner/balance.rs
@@ -15,6 +15,9 @@
 const HOT_RATIO: f64 = 1.3;
 /// How many requests a second above its fair rate an owner must carry at the least.
 const HOT_RATE_MIN: f64 = 20.0;
+/// How busy an owner's upstream must be for slices to leave it, in per mille: a move costs its
+/// callers a short wait, which is not worth it where nobody waits for the upstream.
+const BUSY_MIN: u32 = 300;
 /// The most slices of a service that move in one plan.
 const MOVES_MAX: usize = 4;
 
@@ -22,6 +25,7 @@
 struct Load<'r> {
     rate: f64,
     fair: f64,
+    busy: u32,
     slices: &'r [SliceLoad],
 }
 
@@ -77,6 +81,7 @@
     let load = |s: &SessionId, r: &'r LoadReport| Load {
         rate: f64::from(r.rate),
         fair: rate * weight(s, r) / total.max(1.0),
+        busy: r.busy,
         slices: &r.slices,
     };
     Some(reports.into_iter().map(|(s, r)| (s, load(&s, r))).collect())
@@ -89,7 +94,8 @@
     };
     let (from, most) = loads.iter().max_by(by_ratio)?;
     let (to, _) = loads.iter().min_by(by_ratio)?;
-    let hot = most.ratio() > HOT_RATIO && most.rate - most.fair > HOT_RATE_MIN;
+    let hot =
+        most.ratio() > HOT_RATIO && most.rate - most.fair > HOT_RATE_MIN && most.busy > BUSY_MIN;
     (hot && from != to).then_some((*from, *to))
 }
 
--- a/src/process/upkeep.rs
+++ b/src/process/upkeep.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::process::gate::Gate;
+use crate::process::gate::{Gate, GateLoad};
 use crate::process::lease_times::LeaseTimes;
 use crate::process::load_report::{LoadReport, SliceLoad};
 use crate::process::membership::{Membership, TICK};
@@ -11,6 +11,8 @@
 use crate::process::owner::Owner;
 use crate::process::stop::Stop;
 use crate::version::epoch::Epoch;
+use crate::version::member::WEIGHT_FULL;
+use crate::version::service::Policy;
 
 /// How often the upstream's health is asked for, and how long the answer may take.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -20,6 +22,8 @@
 const RESIGN_AFTER: Duration = Duration::from_millis(1500);
 /// How often the load is reported.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// The steps in which a daemon's weight is told, in per mille.
+const WEIGHT_STEP: u32 = 250;
 /// The most slices in a load report.
 const REPORT_SLICES_MAX: usize = 16;
 
@@ -166,14 +170,34 @@
         let total = rate(served.values().sum());
         slices.truncate(REPORT_SLICES_MAX);
         let epoch = std::mem::replace(&mut round.epoch, self.membership.table().epoch);
-        let capacity = load.capacity;
         let report = LoadReport {
             session: None,
             epoch,
             slices,
             rate: total,
-            capacity,
+            busy: busy_per_mille(total, &load),
+            capacity: load.capacity,
         };
         self.membership.report_load(report);
+        self.tell_weight(&load);
     }
+
+    /// Tells the planner how much of its full share the upstream gets, in coarse steps.
+    fn tell_weight(&self, load: &GateLoad) {
+        let weight = match load.policy {
+            Policy::Baseline => WEIGHT_FULL,
+            Policy::Adaptive => load.share.next_multiple_of(WEIGHT_STEP).min(WEIGHT_FULL),
+        };
+        self.membership.with(|o, now| {
+            if o.info().weight != weight {
+                o.describe(now, |info| info.weight = weight);
+            }
+        });
+    }
+}
+
+/// Returns how much of the upstream's slots `rate` requests a second take.
+fn busy_per_mille(rate: u32, load: &GateLoad) -> u32 {
+    let in_use = f64::from(rate) * load.mean_micros as f64 / 1e6;
+    (in_use / f64::from(load.slots.max(1)) * 1000.0) as u32
 }
--- a/src/request/limiter.rs
+++ b/src/request/limiter.rs
@@ -1,28 +1,18 @@
 //! Decides when a request may go to the upstream, from what the daemon itself saw.
 //!
 //! At most `limit` requests are in flight. Those that wait are served by the earliest deadline;
-//! one that would not end in time is refused at once. A new or suddenly slow upstream gets no
-//! more than it announced to bear when cold, and then more step by step.
+//! one that would not end in time is refused at once. [`crate::request::pace`] sets the limit.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::process::moment::Moment;
+use crate::request::pace::Pace;
 use crate::version::service::Policy;
 use crate::version::upstream::{Upstream, UpstreamBoot};
 
-/// The weight of a new latency in the running mean.
-const MEAN_WEIGHT: f64 = 0.2;
-/// How fast the floor rises towards the mean, for each sample.
-const FLOOR_RISE: f64 = 0.002;
-/// How many times the floor the mean must be for the upstream to count as slow.
-const SLOW_FACTOR: f64 = 2.5;
-/// How long the upstream must keep up before it gets more.
-const RAMP_INTERVAL: Duration = Duration::from_millis(250);
-/// How much more it gets then.
-const RAMP_FACTOR: f64 = 1.5;
-/// The samples that the mean needs before it says anything.
-const SAMPLES_MIN: u32 = 5;
+/// The part of the expected time that must be left for a request to be admitted.
+const ADMIT_PART: f64 = 0.8;
 
 /// A request's place in the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -42,52 +32,28 @@
 }
 
 /// The limit and queue of one upstream.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Limiter {
     policy: Policy,
     queue_max: usize,
     boot: Option<UpstreamBoot>,
-    slots: u32,
-    cold_slots: u32,
-    limit: f64,
+    pace: Pace,
     in_flight: u32,
     queue: BTreeMap<(Moment, Ticket), ()>,
     next_ticket: u64,
-    floor: f64,
-    mean: f64,
-    samples: u32,
-    ramp_at: Moment,
 }
 
 impl Limiter {
     /// Creates the limiter of an upstream that has not announced itself yet.
     pub fn new() -> Self {
-        Self {
-            policy: Policy::Adaptive,
-            queue_max: 0,
-            boot: None,
-            slots: 0,
-            cold_slots: 0,
-            limit: 0.0,
-            in_flight: 0,
-            queue: BTreeMap::new(),
-            next_ticket: 0,
-            floor: 0.0,
-            mean: 0.0,
-            samples: 0,
-            ramp_at: Moment::default(),
-        }
+        Self::default()
     }
 
     /// Takes in the upstream's announcement; a new run of it starts cold.
     pub fn announce(&mut self, now: Moment, upstream: &Upstream) {
-        self.slots = upstream.slots.max(1);
-        self.cold_slots = upstream.cold_slots.clamp(1, self.slots);
         if self.boot != Some(upstream.boot) {
             self.boot = Some(upstream.boot);
-            self.samples = 0;
-            self.floor = 0.0;
-            self.start_ramp(now);
+            self.pace = Pace::cold(now, upstream.slots, upstream.cold_slots);
         }
     }
 
@@ -100,8 +66,8 @@
     /// Returns how many requests may be in flight now.
     pub fn limit(&self) -> u32 {
         match self.policy {
-            Policy::Baseline => self.slots,
-            Policy::Adaptive => (self.limit as u32).clamp(1, self.slots.max(1)),
+            Policy::Baseline => self.pace.slots(),
+            Policy::Adaptive => self.pace.limit(),
         }
     }
 
@@ -115,26 +81,14 @@
         self.queue.len()
     }
 
-    /// Returns the mean time in the upstream, in microseconds; zero while it isn't known.
-    pub fn mean_micros(&self) -> u64 {
-        if self.samples < SAMPLES_MIN {
-            0
-        } else {
-            self.mean as u64
-        }
-    }
-
-    /// Returns the capacity that the upstream has now, in per mille of its normal one.
-    pub fn capacity_per_mille(&self) -> u32 {
-        if self.samples < SAMPLES_MIN || self.mean <= self.floor * 1.5 {
-            return 1000;
-        }
-        ((self.floor / self.mean * 1000.0) as u32).clamp(50, 1000)
+    /// Returns how the limit is set.
+    pub fn policy(&self) -> Policy {
+        self.policy
     }
 
-    /// Returns whether the upstream is at its full limit.
-    pub fn is_warm(&self) -> bool {
-        self.limit() >= self.slots
+    /// Returns what the daemon saw of the upstream's speed.
+    pub fn pace(&self) -> &Pace {
+        &self.pace
     }
 
     /// Admits a request, queues it or refuses it.
@@ -169,7 +123,7 @@
     pub fn done(&mut self, now: Moment, took: Option<Duration>) -> Vec<Ticket> {
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(took) = took {
-            self.sample(now, took);
+            self.pace.sample(now, took);
         }
         self.admit()
     }
@@ -188,55 +142,8 @@
     }
 
     fn ends_in_time(&self, now: Moment, deadline: Moment, place: usize) -> bool {
-        if self.samples < SAMPLES_MIN {
-            return now < deadline;
-        }
         let rounds = place as f64 / f64::from(self.limit());
-        let micros = self.mean * (rounds + 1.0) * 0.8;
-        now + Duration::from_micros(micros as u64) <= deadline
-    }
-
-    fn sample(&mut self, now: Moment, took: Duration) {
-        let micros = took.as_micros() as f64;
-        self.samples = self.samples.saturating_add(1);
-        if self.samples == 1 {
-            self.mean = micros;
-            self.floor = micros;
-        }
-        self.mean += (micros - self.mean) * MEAN_WEIGHT;
-        self.floor = if self.mean < self.floor {
-            self.mean
-        } else {
-            self.floor + (self.mean - self.floor) * FLOOR_RISE
-        };
-        self.adjust(now);
-    }
-
-    /// Lowers the limit of an upstream that became slow, and raises it step by step else.
-    fn adjust(&mut self, now: Moment) {
-        if self.samples < SAMPLES_MIN {
-            return;
-        }
-        if self.mean > self.floor * SLOW_FACTOR {
-            self.floor = self.mean;
-            self.start_ramp(now);
-            return;
-        }
-        if now >= self.ramp_at && self.limit < f64::from(self.slots) {
-            self.limit = (self.limit * RAMP_FACTOR).max(self.limit + 1.0);
-            self.limit = self.limit.min(f64::from(self.slots));
-            self.ramp_at = now + RAMP_INTERVAL;
-        }
-    }
-
-    fn start_ramp(&mut self, now: Moment) {
-        self.limit = f64::from(self.cold_slots);
-        self.ramp_at = now + RAMP_INTERVAL;
-    }
-}
-
-impl Default for Limiter {
-    fn default() -> Self {
-        Self::new()
+        let micros = self.pace.mean_micros() * (rounds + 1.0) * ADMIT_PART;
+        now < deadline && now + Duration::from_micros(micros as u64) <= deadline
     }
 }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -8,6 +8,7 @@
 pub mod idempotency_key;
 pub mod limiter;
 pub mod outcome;
+pub mod pace;
 pub mod quarantine;
 pub mod records;
 pub mod refusal;
