Take a shed order as a sign of cold, and let it wait for its turn

Ruled out: counting it as a slow answer (how slow?). Now a shed order makes the upstream cold at once, and waits again under the lower limit, up to four tries.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -1,6 +1,6 @@
 //! An environment of real processes on loopback addresses, behind the fault proxy.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
 use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -406,9 +406,12 @@
             let Ok(status) = self.status(number) else {
                 return false;
             };
-            let owned = status.owners.values().all(|o| !o.contains_key("nobody"));
-            let has_services = status.owners.len() >= self.service_count();
-            if status.lease_ms.is_none() || !owned || !has_services {
+            let names: BTreeSet<&str> = self.hosts.iter().map(|h| h.service).collect();
+            let owned = names.iter().all(|name| {
+                let owners = status.owners.iter().find(|(n, _)| n.as_str() == *name);
+                owners.is_some_and(|(_, o)| !o.contains_key("nobody"))
+            });
+            if status.lease_ms.is_none() || !owned {
                 return false;
             }
             let with_upstream = status
@@ -427,11 +430,6 @@
         epochs.windows(2).all(|w| w[0] == w[1])
     }
 
-    fn service_count(&self) -> usize {
-        let names: std::collections::BTreeSet<_> = self.hosts.iter().map(|h| h.service).collect();
-        names.len()
-    }
-
     /// Waits until `condition` holds.
     ///
     /// # Errors
--- a/crates/bench/src/upstream_stand_in.rs
+++ b/crates/bench/src/upstream_stand_in.rs
@@ -205,7 +205,7 @@
         if body == POISON {
             std::process::abort();
         }
-        let refused = |reason: &str| (503, reason.to_owned(), true);
+        let shed = || (503, "shed".to_owned(), true);
         {
             let mut state = sync::lock(&self.state);
             let limit = if state.cold_left > 0 {
@@ -219,7 +219,7 @@
             }
             if in_orders > limit * 2 {
                 self.shed.fetch_add(1, Ordering::SeqCst);
-                return refused("shed");
+                return shed();
             }
             state.in_orders.insert(order.name.clone());
         }
@@ -229,7 +229,7 @@
     }
 
     fn work(&self, order: &Order, path: &str) -> (u16, String, bool) {
-        let refused = |reason: &str| (503, reason.to_owned(), true);
+        let refused = |reason: &str| (409, reason.to_owned(), true);
         let slots = self.settings.upstream.slots;
         let state = sync::lock(&self.state);
         let waited = self.changed.wait_while(state, |s| s.running >= slots);
--- a/src/connection/upstream_link.rs
+++ b/src/connection/upstream_link.rs
@@ -34,6 +34,8 @@
 /// The header by which an upstream says that it did not run an order.
 pub const OUTCOME_HEADER: &str = "foxtaildrift-outcome";
 
+/// The HTTP status by which an upstream sheds an order that it did not run.
+const SHED_STATUS: u16 = 503;
 /// How long a grant, a cancellation or a probe may take.
 const CONTROL_TIME: Duration = Duration::from_millis(500);
 
@@ -224,6 +226,9 @@
     let limit = u64::try_from(BODY_BYTES_MAX).unwrap_or(u64::MAX);
     let read = body.with_config().limit(limit).read_to_vec();
     let bytes = read.map_err(|e| UpstreamError::MaybeGiven(format!("cut answer: {e}")))?;
+    if not_run && status == SHED_STATUS {
+        return Ok(Answer::not_run(Refusal::UpstreamShed));
+    }
     if not_run {
         let reason = String::from_utf8_lossy(&bytes).trim().to_owned();
         return Ok(Answer::not_run(Refusal::UpstreamRefused(reason)));
--- a/src/process/gate.rs
+++ b/src/process/gate.rs
@@ -14,7 +14,7 @@
 use crate::request::answer::Answer;
 use crate::request::envelope::Envelope;
 use crate::request::fingerprint::Fingerprint;
-use crate::request::limiter::{Admission, Limiter, Ticket};
+use crate::request::limiter::{Admission, Landing, Limiter, Ticket};
 use crate::request::outcome::Outcome;
 use crate::request::quarantine::{Quarantine, Standing, Suspicion};
 use crate::request::refusal::Refusal;
@@ -27,6 +27,8 @@
 
 /// How long a probe for a crashed upstream may take.
 const PROBE_TIME: Duration = Duration::from_millis(200);
+/// How often a request that the upstream shed is tried in all.
+const SHED_TRIES: u32 = 4;
 /// The least time that is worth giving an order.
 const ORDER_TIME_MIN: Duration = Duration::from_millis(1);
 
@@ -225,6 +227,26 @@
         slice: Option<SliceOf>,
         deadline: Moment,
         right: impl Fn(Moment) -> Result<Right, String>,
+    ) -> Passage {
+        let mut passage = self.pass_once(envelope, slice.clone(), deadline, &right);
+        for _ in 1..SHED_TRIES {
+            let shed = matches!(&passage, Passage::Answer(a)
+                if a.refusal == Some(Refusal::UpstreamShed));
+            if !shed {
+                break;
+            }
+            // It was not run, so it may wait for its turn under the lower limit.
+            passage = self.pass_once(envelope, slice.clone(), deadline, &right);
+        }
+        passage
+    }
+
+    fn pass_once(
+        &self,
+        envelope: &Arc<Envelope>,
+        slice: Option<SliceOf>,
+        deadline: Moment,
+        right: impl Fn(Moment) -> Result<Right, String>,
     ) -> Passage {
         let fingerprint = Fingerprint::of(envelope);
         if let Err(refusal) = self.admit(envelope.id, fingerprint, deadline) {
@@ -253,7 +275,7 @@
                 return Passage::Answer(self.give(&link, envelope, fingerprint, right, deadline));
             }
         };
-        self.land(envelope.id, None, None);
+        self.land(envelope.id, Landing::Failed, None);
         passage
     }
 
@@ -337,25 +359,29 @@
         deadline: Moment,
     ) -> Answer {
         if let Err(e) = self.grant(link, right) {
-            self.land(envelope.id, None, None);
+            self.land(envelope.id, Landing::Failed, None);
             return Answer::not_run(Refusal::UpstreamRefused(e.to_string()));
         }
         let given = self.clock.now();
         let limit = deadline.min(right.until).since(given);
         if limit < ORDER_TIME_MIN {
-            self.land(envelope.id, None, None);
+            self.land(envelope.id, Landing::Failed, None);
             return Answer::not_run(Refusal::DeadlinePassed);
         }
         match link.order(envelope, right.fence, limit, self.clock.wall()) {
             Ok(answer) => {
                 let now = self.clock.now();
-                let took = (answer.outcome == Outcome::Ran).then(|| now.since(given));
-                self.land(envelope.id, took, Some(fingerprint));
+                let landing = match (&answer.refusal, answer.outcome) {
+                    (_, Outcome::Ran) => Landing::Ran(now.since(given)),
+                    (Some(Refusal::UpstreamShed), _) => Landing::Shed,
+                    _ => Landing::Failed,
+                };
+                self.land(envelope.id, landing, Some(fingerprint));
                 answer
             }
             Err(e) => {
                 self.look_for_crash(link);
-                self.land(envelope.id, None, None);
+                self.land(envelope.id, Landing::Failed, None);
                 answer_to(&e)
             }
         }
@@ -385,13 +411,13 @@
     }
 
     /// Ends a flight; `ran` names the request where an upstream ran it without a crash.
-    fn land(&self, id: RequestId, took: Option<Duration>, ran: Option<Fingerprint>) {
+    fn land(&self, id: RequestId, landing: Landing, ran: Option<Fingerprint>) {
         let now = self.clock.now();
         let mut state = sync::lock(&self.state);
         state.flights.remove(&id);
         release_suspect(&mut state, id);
         let cleared = ran.filter(|&f| state.quarantine.clear(now, f));
-        let admitted = state.limiter.done(now, took);
+        let admitted = state.limiter.done(now, landing);
         wake(&mut state, admitted);
         drop(state);
         self.changed.notify_all();
--- a/src/request/limiter.rs
+++ b/src/request/limiter.rs
@@ -18,6 +18,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
+/// How a request came back from the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Landing {
+    /// It ran, and took so long.
+    Ran(Duration),
+    /// The upstream shed it.
+    Shed,
+    /// It came back without a word on the upstream's speed, or was never given.
+    Failed,
+}
+
 /// Whether a request may go to the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -118,12 +129,13 @@
         self.queue.remove(&(deadline, ticket));
     }
 
-    /// Takes in the end of a request: the time that the upstream took, or `None` where it did
-    /// not answer. Returns the tickets whose turn it is.
-    pub fn done(&mut self, now: Moment, took: Option<Duration>) -> Vec<Ticket> {
+    /// Takes in the end of a request. Returns the tickets whose turn it is.
+    pub fn done(&mut self, now: Moment, landing: Landing) -> Vec<Ticket> {
         self.in_flight = self.in_flight.saturating_sub(1);
-        if let Some(took) = took {
-            self.pace.sample(now, took);
+        match landing {
+            Landing::Ran(took) => self.pace.sample(now, took),
+            Landing::Shed => self.pace.shed(now),
+            Landing::Failed => {}
         }
         self.admit()
     }
--- a/src/request/pace.rs
+++ b/src/request/pace.rs
@@ -168,6 +168,15 @@
         }
     }
 
+    /// Takes in that the upstream shed an order: it has more than it bears, so it is cold.
+    pub fn shed(&mut self, now: Moment) {
+        if self.phase != Phase::Cold {
+            self.limit = f64::from(self.cold_slots);
+            self.cold_mean = None;
+            self.enter(now, Phase::Cold);
+        }
+    }
+
     /// Lets the usual time fall with the mean at once, and rise slowly.
     fn follow_usual(&mut self) {
         if self.samples <= SAMPLES_MIN || self.mean < self.usual {
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -33,6 +33,9 @@
     /// The same request was in flight when upstreams crashed.
     #[error("this request is quarantined: upstreams crashed while they ran it")]
     Quarantined,
+    /// The upstream shed the request unrun: it has more work than it bears.
+    #[error("the upstream is overloaded")]
+    UpstreamShed,
     /// The upstream refused the request unrun.
     #[error("the upstream refused: {0}")]
     UpstreamRefused(String),
@@ -64,6 +67,7 @@
             Refusal::DeadlinePassed => 504,
             Refusal::NoOwner(_)
             | Refusal::Overloaded(_)
+            | Refusal::UpstreamShed
             | Refusal::UpstreamRefused(_)
             | Refusal::Stopping => 503,
         }
--- a/tests/testsuite/limiter.rs
+++ b/tests/testsuite/limiter.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use foxtaildrift::process::moment::Moment;
-use foxtaildrift::request::limiter::{Admission, Limiter};
+use foxtaildrift::request::limiter::{Admission, Landing, Limiter};
 use foxtaildrift::version::service::Policy;
 use foxtaildrift::version::upstream::{Upstream, UpstreamBoot};
 
@@ -39,7 +39,7 @@
             Admission::Run
         );
         millis += 20;
-        limiter.done(at(millis), Some(took));
+        limiter.done(at(millis), Landing::Ran(took));
     }
     millis
 }
@@ -102,6 +102,14 @@
     until(&mut limiter, now, 400, 5, |l| l.limit() == 8).expect("it becomes warm");
 }
 
+#[test]
+fn an_upstream_that_sheds_is_taken_for_cold_at_once() {
+    let mut limiter = warm();
+    assert_eq!(limiter.arrive(at(60_000), at(70_000)), Admission::Run);
+    limiter.done(at(60_001), Landing::Shed);
+    assert_eq!(limiter.limit(), 2);
+}
+
 #[test]
 fn a_straggler_keeps_its_share_after_a_short_trial() {
     let mut limiter = warm();
@@ -138,7 +146,7 @@
     let Admission::Wait(soonest) = tickets[1] else {
         panic!("{tickets:?}")
     };
-    assert_eq!(limiter.done(at(10), None), vec![soonest]);
+    assert_eq!(limiter.done(at(10), Landing::Failed), vec![soonest]);
 }
 
 #[test]
@@ -162,5 +170,5 @@
     };
     limiter.leave(at(500), ticket);
     assert_eq!(limiter.waiting(), 0);
-    assert_eq!(limiter.done(at(10), None), vec![]);
+    assert_eq!(limiter.done(at(10), Landing::Failed), vec![]);
 }
