--- a/crates/bench/src/platform_stand_in.rs
+++ b/crates/bench/src/platform_stand_in.rs
@@ -18,6 +18,8 @@
 
 /// The threads that serve calls; each waiting watch takes one.
 const THREADS: u32 = 400;
+/// How long a new connection may be queued.
+const PATIENCE: Duration = Duration::from_millis(20);
 /// How often lapsed sessions are looked for.
 const SWEEP: Duration = Duration::from_millis(200);
 /// The largest value, in bytes.
@@ -68,7 +70,7 @@
     let listener = TcpListener::bind(listen).map_err(BenchError::turn("platform"))?;
     let platform = Arc::new(Platform::default());
     let handler = Arc::clone(&platform) as Arc<dyn HttpHandler>;
-    let server = HttpServer::start("platform", listener, THREADS, &handler);
+    let server = HttpServer::start("platform", listener, THREADS, PATIENCE, &handler);
     let _server = server.map_err(BenchError::turn("platform"))?;
     loop {
         thread::sleep(SWEEP);
--- a/crates/bench/src/upstream_stand_in.rs
+++ b/crates/bench/src/upstream_stand_in.rs
@@ -24,6 +24,8 @@
 
 /// How often the upstream announces itself.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(250);
+/// How long a new connection may be queued.
+const PATIENCE: Duration = Duration::from_millis(20);
 /// How far the reported load lags.
 const REPORT_LAG: Duration = Duration::from_secs(2);
 /// How much longer an order takes on a cold upstream.
@@ -133,7 +135,7 @@
     // One more thread than connections, so that health answers while all are busy.
     let workers = stand_in.settings.upstream.connections + 1;
     let handler = Arc::clone(&stand_in) as Arc<dyn HttpHandler>;
-    let server = HttpServer::start("upstream", listener, workers, &handler);
+    let server = HttpServer::start("upstream", listener, workers, PATIENCE, &handler);
     let _server = server.map_err(BenchError::turn("upstream"))?;
     stand_in.announce_forever();
     Ok(())
--- a/src/connection/http_server.rs
+++ b/src/connection/http_server.rs
@@ -15,8 +15,6 @@
 
 use crate::process::stop::Stop;
 
-/// How often the server connects to itself.
-const NUDGE_INTERVAL: Duration = Duration::from_millis(50);
 /// How long such a connection may take to be made.
 const NUDGE_TIME: Duration = Duration::from_millis(100);
 
@@ -34,7 +32,8 @@
 }
 
 impl HttpServer {
-    /// Starts `workers` threads that serve requests on `listener`.
+    /// Starts `workers` threads that serve requests on `listener`; a queued connection waits for
+    /// `patience` at the most.
     ///
     /// # Errors
     ///
@@ -43,6 +42,7 @@
         name: &str,
         listener: TcpListener,
         workers: u32,
+        patience: Duration,
         handler: &Arc<dyn HttpHandler>,
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
@@ -58,7 +58,7 @@
         }
         let for_nudge = Arc::clone(&stop);
         let builder = thread::Builder::new().name(format!("{name}-nudge"));
-        threads.push(builder.spawn(move || nudge(address, &for_nudge))?);
+        threads.push(builder.spawn(move || nudge(address, patience, &for_nudge))?);
         Ok(Self {
             server,
             stop,
@@ -94,8 +94,8 @@
     }
 }
 
-fn nudge(address: SocketAddr, stop: &Stop) {
-    while !stop.wait(NUDGE_INTERVAL) {
+fn nudge(address: SocketAddr, interval: Duration, stop: &Stop) {
+    while !stop.wait(interval) {
         let _ = TcpStream::connect_timeout(&address, NUDGE_TIME);
     }
 }
--- a/src/process/custodian.rs
+++ b/src/process/custodian.rs
@@ -20,8 +20,10 @@
 const WATCHERS: usize = 3;
 /// How long one watch waits; a process that stops must wait for it.
 const WATCH_TIME: Duration = Duration::from_secs(2);
-/// How often a daemon that does not watch asks for the configuration.
-const POLL_INTERVAL: Duration = Duration::from_secs(10);
+/// How often, at the most, a daemon that does not watch asks for the configuration.
+const POLL_INTERVAL_MIN: Duration = Duration::from_secs(10);
+/// How often all daemons of a cell together do, however many they are.
+const CELL_POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// How often a daemon that is no member asks for the table.
 const TABLE_INTERVAL: Duration = Duration::from_millis(500);
 /// How often the planner's lease is asked for or renewed.
@@ -65,8 +67,9 @@
         let key = PlatformKey::configuration(&self.environment);
         let mut revision = Revision::default();
         let mut polled: Option<Instant> = None;
+        let mut interval = self.poll_interval();
         while !stop.is_raised() {
-            let due = polled.is_none_or(|at| at.elapsed() >= POLL_INTERVAL);
+            let due = polled.is_none_or(|at| at.elapsed() >= interval);
             if !self.watches() && !due {
                 stop.wait(FAILURE_PAUSE);
                 continue;
@@ -77,6 +80,7 @@
                 false => self.platform.read(&key),
             };
             polled = Some(Instant::now());
+            interval = self.poll_interval();
             match read {
                 Ok(Some(stored)) => {
                     revision = stored.revision;
@@ -95,6 +99,14 @@
         }
     }
 
+    /// Draws how long to wait before the next poll, so that the cell's polls spread over time.
+    fn poll_interval(&self) -> Duration {
+        let members = self.membership.table().members.len();
+        let all = CELL_POLL_INTERVAL * u32::try_from(members).unwrap_or(u32::MAX);
+        all.max(POLL_INTERVAL_MIN)
+            .mul_f64(rand::random_range(0.5..1.5))
+    }
+
     /// Follows the table as long as this daemon is no member, and plans while it holds the
     /// planner's lease, until the process stops.
     pub fn plan(&self, stop: &Stop) {
@@ -174,14 +186,14 @@
         let held = plan.holds;
         // A lease that may have lapsed is not held.
         plan.holds = false;
-        plan.holds = self.platform.hold(&key, &self.instance.to_string())?;
+        let is_dead = |holder: &str| self.is_dead(holder);
+        plan.holds = self
+            .platform
+            .hold(&key, &self.instance.to_string(), &is_dead)?;
         if plan.holds && !held {
             tracing::info!("planner's lease taken");
             plan.base = None;
         }
-        if !plan.holds {
-            self.platform.evict(&key, &|holder| self.is_dead(holder))?;
-        }
         Ok(())
     }
 
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -49,6 +49,12 @@
 const RELEASE_PATIENCE: Duration = Duration::from_millis(500);
 /// How often a stopping daemon looks whether its slices are gone.
 const STOP_STEP: Duration = Duration::from_millis(50);
+/// How long a caller's new connection may be queued.
+const CALLER_PATIENCE: Duration = Duration::from_millis(50);
+/// How long an operator's new connection may be queued.
+const ADMIN_PATIENCE: Duration = Duration::from_millis(500);
+/// How often the process looks whether it stops while nothing happens.
+const EVENT_STEP: Duration = Duration::from_millis(250);
 /// The backlog of a listener.
 const BACKLOG: i32 = 1024;
 
@@ -163,9 +169,16 @@
         let front = CallerFront::new(Arc::clone(&shared) as Arc<dyn CallerHandler>);
         let front: Arc<dyn HttpHandler> = Arc::new(front);
         let workers = shared.settings.workers;
-        let callers = HttpServer::start("caller", entry_listener, workers, &front)?;
+        let callers =
+            HttpServer::start("caller", entry_listener, workers, CALLER_PATIENCE, &front)?;
         let api: Arc<dyn HttpHandler> = Arc::new(AdminApi::new(Arc::clone(&shared)));
-        let admin = HttpServer::start("admin", admin_listener, admin::THREADS, &api)?;
+        let admin = HttpServer::start(
+            "admin",
+            admin_listener,
+            admin::THREADS,
+            ADMIN_PATIENCE,
+            &api,
+        )?;
         Ok(Self {
             shared,
             callers,
@@ -427,7 +440,7 @@
     releasers: &Workers,
 ) {
     while !stop.is_raised() {
-        let Ok(event) = events.recv_timeout(STOP_STEP) else {
+        let Ok(event) = events.recv_timeout(EVENT_STEP) else {
             continue;
         };
         let shared = Arc::clone(shared);
--- a/src/process/datagram.rs
+++ b/src/process/datagram.rs
@@ -64,6 +64,8 @@
     },
     /// Statements on sessions.
     Facts(Facts),
+    /// A daemon waits for the receiver to let go: the receiver says what it has adopted.
+    Ask,
     /// A daemon wants to be a member with these particulars.
     Join(Box<MemberInfo>),
     /// A daemon tells the planner what its upstream and slices carry.
--- a/src/process/http_platform.rs
+++ b/src/process/http_platform.rs
@@ -1,7 +1,7 @@
 //! The adapter to a platform that speaks the published HTTP interface of Consul: key-value store,
 //! blocking queries and sessions.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use base64::Engine;
@@ -11,6 +11,7 @@
 use ureq::http::{Request, Response};
 
 use crate::process::platform::{Platform, PlatformError, PlatformKey, Revision, Stored, Swap};
+use crate::process::sync;
 
 /// How long a call may take, on top of the time that it asks the platform to wait.
 const CALL_TIME: Duration = Duration::from_millis(2000);
@@ -25,7 +26,8 @@
 pub struct HttpPlatform {
     base: String,
     agent: Agent,
-    session: Mutex<Option<String>>,
+    /// The session that holds this process's lease.
+    lease: Mutex<Option<String>>,
 }
 
 /// An entry as the platform writes it.
@@ -56,7 +58,7 @@
         Self {
             base: base.trim_end_matches('/').to_owned(),
             agent: config.new_agent(),
-            session: Mutex::default(),
+            lease: Mutex::default(),
         }
     }
 
@@ -120,20 +122,11 @@
         }))
     }
 
-    /// Returns the session of this process, a new one where the old one has lapsed.
-    fn session(&self) -> Result<String, PlatformError> {
-        let mut session = self.session.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(id) = session.clone() {
-            match self.put(&format!("/v1/session/renew/{id}"), Vec::new()) {
-                Ok(_) => return Ok(id),
-                Err(PlatformError::Refused { status: 404, .. }) => *session = None,
-                Err(e) => return Err(e),
-            }
-        }
+    /// Creates a session, whose end deletes what it holds.
+    fn create_session(&self) -> Result<String, PlatformError> {
         let wish = format!(r#"{{"TTL":"{LEASE_TIME}","LockDelay":"0s","Behavior":"delete"}}"#);
         let text = self.put("/v1/session/create", wish.into_bytes())?;
         let created: Created = serde_json::from_str(&text).map_err(|e| self.malformed(&e))?;
-        *session = Some(created.id.clone());
         Ok(created.id)
     }
 
@@ -185,42 +178,49 @@
         })
     }
 
-    fn hold(&self, key: &PlatformKey, holder: &str) -> Result<bool, PlatformError> {
-        let session = self.session()?;
-        let path = format!("/v1/kv/{key}?acquire={session}");
-        let text = self.put(&path, holder.as_bytes().to_vec())?;
-        Ok(text.trim() == "true")
-    }
-
-    fn release(&self) -> Result<(), PlatformError> {
-        let session = self
-            .session
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take();
-        let Some(id) = session else { return Ok(()) };
-        self.put(&format!("/v1/session/destroy/{id}"), Vec::new())
-            .map(|_| ())
-    }
-
-    fn evict(
+    fn hold(
         &self,
         key: &PlatformKey,
+        holder: &str,
         is_dead: &dyn Fn(&str) -> bool,
-    ) -> Result<(), PlatformError> {
-        let Some(entry) = self.entry(&format!("/v1/kv/{key}"), CALL_TIME)? else {
-            return Ok(());
-        };
-        let Some(session) = entry.session.clone() else {
-            return Ok(());
-        };
-        let holder = self
-            .stored(Some(entry))?
-            .map(|s| s.bytes)
-            .unwrap_or_default();
-        if is_dead(&String::from_utf8_lossy(&holder)) {
+    ) -> Result<bool, PlatformError> {
+        let mut lease = sync::lock(&self.lease);
+        if let Some(id) = lease.clone() {
+            // The platform deletes the key when the session ends, so a renewal is enough.
+            match self.put(&format!("/v1/session/renew/{id}"), Vec::new()) {
+                Ok(_) => return Ok(true),
+                Err(PlatformError::Refused { status: 404, .. }) => *lease = None,
+                Err(e) => return Err(e),
+            }
+        }
+        // Only reads, as long as another process holds the lease.
+        if let Some(entry) = self.entry(&format!("/v1/kv/{key}"), CALL_TIME)?
+            && let Some(session) = entry.session.clone()
+        {
+            let present = self
+                .stored(Some(entry))?
+                .map(|s| s.bytes)
+                .unwrap_or_default();
+            if !is_dead(&String::from_utf8_lossy(&present)) {
+                return Ok(false);
+            }
             self.put(&format!("/v1/session/destroy/{session}"), Vec::new())?;
         }
-        Ok(())
+        let id = self.create_session()?;
+        let path = format!("/v1/kv/{key}?acquire={id}");
+        let held = self.put(&path, holder.as_bytes().to_vec())?.trim() == "true";
+        if held {
+            *lease = Some(id);
+        } else {
+            self.put(&format!("/v1/session/destroy/{id}"), Vec::new())?;
+        }
+        Ok(held)
+    }
+
+    fn release(&self) -> Result<(), PlatformError> {
+        let lease = sync::lock(&self.lease).take();
+        let Some(id) = lease else { return Ok(()) };
+        self.put(&format!("/v1/session/destroy/{id}"), Vec::new())
+            .map(|_| ())
     }
 }
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -4,7 +4,7 @@
 //! candidate before it has ended, and each leaving session has let go. `docs/DESIGN.md` gives the
 //! argument that two daemons never serve one slice.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,8 +34,10 @@
 
 /// How often a daemon tells all that it knows to a few others.
 const ANTI_ENTROPY: Duration = Duration::from_millis(1000);
-/// How many others it tells then.
-const ANTI_ENTROPY_PEERS: usize = 2;
+/// How many others it tells then: news is pushed to all, so this is only for what was lost.
+const ANTI_ENTROPY_PEERS: usize = 1;
+/// How often a daemon asks those that it waits for.
+const ASK_REPEAT: Duration = Duration::from_millis(100);
 /// How often a daemon repeats its wish to join.
 const JOIN_REPEAT: Duration = Duration::from_millis(500);
 /// How long a session may stay lapsed before its holder gives it up for a new one.
@@ -129,6 +131,7 @@
     renew_at: Moment,
     gossip_at: Moment,
     join_at: Moment,
+    ask_at: Moment,
     lapsed_since: Moment,
     last_tick: Moment,
     rng: SmallRng,
@@ -153,6 +156,7 @@
             renew_at: now,
             gossip_at: now,
             join_at: now,
+            ask_at: now,
             lapsed_since: now,
             last_tick: now,
             rng: SmallRng::seed_from_u64(seed),
@@ -224,6 +228,10 @@
             self.join_at = now + JOIN_REPEAT;
             self.ask_to_join();
         }
+        if now >= self.ask_at {
+            self.ask_at = now + ASK_REPEAT;
+            self.ask_leaving(now);
+        }
         if now >= self.gossip_at {
             self.gossip_at = now + ANTI_ENTROPY;
             self.tell_all_facts();
@@ -262,6 +270,7 @@
                 self.take_grant(now, datagram.from, session, sent, epoch);
             }
             Message::Facts(facts) => self.learn(now, facts),
+            Message::Ask => self.tell_adopted(datagram.peer),
             Message::Join(_) | Message::Load(_) | Message::Suspects(_) | Message::Cleared(_) => {}
         }
     }
@@ -740,6 +749,45 @@
         }
     }
 
+    /// Asks the former candidates that keep this daemon from serving.
+    fn ask_leaving(&mut self, now: Moment) {
+        let mut waited_for = BTreeSet::new();
+        for (service, slice, assignment) in self.table.assignments() {
+            let first = assignment.candidates.first() == Some(&self.tenure.id);
+            if first && self.entitled(now, service, slice) == Err(NotServing::Waiting) {
+                let mut leaving = assignment.leaving.iter();
+                waited_for.extend(
+                    leaving
+                        .by_ref()
+                        .filter(|(s, f)| !self.has_left(**s, f))
+                        .map(|(s, _)| *s),
+                );
+            }
+        }
+        let peers: Vec<_> = waited_for
+            .iter()
+            .filter_map(|&s| self.table.peer(s))
+            .collect();
+        for peer in peers {
+            self.send(peer, Message::Ask);
+        }
+    }
+
+    fn tell_adopted(&mut self, to: SocketAddr) {
+        let session = self.tenure.id;
+        let Some(&epoch) = self.facts.adopted.get(&session) else {
+            return;
+        };
+        let adopted = BTreeMap::from([(session, epoch)]);
+        self.send(
+            to,
+            Message::Facts(Facts {
+                adopted,
+                ..Facts::default()
+            }),
+        );
+    }
+
     fn tell_all_facts(&mut self) {
         let peers = self.other_peers();
         let some = peers.into_iter().sample(&mut self.rng, ANTI_ENTROPY_PEERS);
--- a/src/process/platform.rs
+++ b/src/process/platform.rs
@@ -136,12 +136,18 @@
         bytes: &[u8],
     ) -> Result<Swap, PlatformError>;
 
-    /// Takes or renews this process's lease on `key`; returns whether it holds the lease.
+    /// Takes or renews this process's lease on `key`; returns whether it holds the lease. The lease
+    /// of another holder stands, unless `is_dead` says so of that holder.
     ///
     /// # Errors
     ///
     /// Returns an error where the platform does not answer well.
-    fn hold(&self, key: &PlatformKey, holder: &str) -> Result<bool, PlatformError>;
+    fn hold(
+        &self,
+        key: &PlatformKey,
+        holder: &str,
+        is_dead: &dyn Fn(&str) -> bool,
+    ) -> Result<bool, PlatformError>;
 
     /// Gives this process's leases back.
     ///
@@ -149,12 +155,4 @@
     ///
     /// Returns an error where the platform does not answer well.
     fn release(&self) -> Result<(), PlatformError>;
-
-    /// Ends the lease on `key` where `is_dead` says so of its holder.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error where the platform does not answer well.
-    fn evict(&self, key: &PlatformKey, is_dead: &dyn Fn(&str) -> bool)
-    -> Result<(), PlatformError>;
 }
--- a/src/process/upkeep.rs
+++ b/src/process/upkeep.rs
@@ -6,7 +6,7 @@
 use crate::process::gate::{Gate, GateLoad};
 use crate::process::lease_times::LeaseTimes;
 use crate::process::load_report::{LoadReport, SliceLoad};
-use crate::process::membership::{Membership, TICK};
+use crate::process::membership::Membership;
 use crate::process::metrics::Metrics;
 use crate::process::owner::Owner;
 use crate::process::stop::Stop;
@@ -14,6 +14,8 @@
 use crate::version::member::WEIGHT_FULL;
 use crate::version::service::Policy;
 
+/// How often the duties are looked at.
+const ROUND: Duration = Duration::from_millis(100);
 /// How often the upstream's health is asked for, and how long the answer may take.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// How many probes in a row must fail for the upstream to count as frozen.
@@ -75,7 +77,7 @@
             reported: now,
             epoch: Epoch::default(),
         };
-        while !stop.wait(TICK) {
+        while !stop.wait(ROUND) {
             self.owner.take_up_all();
             self.succeed_address(&round);
             self.probe(&mut round);
--- a/tests/testsuite/operations.rs
+++ b/tests/testsuite/operations.rs
@@ -98,17 +98,18 @@
         }
     }
 
-    fn hold(&self, _key: &PlatformKey, _holder: &str) -> Result<bool, PlatformError> {
+    fn hold(
+        &self,
+        _key: &PlatformKey,
+        _holder: &str,
+        _is_dead: &dyn Fn(&str) -> bool,
+    ) -> Result<bool, PlatformError> {
         Ok(true)
     }
 
     fn release(&self) -> Result<(), PlatformError> {
         Ok(())
     }
-
-    fn evict(&self, _: &PlatformKey, _: &dyn Fn(&str) -> bool) -> Result<(), PlatformError> {
-        Ok(())
-    }
 }
 
 /// Returns the configuration in `bytes` as another operator would have changed it.
