--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -7,7 +7,7 @@
 use tiny_http::{Header, Method, Request, Response};
 
 use crate::connection::http_server::HttpHandler;
-use crate::process::daemon::Shared;
+use crate::process::node::Node;
 use crate::version::upstream::Upstream;
 
 /// The threads that serve the API.
@@ -45,13 +45,13 @@
 
 /// The administration API of a daemon.
 pub struct AdminApi {
-    shared: Arc<Shared>,
+    node: Arc<Node>,
 }
 
 impl AdminApi {
-    /// Creates the API of the daemon with the parts in `shared`.
-    pub fn new(shared: Arc<Shared>) -> Self {
-        Self { shared }
+    /// Creates the API of the daemon with the parts in `node`.
+    pub fn new(node: Arc<Node>) -> Self {
+        Self { node }
     }
 }
 
@@ -60,7 +60,7 @@
         // Read first: a connection closed with unread bytes would take the answer with it.
         let body = read_body(&mut request);
         let reply = match body {
-            Ok(body) => answer(&request, &body, &self.shared),
+            Ok(body) => answer(&request, &body, &self.node),
             Err(e) => Reply::text(400, format!("the body could not be read: {e}\n")),
         };
         let mut response = Response::from_string(reply.text).with_status_code(reply.status);
@@ -73,18 +73,18 @@
     }
 }
 
-fn answer(request: &Request, body: &str, shared: &Shared) -> Reply {
+fn answer(request: &Request, body: &str, node: &Node) -> Reply {
     let path = request.url().split('?').next().unwrap_or("").to_owned();
     match (request.method(), path.as_str()) {
         (Method::Get, "/health") => Reply::text(200, "ok\n"),
-        (Method::Get, "/ready") if shared.is_ready() => Reply::text(200, "ready\n"),
+        (Method::Get, "/ready") if node.is_ready() => Reply::text(200, "ready\n"),
         (Method::Get, "/ready") => Reply::text(503, "not ready\n"),
-        (Method::Get, "/v1/status") => Reply::json(&shared.status()),
-        (Method::Get, "/metrics") => match shared.metrics().text() {
+        (Method::Get, "/v1/status") => Reply::json(&node.status()),
+        (Method::Get, "/metrics") => match node.metrics().text() {
             Ok(text) => Reply::text(200, text),
             Err(e) => Reply::text(500, format!("{e}\n")),
         },
-        (Method::Put, "/v1/upstream") => guarded(request, shared, || announce(body, shared)),
+        (Method::Put, "/v1/upstream") => guarded(request, node, || announce(body, node)),
         (_, "/health" | "/ready" | "/v1/status" | "/metrics" | "/v1/upstream") => {
             Reply::text(405, "this path does not take that method\n")
         }
@@ -93,8 +93,8 @@
 }
 
 /// Lets a call that changes state pass only with the token from the settings.
-fn guarded(request: &Request, shared: &Shared, call: impl FnOnce() -> Reply) -> Reply {
-    let expected = &shared.settings().token;
+fn guarded(request: &Request, node: &Node, call: impl FnOnce() -> Reply) -> Reply {
+    let expected = &node.settings().token;
     if expected.is_empty() {
         return Reply::text(403, "refused: the settings hold no token\n");
     }
@@ -124,10 +124,10 @@
     a.len() == b.len() && pairs.fold(0, |differs, (x, y)| differs | (x ^ y)) == 0
 }
 
-fn announce(body: &str, shared: &Shared) -> Reply {
+fn announce(body: &str, node: &Node) -> Reply {
     match serde_json::from_str::<Upstream>(body) {
         Ok(upstream) => {
-            shared.announce(&upstream);
+            node.announce(&upstream);
             Reply::text(200, "announced\n")
         }
         Err(e) => Reply::text(400, format!("the announcement is malformed: {e}\n")),
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -18,6 +18,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod moment;
+pub mod node;
 pub mod operations;
 pub mod owner;
 pub mod ownership;
--- /dev/null
+++ b/src/process/node.rs
@@ -0,0 +1,242 @@
+//! The parts of a daemon, and how it serves callers, other daemons and operators.
+
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::connection::caller::{CallerHandler, Terms};
+use crate::connection::peer_message::{PeerReply, PeerRequest};
+use crate::connection::peer_server::PeerHandler;
+use crate::process::burn::BurnLog;
+use crate::process::clock::Clock;
+use crate::process::gate::Gate;
+use crate::process::membership::Membership;
+use crate::process::metrics::Metrics;
+use crate::process::owner::Owner;
+use crate::process::router::Router;
+use crate::process::settings::Settings;
+use crate::process::status::{self, Status, UpstreamStatus};
+use crate::process::stop::Stop;
+use crate::process::sync;
+use crate::request::answer::Answer;
+use crate::request::envelope::Envelope;
+use crate::request::outcome::Outcome;
+use crate::request::refusal::Refusal;
+use crate::version::epoch::Epoch;
+use crate::version::service::Service;
+use crate::version::service_name::ServiceName;
+use crate::version::upstream::Upstream;
+
+/// How often a stopping daemon looks whether its slices are gone.
+const STOP_STEP: Duration = Duration::from_millis(50);
+
+/// The parts that all threads of a daemon share.
+pub struct Node {
+    pub(super) settings: Settings,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) membership: Arc<Membership>,
+    pub(super) gate: Arc<Gate>,
+    pub(super) owner: Arc<Owner>,
+    pub(super) router: Arc<Router>,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) burn: Mutex<BurnLog>,
+    pub(super) stop: Arc<Stop>,
+    pub(super) stop_watching: Arc<Stop>,
+}
+
+impl Node {
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Returns the metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Takes in the announcement of the upstream beside the daemon.
+    pub fn announce(&self, upstream: &Upstream) {
+        let active = self.membership.active();
+        let unknown = Service::default();
+        let service = active
+            .document
+            .services
+            .get(&upstream.service)
+            .unwrap_or(&unknown);
+        let changed = self.gate.announce(upstream, service);
+        self.membership.with(|o, now| {
+            if changed || o.info().upstream.as_ref() != Some(upstream) {
+                tracing::info!(service = %upstream.service, boot = %upstream.boot, "upstream up");
+                o.describe(now, |info| info.upstream = Some(upstream.clone()));
+            }
+        });
+    }
+
+    /// Returns whether the daemon can serve callers.
+    pub fn is_ready(&self) -> bool {
+        !self.stop.is_raised()
+            && self
+                .membership
+                .with(|o, now| o.live_until(now).is_some() && !o.info().leaving)
+    }
+
+    /// Returns the daemon's state.
+    pub fn status(&self) -> Status {
+        let active = self.membership.active();
+        let load = self.gate.load();
+        let wall = self.clock.wall();
+        let burn = sync::lock(&self.burn);
+        let services = active.document.services.iter();
+        let burn = services
+            .map(|(name, s)| burn.report(wall, name, s.objective))
+            .collect();
+        let up = self.gate.link().is_some();
+        self.membership.with(|o, now| Status {
+            environment: self.settings.environment.to_string(),
+            session: o.info().session,
+            lease_ms: o.live_until(now).map(|u| millis(u.since(now))),
+            epoch: o.table().epoch,
+            configuration: active.version,
+            digest: active.configuration.as_ref().map(|c| c.digest.clone()),
+            members: status::member_statuses(o),
+            owners: status::owners(o),
+            upstream: UpstreamStatus {
+                up,
+                in_flight: load.in_flight,
+                limit: load.limit,
+                waiting: load.waiting,
+                mean_micros: load.mean_micros,
+            },
+            burn,
+        })
+    }
+
+    /// Gives all slices away before the process stops.
+    pub(super) fn leave(&self) {
+        let until = Instant::now() + Duration::from_millis(self.settings.stop_ms);
+        self.membership
+            .with(|o, now| o.describe(now, |info| info.leaving = true));
+        while Instant::now() < until && !self.has_left() {
+            thread::sleep(STOP_STEP);
+        }
+        let left = self.has_left();
+        if !left {
+            tracing::warn!("the slices were not handed over in time");
+        }
+        while Instant::now() < until && !self.gate.wait_idle(STOP_STEP, |_| true) {}
+        self.membership.with(|o, now| o.resign(now));
+        thread::sleep(STOP_STEP);
+        if let Some(link) = self.gate.link()
+            && let Err(e) = link.drain()
+        {
+            tracing::debug!(error = %e, "the upstream was not told to drain");
+        }
+    }
+
+    /// Returns whether no slice is this daemon's any more, and all others know it.
+    fn has_left(&self) -> bool {
+        self.membership.with(|o, _| {
+            let me = o.info().session;
+            let table = o.table();
+            if !table.members.contains_key(&me) {
+                return true;
+            }
+            let mut mine = table
+                .assignments()
+                .filter(|(_, _, a)| a.candidates.first() == Some(&me));
+            let listed = table.members.get(&me).is_some_and(|m| m.info.leaving);
+            listed && mine.next().is_none() && o.facts().adopted(me) == table.epoch
+        })
+    }
+}
+
+impl CallerHandler for Node {
+    fn handle(&self, envelope: Envelope) -> Answer {
+        let (id, service) = (envelope.id, envelope.service.clone());
+        let started = self.clock.now();
+        let answer = self.router.route(envelope);
+        let took = self.clock.now().since(started);
+        self.metrics.request(&service, answer.outcome, took);
+        self.count_burn(&service, &answer, took);
+        match &answer.refusal {
+            Some(refusal) => {
+                let outcome = answer.outcome;
+                tracing::debug!(request = %id, %service, %outcome, %refusal, "request refused");
+            }
+            None => tracing::debug!(request = %id, %service, status = answer.status, "answered"),
+        }
+        answer
+    }
+
+    fn terms(&self, service: &ServiceName, method: &str, path: &str) -> Option<Terms> {
+        let active = self.membership.active();
+        let service = active.document.services.get(service)?;
+        let repeatable = service.is_repeatable(method, path);
+        let clock_skew = Duration::from_millis(self.settings.clock_skew_ms);
+        Some(Terms {
+            deadline: service.deadline(),
+            repeatable,
+            clock_skew,
+        })
+    }
+}
+
+impl Node {
+    /// Counts a request against its service's objective; a caller's own mistakes don't count.
+    fn count_burn(&self, service: &ServiceName, answer: &Answer, took: Duration) {
+        if answer.refusal.as_ref().is_some_and(is_callers_mistake) {
+            return;
+        }
+        let active = self.membership.active();
+        let Some(service_terms) = active.document.services.get(service) else {
+            return;
+        };
+        let in_time = took <= service_terms.objective.latency();
+        let good = answer.outcome == Outcome::Ran && answer.status < 500 && in_time;
+        sync::lock(&self.burn).count(self.clock.wall(), service, good);
+    }
+}
+
+impl PeerHandler for Node {
+    fn handle(&self, request: PeerRequest) -> PeerReply {
+        match request {
+            PeerRequest::Forward(envelope) => self.router.serve_forwarded(envelope),
+            PeerRequest::Run { instance, envelope } => self.router.run_here(instance, envelope),
+            PeerRequest::Table => {
+                let table = self.membership.table();
+                let some = table.epoch > Epoch::default();
+                PeerReply::Table(some.then(|| Box::new((*table).clone())))
+            }
+            PeerRequest::Configuration => {
+                let active = self.membership.active();
+                PeerReply::Configuration(active.configuration.clone().map(Box::new))
+            }
+            PeerRequest::Handover(handovers) => {
+                self.owner.take_handover(handovers);
+                PeerReply::Taken
+            }
+        }
+    }
+
+    fn malformed(&self) {
+        self.metrics.malformed();
+    }
+}
+
+/// Returns whether a refusal is due to the request itself.
+fn is_callers_mistake(refusal: &Refusal) -> bool {
+    matches!(
+        refusal,
+        Refusal::Malformed(_)
+            | Refusal::NoSuchService
+            | Refusal::NoIdempotencyKey
+            | Refusal::KeyReused
+            | Refusal::NoKey
+            | Refusal::Quarantined
+    )
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -1,9 +1,10 @@
 //! Brings each request to where it is served, and its answer back.
 
 use std::collections::HashMap;
+use std::io;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{self, RecvTimeoutError};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -54,22 +55,36 @@
     answer: Option<PeerReply>,
 }
 
+/// What the routing of a daemon works with.
+#[derive(Clone)]
+pub struct RouterParts {
+    /// The clock of the host.
+    pub clock: Arc<dyn Clock>,
+    /// The membership.
+    pub membership: Arc<Membership>,
+    /// The owner's side.
+    pub owner: Arc<Owner>,
+    /// The gate to the upstream.
+    pub gate: Arc<Gate>,
+    /// The connections to other daemons.
+    pub pool: Arc<PeerPool>,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// The daemon's process.
+    pub instance: InstanceId,
+    /// How many callers' requests are worked on at once.
+    pub workers: u32,
+}
+
 /// The routing of one daemon.
 pub struct Router {
-    clock: Arc<dyn Clock>,
-    membership: Arc<Membership>,
-    owner: Arc<Owner>,
-    gate: Arc<Gate>,
-    pool: Arc<PeerPool>,
-    metrics: Arc<Metrics>,
+    parts: RouterParts,
     choice: Choice,
     hedgers: Workers,
     budgets: Mutex<HashMap<ServiceName, Budgets>>,
     ran: Mutex<HashMap<RequestId, Ran>>,
-    ran_changed: std::sync::Condvar,
+    ran_changed: Condvar,
     waiters: AtomicU32,
-    waiters_max: u32,
-    instance: InstanceId,
 }
 
 /// How one try of a request ended.
@@ -84,44 +99,26 @@
 type Repeated = bool;
 
 impl Router {
-    /// Creates the routing of a daemon whose process is `instance` and that works on `workers`
-    /// requests at once.
+    /// Creates the routing of a daemon.
     ///
     /// # Errors
     ///
     /// Returns an error where a thread can't be started.
-    #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        clock: Arc<dyn Clock>,
-        membership: Arc<Membership>,
-        owner: Arc<Owner>,
-        gate: Arc<Gate>,
-        pool: Arc<PeerPool>,
-        metrics: Arc<Metrics>,
-        instance: InstanceId,
-        workers: u32,
-    ) -> std::io::Result<Self> {
+    pub fn new(parts: RouterParts) -> io::Result<Self> {
         Ok(Self {
-            clock,
-            membership,
-            owner,
-            gate,
-            pool,
-            metrics,
+            hedgers: Workers::start("hedge", parts.workers)?,
+            parts,
             choice: Choice::default(),
-            hedgers: Workers::start("hedge", workers)?,
             budgets: Mutex::default(),
             ran: Mutex::default(),
-            ran_changed: std::sync::Condvar::new(),
+            ran_changed: Condvar::new(),
             waiters: AtomicU32::new(0),
-            waiters_max: (workers / WAITERS_ONE_IN).max(1),
-            instance,
         })
     }
 
     /// Routes a caller's request and returns its answer.
     pub fn route(self: &Arc<Self>, envelope: Envelope) -> Answer {
-        let active = self.membership.active();
+        let active = self.parts.membership.active();
         let Some(service) = active.document.services.get(&envelope.service) else {
             return Answer::not_run(Refusal::NoSuchService);
         };
@@ -135,7 +132,7 @@
             b.retry.deposit();
             b.hedge.deposit();
         });
-        let deadline = self.clock.now() + envelope.remaining;
+        let deadline = self.parts.clock.now() + envelope.remaining;
         if service.kind == ServiceKind::Shared && envelope.repeatable {
             return self.route_shared(envelope, service, deadline);
         }
@@ -144,7 +141,7 @@
 
     /// Serves a call of another daemon's entry.
     pub fn serve_forwarded(self: &Arc<Self>, envelope: Envelope) -> PeerReply {
-        let active = self.membership.active();
+        let active = self.parts.membership.active();
         let kind = active
             .document
             .services
@@ -153,18 +150,18 @@
         match kind {
             None => PeerReply::NotServing("no such service here yet".to_owned()),
             Some(ServiceKind::Keyed) => {
-                let gate = Arc::clone(&self.gate);
+                let gate = Arc::clone(&self.parts.gate);
                 let runner = GateRunner {
                     gate,
-                    membership: Arc::clone(&self.membership),
+                    membership: Arc::clone(&self.parts.membership),
                 };
-                self.owner.serve(envelope, &runner)
+                self.parts.owner.serve(envelope, &runner)
             }
             Some(ServiceKind::Shared) => {
                 let runner = SharedRunner {
                     router: Arc::clone(self),
                 };
-                self.owner.serve(envelope, &runner)
+                self.parts.owner.serve(envelope, &runner)
             }
         }
     }
@@ -173,10 +170,10 @@
     ///
     /// A repeated call joins the first, also after that has ended.
     pub fn run_here(&self, instance: InstanceId, envelope: Envelope) -> PeerReply {
-        if instance != self.instance {
+        if instance != self.parts.instance {
             return PeerReply::NotServing("that process is gone".to_owned());
         }
-        let now = self.clock.now();
+        let now = self.parts.clock.now();
         let deadline = now + envelope.remaining;
         let id = envelope.id;
         let mut ran = sync::lock(&self.ran);
@@ -192,7 +189,7 @@
             },
         );
         drop(ran);
-        let leaving = self.membership.with(|o, _| o.info().leaving);
+        let leaving = self.parts.membership.with(|o, _| o.info().leaving);
         let right = |_| match leaving {
             true => Err("the upstream is leaving".to_owned()),
             false => Ok(Right {
@@ -200,7 +197,10 @@
                 until: deadline,
             }),
         };
-        let passage = self.gate.pass(&Arc::new(envelope), None, deadline, right);
+        let passage = self
+            .parts
+            .gate
+            .pass(&Arc::new(envelope), None, deadline, right);
         let reply = match passage {
             Passage::Answer(answer) => PeerReply::Answer(answer),
             Passage::NotServing(reason) => PeerReply::NotServing(reason),
@@ -214,15 +214,15 @@
 
     fn join_run(
         &self,
-        ran: std::sync::MutexGuard<'_, HashMap<RequestId, Ran>>,
+        ran: MutexGuard<'_, HashMap<RequestId, Ran>>,
         id: RequestId,
         deadline: Moment,
     ) -> PeerReply {
-        let span = deadline.since(self.clock.now());
+        let span = deadline.since(self.parts.clock.now());
         let running =
             |all: &mut HashMap<RequestId, Ran>| all.get(&id).is_some_and(|r| r.answer.is_none());
         let waited = self.ran_changed.wait_timeout_while(ran, span, running);
-        let ran = waited.unwrap_or_else(std::sync::PoisonError::into_inner).0;
+        let ran = waited.unwrap_or_else(PoisonError::into_inner).0;
         let answer = ran.get(&id).and_then(|r| r.answer.clone());
         answer.unwrap_or_else(|| PeerReply::Answer(Answer::unknown(Refusal::DeadlinePassed)))
     }
@@ -240,7 +240,7 @@
         let mut reason = String::from("no daemon owns it");
         let mut avoid = None;
         loop {
-            let now = self.clock.now();
+            let now = self.parts.clock.now();
             envelope.remaining = deadline.since(now);
             if envelope.remaining.is_zero() {
                 break;
@@ -281,7 +281,8 @@
 
     /// Returns the session that most likely owns `hash`.
     fn owner_of(&self, service: &ServiceName, hash: KeyHash) -> Option<SessionId> {
-        self.membership
+        self.parts
+            .membership
             .with(|o, _| o.owner(service, hash).map(|m| m.info.session))
     }
 
@@ -293,10 +294,11 @@
         avoid: Option<SessionId>,
     ) -> Option<Try> {
         let owner = self
+            .parts
             .membership
             .with(|o, _| o.owner(&envelope.service, hash).cloned());
         let owner = owner.filter(|m| Some(m.info.session) != avoid)?;
-        if owner.info.session.instance == self.instance {
+        if owner.info.session.instance == self.parts.instance {
             return Some(match self.serve_forwarded(envelope.clone()) {
                 PeerReply::Answer(answer) => Try::Answered(answer, false),
                 PeerReply::NotServing(why) => Try::Elsewhere(why, false),
@@ -308,7 +310,7 @@
     }
 
     fn call(&self, member: &Member, request: &PeerRequest, limit: Duration) -> Try {
-        match self.pool.call(member.info.peer, request, limit) {
+        match self.parts.pool.call(member.info.peer, request, limit) {
             Ok(called) => match called.reply {
                 PeerReply::Answer(answer) => Try::Answered(answer, called.repeated),
                 PeerReply::NotServing(why) => Try::Elsewhere(why, called.repeated),
@@ -330,11 +332,11 @@
         let mut maybe_run = false;
         let mut last = Answer::not_run(Refusal::NoOwner("no upstream is known".to_owned()));
         loop {
-            envelope.remaining = deadline.since(self.clock.now());
+            envelope.remaining = deadline.since(self.parts.clock.now());
             if envelope.remaining.is_zero() {
                 break;
             }
-            let members = self.membership.upstreams(&envelope.service);
+            let members = self.parts.membership.upstreams(&envelope.service);
             let Some(member) = self.choice.pick(&members, &tried, service.policy) else {
                 if tried.is_empty() && self.pause(PAUSE_MAX, deadline) {
                     continue;
@@ -395,8 +397,8 @@
         let other = self.choice.pick(members, &avoid, service.policy);
         let allowed = self.with_budgets(&envelope.service, service, |b| b.hedge.withdraw());
         if let (Some(other), true) = (other, allowed) {
-            self.metrics.hedged();
-            let remaining = deadline.since(self.clock.now());
+            self.parts.metrics.hedged();
+            let remaining = deadline.since(self.parts.clock.now());
             self.submit_run(
                 other,
                 &Envelope {
@@ -408,7 +410,7 @@
         }
         drop(tx);
         let mut result = Try::MaybeSent("no answer came".to_owned());
-        while let Ok(done) = rx.recv_timeout(deadline.since(self.clock.now())) {
+        while let Ok(done) = rx.recv_timeout(deadline.since(self.parts.clock.now())) {
             let ran = matches!(&done, Try::Answered(a, _) if a.outcome == Outcome::Ran);
             result = done;
             if ran {
@@ -430,8 +432,8 @@
     fn run_on(&self, member: &Member, envelope: &Envelope) -> Try {
         let instance = member.info.session.instance;
         self.choice.start(instance);
-        let started = self.clock.now();
-        let result = if instance == self.instance {
+        let started = self.parts.clock.now();
+        let result = if instance == self.parts.instance {
             match self.run_here(instance, envelope.clone()) {
                 PeerReply::Answer(answer) => Try::Answered(answer, false),
                 PeerReply::NotServing(why) => Try::Elsewhere(why, false),
@@ -444,17 +446,18 @@
             };
             self.call(member, &request, envelope.remaining)
         };
-        self.choice.end(instance, self.clock.now().since(started));
+        self.choice
+            .end(instance, self.parts.clock.now().since(started));
         result
     }
 
     /// Waits before another try; returns whether one makes sense.
     fn pause(&self, span: Duration, deadline: Moment) -> bool {
-        if self.clock.now() + span >= deadline {
+        if self.parts.clock.now() + span >= deadline {
             return false;
         }
         let waiting = self.waiters.fetch_add(1, Ordering::SeqCst);
-        let room = waiting < self.waiters_max;
+        let room = waiting < (self.parts.workers / WAITERS_ONE_IN).max(1);
         if room {
             thread::sleep(span);
         }
@@ -465,7 +468,7 @@
     fn may_retry(&self, name: &ServiceName, service: &Service) -> bool {
         let allowed = self.with_budgets(name, service, |b| b.retry.withdraw());
         if allowed {
-            self.metrics.retried();
+            self.parts.metrics.retried();
         }
         allowed
     }
@@ -496,15 +499,15 @@
 impl Runner for SharedRunner {
     fn run(&self, envelope: &Arc<Envelope>, serving: &Serving, deadline: Moment) -> Passage {
         let router = &self.router;
-        let active = router.membership.active();
+        let active = router.parts.membership.active();
         let Some(service) = active.document.services.get(&envelope.service) else {
             return Passage::Answer(Answer::not_run(Refusal::NoSuchService));
         };
-        let members = router.membership.upstreams(&envelope.service);
+        let members = router.parts.membership.upstreams(&envelope.service);
         let mut tried = Vec::new();
         let mut last = Answer::not_run(Refusal::NoOwner("no upstream is known".to_owned()));
         while let Some(member) = router.choice.pick(&members, &tried, service.policy) {
-            let right = router.membership.with(|o, now| {
+            let right = router.parts.membership.with(|o, now| {
                 o.serve_slice(now, &envelope.service, serving.slice)
                     .map(|s| s.until)
             });
@@ -512,7 +515,7 @@
                 Ok(until) => until.min(deadline),
                 Err(e) => return Passage::NotServing(e.to_string()),
             };
-            let remaining = until.since(router.clock.now());
+            let remaining = until.since(router.parts.clock.now());
             if remaining.is_zero() {
                 break;
             }
--- a/src/process/status.rs
+++ b/src/process/status.rs
@@ -6,10 +6,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::process::burn::BurnReport;
+use crate::process::ownership::Ownership;
 use crate::version::digest::Digest;
 use crate::version::document_version::DocumentVersion;
 use crate::version::domain_name::DomainName;
 use crate::version::epoch::Epoch;
+use crate::version::member::Member;
 use crate::version::service_name::ServiceName;
 use crate::version::session_id::SessionId;
 
@@ -75,3 +77,48 @@
     /// The mean time in the upstream, in microseconds.
     pub mean_micros: u64,
 }
+
+/// Returns the members as a daemon sees them.
+pub fn member_statuses(ownership: &Ownership) -> Vec<MemberStatus> {
+    let members = ownership.table().members.values();
+    let status = members.map(|m| MemberStatus {
+        session: m.info.session,
+        peer: m.info.peer,
+        entry: m.info.entry,
+        domain: m.info.domain.clone(),
+        upstream: m
+            .info
+            .upstream
+            .as_ref()
+            .map(|u| (u.service.clone(), u.address)),
+        leaving: m.info.leaving,
+        ended: ownership.certified().contains_key(&m.info.session),
+        adopted: ownership.facts().adopted(m.info.session),
+        watched: is_watched(m),
+    });
+    status.collect()
+}
+
+/// Returns whether a majority of others can notice the loss of a member.
+fn is_watched(member: &Member) -> bool {
+    member.witnesses.iter().all(|set| {
+        let own = usize::from(set.contains(member.info.session.instance));
+        set.0.len() - own >= set.majority()
+    })
+}
+
+/// Returns how many slices each session owns, by service, as a daemon sees it.
+pub fn owners(ownership: &Ownership) -> BTreeMap<ServiceName, BTreeMap<String, u32>> {
+    let mut owners = BTreeMap::new();
+    for (service, _, assignment) in ownership.table().assignments() {
+        let by_session: &mut BTreeMap<String, u32> = owners.entry(service.clone()).or_default();
+        let certified = ownership.certified();
+        let owner = assignment
+            .candidates
+            .iter()
+            .find(|s| !certified.contains_key(s));
+        let name = owner.map_or_else(|| "nobody".to_owned(), ToString::to_string);
+        *by_session.entry(name).or_default() += 1;
+    }
+    owners
+}
--- a/tests/testsuite/burn.rs
+++ b/tests/testsuite/burn.rs
@@ -46,7 +46,10 @@
 
 #[test]
 fn the_rate_is_against_the_budget() {
-    let count = BurnCount { total: 1000, bad: 2 };
+    let count = BurnCount {
+        total: 1000,
+        bad: 2,
+    };
     assert!((count.rate(&Objective::default()) - 2.0).abs() < 1e-9);
     assert_eq!(BurnCount::default().rate(&Objective::default()), 0.0);
 }
@@ -55,7 +58,13 @@
 fn reports_of_several_daemons_add_up() {
     let merged = burn::merge([report(300), report(300)].into_iter());
     assert_eq!(merged.len(), 1);
-    assert_eq!(merged[0].windows[0], BurnCount { total: 600, bad: 60 });
+    assert_eq!(
+        merged[0].windows[0],
+        BurnCount {
+            total: 600,
+            bad: 60
+        }
+    );
     assert_snapshot!(burn::table(&merged));
 }
 
