--- a/crates/bench/src/explore/world.rs
+++ b/crates/bench/src/explore/world.rs
@@ -9,7 +9,7 @@
 use foxtaildrift::process::datagram::{Datagram, Message};
 use foxtaildrift::process::facts::Facts;
 use foxtaildrift::process::lease_times::LeaseTimes;
-use foxtaildrift::process::ownership::Output;
+use foxtaildrift::process::output::Output;
 use foxtaildrift::process::planner::{self, PlanInput};
 use foxtaildrift::process::platform::Revision;
 use foxtaildrift::version::document::Document;
--- a/src/process/owner.rs
+++ b/src/process/owner.rs
@@ -11,7 +11,7 @@
 use crate::process::gate::{Gate, Passage, Right, SliceOf};
 use crate::process::membership::Membership;
 use crate::process::moment::Moment;
-use crate::process::ownership::Serving;
+use crate::process::serving::Serving;
 use crate::process::sync;
 use crate::request::answer::Answer;
 use crate::request::envelope::Envelope;
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -12,12 +12,14 @@
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
-use thiserror::Error;
 
 use crate::process::datagram::{Datagram, Message};
 use crate::process::facts::Facts;
 use crate::process::lease_times::LeaseTimes;
 use crate::process::moment::Moment;
+use crate::process::not_serving::NotServing;
+use crate::process::output::Output;
+use crate::process::serving::Serving;
 use crate::process::tenure::Tenure;
 use crate::process::witness::Witness;
 use crate::version::assignment::Leaving;
@@ -45,75 +47,6 @@
 /// A gap between two ticks that shows that the process was paused.
 const PAUSE_MIN: Duration = Duration::from_millis(300);
 
-/// The right to serve a slice for a while.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Serving {
-    /// The slice.
-    pub slice: SliceId,
-    /// The fence token of the right.
-    pub token: Token,
-    /// When the right ends, unless it is renewed.
-    pub until: Moment,
-}
-
-/// Why a daemon does not serve a slice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum NotServing {
-    /// The table has no such service or slice.
-    #[error("no upstream is known for this service yet")]
-    UnknownSlice,
-    /// The daemon's session is not live.
-    #[error("the daemon's lease has lapsed")]
-    Lapsed,
-    /// The daemon is no candidate of the slice.
-    #[error("the daemon does not own this key")]
-    NotCandidate,
-    /// A candidate before this one is not known to have ended.
-    #[error("another daemon owns this key")]
-    NotFirst,
-    /// A former candidate is not known to have let go.
-    #[error("the former owner has not let go yet")]
-    Waiting,
-    /// The witnesses have not confirmed the epoch that gave the slice to this daemon.
-    #[error("the grant is not confirmed yet")]
-    Unconfirmed,
-}
-
-/// What the daemon must do.
-#[derive(Clone, Debug)]
-pub enum Output {
-    /// Send a datagram.
-    Send {
-        /// Where to.
-        to: SocketAddr,
-        /// What.
-        datagram: Datagram,
-    },
-    /// Get the table of a daemon that holds a newer one.
-    FetchTable {
-        /// The daemon.
-        from: SocketAddr,
-        /// Its epoch.
-        epoch: Epoch,
-    },
-    /// Get the document of a daemon that holds a newer one.
-    FetchDocument {
-        /// The daemon.
-        from: SocketAddr,
-        /// Its version.
-        version: DocumentVersion,
-    },
-    /// Finish or cancel the work on slices served no more, hand their records over, and call
-    /// [`Ownership::let_go`] with the epoch.
-    Adopted(Epoch),
-    /// Cancel all work: the lease has lapsed.
-    Lapsed,
-    /// The session is live again.
-    Live,
-    /// The session has ended and a new one wants to join.
-    Ended(SessionId),
-}
-
 /// The ownership state of one daemon process.
 #[derive(Debug)]
 pub struct Ownership {
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -18,7 +18,7 @@
 use crate::process::metrics::Metrics;
 use crate::process::moment::Moment;
 use crate::process::owner::{GateRunner, Owner, Runner};
-use crate::process::ownership::Serving;
+use crate::process::serving::Serving;
 use crate::process::sync;
 use crate::process::workers::Workers;
 use crate::request::answer::Answer;
