Give up on a lost owner as soon as its end is known

Now a waiting call asks on each silence whether the session is over, and the caller leaves a silent daemon alone for 5 s ('one reconnect').

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -145,13 +145,8 @@
     ///
     /// Returns an error where a process can't be started or does not come up in time.
     pub fn start_with(program: &Path, spec: &ClusterSpec) -> Result<Self, BenchError> {
-        let mut cluster = Self::prepare(program, spec)?;
-        cluster.start_platform()?;
-        cluster
-            .apply(&spec.document)
-            .map_err(BenchError::turn("document"))?;
+        let mut cluster = Self::start_platform_and_daemons(program, spec)?;
         for number in 0..cluster.hosts.len() {
-            cluster.start_daemon(number)?;
             cluster.start_upstream(number)?;
         }
         cluster.wait_until("all daemons serve", START_TIME, Self::serves)?;
@@ -165,7 +160,17 @@
     /// Returns an error where a process can't be started or does not come up in time.
     pub fn start_daemons_only(spec: &ClusterSpec) -> Result<Self, BenchError> {
         let program = std::env::current_exe().map_err(BenchError::turn("program"))?;
-        let mut cluster = Self::prepare(&program, spec)?;
+        let cluster = Self::start_platform_and_daemons(&program, spec)?;
+        let count = cluster.hosts.len();
+        cluster.wait_until("all daemons are members", START_TIME * 2, |c| {
+            let last = c.status(count - 1);
+            last.is_ok_and(|s| s.members.len() == count && s.members.iter().all(|m| m.watched))
+        })?;
+        Ok(cluster)
+    }
+
+    fn start_platform_and_daemons(program: &Path, spec: &ClusterSpec) -> Result<Self, BenchError> {
+        let mut cluster = Self::prepare(program, spec)?;
         cluster.start_platform()?;
         cluster
             .apply(&spec.document)
@@ -173,11 +178,6 @@
         for number in 0..cluster.hosts.len() {
             cluster.start_daemon(number)?;
         }
-        let count = cluster.hosts.len();
-        cluster.wait_until("all daemons are members", START_TIME * 2, |c| {
-            let last = c.status(count - 1);
-            last.is_ok_and(|s| s.members.len() == count && s.members.iter().all(|m| m.watched))
-        })?;
         Ok(cluster)
     }
 
--- a/crates/bench/src/explore/world.rs
+++ b/crates/bench/src/explore/world.rs
@@ -9,7 +9,9 @@
 use foxtaildrift::process::datagram::{Datagram, Message};
 use foxtaildrift::process::facts::Facts;
 use foxtaildrift::process::lease_times::LeaseTimes;
+use foxtaildrift::process::moment::Moment;
 use foxtaildrift::process::output::Output;
+use foxtaildrift::process::ownership::Ownership;
 use foxtaildrift::process::planner::{self, PlanInput};
 use foxtaildrift::process::platform::Revision;
 use foxtaildrift::version::document::Document;
@@ -371,14 +373,7 @@
     }
 
     /// Runs `f` on a running daemon's rules, and does what they ask for.
-    pub fn with(
-        &mut self,
-        number: usize,
-        f: impl FnOnce(
-            &mut foxtaildrift::process::ownership::Ownership,
-            foxtaildrift::process::moment::Moment,
-        ),
-    ) {
+    pub fn with(&mut self, number: usize, f: impl FnOnce(&mut Ownership, Moment)) {
         if !self.nodes[number].is_running(self.now) {
             return;
         }
@@ -395,7 +390,7 @@
     }
 
     /// Returns the slices that a daemon serves, and until when its lease holds.
-    fn serving(&self, number: usize) -> BTreeMap<SliceId, foxtaildrift::process::moment::Moment> {
+    fn serving(&self, number: usize) -> BTreeMap<SliceId, Moment> {
         let node = &self.nodes[number];
         let now = node.clock.read(self.now);
         let Some(ownership) = &node.ownership else {
@@ -409,12 +404,7 @@
         served.collect()
     }
 
-    fn perform(
-        &mut self,
-        number: usize,
-        output: Output,
-        before: &BTreeMap<SliceId, foxtaildrift::process::moment::Moment>,
-    ) {
+    fn perform(&mut self, number: usize, output: Output, before: &BTreeMap<SliceId, Moment>) {
         match output {
             Output::Send { to, datagram } => self.send(number, to, datagram),
             Output::FetchTable { from, .. } => self.fetch_table(number, from),
@@ -426,12 +416,7 @@
     }
 
     /// Lets work on released slices go on for a while before the daemon lets go.
-    fn adopted(
-        &mut self,
-        number: usize,
-        epoch: Epoch,
-        before: &BTreeMap<SliceId, foxtaildrift::process::moment::Moment>,
-    ) {
+    fn adopted(&mut self, number: usize, epoch: Epoch, before: &BTreeMap<SliceId, Moment>) {
         let after = self.serving(number);
         let released = before.iter().filter(|(s, _)| !after.contains_key(s));
         let released: Vec<_> = released.map(|(&s, &until)| (s, until)).collect();
@@ -706,15 +691,17 @@
         );
     }
 
-    fn fetch_table(&mut self, to: usize, from: SocketAddr) {
-        let Some(&from) = self.by_peer.get(&from) else {
-            return;
-        };
+    /// Returns the rules of the daemon at `from` where a call from `to` reaches it now.
+    fn reachable(&self, to: usize, from: SocketAddr) -> Option<&Ownership> {
+        let from = *self.by_peer.get(&from)?;
         let cut = self.cuts.contains(&(from, to)) || self.cuts.contains(&(to, from));
-        if cut || !self.nodes[from].is_running(self.now) {
-            return;
-        }
-        let Some(ownership) = &self.nodes[from].ownership else {
+        let node = &self.nodes[from];
+        let running = !cut && node.is_running(self.now);
+        node.ownership.as_ref().filter(|_| running)
+    }
+
+    fn fetch_table(&mut self, to: usize, from: SocketAddr) {
+        let Some(ownership) = self.reachable(to, from) else {
             return;
         };
         let table = Arc::clone(ownership.table());
@@ -723,14 +710,7 @@
     }
 
     fn fetch_document(&mut self, to: usize, from: SocketAddr) {
-        let Some(&from) = self.by_peer.get(&from) else {
-            return;
-        };
-        let cut = self.cuts.contains(&(from, to)) || self.cuts.contains(&(to, from));
-        if cut || !self.nodes[from].is_running(self.now) {
-            return;
-        }
-        let Some(ownership) = &self.nodes[from].ownership else {
+        let Some(ownership) = self.reachable(to, from) else {
             return;
         };
         let version = ownership.document();
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -27,6 +27,10 @@
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often a caller asks again what became of a request before it takes "unknown" as final.
 const UNKNOWN_MAX: u32 = 2;
+/// How long callers warm the upstreams: longer than a new one is held back as cold.
+const WARM_UP: Duration = Duration::from_secs(10);
+/// How long a caller leaves a daemon alone that did not answer.
+const SILENT_TIME: Duration = Duration::from_secs(5);
 /// The least gap between two answers that counts as unavailable time.
 const GAP_MIN: Duration = Duration::from_millis(100);
 
@@ -187,6 +191,15 @@
     }
 }
 
+/// Lets callers warm the upstreams until none is held back as cold any more.
+pub fn warm_up(specs: &[&LoadSpec]) {
+    let loads: Vec<Load> = specs.iter().map(|spec| Load::start(spec)).collect();
+    thread::sleep(WARM_UP);
+    for load in loads {
+        load.stop();
+    }
+}
+
 /// One caller.
 struct Caller {
     spec: LoadSpec,
@@ -194,6 +207,7 @@
     agent: ureq::Agent,
     entry: usize,
     rng: SmallRng,
+    silent: BTreeMap<usize, Instant>,
     last_ran: BTreeMap<String, Instant>,
     seen: Seen,
 }
@@ -213,13 +227,14 @@
             .proxy(None);
         let entry = rng.random_range(0..spec.entries.len());
         let agent = config.build().new_agent();
-        let (last_ran, seen) = (BTreeMap::new(), Seen::default());
+        let (silent, last_ran, seen) = (BTreeMap::new(), BTreeMap::new(), Seen::default());
         Self {
             spec,
             number,
             agent,
             entry,
             rng,
+            silent,
             last_ran,
             seen,
         }
@@ -337,15 +352,23 @@
             _ => {
                 let reason = reply.text.trim().to_owned();
                 *self.seen.reasons.entry(reason).or_default() += 1;
-                self.change_entry();
+                self.change_entry(reply.outcome.is_some());
             }
         }
         reply
     }
 
-    /// Goes on at another daemon: any serves.
-    fn change_entry(&mut self) {
-        self.entry = self.rng.random_range(0..self.spec.entries.len());
+    /// Goes on at another daemon, none of those that did not answer lately: any serves.
+    fn change_entry(&mut self, answered: bool) {
+        if !answered {
+            self.silent.insert(self.entry, Instant::now());
+        }
+        self.silent.retain(|_, at| at.elapsed() < SILENT_TIME);
+        let all = 0..self.spec.entries.len();
+        let others: Vec<usize> = all
+            .filter(|e| *e != self.entry && !self.silent.contains_key(e))
+            .collect();
+        self.entry = others.choose(&mut self.rng).copied().unwrap_or(self.entry);
     }
 
     fn send(&self, request: ureq::http::request::Builder, body: Vec<u8>) -> Reply {
--- a/crates/bench/src/runs/cold.rs
+++ b/crates/bench/src/runs/cold.rs
@@ -5,7 +5,7 @@
 
 use crate::args::BenchError;
 use crate::cluster::Cluster;
-use crate::load::{Load, LoadSpec, Seen};
+use crate::load::{self, Load, LoadSpec, Seen};
 use crate::runs::compare;
 use crate::runs::environment;
 use crate::runs::report::Report;
@@ -52,9 +52,7 @@
         timeout: Duration::from_secs(1),
         ..environment::bookings(cluster, CALLERS)
     };
-    let warming = Load::start(&lookups);
-    thread::sleep(PHASE);
-    warming.stop();
+    load::warm_up(&[&lookups]);
     let load = Load::start(&lookups);
     thread::sleep(PHASE / 2);
     cluster.kill_upstream(1);
--- a/crates/bench/src/runs/domain.rs
+++ b/crates/bench/src/runs/domain.rs
@@ -8,15 +8,13 @@
 use crate::args::BenchError;
 use crate::cluster::Cluster;
 use crate::journal;
-use crate::load::{Load, Seen};
+use crate::load::{self, Load, Seen};
 use crate::runs::compare;
 use crate::runs::environment;
 use crate::runs::report::Report;
 
 /// How long the load runs before, between and after the moves.
 const PHASE: Duration = Duration::from_secs(4);
-/// How long a load warms the upstreams before: longer than they are held back as cold.
-const WARM_UP: Duration = Duration::from_secs(10);
 /// How soon the domain must get no new work, in milliseconds: "a few seconds" in the brief.
 const NO_NEW_WORK_MS: u64 = 4000;
 
@@ -42,11 +40,7 @@
         environment::bookings(cluster, 24),
         environment::uploads(cluster, "export-office", 8),
     );
-    let warming = [Load::start(&bookings), Load::start(&uploads)];
-    thread::sleep(WARM_UP);
-    for load in warming {
-        load.stop();
-    }
+    load::warm_up(&[&bookings, &uploads]);
     let (load, uploads) = (Load::start(&bookings), Load::start(&uploads));
     thread::sleep(PHASE);
     let domain = cluster.hosts[0].domain;
--- a/crates/bench/src/runs/hot.rs
+++ b/crates/bench/src/runs/hot.rs
@@ -10,15 +10,13 @@
 use crate::args::BenchError;
 use crate::cluster::Cluster;
 use crate::journal::{self, Run};
-use crate::load::{Load, LoadSpec, Seen};
+use crate::load::{self, Load, LoadSpec, Seen};
 use crate::runs::compare;
 use crate::runs::environment;
 use crate::runs::report::Report;
 
 /// How long a set of hot keys stays hot.
 const TURN: Duration = Duration::from_secs(4);
-/// How long a load warms the upstreams before: longer than they are held back as cold.
-const WARM_UP: Duration = Duration::from_secs(10);
 /// How many sets there are.
 const TURNS: u32 = 3;
 /// The keys of a set.
@@ -55,9 +53,7 @@
         hot: Some(Arc::clone(&hot)),
         ..environment::bookings(cluster, 48)
     };
-    let warming = Load::start(&spec);
-    thread::sleep(WARM_UP);
-    warming.stop();
+    load::warm_up(&[&spec]);
     let load = Load::start(&spec);
     let mut imbalances = Vec::new();
     let before = cluster.status(0)?.epoch.0;
--- a/crates/bench/src/runs/straggler.rs
+++ b/crates/bench/src/runs/straggler.rs
@@ -5,15 +5,13 @@
 
 use crate::args::BenchError;
 use crate::cluster::Cluster;
-use crate::load::{Load, LoadSpec, Seen};
+use crate::load::{self, Load, LoadSpec, Seen};
 use crate::runs::compare;
 use crate::runs::environment;
 use crate::runs::report::Report;
 
 /// How long each third stays slow.
 const TURN: Duration = Duration::from_secs(3);
-/// How long a load warms the upstreams before: longer than they are held back as cold.
-const WARM_UP: Duration = Duration::from_secs(10);
 /// How many turns there are.
 const TURNS: usize = 3;
 /// How many times slower a straggler is.
@@ -80,11 +78,7 @@
         callers: 24,
         ..lookups.clone()
     };
-    let warming = [Load::start(&lookups), Load::start(&checks)];
-    thread::sleep(WARM_UP);
-    for load in warming {
-        load.stop();
-    }
+    load::warm_up(&[&lookups, &checks]);
     let (loft, ring) = (Load::start(&lookups), Load::start(&checks));
     for turn in 0..TURNS {
         for number in 0..cluster.hosts.len() {
--- a/src/cmd/command.rs
+++ b/src/cmd/command.rs
@@ -188,6 +188,13 @@
     options.optflag("", "json", "print JSON");
 }
 
+/// Declares the options that name an environment's configuration in the platform.
+pub fn declare_configuration(options: &mut Options) {
+    declare_platform(options);
+    declare_environment(options);
+    declare_json(options);
+}
+
 /// Declares the option that names a daemon's administration API.
 pub fn declare_admin(options: &mut Options) {
     let text = "a daemon's administration API (default 127.0.0.1:9400); may be repeated";
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -28,9 +28,7 @@
 }
 
 fn declare(options: &mut Options) {
-    command::declare_platform(options);
-    command::declare_environment(options);
-    command::declare_json(options);
+    command::declare_configuration(options);
     options.optopt("d", "domain", "the failure domain", "NAME");
     options.optopt("u", "upstream", "the upstream", "ADDRESS");
 }
--- a/src/cmd/history.rs
+++ b/src/cmd/history.rs
@@ -1,6 +1,6 @@
 //! `history`: prints the latest changes of a configuration.
 
-use getopts::{Matches, Options};
+use getopts::Matches;
 
 use crate::cmd::command::{self, Command, CommandError};
 
@@ -10,17 +10,11 @@
         name: "history",
         usage: "[OPTIONS]",
         about: "show the latest changes of the configuration",
-        declare,
+        declare: command::declare_configuration,
         execute,
     }
 }
 
-fn declare(options: &mut Options) {
-    command::declare_platform(options);
-    command::declare_environment(options);
-    command::declare_json(options);
-}
-
 fn execute(matches: &Matches) -> Result<String, CommandError> {
     let environment = command::environment(matches);
     let configuration = command::operations(matches).show(&environment)?;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,11 @@
 //! The subcommands of the operators' command, and the daemon's command line.
 //!
 //! Each module has a function that declares its arguments and one that executes it.
+//!
+//! ```
+//! let names: Vec<&str> = foxtaildrift::cmd::command::commands().iter().map(|c| c.name).collect();
+//! assert!(names.contains(&"promote"));
+//! ```
 
 pub mod burn;
 pub mod check;
--- a/src/cmd/show.rs
+++ b/src/cmd/show.rs
@@ -1,6 +1,6 @@
 //! `show`: prints the configuration that the platform holds.
 
-use getopts::{Matches, Options};
+use getopts::Matches;
 
 use crate::cmd::command::{self, Command, CommandError};
 
@@ -10,17 +10,11 @@
         name: "show",
         usage: "[OPTIONS]",
         about: "show the configuration that the platform holds",
-        declare,
+        declare: command::declare_configuration,
         execute,
     }
 }
 
-fn declare(options: &mut Options) {
-    command::declare_platform(options);
-    command::declare_environment(options);
-    command::declare_json(options);
-}
-
 fn execute(matches: &Matches) -> Result<String, CommandError> {
     let environment = command::environment(matches);
     let configuration = command::operations(matches).show(&environment)?;
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,4 +1,15 @@
 //! What lives for a connection: callers, other daemons, and the upstream.
+//!
+//! ```
+//! use foxtaildrift::connection::frame;
+//! use foxtaildrift::connection::peer_message::PeerRequest;
+//!
+//! let mut bytes = Vec::new();
+//! frame::write(&mut bytes, &PeerRequest::Table)?;
+//! let request: PeerRequest = frame::read(&mut bytes.as_slice())?;
+//! assert_eq!(request, PeerRequest::Table);
+//! # Ok::<(), frame::FrameError>(())
+//! ```
 
 pub mod caller;
 pub mod frame;
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -63,7 +63,8 @@
         }
     }
 
-    /// Calls the daemon at `to` and waits `limit` for its reply.
+    /// Calls the daemon at `to` and waits `limit` for its reply, or until `is_vain` says that none
+    /// is worth waiting for, which is asked whenever the connection has been silent for a while.
     ///
     /// # Errors
     ///
@@ -73,6 +74,7 @@
         to: SocketAddr,
         request: &PeerRequest,
         limit: Duration,
+        is_vain: impl Fn() -> bool,
     ) -> Result<Called, PeerError> {
         let until = Instant::now() + limit;
         if let Some(stream) = self.take_idle(to) {
@@ -83,7 +85,9 @@
                         repeated: false,
                     });
                 }
-                Err(Failure::Silent(e)) if Instant::now() >= until => return Err(e.into()),
+                Err(Failure::Silent(e)) if Instant::now() >= until || is_vain() => {
+                    return Err(e.into());
+                }
                 Err(Failure::Failed(e)) if Instant::now() >= until => return Err(e.into()),
                 Err(_) => self.forget(to),
             }
@@ -93,14 +97,14 @@
                 e => e,
             };
             let called = self
-                .call_fresh(to, &unfreshened(request), until)
+                .call_fresh(to, &unfreshened(request), until, &is_vain)
                 .map_err(unsure)?;
             return Ok(Called {
                 repeated: true,
                 ..called
             });
         }
-        self.call_fresh(to, request, until)
+        self.call_fresh(to, request, until, &is_vain)
     }
 
     /// Calls on new connections until `until`.
@@ -109,16 +113,19 @@
         to: SocketAddr,
         request: &PeerRequest,
         until: Instant,
+        is_vain: &impl Fn() -> bool,
     ) -> Result<Called, PeerError> {
         let mut stream = self.connect(to, until).map_err(PeerError::NotSent)?;
         let mut request = request.clone();
         let mut confirm = CONFIRM_TIME;
         let mut repeated = false;
         loop {
-            confirm *= 2;
+            confirm = (confirm * 2).min(PATIENCE);
             match self.exchange(to, stream, &request, confirm, until) {
                 Ok(reply) => return Ok(Called { reply, repeated }),
-                Err(Failure::Silent(e)) if Instant::now() >= until => return Err(e.into()),
+                Err(Failure::Silent(e)) if Instant::now() >= until || is_vain() => {
+                    return Err(e.into());
+                }
                 Err(Failure::Silent(_)) => repeated = true,
                 Err(Failure::Failed(e)) => return Err(e.into()),
             }
--- a/src/process/gate.rs
+++ b/src/process/gate.rs
@@ -362,13 +362,15 @@
             self.land(envelope.id, Landing::Failed, None);
             return Answer::not_run(Refusal::UpstreamRefused(e.to_string()));
         }
+        // Read before the lease is looked at: a pause in between may only shorten the order's time.
+        let wall = self.clock.wall();
         let given = self.clock.now();
         let limit = deadline.min(right.until).since(given);
         if limit < ORDER_TIME_MIN {
             self.land(envelope.id, Landing::Failed, None);
             return Answer::not_run(Refusal::DeadlinePassed);
         }
-        match link.order(envelope, right.fence, limit, self.clock.wall()) {
+        match link.order(envelope, right.fence, limit, wall) {
             Ok(answer) => {
                 let now = self.clock.now();
                 let landing = match (&answer.refusal, answer.outcome) {
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -240,7 +240,10 @@
 
     /// Gets the table of the daemon at `from` and adopts it.
     pub fn fetch_table(&self, from: SocketAddr) {
-        match self.pool.call(from, &PeerRequest::Table, FETCH_TIME) {
+        match self
+            .pool
+            .call(from, &PeerRequest::Table, FETCH_TIME, || false)
+        {
             Ok(Called {
                 reply: PeerReply::Table(Some(table)),
                 ..
@@ -256,7 +259,7 @@
     pub fn fetch_configuration(&self, from: SocketAddr) {
         match self
             .pool
-            .call(from, &PeerRequest::Configuration, FETCH_TIME)
+            .call(from, &PeerRequest::Configuration, FETCH_TIME, || false)
         {
             Ok(Called {
                 reply: PeerReply::Configuration(Some(configuration)),
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,4 +1,19 @@
 //! What lives for a process: settings, session, witness, planner, platform, and their threads.
+//!
+//! The decisions are pure: [`ownership`] and [`planner`] take time and messages in and give actions
+//! out; [`membership`] and [`custodian`] drive them over the network, and [`daemon`] puts all
+//! together.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use foxtaildrift::process::lease_times::LeaseTimes;
+//!
+//! // A witness states an end a little later than the holder's lease runs out.
+//! let times = LeaseTimes::default();
+//! assert!(times.silence() > times.lease);
+//! assert!(times.renewal * 3 <= times.lease + Duration::from_millis(500));
+//! ```
 
 pub mod admin;
 pub mod burn;
@@ -26,6 +41,7 @@
 pub mod ownership;
 pub mod planner;
 pub mod platform;
+pub mod ran_orders;
 pub mod router;
 pub mod serving;
 pub mod settings;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -124,8 +124,16 @@
         if !left {
             tracing::warn!("the slices were not handed over in time");
         }
-        while Instant::now() < until && !self.gate.wait_idle(STOP_STEP, |_| true) {}
-        self.membership.with(|o, now| o.resign(now));
+        let mut idle = self.gate.wait_idle(STOP_STEP, |_| true);
+        while !idle && Instant::now() < until {
+            idle = self.gate.wait_idle(STOP_STEP, |_| true);
+        }
+        if idle {
+            self.membership.with(|o, now| o.resign(now));
+        } else {
+            // The witnesses notice the end; by then the lease has bounded each order.
+            tracing::warn!("stopped with orders in flight");
+        }
         thread::sleep(STOP_STEP);
         if let Some(link) = self.gate.link()
             && let Err(e) = link.drain()
--- a/src/process/owner.rs
+++ b/src/process/owner.rs
@@ -268,7 +268,7 @@
         for (peer, handovers) in by_owner {
             let slices = handovers.len();
             let request = PeerRequest::Handover(handovers);
-            match self.pool.call(peer, &request, HANDOVER_TIME) {
+            match self.pool.call(peer, &request, HANDOVER_TIME, || false) {
                 Ok(_) => tracing::info!(%peer, slices, "records handed over"),
                 Err(e) => tracing::warn!(%peer, slices, error = %e, "records not handed over"),
             }
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -112,6 +112,11 @@
         &self.certified
     }
 
+    /// Returns whether `session` is known to have ended.
+    pub fn is_over(&self, session: SessionId) -> bool {
+        self.certified.contains_key(&session) || !self.table.members.contains_key(&session)
+    }
+
     /// Returns what the daemon says of itself.
     pub fn info(&self) -> &MemberInfo {
         &self.info
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -18,6 +18,7 @@
 use crate::process::metrics::Metrics;
 use crate::process::moment::Moment;
 use crate::process::owner::{GateRunner, Owner, Runner};
+use crate::process::ran_orders::RanOrders;
 use crate::process::serving::Serving;
 use crate::process::sync;
 use crate::process::workers::Workers;
@@ -40,8 +41,6 @@
 const PAUSE_MAX: Duration = Duration::from_millis(25);
 /// The part of the workers that may wait for keys without an owner: one in so many.
 const WAITERS_ONE_IN: u32 = 2;
-/// How long a finished order of a shared service is remembered after its deadline.
-const RAN_GRACE: Duration = Duration::from_secs(5);
 
 /// The budgets of one service.
 struct Budgets {
@@ -49,12 +48,6 @@
     hedge: Budget,
 }
 
-/// An order of a shared service given here, and its answer once there is one.
-struct Ran {
-    until: Moment,
-    answer: Option<PeerReply>,
-}
-
 /// What the routing of a daemon works with.
 #[derive(Clone)]
 pub struct RouterParts {
@@ -82,7 +75,7 @@
     choice: Choice,
     hedgers: Workers,
     budgets: Mutex<HashMap<ServiceName, Budgets>>,
-    ran: Mutex<HashMap<RequestId, Ran>>,
+    ran: Mutex<RanOrders>,
     ran_changed: Condvar,
     waiters: AtomicU32,
 }
@@ -176,18 +169,11 @@
         let now = self.parts.clock.now();
         let deadline = now + envelope.remaining;
         let id = envelope.id;
+        let repeatable = envelope.repeatable;
         let mut ran = sync::lock(&self.ran);
-        ran.retain(|_, r| r.until > now || r.answer.is_none());
-        if ran.contains_key(&id) {
+        if !ran.begin(now, id, deadline) {
             return self.join_run(ran, id, deadline);
         }
-        ran.insert(
-            id,
-            Ran {
-                until: deadline + RAN_GRACE,
-                answer: None,
-            },
-        );
         drop(ran);
         let leaving = self.parts.membership.with(|o, _| o.info().leaving);
         let right = |_| match leaving {
@@ -205,26 +191,25 @@
             Passage::Answer(answer) => PeerReply::Answer(answer),
             Passage::NotServing(reason) => PeerReply::NotServing(reason),
         };
-        if let Some(ran) = sync::lock(&self.ran).get_mut(&id) {
-            ran.answer = Some(reply.clone());
-        }
+        let now = self.parts.clock.now();
+        sync::lock(&self.ran).end(now, id, &reply, repeatable);
         self.ran_changed.notify_all();
         reply
     }
 
     fn join_run(
         &self,
-        ran: MutexGuard<'_, HashMap<RequestId, Ran>>,
+        ran: MutexGuard<'_, RanOrders>,
         id: RequestId,
         deadline: Moment,
     ) -> PeerReply {
         let span = deadline.since(self.parts.clock.now());
-        let running =
-            |all: &mut HashMap<RequestId, Ran>| all.get(&id).is_some_and(|r| r.answer.is_none());
-        let waited = self.ran_changed.wait_timeout_while(ran, span, running);
+        let waited = self
+            .ran_changed
+            .wait_timeout_while(ran, span, |r| r.is_running(id));
         let ran = waited.unwrap_or_else(PoisonError::into_inner).0;
-        let answer = ran.get(&id).and_then(|r| r.answer.clone());
-        answer.unwrap_or_else(|| PeerReply::Answer(Answer::unknown(Refusal::DeadlinePassed)))
+        let unknown = || PeerReply::Answer(Answer::unknown(Refusal::DeadlinePassed));
+        ran.reply(id).unwrap_or_else(unknown)
     }
 
     /// Brings a request to the owner of its key, or of its idempotency key.
@@ -309,8 +294,15 @@
         Some(self.call(&owner, &request, envelope.remaining))
     }
 
+    /// Calls a daemon; gives up once its session is known to have ended.
     fn call(&self, member: &Member, request: &PeerRequest, limit: Duration) -> Try {
-        match self.parts.pool.call(member.info.peer, request, limit) {
+        let session = member.info.session;
+        let has_ended = || self.parts.membership.with(|o, _| o.is_over(session));
+        match self
+            .parts
+            .pool
+            .call(member.info.peer, request, limit, has_ended)
+        {
             Ok(called) => match called.reply {
                 PeerReply::Answer(answer) => Try::Answered(answer, called.repeated),
                 PeerReply::NotServing(why) => Try::Elsewhere(why, called.repeated),
--- a/src/process/upkeep.rs
+++ b/src/process/upkeep.rs
@@ -141,7 +141,9 @@
             return;
         }
         let since = *round.without_upstream.get_or_insert_with(Instant::now);
-        if since.elapsed() > RESIGN_AFTER {
+        // A frozen upstream may still end an order; each ends by itself with its lease.
+        let idle = self.gate.wait_idle(Duration::ZERO, |_| true);
+        if since.elapsed() > RESIGN_AFTER && idle {
             round.without_upstream = None;
             tracing::warn!("session resigned: no upstream");
             self.membership.with(|o, now| o.resign(now));
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,4 +1,12 @@
 //! What lives for a request: its envelope and answer, its record, and the rules it meets.
+//!
+//! ```
+//! use foxtaildrift::process::wall_time::WallTime;
+//! use foxtaildrift::request::idempotency_key::IdempotencyKey;
+//!
+//! let key = IdempotencyKey::from_parts(WallTime(1_700_000_000_000), [7; 10]);
+//! assert_eq!(key.minted(), WallTime(1_700_000_000_000));
+//! ```
 
 pub mod answer;
 pub mod body;
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -1,4 +1,13 @@
 //! What lives for a version: the operators' document, and the assignment table.
+//!
+//! ```
+//! use foxtaildrift::version::key_hash::KeyHash;
+//! use foxtaildrift::version::table::ServiceSlices;
+//!
+//! let service = ServiceSlices { slices: vec![Default::default(); 64] };
+//! let slice = service.slice_of(KeyHash::of(b"member-17"));
+//! assert!(slice.is_some_and(|s| s.index() < 64));
+//! ```
 
 pub mod assignment;
 pub mod configuration;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,5 +10,6 @@
 mod operations;
 mod pages;
 mod quarantine;
+mod ran_orders;
 mod records;
 mod settings;
