--- a/crates/bench/src/runs/mod.rs
+++ b/crates/bench/src/runs/mod.rs
@@ -1,6 +1,7 @@
 //! The runs: each starts an environment, brings about a failure, and holds what callers were told
 //! against the journals.
 
+pub mod adoption;
 pub mod capacity;
 pub mod cold;
 pub mod compare;
@@ -35,6 +36,7 @@
     ("poison", poison::run),
     ("restart", restart::run),
     ("late", late::run),
+    ("adoption", adoption::run),
     ("faults", faults::run),
     ("straggler", straggler::run),
     ("domain", domain::run),
--- a/src/process/custodian.rs
+++ b/src/process/custodian.rs
@@ -113,8 +113,7 @@
         let mut plan = Planning::default();
         while !stop.wait(PLAN_INTERVAL) {
             if let Err(e) = self.plan_once(&mut plan) {
-                tracing::debug!(error = %e, "the platform can't be used now");
-                plan.base = None;
+                plan.note_failure(&e);
                 stop.wait(FAILURE_PAUSE);
             }
         }
@@ -160,6 +159,7 @@
         }
         if due(&mut plan.hold_at, HOLD_INTERVAL) {
             self.hold(plan)?;
+            plan.note_answer();
         }
         if !plan.holds {
             return Ok(());
@@ -298,12 +298,32 @@
 /// Where the planner is.
 #[derive(Debug, Default)]
 struct Planning {
+    failing: bool,
     holds: bool,
     base: Option<Base>,
     hold_at: Option<Instant>,
     read_at: Option<Instant>,
 }
 
+impl Planning {
+    /// Tells once that the platform can't be used.
+    fn note_failure(&mut self, e: &PlatformError) {
+        if !self.failing {
+            tracing::warn!(error = %e, "the platform can't be used; joins, moves and documents wait");
+        }
+        self.failing = true;
+        self.base = None;
+    }
+
+    /// Tells once that the platform can be used again.
+    fn note_answer(&mut self) {
+        if self.failing {
+            tracing::info!("the platform can be used again");
+        }
+        self.failing = false;
+    }
+}
+
 /// Returns whether `interval` has passed since the time in `at`, and notes the time then.
 fn due(at: &mut Option<Instant>, interval: Duration) -> bool {
     let due = at.is_none_or(|at| at.elapsed() >= interval);
