--- a/src/connection/peer_message.rs
+++ b/src/connection/peer_message.rs
@@ -48,7 +48,7 @@
 /// What the other daemon says to that.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerReply {
-    /// The request has arrived and is being worked on; another reply follows.
+    /// The call has arrived and is being worked on; another reply follows.
     Received,
     /// The answer to a request.
     Answer(Answer),
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -145,13 +145,7 @@
         until: Instant,
     ) -> Result<PeerReply, Failure> {
         frame::write(&mut stream, request).map_err(Failure::Failed)?;
-        let confirms = matches!(request, PeerRequest::Forward(_) | PeerRequest::Run { .. });
-        let first = if confirms {
-            confirm
-        } else {
-            until - Instant::now().min(until)
-        };
-        let mut reply = read_within(&mut stream, first, until)?;
+        let mut reply = read_within(&mut stream, confirm, until)?;
         while reply == PeerReply::Received {
             reply = read_within(&mut stream, PATIENCE, until)?;
         }
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -145,8 +145,7 @@
                 return;
             }
         };
-        let confirms = matches!(request, PeerRequest::Forward(_) | PeerRequest::Run { .. });
-        if confirms && frame::write(&mut stream, &PeerReply::Received).is_err() {
+        if frame::write(&mut stream, &PeerReply::Received).is_err() {
             return;
         }
         let reply = shared.handler.handle(request);
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -169,14 +169,15 @@
         self.node.stop_watching.raise();
         self.node.leave();
         let _ = self.watcher.join();
-        // Callers are served to the last: by now other daemons own all keys.
-        self.callers.stop();
         self.node.stop.raise();
         for thread in self.threads.drain(..) {
             let _ = thread.join();
         }
         self.peers.stop();
         self.admin.stop();
+        // Callers are served to the last, by the daemons that own the keys now: a request that
+        // arrives when nobody serves here any more would wait until the process ends.
+        self.callers.stop();
         tracing::info!("daemon stopped");
     }
 }
