--- a/crates/bench/src/runs/cold.rs
+++ b/crates/bench/src/runs/cold.rs
@@ -33,8 +33,7 @@
     let bears = spec.services[0].cold_slots;
     report.figure("bears", bears);
     let (adaptive, baseline) = compare::both(&spec, &mut report, experiment)?;
-    let (a, b) = (adaptive.latency_ms(0.99), baseline.latency_ms(0.99));
-    compare::ratio(&mut report, "p99", a, b);
+    compare::p99_ratio(&mut report, &adaptive, &baseline);
     report.end()
 }
 
--- a/crates/bench/src/runs/compare.rs
+++ b/crates/bench/src/runs/compare.rs
@@ -2,6 +2,7 @@
 
 use crate::args::BenchError;
 use crate::cluster::{Cluster, ClusterSpec};
+use crate::load::Seen;
 use crate::runs::environment;
 use crate::runs::report::Report;
 
@@ -30,6 +31,16 @@
     Ok((adaptive, baseline))
 }
 
+/// Notes the ratio of the latencies at p99.
+pub fn p99_ratio(report: &mut Report, adaptive: &Seen, baseline: &Seen) {
+    ratio(
+        report,
+        "p99",
+        adaptive.latency_ms(0.99),
+        baseline.latency_ms(0.99),
+    );
+}
+
 /// Notes the ratio of a figure of the adaptive policy to that of the baseline.
 pub fn ratio(report: &mut Report, name: &str, adaptive: f64, baseline: f64) {
     report.figure(
--- a/crates/bench/src/runs/domain.rs
+++ b/crates/bench/src/runs/domain.rs
@@ -26,8 +26,7 @@
 pub fn run(_args: &[String]) -> Result<(), BenchError> {
     let mut report = Report::new("domain");
     let (adaptive, baseline) = compare::both(&environment::cooperative(), &mut report, experiment)?;
-    let (a, b) = (adaptive.latency_ms(0.99), baseline.latency_ms(0.99));
-    compare::ratio(&mut report, "p99", a, b);
+    compare::p99_ratio(&mut report, &adaptive, &baseline);
     report.end()
 }
 
--- a/crates/bench/src/runs/hot.rs
+++ b/crates/bench/src/runs/hot.rs
@@ -34,8 +34,7 @@
     spec.services.truncate(1);
     let mut report = Report::new("hot");
     let (adaptive, baseline) = compare::both(&spec, &mut report, experiment)?;
-    let (a, b) = (adaptive.latency_ms(0.99), baseline.latency_ms(0.99));
-    compare::ratio(&mut report, "p99", a, b);
+    compare::p99_ratio(&mut report, &adaptive, &baseline);
     report.end()
 }
 
--- a/src/request/limiter.rs
+++ b/src/request/limiter.rs
@@ -3,7 +3,7 @@
 //! At most `limit` requests are in flight. Those that wait are served by the earliest deadline;
 //! one that would not end in time is refused at once. [`crate::request::pace`] sets the limit.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::process::moment::Moment;
@@ -50,7 +50,7 @@
     boot: Option<UpstreamBoot>,
     pace: Pace,
     in_flight: u32,
-    queue: BTreeMap<(Moment, Ticket), ()>,
+    queue: BTreeSet<(Moment, Ticket)>,
     next_ticket: u64,
 }
 
@@ -120,7 +120,7 @@
         }
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
-        self.queue.insert((deadline, ticket), ());
+        self.queue.insert((deadline, ticket));
         Admission::Wait(ticket)
     }
 
@@ -144,7 +144,7 @@
     pub fn admit(&mut self) -> Vec<Ticket> {
         let mut admitted = Vec::new();
         while self.in_flight < self.limit() {
-            let Some(((_, ticket), ())) = self.queue.pop_first() else {
+            let Some((_, ticket)) = self.queue.pop_first() else {
                 break;
             };
             self.in_flight += 1;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod names;
 mod operations;
 mod pages;
+mod planner;
 mod quarantine;
 mod ran_orders;
 mod records;
--- /dev/null
+++ b/tests/testsuite/planner.rs
@@ -0,0 +1,219 @@
+//! The planner: spread, takeover, drains, witnesses, hot slices, and rest.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use foxtaildrift::Document;
+use foxtaildrift::Table;
+use foxtaildrift::process::facts::Facts;
+use foxtaildrift::process::load_report::{LoadReport, SliceLoad};
+use foxtaildrift::process::planner::{self, PlanInput};
+use foxtaildrift::version::document_version::DocumentVersion;
+use foxtaildrift::version::epoch::Epoch;
+use foxtaildrift::version::instance_id::InstanceId;
+use foxtaildrift::version::member::{MemberInfo, WEIGHT_FULL};
+use foxtaildrift::version::session_id::SessionId;
+use foxtaildrift::version::slice_id::SliceId;
+use foxtaildrift::version::upstream::{Upstream, UpstreamBoot};
+
+const DOCUMENT: &str = "services: {order-desk: {slices: 60}}";
+
+/// A cell as its planner sees it; each daemon adopts each table at once.
+struct Cell {
+    table: Table,
+    joins: BTreeMap<InstanceId, MemberInfo>,
+    certified: BTreeMap<SessionId, Epoch>,
+    loads: BTreeMap<SessionId, LoadReport>,
+}
+
+fn session(n: u64) -> SessionId {
+    SessionId {
+        instance: InstanceId(n),
+        tenure: 1,
+    }
+}
+
+fn info(n: u64) -> MemberInfo {
+    let address = |port| SocketAddr::from(([127, 0, 1, u8::try_from(n).unwrap()], port));
+    MemberInfo {
+        session: session(n),
+        peer: address(7400),
+        entry: address(8080),
+        domain: format!("domain-{}", n % 3).parse().unwrap(),
+        upstream: Some(Upstream {
+            service: "order-desk".parse().unwrap(),
+            address: address(9000),
+            boot: UpstreamBoot(n),
+            slots: 9,
+            cold_slots: 3,
+            connections: 110,
+            checks_grants: true,
+        }),
+        leaving: false,
+        weight: WEIGHT_FULL,
+    }
+}
+
+impl Cell {
+    fn new(members: u64) -> Self {
+        let joins = (1..=members).map(|n| (InstanceId(n), info(n))).collect();
+        let (certified, loads) = (BTreeMap::new(), BTreeMap::new());
+        let mut cell = Self {
+            table: Table::default(),
+            joins,
+            certified,
+            loads,
+        };
+        cell.settle(DOCUMENT);
+        cell
+    }
+
+    /// Plans once; returns whether there was something to plan.
+    fn plan(&mut self, document: &str) -> bool {
+        let document = Document::parse(document).unwrap();
+        let epochs = self.table.members.keys().map(|&s| (s, self.table.epoch));
+        let adopted: BTreeMap<_, _> = epochs.collect();
+        let facts = Facts {
+            confirmed: adopted.clone(),
+            adopted,
+            ..Facts::default()
+        };
+        let input = PlanInput {
+            table: &self.table,
+            document: &document,
+            version: DocumentVersion(1),
+            joins: &self.joins,
+            facts: &facts,
+            certified: &self.certified,
+            loads: &self.loads,
+            planner: InstanceId(1),
+        };
+        let next = planner::plan(&input);
+        let planned = next.is_some();
+        self.table = next.unwrap_or(std::mem::take(&mut self.table));
+        planned
+    }
+
+    /// Plans until the planner is at rest; returns the number of plans.
+    fn settle(&mut self, document: &str) -> u32 {
+        let plans = (0..50).take_while(|_| self.plan(document)).count();
+        assert!(plans < 50, "the planner comes to rest");
+        u32::try_from(plans).unwrap()
+    }
+
+    fn owned(&self) -> BTreeMap<SessionId, usize> {
+        let mut owned = BTreeMap::new();
+        for (_, _, assignment) in self.table.assignments() {
+            *owned.entry(assignment.candidates[0]).or_default() += 1;
+        }
+        owned
+    }
+}
+
+#[test]
+fn slices_are_spread_and_their_candidates_lie_in_other_domains() {
+    let cell = Cell::new(6);
+    let owned = cell.owned();
+    assert_eq!(owned.len(), 6);
+    assert!(owned.values().all(|&n| (5..=15).contains(&n)), "{owned:?}");
+    for (_, _, assignment) in cell.table.assignments() {
+        let domain = |s: &SessionId| cell.table.members[s].info.domain.clone();
+        let domains: BTreeSet<_> = assignment.candidates.iter().map(domain).collect();
+        assert_eq!((assignment.candidates.len(), domains.len()), (3, 3));
+    }
+}
+
+#[test]
+fn witnesses_are_five_others_with_two_in_a_domain_at_the_most() {
+    let cell = Cell::new(9);
+    for (session, member) in &cell.table.members {
+        assert_eq!(member.witnesses.len(), 1);
+        let set = &member.witnesses[0];
+        assert_eq!(set.0.len(), 5);
+        assert!(!set.contains(session.instance));
+        let mut by_domain: BTreeMap<u64, usize> = BTreeMap::new();
+        for instance in set.instances() {
+            *by_domain.entry(instance.0 % 3).or_default() += 1;
+        }
+        assert!(by_domain.values().all(|&n| n <= 2), "{by_domain:?}");
+    }
+}
+
+#[test]
+fn an_even_number_of_others_takes_the_member_itself_in() {
+    for (members, size) in [(1, 1), (2, 1), (3, 3), (4, 3), (5, 5)] {
+        let cell = Cell::new(members);
+        for member in cell.table.members.values() {
+            assert_eq!(member.witnesses[0].0.len(), size, "{members} members");
+        }
+    }
+}
+
+#[test]
+fn the_candidate_that_took_over_keeps_its_slices() {
+    let mut cell = Cell::new(6);
+    let before = cell.table.clone();
+    cell.certified.insert(session(1), before.epoch);
+    cell.joins.remove(&InstanceId(1));
+    cell.plan(DOCUMENT);
+    for (service, slice, former) in before.assignments() {
+        let now = cell.table.assignment(service, slice).unwrap();
+        let heir = former
+            .candidates
+            .iter()
+            .find(|s| **s != session(1))
+            .unwrap();
+        assert_eq!(now.candidates[0], *heir);
+    }
+}
+
+#[test]
+fn a_domain_taken_out_owns_nothing_after_one_plan_and_is_filled_step_by_step() {
+    let mut cell = Cell::new(6);
+    let out = format!("{DOCUMENT}\ndomains: {{domain-1: out}}");
+    cell.plan(&out);
+    assert!(cell.owned().keys().all(|s| s.instance.0 % 3 != 1));
+    cell.settle(&out);
+    cell.plan(DOCUMENT);
+    let returned = cell.owned().get(&session(1)).copied().unwrap_or(0);
+    assert!((1..=3).contains(&returned), "{returned}");
+    cell.settle(DOCUMENT);
+    assert!(cell.owned()[&session(1)] >= 5);
+}
+
+#[test]
+fn a_hot_slice_leaves_a_busy_owner_and_nothing_moves_while_nobody_waits() {
+    for (busy, moves) in [(800, true), (100, false)] {
+        let mut cell = Cell::new(3);
+        let owner = session(1);
+        let all = cell.table.assignments();
+        let owned = all.filter(|(_, _, a)| a.candidates[0] == owner);
+        let slices: Vec<SliceId> = owned.map(|(_, slice, _)| slice).collect();
+        let (hot, other) = (slices[0], slices[1]);
+        for n in 1..=3 {
+            let (rate, slices) = if n == 1 {
+                (400, vec![(hot, 150), (other, 50)])
+            } else {
+                (50, vec![])
+            };
+            let slice = |(slice, rate): (SliceId, u32)| SliceLoad { slice, rate };
+            let report = LoadReport {
+                session: Some(session(n)),
+                epoch: cell.table.epoch,
+                slices: slices.into_iter().map(slice).collect(),
+                rate,
+                busy,
+                capacity: 1000,
+            };
+            cell.loads.insert(session(n), report);
+        }
+        cell.plan(DOCUMENT);
+        let service = "order-desk".parse().unwrap();
+        let now = cell.table.assignment(&service, hot).unwrap().candidates[0];
+        assert_eq!(now != owner, moves, "busy {busy}");
+        // The reports are of the former table now, so nothing moves twice.
+        let owned = cell.owned();
+        cell.settle(DOCUMENT);
+        assert_eq!(cell.owned(), owned);
+    }
+}
