Drop records that are handed over too late

Records for an assignment that has passed are dropped, and the first of two for one assignment counts.

--- a/src/process/owner.rs
+++ b/src/process/owner.rs
@@ -213,13 +213,22 @@
     }
 
     /// Takes in records that a former owner hands over.
+    ///
+    /// Those of an assignment that has passed came too late, and the first of two counts: a
+    /// network may hold a call up for any time.
     pub fn take_handover(&self, handovers: Vec<Handover>) {
         let mut kept = sync::lock(&self.kept);
         for handover in handovers {
+            let since = handover.since;
             let at = (handover.service, handover.slice);
-            if !kept.records.serves(&at.0, at.1) {
-                kept.handed_over
-                    .insert(at, (handover.since, handover.records));
+            let present = self.membership.with(|o, _| {
+                let assignment = o.table().assignment(&at.0, at.1);
+                assignment.map(|a| a.since).unwrap_or_default()
+            });
+            let known = kept.handed_over.get(&at).map(|(since, _)| *since);
+            let late = since < present || known.is_some_and(|k| k >= since);
+            if !late && !kept.records.serves(&at.0, at.1) {
+                kept.handed_over.insert(at, (since, handover.records));
             }
         }
     }
