Clear a suspect only when it ran, and drop what was never called

Read through once more: a suspect that the upstream shed was cleared as if it had run well; now only a run clears it. What a daemon saw of processes that are gone was never forgotten (Choice::retain had no caller); each new table does it now. Removed: Owner::record_bytes and Usage::threads, which nothing used.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -612,8 +612,6 @@
     pub cpu_seconds: f64,
     /// Resident memory, in bytes.
     pub resident: u64,
-    /// The private part of the resident memory: what one more process adds, in bytes.
-    pub threads: u64,
 }
 
 fn usage_of(pid: u32) -> Usage {
@@ -642,7 +640,6 @@
     Usage {
         cpu_seconds: (field(11) + field(12)) as f64 / ticks,
         resident: line("VmRSS:") * 1024,
-        threads: line("Threads:"),
     }
 }
 
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -243,6 +243,7 @@
             Event::Adopted(epoch) => {
                 node.metrics
                     .versions(epoch.0, node.membership.active().version.0);
+                node.router.forget_gone();
                 releasers.submit(move || node.owner.release(epoch, RELEASE_PATIENCE));
             }
             Event::Lapsed => releasers.submit(move || node.gate.cancel(|_| true)),
--- a/src/process/gate.rs
+++ b/src/process/gate.rs
@@ -378,7 +378,9 @@
                     (Some(Refusal::UpstreamShed), _) => Landing::Shed,
                     _ => Landing::Failed,
                 };
-                self.land(envelope.id, landing, Some(fingerprint));
+                // Only a run shows that the request crashes nothing; a shed one shows nothing.
+                let ran = (answer.outcome == Outcome::Ran).then_some(fingerprint);
+                self.land(envelope.id, landing, ran);
                 answer
             }
             Err(e) => {
--- a/src/process/owner.rs
+++ b/src/process/owner.rs
@@ -321,11 +321,6 @@
         kept.records.clear();
         kept.handed_over.clear();
     }
-
-    /// Returns the memory that the records take, in bytes.
-    pub fn record_bytes(&self) -> usize {
-        sync::lock(&self.kept).records.bytes()
-    }
 }
 
 /// Runs keyed requests on the upstream beside the daemon.
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -135,6 +135,13 @@
         self.route_owned(envelope, service, deadline)
     }
 
+    /// Forgets what was seen of processes that are no members any more.
+    pub fn forget_gone(&self) {
+        let table = self.parts.membership.table();
+        self.choice
+            .retain(|instance| table.member_of(instance).is_some());
+    }
+
     /// Serves a call of another daemon's entry.
     pub fn serve_forwarded(self: &Arc<Self>, envelope: Envelope) -> PeerReply {
         let active = self.parts.membership.active();
