--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -13,6 +13,7 @@
 pub mod daemon;
 pub mod drain;
 pub mod history;
+pub mod host;
 pub mod promote;
 pub mod show;
 pub mod status;
--- /dev/null
+++ b/src/connection/dialect.rs
@@ -0,0 +1,212 @@
+//! How callers, upstreams and operators of a platform name what the system goes by.
+//!
+//! These traits are the border to the platform: they read and write names, and decide nothing.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use thiserror::Error;
+
+use crate::connection::front::{HttpReply, HttpRequest};
+use crate::connection::http1::{AnswerHead, RequestHead};
+use crate::process::store::Item;
+use crate::request::headers::Headers;
+use crate::request::order::Order;
+use crate::request::shard_key::ShardKey;
+use crate::version::desired::Desired;
+use crate::version::domain_name::DomainName;
+use crate::version::service_name::ServiceName;
+
+/// What the head of a caller's request says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CallFacts {
+    /// The caller's name for this attempt.
+    pub id: Option<String>,
+    /// How long the caller waits.
+    pub time_left: Option<Duration>,
+    /// The key of the request.
+    pub key: Option<ShardKey>,
+}
+
+/// What callers speak.
+pub trait CallerDialect: Send + Sync {
+    /// Reads the head of a request.
+    fn read(&self, head: &RequestHead) -> CallFacts;
+
+    /// Returns the header that tells a caller when to come back.
+    fn retry_after(&self, wait: Duration) -> (&'static str, String);
+
+    /// Returns the header by which an answer names its request.
+    fn answered_id(&self, id: &str) -> (&'static str, String);
+}
+
+/// The load that an upstream tells with its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ToldLoad {
+    /// The orders that it works on.
+    pub running: u32,
+    /// The orders that wait in it.
+    pub waiting: u32,
+    /// The orders that it works on at once.
+    pub slots: u32,
+    /// How long work takes now, in per cent of the usual time.
+    pub slowness_percent: Option<u32>,
+}
+
+/// What the head of an upstream's answer says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// The request that it answers.
+    pub id: Option<String>,
+    /// Whether it bears the upstream's signature.
+    pub signed: bool,
+    /// Whether the upstream says that it did not run the request.
+    pub not_run: bool,
+    /// The run of the upstream that answers.
+    pub instance: Option<String>,
+    /// The load of the upstream.
+    pub load: Option<ToldLoad>,
+    /// How long the upstream stays cold.
+    pub cold_for: Option<Duration>,
+    /// The handover that goes with released keys.
+    pub handover: Option<String>,
+}
+
+/// A range of keys, both ends included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyRange {
+    /// The first key.
+    pub first: ShardKey,
+    /// The last key.
+    pub last: ShardKey,
+}
+
+/// A grant of keys to an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The keys.
+    pub keys: KeyRange,
+    /// The fence number.
+    pub fence: u64,
+    /// How long the upstream may hold them, unless the grant is renewed.
+    pub hold: Duration,
+    /// The handover of the last holder.
+    pub handover: Option<String>,
+}
+
+/// A request of the system's own to an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ControlCall {
+    /// The method.
+    pub method: &'static str,
+    /// The path.
+    pub target: String,
+    /// The headers.
+    pub headers: Headers,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// What upstreams speak.
+pub trait UpstreamDialect: Send + Sync {
+    /// Returns the headers of an order for the run `instance` of the upstream, which is awaited
+    /// for `left`.
+    fn order_headers(&self, order: &Order, instance: &str, left: Duration) -> Headers;
+
+    /// Reads the head of an answer.
+    fn read(&self, head: &AnswerHead) -> AnswerFacts;
+
+    /// Returns the call that grants keys.
+    fn grant(&self, grant: &Grant) -> ControlCall;
+
+    /// Returns the call that takes keys back.
+    fn release(&self, keys: KeyRange, fence: u64) -> ControlCall;
+
+    /// Returns the call that asks for the upstream's health.
+    fn health(&self, path: &str) -> ControlCall;
+}
+
+/// What an upstream reports of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatusReport {
+    /// The run of the upstream.
+    pub instance: String,
+    /// When it started, in milliseconds since 1970, by its own clock.
+    pub started_ms: u64,
+    /// The number of the report; a later one of the same start has a higher number.
+    pub sequence: u64,
+    /// The service.
+    pub service: ServiceName,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// The orders that it works on at once.
+    pub slots: u32,
+    /// Whether it is about to stop.
+    pub draining: bool,
+    /// How long it stays slow after its start.
+    pub cold_for: Duration,
+}
+
+/// What upstreams tell the daemon beside them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Report {
+    /// Its state.
+    Status(StatusReport),
+    /// It leaves.
+    Leaving {
+        /// The run of the upstream.
+        instance: String,
+        /// When it started, where it says so.
+        started_ms: Option<u64>,
+    },
+}
+
+/// A report that names no upstream to use.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{field}: {reason}")]
+pub struct ReportError {
+    /// The field.
+    pub field: &'static str,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// How upstreams make themselves known.
+pub trait Discovery: Send + Sync {
+    /// Reads a report.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first field that can't be used.
+    fn read(&self, request: &HttpRequest) -> Result<Report, ReportError>;
+
+    /// Returns the answer that acknowledges a report.
+    fn acknowledge(&self) -> HttpReply;
+}
+
+/// A state of the operators' values that can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{key}: {field}: {reason}")]
+pub struct DesiredError {
+    /// The key of the store.
+    pub key: String,
+    /// The field.
+    pub field: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// How operators write the routing that they want.
+pub trait OperatorDialect: Send + Sync {
+    /// Returns the beginning of the operators' keys.
+    fn prefix(&self) -> &str;
+
+    /// Reads the operators' values; the version is set by the caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first field that can't be used.
+    fn read(&self, items: &[Item]) -> Result<Desired, DesiredError>;
+}
--- a/src/connection/frame.rs
+++ b/src/connection/frame.rs
@@ -31,6 +31,16 @@
 ///
 /// Returns an error where the connection fails or the value is too large.
 pub fn write(to: &mut impl Write, value: &impl Serialize) -> Result<(), FrameError> {
+    to.write_all(&encode(value)?)?;
+    Ok(())
+}
+
+/// Encodes `value` as one frame.
+///
+/// # Errors
+///
+/// Returns an error where the value is too large.
+pub fn encode(value: &impl Serialize) -> Result<Vec<u8>, FrameError> {
     let mut bytes = postcard::to_extend(value, vec![0; LENGTH_BYTES])?;
     let length = bytes.len() - LENGTH_BYTES;
     if length > FRAME_BYTES_MAX {
@@ -38,8 +48,38 @@
     }
     let prefix = u32::try_from(length).map_err(|_| FrameError::TooLarge(length))?;
     bytes[..LENGTH_BYTES].copy_from_slice(&prefix.to_be_bytes());
-    to.write_all(&bytes)?;
-    Ok(())
+    Ok(bytes)
+}
+
+/// Decodes the frame that `bytes` begin with; returns the value and the frame's length, or `None`
+/// while the frame is not whole.
+///
+/// # Errors
+///
+/// Returns an error where the frame is malformed.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<Option<(T, usize)>, FrameError> {
+    let Some(prefix) = bytes.first_chunk::<LENGTH_BYTES>() else {
+        return Ok(None);
+    };
+    let length = usize::try_from(u32::from_be_bytes(*prefix)).unwrap_or(usize::MAX);
+    if length > FRAME_BYTES_MAX {
+        return Err(FrameError::TooLarge(length));
+    }
+    let end = LENGTH_BYTES + length;
+    let Some(payload) = bytes.get(LENGTH_BYTES..end) else {
+        return Ok(None);
+    };
+    Ok(Some((parse(payload)?, end)))
+}
+
+fn parse<T: DeserializeOwned>(payload: &[u8]) -> Result<T, FrameError> {
+    let (value, rest) = postcard::take_from_bytes(payload)?;
+    if !rest.is_empty() {
+        return Err(FrameError::Malformed(
+            postcard::Error::DeserializeBadEncoding,
+        ));
+    }
+    Ok(value)
 }
 
 /// Reads one frame.
@@ -59,11 +99,5 @@
     if read < length {
         return Err(FrameError::Io(io::ErrorKind::UnexpectedEof.into()));
     }
-    let (value, rest) = postcard::take_from_bytes(&bytes)?;
-    if !rest.is_empty() {
-        return Err(FrameError::Malformed(
-            postcard::Error::DeserializeBadEncoding,
-        ));
-    }
-    Ok(value)
+    parse(&bytes)
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -12,7 +12,11 @@
 //! ```
 
 pub mod caller;
+pub mod dialect;
 pub mod frame;
+pub mod front;
+pub mod http1;
+pub mod http_client;
 pub mod http_server;
 pub mod peer_error;
 pub mod peer_message;
@@ -20,3 +24,5 @@
 pub mod peer_server;
 pub mod upstream_error;
 pub mod upstream_link;
+pub mod upstream_pool;
+pub mod wire;
--- a/src/connection/peer_error.rs
+++ b/src/connection/peer_error.rs
@@ -13,6 +13,9 @@
     /// The connection failed after the call may have been sent.
     #[error("{0}")]
     MaybeSent(#[from] FrameError),
+    /// The party that waited for the reply has left.
+    #[error("the caller left")]
+    Abandoned,
     /// The reply was of the wrong kind.
     #[error("the reply does not fit the call")]
     Mismatch,
--- a/src/connection/peer_message.rs
+++ b/src/connection/peer_message.rs
@@ -2,11 +2,15 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::process::host::upstream_gate::LoadNote;
 use crate::process::wall_time::WallTime;
 use crate::request::answer::Answer;
 use crate::request::envelope::Envelope;
+use crate::request::order::Order;
 use crate::request::records::SliceRecords;
+use crate::request::verdict::Verdict;
 use crate::version::configuration::Configuration;
+use crate::version::desired::Desired;
 use crate::version::epoch::Epoch;
 use crate::version::instance_id::InstanceId;
 use crate::version::service_name::ServiceName;
@@ -14,7 +18,7 @@
 use crate::version::table::Table;
 
 /// What one daemon asks of another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerRequest {
     /// Serve a request as the owner of its key.
     Forward(Envelope),
@@ -34,6 +38,30 @@
     Configuration,
     /// Take the records of slices.
     Handover(Vec<Handover>),
+    /// Bring an order to the upstream beside the daemon.
+    Order {
+        /// The process that is meant: a later one on its address must not run a repeated call.
+        instance: InstanceId,
+        /// The order.
+        order: Box<Order>,
+    },
+    /// Give the routing that operators want.
+    Desired,
+    /// Take what upstreams handed over with ranges of keys.
+    KeyHandover(Vec<KeyHandover>),
+}
+
+/// What an upstream handed over when keys were taken from it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyHandover {
+    /// The service.
+    pub service: ServiceName,
+    /// The first slice.
+    pub first: SliceId,
+    /// The last slice.
+    pub last: SliceId,
+    /// The upstream's token for what it handed over.
+    pub handover: String,
 }
 
 /// The records of a slice on their way to its next owner.
@@ -50,7 +78,7 @@
 }
 
 /// What the other daemon says to that.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerReply {
     /// The call has arrived and is being worked on; another reply follows.
     Received,
@@ -64,4 +92,13 @@
     Configuration(Option<Box<Configuration>>),
     /// The records were taken.
     Taken,
+    /// What became of an order, and the load at the upstream.
+    Done {
+        /// What became of it.
+        verdict: Box<Verdict>,
+        /// The load after it.
+        load: LoadNote,
+    },
+    /// The routing that operators want, if there is one.
+    Desired(Option<Box<Desired>>),
 }
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -6,15 +6,14 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use socket2::{Domain, Protocol, SockAddr, Socket, Type};
-
 use crate::connection::frame::{self, FrameError};
 use crate::connection::peer_error::PeerError;
 use crate::connection::peer_message::{PeerReply, PeerRequest};
+use crate::connection::wire::{Waiter, Wire, WireError};
 use crate::request::envelope::Envelope;
 
 /// The most idle connections to one daemon.
@@ -23,18 +22,32 @@
 const IDLE_TIME: Duration = Duration::from_secs(30);
 /// How long a connection may take to be made.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
-/// How long the other daemon may take to confirm that a request arrived.
-const CONFIRM_TIME: Duration = Duration::from_millis(30);
-/// How long a confirmed request may take before it is asked for again on a new connection.
-const PATIENCE: Duration = Duration::from_millis(200);
+
+/// How long a pool waits for other daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerTimes {
+    /// How long the other daemon may take to confirm that a request arrived.
+    pub confirm: Duration,
+    /// How long a confirmed request may take before it is asked for again on a new connection.
+    pub patience: Duration,
+}
+
+impl Default for PeerTimes {
+    fn default() -> Self {
+        Self {
+            confirm: Duration::from_millis(30),
+            patience: Duration::from_millis(200),
+        }
+    }
+}
 
 struct Idle {
-    stream: TcpStream,
+    wire: Wire,
     since: Instant,
 }
 
 /// The reply to a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Called {
     /// The reply.
     pub reply: PeerReply,
@@ -46,25 +59,29 @@
 enum Failure {
     Silent(FrameError),
     Failed(FrameError),
+    Abandoned,
 }
 
 /// The connections of one daemon to the others.
 pub struct PeerPool {
     source: IpAddr,
+    times: PeerTimes,
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
 }
 
 impl PeerPool {
     /// Creates a pool whose connections come from `source`.
-    pub fn new(source: IpAddr) -> Self {
+    pub fn new(source: IpAddr, times: PeerTimes) -> Self {
         Self {
             source,
+            times,
             idle: Mutex::default(),
         }
     }
 
-    /// Calls the daemon at `to` and waits `limit` for its reply, or until `is_vain` says that none
-    /// is worth waiting for, which is asked whenever the connection has been silent for a while.
+    /// Calls the daemon at `to` and waits `limit` for its reply, or until `waiter` leaves, or
+    /// until `is_vain` says that none is worth waiting for, which is asked whenever the connection
+    /// has been silent for a while.
     ///
     /// # Errors
     ///
@@ -74,114 +91,109 @@
         to: SocketAddr,
         request: &PeerRequest,
         limit: Duration,
+        waiter: &Waiter,
         is_vain: impl Fn() -> bool,
     ) -> Result<Called, PeerError> {
         let until = Instant::now() + limit;
-        if let Some(stream) = self.take_idle(to) {
-            match self.exchange(to, stream, request, CONFIRM_TIME, until) {
-                Ok(reply) => {
-                    return Ok(Called {
-                        reply,
-                        repeated: false,
-                    });
-                }
-                Err(Failure::Silent(e)) if Instant::now() >= until || is_vain() => {
-                    return Err(e.into());
+        // Connections that went silent stay open until the call ends: to close one would tell the
+        // other daemon that nobody waits any more.
+        let mut silent = Vec::new();
+        let mut reused = self.take_idle(to);
+        let mut confirm = self.times.confirm;
+        let mut request = request.clone();
+        let mut repeated = false;
+        loop {
+            let is_reused = reused.is_some();
+            let connected = match reused.take() {
+                Some(wire) => Ok(wire),
+                None => self.connect(to, until),
+            };
+            let wire = connected.map_err(|e| match repeated {
+                true => PeerError::MaybeSent(FrameError::Io(e)),
+                false => PeerError::NotSent(e),
+            })?;
+            let failure = match self.exchange(to, wire, &request, confirm, until, waiter) {
+                Ok(reply) => return Ok(Called { reply, repeated }),
+                Err((failure, wire)) => {
+                    silent.push(wire);
+                    failure
                 }
-                Err(Failure::Failed(e)) if Instant::now() >= until => return Err(e.into()),
-                Err(_) => self.forget(to),
-            }
-            // The call may have arrived, so a failure to connect must not read as not sent.
-            let unsure = |e: PeerError| match e {
-                PeerError::NotSent(e) => PeerError::MaybeSent(FrameError::Io(e)),
-                e => e,
             };
-            let called = self
-                .call_fresh(to, &unfreshened(request), until, &is_vain)
-                .map_err(unsure)?;
-            return Ok(Called {
-                repeated: true,
-                ..called
-            });
+            let over = Instant::now() >= until;
+            match failure {
+                Failure::Abandoned => return Err(PeerError::Abandoned),
+                Failure::Silent(e) if over || is_vain() => return Err(e.into()),
+                Failure::Failed(e) if over || (!is_reused && repeated) => return Err(e.into()),
+                Failure::Silent(_) | Failure::Failed(_) => self.forget(to),
+            }
+            repeated = true;
+            confirm = (confirm * 2).min(self.times.patience);
+            request = unfreshened(&request);
         }
-        self.call_fresh(to, request, until, &is_vain)
     }
 
-    /// Calls on new connections until `until`.
-    fn call_fresh(
+    /// Makes one call on `wire`; keeps the connection where all went well, and returns it
+    /// otherwise.
+    fn exchange(
         &self,
         to: SocketAddr,
+        mut wire: Wire,
         request: &PeerRequest,
+        confirm: Duration,
         until: Instant,
-        is_vain: &impl Fn() -> bool,
-    ) -> Result<Called, PeerError> {
-        let mut stream = self.connect(to, until).map_err(PeerError::NotSent)?;
-        let mut request = request.clone();
-        let mut confirm = CONFIRM_TIME;
-        let mut repeated = false;
-        loop {
-            confirm = (confirm * 2).min(PATIENCE);
-            match self.exchange(to, stream, &request, confirm, until) {
-                Ok(reply) => return Ok(Called { reply, repeated }),
-                Err(Failure::Silent(e)) if Instant::now() >= until || is_vain() => {
-                    return Err(e.into());
-                }
-                Err(Failure::Silent(_)) => repeated = true,
-                Err(Failure::Failed(e)) => return Err(e.into()),
+        waiter: &Waiter,
+    ) -> Result<PeerReply, (Failure, Wire)> {
+        match self.ask(&mut wire, request, confirm, until, waiter) {
+            Ok(reply) => {
+                self.put_idle(to, wire);
+                Ok(reply)
             }
-            request = unfreshened(&request);
-            let connected = self.connect(to, until);
-            stream = connected.map_err(|e| PeerError::MaybeSent(FrameError::Io(e)))?;
+            Err(failure) => Err((failure, wire)),
         }
     }
 
-    /// Makes one call on `stream`; keeps the connection where all went well.
-    fn exchange(
+    fn ask(
         &self,
-        to: SocketAddr,
-        mut stream: TcpStream,
+        wire: &mut Wire,
         request: &PeerRequest,
         confirm: Duration,
         until: Instant,
+        waiter: &Waiter,
     ) -> Result<PeerReply, Failure> {
-        frame::write(&mut stream, request).map_err(Failure::Failed)?;
-        let mut reply = read_within(&mut stream, confirm, until)?;
+        let bytes = frame::encode(request).map_err(Failure::Failed)?;
+        wire.write(&bytes, false, until, waiter).map_err(turn)?;
+        let mut reply = read_within(wire, confirm, until, waiter)?;
         while reply == PeerReply::Received {
-            reply = read_within(&mut stream, PATIENCE, until)?;
+            reply = read_within(wire, self.times.patience, until, waiter)?;
         }
-        self.put_idle(to, stream);
         Ok(reply)
     }
 
-    fn connect(&self, to: SocketAddr, until: Instant) -> io::Result<TcpStream> {
-        let limit = CONNECT_TIME.min(until - Instant::now().min(until));
-        if limit.is_zero() {
-            return Err(io::ErrorKind::TimedOut.into());
-        }
-        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
-        socket.bind(&SockAddr::from(SocketAddr::new(self.source, 0)))?;
-        socket.connect_timeout(&SockAddr::from(to), limit)?;
-        socket.set_tcp_nodelay(true)?;
-        Ok(socket.into())
+    fn connect(&self, to: SocketAddr, until: Instant) -> io::Result<Wire> {
+        Wire::connect(
+            to,
+            Some(self.source),
+            until.min(Instant::now() + CONNECT_TIME),
+        )
     }
 
-    fn take_idle(&self, to: SocketAddr) -> Option<TcpStream> {
+    fn take_idle(&self, to: SocketAddr) -> Option<Wire> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&to)?;
         while let Some(connection) = list.pop() {
-            if connection.since.elapsed() < IDLE_TIME {
-                return Some(connection.stream);
+            if connection.since.elapsed() < IDLE_TIME && connection.wire.is_fresh() {
+                return Some(connection.wire);
             }
         }
         None
     }
 
-    fn put_idle(&self, to: SocketAddr, stream: TcpStream) {
+    fn put_idle(&self, to: SocketAddr, wire: Wire) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(to).or_default();
         if list.len() < IDLE_MAX {
             list.push(Idle {
-                stream,
+                wire,
                 since: Instant::now(),
             });
         }
@@ -207,24 +219,28 @@
 
 /// Reads a reply within `limit`, and before `until`.
 fn read_within(
-    stream: &mut TcpStream,
+    wire: &mut Wire,
     limit: Duration,
     until: Instant,
+    waiter: &Waiter,
 ) -> Result<PeerReply, Failure> {
-    let left = until - Instant::now().min(until);
-    let limit = limit.min(left).max(Duration::from_millis(1));
-    let set = stream.set_read_timeout(Some(limit));
-    set.map_err(|e| Failure::Failed(FrameError::Io(e)))?;
-    frame::read(stream).map_err(|e| match &e {
-        FrameError::Io(io) if is_timeout(io) => Failure::Silent(e),
-        _ => Failure::Failed(e),
-    })
+    let until = until.min(Instant::now() + limit);
+    loop {
+        match frame::decode(wire.buffered()).map_err(Failure::Failed)? {
+            Some((reply, used)) => {
+                wire.consume(used);
+                return Ok(reply);
+            }
+            None => wire.fill(until, waiter).map_err(turn)?,
+        };
+    }
 }
 
-/// Returns whether a read ran into its time limit.
-fn is_timeout(e: &io::Error) -> bool {
-    matches!(
-        e.kind(),
-        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
-    )
+fn turn(e: WireError) -> Failure {
+    match e {
+        WireError::TimedOut => Failure::Silent(FrameError::Io(io::ErrorKind::TimedOut.into())),
+        WireError::Abandoned => Failure::Abandoned,
+        WireError::Io(e) => Failure::Failed(FrameError::Io(e)),
+        _ => Failure::Failed(FrameError::Io(io::ErrorKind::UnexpectedEof.into())),
+    }
 }
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -10,6 +10,7 @@
 
 use crate::connection::frame;
 use crate::connection::peer_message::{PeerReply, PeerRequest};
+use crate::connection::wire::Waiter;
 
 /// The most connections at once; more are closed at once.
 const CONNECTIONS_MAX: usize = 4096;
@@ -18,10 +19,15 @@
 /// How long a reply may take to be written.
 const WRITE_TIME: Duration = Duration::from_secs(5);
 
+/// How long a connection may be idle; other daemons close theirs sooner.
+const IDLE_TIME: Duration = Duration::from_secs(45);
+/// The stack of a connection's thread, in bytes.
+const STACK_BYTES: usize = 512 * 1024;
+
 /// Serves the calls of other daemons.
 pub trait PeerHandler: Send + Sync {
-    /// Returns the reply to a call.
-    fn handle(&self, request: PeerRequest) -> PeerReply;
+    /// Returns the reply to a call; `waiter` tells when the caller leaves.
+    fn handle(&self, request: PeerRequest, waiter: &Waiter) -> PeerReply;
 
     /// Counts a frame that could not be read.
     fn malformed(&self);
@@ -30,7 +36,7 @@
 struct Shared {
     handler: Arc<dyn PeerHandler>,
     stopping: AtomicBool,
-    open: Mutex<HashMap<u64, TcpStream>>,
+    open: Mutex<HashMap<u64, Arc<TcpStream>>>,
     threads: Mutex<Vec<JoinHandle<()>>>,
 }
 
@@ -111,17 +117,20 @@
 fn admit(stream: TcpStream, number: u64, shared: &Arc<Shared>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     stream.set_write_timeout(Some(WRITE_TIME))?;
+    stream.set_read_timeout(Some(IDLE_TIME))?;
     let mut open = lock(&shared.open);
     if open.len() >= CONNECTIONS_MAX || shared.stopping.load(Ordering::SeqCst) {
         return Ok(());
     }
-    open.insert(number, stream.try_clone()?);
+    let stream = Arc::new(stream);
+    open.insert(number, Arc::clone(&stream));
     drop(open);
     let for_thread = Arc::clone(shared);
     let started = thread::Builder::new()
         .name("peer".to_owned())
+        .stack_size(STACK_BYTES)
         .spawn(move || {
-            serve(stream, &for_thread);
+            serve(&stream, &for_thread);
             lock(&for_thread.open).remove(&number);
         });
     match started {
@@ -135,7 +144,9 @@
 }
 
 /// Serves one connection, one call at a time, until it ends.
-fn serve(mut stream: TcpStream, shared: &Shared) {
+fn serve(stream: &Arc<TcpStream>, shared: &Shared) {
+    let waiter = Waiter::of(stream);
+    let mut stream: &TcpStream = stream;
     loop {
         let request = match frame::read::<PeerRequest>(&mut stream) {
             Ok(request) => request,
@@ -148,7 +159,7 @@
         if frame::write(&mut stream, &PeerReply::Received).is_err() {
             return;
         }
-        let reply = shared.handler.handle(request);
+        let reply = shared.handler.handle(request, &waiter);
         if frame::write(&mut stream, &reply).is_err() {
             return;
         }
--- /dev/null
+++ b/src/connection/upstream_pool.rs
@@ -0,0 +1,269 @@
+//! The connections to the upstream beside the daemon: one order at a time on each.
+
+use std::io::ErrorKind;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::connection::dialect::{AnswerFacts, ControlCall, UpstreamDialect};
+use crate::connection::http1::{self, AnswerHead, Framing};
+use crate::connection::wire::{Waiter, Wire, WireError};
+use crate::process::sync;
+use crate::request::body::{BODY_BYTES_MAX, Body};
+use crate::request::order::Order;
+use crate::request::verdict::UpstreamAnswer;
+
+/// How long a connection may take to be made.
+const CONNECT_TIME: Duration = Duration::from_millis(1000);
+/// How long such a connection may take that only tells whether something listens.
+const PROBE_TIME: Duration = Duration::from_millis(200);
+/// How long a connection may be idle and still be used, where the upstream tells no time.
+const IDLE_TIME: Duration = Duration::from_secs(4);
+/// The part of the told time that is used.
+const IDLE_PART: f64 = 0.7;
+/// The most idle connections kept.
+const IDLE_MAX: usize = 32;
+/// The most answers to other requests that are passed over on one connection.
+const STRAY_MAX: usize = 4;
+
+/// How an order ended that brought no answer of the upstream's own.
+#[derive(Debug, PartialEq, Eq)]
+pub enum OrderFailure {
+    /// Nothing listens at the address: the upstream's process is gone.
+    Refused,
+    /// No byte of the order was sent.
+    NotSent(String),
+    /// The upstream says that it did not run the order.
+    NotRun {
+        /// The status.
+        status: u16,
+        /// What the head says.
+        facts: AnswerFacts,
+    },
+    /// The order may have run; the answer was lost or spoiled.
+    MaybeRun(String),
+    /// The order may have run; no answer came in time.
+    TimedOut,
+    /// The caller left.
+    Abandoned,
+}
+
+/// An answer with what its head says.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Answered {
+    /// The answer.
+    pub answer: UpstreamAnswer,
+    /// What its head says.
+    pub facts: AnswerFacts,
+}
+
+struct Idle {
+    wire: Wire,
+    until: Instant,
+}
+
+/// The connections to one address.
+pub struct UpstreamPool {
+    to: SocketAddr,
+    from: Option<IpAddr>,
+    dialect: Arc<dyn UpstreamDialect>,
+    idle: Mutex<Vec<Idle>>,
+}
+
+impl UpstreamPool {
+    /// Creates a pool without a connection.
+    pub fn new(to: SocketAddr, from: Option<IpAddr>, dialect: Arc<dyn UpstreamDialect>) -> Self {
+        Self {
+            to,
+            from,
+            dialect,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        sync::lock(&self.idle).clear();
+    }
+
+    /// Gives an order to the run `instance` of the upstream, and waits `left` for its answer, or
+    /// until `waiter` leaves.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer; it tells whether the order may have run.
+    pub fn order(
+        &self,
+        order: &Order,
+        instance: &str,
+        left: Duration,
+        waiter: &Waiter,
+    ) -> Result<Answered, OrderFailure> {
+        let until = Instant::now() + left;
+        let headers = self.dialect.order_headers(order, instance, left);
+        let body = &order.body.0;
+        let mut bytes = http1::encode_request(&order.method, &order.target, &headers, body.len());
+        bytes.extend_from_slice(body);
+        let mut wire = self.take(until)?;
+        let written = match wire.write(&bytes, true, until, waiter) {
+            Ok(written) => written,
+            Err(WireError::Abandoned) => return Err(OrderFailure::Abandoned),
+            Err(e) => return Err(OrderFailure::MaybeRun(format!("not written: {e}"))),
+        };
+        let (head, facts) = self.read_head(&mut wire, order, until, waiter)?;
+        let framing = http1::answer_framing(&head, &order.method).map_err(lost)?;
+        let body = http1::read_body(&mut wire, framing, BODY_BYTES_MAX, until, waiter);
+        let not_run = facts.not_run || head.status == 421;
+        let body = match body {
+            Ok(body) => body,
+            Err(_) if not_run => Vec::new(),
+            Err(e) => return Err(lost(e)),
+        };
+        if written == bytes.len() && framing != Framing::UntilClose {
+            self.put(wire, &head);
+        }
+        if not_run {
+            let status = head.status;
+            return Err(OrderFailure::NotRun { status, facts });
+        }
+        let success = (200..300).contains(&head.status);
+        if success && !facts.signed {
+            return Err(OrderFailure::MaybeRun(
+                "an answer without signature".to_owned(),
+            ));
+        }
+        if success && head.headers.get("content-encoding").is_some() {
+            return Err(OrderFailure::MaybeRun("an encoded answer".to_owned()));
+        }
+        let answer = UpstreamAnswer {
+            status: head.status,
+            headers: head.headers.end_to_end(),
+            body: Body(body),
+        };
+        Ok(Answered { answer, facts })
+    }
+
+    /// Reads the head of the answer to `order`, and passes answers to other requests over.
+    fn read_head(
+        &self,
+        wire: &mut Wire,
+        order: &Order,
+        until: Instant,
+        waiter: &Waiter,
+    ) -> Result<(AnswerHead, AnswerFacts), OrderFailure> {
+        for _ in 0..STRAY_MAX {
+            let head = http1::read_answer_head(wire, until, waiter).map_err(lost)?;
+            let facts = self.dialect.read(&head);
+            if facts.id.as_deref() == Some(&order.id) {
+                return Ok((head, facts));
+            }
+            tracing::info!(event = "stray-answer", request = %order.id, other = ?facts.id);
+            let framing = http1::answer_framing(&head, &order.method).map_err(lost)?;
+            if framing == Framing::UntilClose {
+                break;
+            }
+            http1::read_body(wire, framing, BODY_BYTES_MAX, until, waiter).map_err(lost)?;
+        }
+        Err(OrderFailure::MaybeRun(
+            "answers to other requests".to_owned(),
+        ))
+    }
+
+    /// Makes a call of the system's own and waits `limit` for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no whole answer came.
+    pub fn control(
+        &self,
+        call: &ControlCall,
+        limit: Duration,
+    ) -> Result<(AnswerHead, AnswerFacts), OrderFailure> {
+        let until = Instant::now() + limit;
+        let mut bytes =
+            http1::encode_request(call.method, &call.target, &call.headers, call.body.len());
+        bytes.extend_from_slice(&call.body);
+        let waiter = Waiter::none();
+        let mut wire = self.take(until)?;
+        wire.write(&bytes, false, until, &waiter).map_err(lost)?;
+        let head = http1::read_answer_head(&mut wire, until, &waiter).map_err(lost)?;
+        let framing = http1::answer_framing(&head, call.method).map_err(lost)?;
+        http1::read_body(&mut wire, framing, BODY_BYTES_MAX, until, &waiter).map_err(lost)?;
+        let facts = self.dialect.read(&head);
+        // An answer that names a request belongs to an order: what follows can't be told apart.
+        if facts.id.is_some() {
+            return Err(OrderFailure::MaybeRun(
+                "answers to other requests".to_owned(),
+            ));
+        }
+        if framing != Framing::UntilClose {
+            self.put(wire, &head);
+        }
+        Ok((head, facts))
+    }
+
+    /// Finds out whether something listens at the address.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no connection was made.
+    pub fn probe(&self) -> Result<(), OrderFailure> {
+        let until = Instant::now() + PROBE_TIME;
+        let wire = self.take(until)?;
+        sync::lock(&self.idle).push(Idle {
+            wire,
+            until: Instant::now() + IDLE_TIME,
+        });
+        Ok(())
+    }
+
+    /// Returns an idle connection, or makes one.
+    fn take(&self, until: Instant) -> Result<Wire, OrderFailure> {
+        let now = Instant::now();
+        loop {
+            let Some(idle) = sync::lock(&self.idle).pop() else {
+                break;
+            };
+            if idle.until > now && idle.wire.is_fresh() {
+                return Ok(idle.wire);
+            }
+        }
+        let limit = until.min(now + CONNECT_TIME);
+        Wire::connect(self.to, self.from, limit).map_err(|e| match e.kind() {
+            ErrorKind::ConnectionRefused => OrderFailure::Refused,
+            _ => OrderFailure::NotSent(e.to_string()),
+        })
+    }
+
+    /// Keeps a connection for the next order.
+    fn put(&self, wire: Wire, head: &AnswerHead) {
+        if !head.keeps_alive() || !wire.buffered().is_empty() {
+            return;
+        }
+        let told = head.headers.text("keep-alive").and_then(told_time);
+        let time = told.map_or(IDLE_TIME, |t| t.mul_f64(IDLE_PART));
+        let mut idle = sync::lock(&self.idle);
+        if idle.len() < IDLE_MAX {
+            idle.push(Idle {
+                wire,
+                until: Instant::now() + time,
+            });
+        }
+    }
+}
+
+/// Reads the idle time of a `Keep-Alive` header.
+fn told_time(text: &str) -> Option<Duration> {
+    let mut parts = text.split(',');
+    let seconds = parts.find_map(|p| p.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+/// Turns an error after the order was sent.
+fn lost(e: WireError) -> OrderFailure {
+    match e {
+        WireError::TimedOut => OrderFailure::TimedOut,
+        WireError::Abandoned => OrderFailure::Abandoned,
+        e => OrderFailure::MaybeRun(e.to_string()),
+    }
+}
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -11,7 +11,7 @@
 
 use crate::connection::caller::{CallerFront, CallerHandler};
 use crate::connection::http_server::{HttpHandler, HttpServer};
-use crate::connection::peer_pool::PeerPool;
+use crate::connection::peer_pool::{PeerPool, PeerTimes};
 use crate::connection::peer_server::{PeerHandler, PeerServer};
 use crate::process::admin::{self, AdminApi};
 use crate::process::clock::{Clock, SystemClock};
@@ -92,7 +92,7 @@
         let instance = InstanceId(rand::random());
         tracing::info!(%instance, peer = %settings.advertised(), "daemon starts");
         let metrics = Arc::new(Metrics::new()?);
-        let pool = Arc::new(PeerPool::new(settings.peer.ip()));
+        let pool = Arc::new(PeerPool::new(settings.peer.ip(), PeerTimes::default()));
         let (events, received) = mpsc::channel();
         let ownership = ownership(&settings, &*clock, instance);
         let membership = Arc::new(Membership::new(
@@ -297,7 +297,7 @@
 }
 
 /// Opens a listener whose connections send at once.
-fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+pub(super) fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
     let open = || {
         let socket = Socket::new(
             Domain::for_address(address),
@@ -314,7 +314,11 @@
     open().map_err(|e| listen_error(what, address, e))
 }
 
-fn listen_error(what: &'static str, address: SocketAddr, source: std::io::Error) -> DaemonError {
+pub(super) fn listen_error(
+    what: &'static str,
+    address: SocketAddr,
+    source: std::io::Error,
+) -> DaemonError {
     DaemonError::Listen {
         what,
         address,
--- /dev/null
+++ b/src/process/host/admission.rs
@@ -0,0 +1,212 @@
+//! How many orders the upstream gets at once, in which order, and at what pace while it is cold:
+//! time and orders in, turns out.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::process::moment::Moment;
+use crate::request::verdict::Cause;
+
+/// The weight of a new time in the running mean.
+const MEAN_WEIGHT: f64 = 0.05;
+/// The mean time of an order before one was measured, in microseconds.
+const MEAN_UNKNOWN_MICROS: f64 = 100_000.0;
+/// The part of the mean time that must be left of a request's own time when its turn comes.
+const WORK_PART: f64 = 0.6;
+/// The expected wait that is borne even where the answer comes too late to count in full.
+const LATE_WAIT: Duration = Duration::from_millis(40);
+/// The shortest time after which a refused caller is told to come back.
+const RETRY_MIN: Duration = Duration::from_millis(60);
+/// The part of its bearable pace that a cold upstream gets.
+const COLD_PART: f64 = 1.1;
+
+/// A place in the queue: the most urgent first, then the first to come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket {
+    /// How urgent the order is; 0 is the most urgent.
+    pub priority: u8,
+    /// The number of its arrival.
+    pub number: u64,
+}
+
+/// Whether an order may be given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// Now.
+    Now,
+    /// When its ticket is called.
+    Wait(Ticket),
+    /// Not in time.
+    Refused {
+        /// Why.
+        cause: Cause,
+        /// When another try may fare better.
+        retry_after: Duration,
+    },
+}
+
+/// The pace of a cold upstream.
+#[derive(Clone, Copy, Debug)]
+struct ColdPace {
+    until: Moment,
+    step: Duration,
+    next: Moment,
+}
+
+/// The orders at one upstream and those that wait for it.
+#[derive(Debug)]
+pub struct Admission {
+    slots: u32,
+    in_flight: u32,
+    queue: BTreeMap<Ticket, Moment>,
+    next_number: u64,
+    mean_micros: f64,
+    cold: Option<ColdPace>,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self {
+            slots: 1,
+            in_flight: 0,
+            queue: BTreeMap::new(),
+            next_number: 0,
+            mean_micros: MEAN_UNKNOWN_MICROS,
+            cold: None,
+        }
+    }
+}
+
+impl Admission {
+    /// Sets how many orders the upstream works on at once.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+    }
+
+    /// Sets until when the upstream is cold, and how many orders a second it bears then.
+    pub fn set_cold(&mut self, now: Moment, until: Moment, rate: f64) {
+        if until <= now || rate <= 0.0 {
+            self.cold = None;
+            return;
+        }
+        let step = Duration::from_secs_f64(1.0 / (rate * COLD_PART).max(0.1));
+        let next = self.cold.map_or(now, |c| c.next);
+        self.cold = Some(ColdPace { until, step, next });
+    }
+
+    /// Returns how many orders are at the upstream.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns how many orders wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns how many orders the upstream works on at once.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns the mean time of an order, in microseconds.
+    pub fn mean_micros(&self) -> f64 {
+        self.mean_micros
+    }
+
+    /// Takes in an order whose answer is awaited until `deadline` and counts in full until
+    /// `objective`.
+    pub fn arrive(
+        &mut self,
+        now: Moment,
+        priority: u8,
+        deadline: Moment,
+        objective: Moment,
+    ) -> Turn {
+        if self.queue.is_empty() && self.may_start(now) {
+            self.start(now);
+            return Turn::Now;
+        }
+        let wait = self.expected_wait(now, priority);
+        let work = Duration::from_micros((self.mean_micros * WORK_PART) as u64);
+        let end = now + wait + work;
+        let too_late = end > deadline || (end > objective && wait > LATE_WAIT);
+        if too_late {
+            let cause = match self.cold {
+                Some(_) => Cause::Cold,
+                None => Cause::Overloaded,
+            };
+            let retry_after = (wait / 2).max(RETRY_MIN);
+            return Turn::Refused { cause, retry_after };
+        }
+        self.next_number += 1;
+        let number = self.next_number;
+        let ticket = Ticket { priority, number };
+        self.queue.insert(ticket, now);
+        Turn::Wait(ticket)
+    }
+
+    /// Takes an order out of the queue that waits no longer; returns whether it was there.
+    pub fn leave(&mut self, ticket: Ticket) -> bool {
+        self.queue.remove(&ticket).is_some()
+    }
+
+    /// Takes in the end of an order that took `took` where it ran.
+    pub fn done(&mut self, took: Option<Duration>) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(took) = took {
+            let micros = took.as_micros() as f64;
+            self.mean_micros += (micros - self.mean_micros) * MEAN_WEIGHT;
+        }
+    }
+
+    /// Returns the tickets whose turn it is.
+    pub fn call(&mut self, now: Moment) -> Vec<Ticket> {
+        let mut called = Vec::new();
+        while self.may_start(now) {
+            let Some((ticket, _)) = self.queue.pop_first() else {
+                break;
+            };
+            self.start(now);
+            called.push(ticket);
+        }
+        called
+    }
+
+    /// Returns how long until the pace of a cold upstream allows the next order.
+    pub fn next_turn(&self, now: Moment) -> Option<Duration> {
+        let cold = self.cold.filter(|c| c.until > now)?;
+        Some(cold.next.since(now))
+    }
+
+    /// Returns how long an order of `priority` that comes now would wait.
+    pub fn expected_wait(&self, now: Moment, priority: u8) -> Duration {
+        let last = Ticket {
+            priority,
+            number: u64::MAX,
+        };
+        let before = self.queue.range(..=last).count();
+        let free = self.slots.saturating_sub(self.in_flight);
+        let ahead = (before + 1).saturating_sub(usize::try_from(free).unwrap_or(usize::MAX));
+        let rounds = ahead as f64 / f64::from(self.slots);
+        let by_slots = Duration::from_micros((rounds * self.mean_micros) as u64);
+        let Some(cold) = self.cold.filter(|c| c.until > now) else {
+            return by_slots;
+        };
+        let steps = u32::try_from(before).unwrap_or(u32::MAX);
+        let by_pace = cold.next.since(now) + cold.step.saturating_mul(steps);
+        by_slots.max(by_pace)
+    }
+
+    fn may_start(&self, now: Moment) -> bool {
+        let paced = self.cold.is_none_or(|c| c.until <= now || c.next <= now);
+        self.in_flight < self.slots && paced
+    }
+
+    fn start(&mut self, now: Moment) {
+        self.in_flight += 1;
+        if let Some(cold) = &mut self.cold {
+            cold.next = cold.next.max(now) + cold.step;
+        }
+    }
+}
--- /dev/null
+++ b/src/process/host/entry.rs
@@ -0,0 +1,566 @@
+//! Brings callers' requests to where they are served, and tells callers what became of them.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crate::connection::dialect::CallerDialect;
+use crate::connection::front::{FrontHandler, FrontLimits, HttpReply, HttpRequest};
+use crate::connection::http1::RequestHead;
+use crate::connection::peer_error::PeerError;
+use crate::connection::peer_message::{PeerReply, PeerRequest};
+use crate::connection::peer_pool::PeerPool;
+use crate::connection::wire::{Waiter, WireError};
+use crate::process::clock::Clock;
+use crate::process::host::budget_share::{BudgetShare, BudgetTerms};
+use crate::process::host::key_ranges;
+use crate::process::host::selection::Selection;
+use crate::process::host::upstream_gate::{LoadNote, UpstreamGate};
+use crate::process::membership::Membership;
+use crate::process::metrics::Metrics;
+use crate::process::moment::Moment;
+use crate::process::stop::Stop;
+use crate::process::sync;
+use crate::request::body::Body;
+use crate::request::order::Order;
+use crate::request::verdict::{Cause, Verdict};
+use crate::version::desired::{CallerLimits, Desired, RouteRule, Target};
+use crate::version::domain_name::DomainName;
+use crate::version::instance_id::InstanceId;
+use crate::version::key_hash::KeyHash;
+use crate::version::member::Member;
+use crate::version::service_name::ServiceName;
+
+/// How long a caller waits that does not say so.
+const TIME_LEFT_DEFAULT: Duration = Duration::from_secs(10);
+/// The longest time that a caller may ask for.
+const TIME_LEFT_MAX: Duration = Duration::from_secs(600);
+/// How long the body of a request may take, beyond the time that its caller waits.
+const BODY_TIME_MAX: Duration = Duration::from_secs(30);
+/// The part of the objective that a request waits for a key without a holder.
+const KEY_WAIT_PART: u32 = 6;
+/// The first pause before another try for such a key.
+const PAUSE_MIN: Duration = Duration::from_millis(4);
+/// The longest such pause.
+const PAUSE_MAX: Duration = Duration::from_millis(25);
+/// How long a caller is told to wait while the routing is unknown.
+const ROUTING_RETRY: Duration = Duration::from_millis(300);
+/// How long a caller is told to wait for a holder that has just been lost.
+const HOLDER_RETRY: Duration = Duration::from_millis(800);
+/// The least time that is worth a try.
+const TRY_TIME_MIN: Duration = Duration::from_millis(10);
+
+/// What the entry works with.
+pub struct EntryParts {
+    /// The clock of the host.
+    pub clock: Arc<dyn Clock>,
+    /// The membership.
+    pub membership: Arc<Membership>,
+    /// The gate to the upstream here.
+    pub gate: Arc<UpstreamGate>,
+    /// The connections to other daemons.
+    pub peers: Arc<PeerPool>,
+    /// What callers speak.
+    pub dialect: Arc<dyn CallerDialect>,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// This process.
+    pub instance: InstanceId,
+    /// The failure domain of the host.
+    pub domain: DomainName,
+    /// The service beside which callers' requests begin here.
+    pub origin: ServiceName,
+    /// The budget of repeats that all daemons share.
+    pub budget: BudgetTerms,
+    /// Raised once the process has begun to stop.
+    pub stop: Arc<Stop>,
+}
+
+/// The entry for callers on one host.
+pub struct Entry {
+    parts: EntryParts,
+    selection: Selection,
+    budgets: Mutex<HashMap<ServiceName, BudgetShare>>,
+    turns: Mutex<HashMap<String, Vec<i64>>>,
+}
+
+/// One try of an order.
+struct Tried {
+    verdict: Verdict,
+    load: Option<LoadNote>,
+}
+
+/// How a request went, for its log line.
+struct Trace {
+    tries: u32,
+    upstream: Option<InstanceId>,
+}
+
+impl Entry {
+    /// Creates an entry.
+    pub fn new(parts: EntryParts) -> Self {
+        Self {
+            parts,
+            selection: Selection::default(),
+            budgets: Mutex::default(),
+            turns: Mutex::default(),
+        }
+    }
+
+    /// Forgets what was seen of processes that are no members any more.
+    pub fn forget_gone(&self) {
+        let table = self.parts.membership.table();
+        self.selection.retain(|i| table.member_of(i).is_some());
+    }
+
+    /// Routes a request and returns what became of it.
+    fn route(
+        &self,
+        desired: &Desired,
+        rule: &RouteRule,
+        order: &mut Order,
+        waiter: &Waiter,
+    ) -> (Verdict, Trace) {
+        let now = self.parts.clock.now();
+        let deadline = now + order.remaining;
+        let objective = now + order.objective;
+        self.with_budget(&order.service, |b, terms| b.request(now, terms));
+        let terms = desired.services.get(&order.service);
+        let divided = terms.is_some_and(|t| t.divided);
+        match (divided, order.key) {
+            (true, Some(_)) => self.route_keyed(rule, order, deadline, objective, waiter),
+            (true, None) => {
+                let trace = Trace {
+                    tries: 0,
+                    upstream: None,
+                };
+                (Verdict::not_run(Cause::NoOwner, HOLDER_RETRY), trace)
+            }
+            (false, _) => {
+                order.key = None;
+                self.route_shared(rule, order, deadline, objective, waiter)
+            }
+        }
+    }
+
+    /// Brings an order to the holder of its key.
+    fn route_keyed(
+        &self,
+        rule: &RouteRule,
+        order: &mut Order,
+        deadline: Moment,
+        objective: Moment,
+        waiter: &Waiter,
+    ) -> (Verdict, Trace) {
+        let patience = self.parts.clock.now() + order.objective / KEY_WAIT_PART;
+        let mut trace = Trace {
+            tries: 0,
+            upstream: None,
+        };
+        let mut pause = PAUSE_MIN;
+        let mut given = 0;
+        let mut maybe_run = false;
+        loop {
+            let now = self.parts.clock.now();
+            order.remaining = deadline.since(now);
+            order.objective = objective.since(now);
+            if order.remaining < TRY_TIME_MIN {
+                return (timed_out(maybe_run), trace);
+            }
+            let Some(holder) = self.holder(order) else {
+                if self.pause(&mut pause, patience, waiter) {
+                    continue;
+                }
+                return (refusal(Cause::NoOwner, HOLDER_RETRY, maybe_run), trace);
+            };
+            trace.tries += 1;
+            trace.upstream = Some(holder.info.session.instance);
+            let tried = self.try_on(&holder, order, waiter);
+            let again = match &tried.verdict {
+                Verdict::Ran(_) => false,
+                Verdict::NotRun { cause, .. } => {
+                    given += u32::from(*cause == Cause::Shed);
+                    self.may_wait(*cause, order, rule, given)
+                        && self.pause(&mut pause, patience, waiter)
+                }
+                Verdict::Unknown { .. } => {
+                    maybe_run = true;
+                    given += 1;
+                    order.repeatable
+                        && given < rule.attempts
+                        && !waiter.has_left()
+                        && self.may_repeat(order)
+                }
+            };
+            if !again {
+                return (truthful(tried.verdict, maybe_run), trace);
+            }
+        }
+    }
+
+    /// Returns whether it makes sense to wait a moment after a refusal of the holder.
+    fn may_wait(&self, cause: Cause, order: &Order, rule: &RouteRule, given: u32) -> bool {
+        match cause {
+            Cause::NotOwner | Cause::Unreachable | Cause::Down => true,
+            Cause::Shed => given < rule.attempts && self.may_repeat(order),
+            _ => false,
+        }
+    }
+
+    /// Brings an order to one of the equal upstreams of its service.
+    fn route_shared(
+        &self,
+        rule: &RouteRule,
+        order: &mut Order,
+        deadline: Moment,
+        objective: Moment,
+        waiter: &Waiter,
+    ) -> (Verdict, Trace) {
+        let patience = self.parts.clock.now() + order.objective / KEY_WAIT_PART;
+        let mut trace = Trace {
+            tries: 0,
+            upstream: None,
+        };
+        let mut pause = PAUSE_MIN;
+        let mut tried = Vec::new();
+        let mut given = 0;
+        let mut maybe_run = false;
+        let mut last = Verdict::not_run(Cause::NoOwner, HOLDER_RETRY);
+        loop {
+            let now = self.parts.clock.now();
+            order.remaining = deadline.since(now);
+            order.objective = objective.since(now);
+            if order.remaining < TRY_TIME_MIN {
+                return (timed_out(maybe_run), trace);
+            }
+            let members = self.parts.membership.upstreams(&order.service);
+            let bytes = order.body.0.len();
+            let home = &self.parts.domain;
+            let Some(member) = self.selection.pick(now, &members, &tried, home, bytes) else {
+                if tried.is_empty() && self.pause(&mut pause, patience, waiter) {
+                    continue;
+                }
+                return (truthful(last, maybe_run), trace);
+            };
+            let instance = member.info.session.instance;
+            tried.push(instance);
+            trace.tries += 1;
+            trace.upstream = Some(instance);
+            self.selection.start(instance);
+            let outcome = self.try_on(member, order, waiter);
+            let failed = !matches!(&outcome.verdict, Verdict::Ran(a) if a.status < 500);
+            let now = self.parts.clock.now();
+            self.selection.end(now, instance, failed, outcome.load);
+            last = outcome.verdict;
+            let again = match &last {
+                Verdict::Ran(_) => false,
+                Verdict::NotRun { cause, .. } => {
+                    given += u32::from(*cause == Cause::Shed);
+                    *cause != Cause::Quarantined
+                        && (*cause != Cause::Shed
+                            || (given < rule.attempts && self.may_repeat(order)))
+                }
+                Verdict::Unknown { .. } => {
+                    maybe_run = true;
+                    given += 1;
+                    order.repeatable && given < rule.attempts && self.may_repeat(order)
+                }
+            };
+            if !again || waiter.has_left() {
+                return (truthful(last, maybe_run), trace);
+            }
+        }
+    }
+
+    /// Returns the daemon that most likely holds the order's key.
+    fn holder(&self, order: &Order) -> Option<Member> {
+        let key = order.key?;
+        self.parts.membership.with(|o, _| {
+            let count = o.table().services.get(&order.service)?.slices.len();
+            let slice = key_ranges::slice_of(key, count);
+            o.owner(&order.service, KeyHash(slice.0)).cloned()
+        })
+    }
+
+    /// Tries an order on the upstream beside `member`.
+    fn try_on(&self, member: &Member, order: &Order, waiter: &Waiter) -> Tried {
+        let instance = member.info.session.instance;
+        if instance == self.parts.instance {
+            let verdict = self.parts.gate.run(order, waiter);
+            let load = Some(self.parts.gate.load());
+            return Tried { verdict, load };
+        }
+        let request = PeerRequest::Order {
+            instance,
+            order: Box::new(order.clone()),
+        };
+        let session = member.info.session;
+        let is_over = || self.parts.membership.with(|o, _| o.is_over(session));
+        let called =
+            self.parts
+                .peers
+                .call(member.info.peer, &request, order.remaining, waiter, is_over);
+        let verdict = match called {
+            Ok(called) => {
+                if let PeerReply::Done { verdict, load } = called.reply {
+                    let load = Some(load);
+                    let verdict = truthful(*verdict, false);
+                    return Tried { verdict, load };
+                }
+                Verdict::unknown("a reply that does not fit the call")
+            }
+            Err(PeerError::Abandoned) => Verdict::unknown("the caller left"),
+            Err(e) if e.is_unsent() => {
+                tracing::info!(event = "hop-failed", request = %order.id, to = %member.info.peer, sent = false, error = %e);
+                Verdict::not_run(Cause::Unreachable, HOLDER_RETRY)
+            }
+            Err(e) => {
+                tracing::info!(event = "hop-failed", request = %order.id, to = %member.info.peer, sent = true, error = %e);
+                Verdict::unknown(format!("the daemon beside the upstream: {e}"))
+            }
+        };
+        Tried {
+            verdict,
+            load: None,
+        }
+    }
+
+    /// Waits a moment before another try; returns whether one makes sense.
+    fn pause(&self, span: &mut Duration, patience: Moment, waiter: &Waiter) -> bool {
+        if self.parts.clock.now() + *span > patience || waiter.has_left() {
+            return false;
+        }
+        thread::sleep(*span);
+        *span = (*span * 2).min(PAUSE_MAX);
+        true
+    }
+
+    fn may_repeat(&self, order: &Order) -> bool {
+        let now = self.parts.clock.now();
+        let daemons = self.parts.membership.table().members.len();
+        let allowed = self.with_budget(&order.service, |b, terms| b.withdraw(now, terms, daemons));
+        if allowed {
+            self.parts.metrics.retried();
+        }
+        allowed
+    }
+
+    fn with_budget<R>(
+        &self,
+        service: &ServiceName,
+        f: impl FnOnce(&mut BudgetShare, &BudgetTerms) -> R,
+    ) -> R {
+        let mut budgets = sync::lock(&self.budgets);
+        f(
+            budgets.entry(service.clone()).or_default(),
+            &self.parts.budget,
+        )
+    }
+
+    /// Chooses the target of a request, so that each gets its part in turn.
+    fn choose<'t>(&self, rule: &'t RouteRule) -> Option<&'t Target> {
+        if rule.targets.len() < 2 {
+            return rule.targets.first();
+        }
+        let mut turns = sync::lock(&self.turns);
+        let credits = turns.entry(rule.name.clone()).or_default();
+        credits.resize(rule.targets.len(), 0);
+        let total: i64 = rule.targets.iter().map(|t| i64::from(t.weight)).sum();
+        for (credit, target) in credits.iter_mut().zip(&rule.targets) {
+            *credit += i64::from(target.weight);
+        }
+        let best = (0..credits.len()).max_by_key(|&i| credits[i])?;
+        credits[best] -= total;
+        rule.targets.get(best)
+    }
+
+    /// Builds the order of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer to a request that can't be routed.
+    fn order_of(
+        &self,
+        desired: &Desired,
+        request: HttpRequest,
+    ) -> Result<(Order, RouteRule), HttpReply> {
+        let head = &request.head;
+        let facts = self.parts.dialect.read(head);
+        let Some(id) = facts.id else {
+            return Err(HttpReply::text(400, "the request has no id\n"));
+        };
+        let Some(host) = head.headers.text("host") else {
+            return Err(HttpReply::text(400, "the request names no host\n"));
+        };
+        let Some(rule) = desired.route(host, head.path()) else {
+            tracing::info!(event = "request", request = %id, status = 404, version = %desired.version, cause = "no-route");
+            return Err(HttpReply::text(404, "no route\n"));
+        };
+        let Some(target) = self.choose(rule) else {
+            return Err(HttpReply::text(503, "the route has no target\n"));
+        };
+        let spent = request.at.elapsed();
+        let waits = facts.time_left.unwrap_or(TIME_LEFT_DEFAULT);
+        let waits = waits
+            .min(TIME_LEFT_MAX)
+            .min(rule.timeout.unwrap_or(TIME_LEFT_MAX));
+        let order = Order {
+            id,
+            service: target.service.clone(),
+            origin: self.parts.origin.clone(),
+            method: head.method.clone(),
+            target: head.target.clone(),
+            headers: head.headers.end_to_end(),
+            key: facts.key,
+            repeatable: rule.repeatable,
+            priority: rule.priority,
+            remaining: waits.saturating_sub(spent),
+            objective: rule.objective.saturating_sub(spent),
+            body: Body(request.body),
+        };
+        Ok((order, rule.clone()))
+    }
+
+    /// Turns a verdict into the answer to the caller.
+    fn reply(&self, id: &str, verdict: Verdict) -> HttpReply {
+        let mut reply = match verdict {
+            Verdict::Ran(answer) => {
+                return HttpReply {
+                    status: answer.status,
+                    headers: answer.headers,
+                    body: answer.body.0,
+                    drop: false,
+                };
+            }
+            Verdict::NotRun {
+                cause: Cause::CallerLeft,
+                ..
+            } => HttpReply {
+                drop: true,
+                ..HttpReply::default()
+            },
+            Verdict::NotRun { cause, retry_after } => {
+                let mut reply = HttpReply::text(503, format!("not run: {cause}\n"));
+                let (name, value) = self.parts.dialect.retry_after(retry_after);
+                reply.headers.push(name, value);
+                reply
+            }
+            Verdict::Unknown { reason, timed_out } => {
+                let status = if timed_out { 504 } else { 502 };
+                HttpReply::text(status, format!("may have run: {reason}\n"))
+            }
+        };
+        let (name, value) = self.parts.dialect.answered_id(id);
+        reply.headers.push(name, value);
+        reply
+    }
+}
+
+impl FrontHandler for Entry {
+    fn limits(&self) -> FrontLimits {
+        let active = self.parts.membership.active();
+        let limits = active.desired.as_ref().map(|d| d.limits);
+        let limits = limits.unwrap_or_else(CallerLimits::default);
+        FrontLimits {
+            head_bytes: limits.head_bytes,
+            body_bytes: limits.body_bytes,
+            head_time: limits.head_time,
+            idle_time: limits.idle_time,
+        }
+    }
+
+    fn body_time(&self, head: &RequestHead) -> Duration {
+        let told = self.parts.dialect.read(head).time_left;
+        told.unwrap_or(TIME_LEFT_DEFAULT).min(BODY_TIME_MAX)
+    }
+
+    fn handle(&self, request: HttpRequest, waiter: &Waiter) -> HttpReply {
+        let active = self.parts.membership.active();
+        let Some(desired) = &active.desired else {
+            let mut reply = HttpReply::text(503, "not run: the routing is not known yet\n");
+            let (name, value) = self.parts.dialect.retry_after(ROUTING_RETRY);
+            reply.headers.push(name, value);
+            return reply;
+        };
+        let started = self.parts.clock.now();
+        let (mut order, rule) = match self.order_of(desired, request) {
+            Ok(routed) => routed,
+            Err(reply) => return reply,
+        };
+        let (verdict, trace) = self.route(desired, &rule, &mut order, waiter);
+        let took = self.parts.clock.now().since(started);
+        log(&order, &rule, desired, &verdict, &trace, took);
+        self.reply(&order.id, verdict)
+    }
+
+    fn refuse(&self, error: &WireError) -> HttpReply {
+        let status = match error {
+            WireError::TooLarge("body") => 413,
+            WireError::TooLarge(_) => 431,
+            WireError::TimedOut => 408,
+            _ => 400,
+        };
+        tracing::info!(event = "request-refused", status, error = %error);
+        HttpReply::text(status, format!("{error}\n"))
+    }
+
+    fn is_closing(&self) -> bool {
+        self.parts.stop.is_raised()
+    }
+}
+
+/// Writes the line of a request that has ended.
+fn log(
+    order: &Order,
+    rule: &RouteRule,
+    desired: &Desired,
+    verdict: &Verdict,
+    trace: &Trace,
+    took: Duration,
+) {
+    let (outcome, cause, status) = match verdict {
+        Verdict::Ran(a) => ("ran", String::new(), a.status),
+        Verdict::NotRun { cause, .. } => ("not-run", cause.to_string(), 503),
+        Verdict::Unknown { reason, timed_out } => (
+            "unknown",
+            reason.clone(),
+            if *timed_out { 504 } else { 502 },
+        ),
+    };
+    let upstream = trace.upstream.map(|i| i.to_string());
+    tracing::info!(
+        event = "request",
+        request = %order.id,
+        service = %order.service,
+        route = rule.name,
+        key = order.key.map(|k| k.0),
+        version = %desired.version,
+        outcome,
+        cause,
+        status,
+        tries = trace.tries,
+        upstream,
+        ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
+    );
+}
+
+/// Returns the verdict on an order whose time ran out.
+fn timed_out(maybe_run: bool) -> Verdict {
+    match maybe_run {
+        true => Verdict::timed_out("the time ran out"),
+        false => Verdict::not_run(Cause::TimedOut, HOLDER_RETRY),
+    }
+}
+
+fn refusal(cause: Cause, retry_after: Duration, maybe_run: bool) -> Verdict {
+    truthful(Verdict::not_run(cause, retry_after), maybe_run)
+}
+
+/// Turns "not run" into "may have run" where an earlier try may have run.
+fn truthful(verdict: Verdict, maybe_run: bool) -> Verdict {
+    match verdict {
+        Verdict::NotRun { cause, .. } if maybe_run => Verdict::unknown(cause.as_str()),
+        verdict => verdict,
+    }
+}
--- /dev/null
+++ b/src/process/host/follower.rs
@@ -0,0 +1,485 @@
+//! Follows the operators' routing and the assignment table in the store, and plans.
+//!
+//! There is no planner's lease: each write of the table names the revision that it follows, so of
+//! two that plan at once one fails. The last planner goes on; the others take turns to step in
+//! where a plan has been due for a while.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::connection::dialect::OperatorDialect;
+use crate::process::membership::Membership;
+use crate::process::planner::{self, PlanInput};
+use crate::process::platform::Revision;
+use crate::process::stop::Stop;
+use crate::process::store::{
+    Change, Committed, Item, JOIN_PREFIX, OWN_PREFIX, Range, Store, StoreError, TABLE_KEY,
+    Transaction, Watched,
+};
+use crate::process::sync;
+use crate::version::document_version::DocumentVersion;
+use crate::version::epoch::Epoch;
+use crate::version::instance_id::InstanceId;
+use crate::version::member::MemberInfo;
+use crate::version::table::Table;
+
+/// How long one watch waits.
+const WATCH_TIME: Duration = Duration::from_secs(20);
+/// How long to wait after the store did not answer.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+/// How often a daemon looks for something to plan.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a plan must be due for each daemon that comes before this one in turn.
+const TURN_TIME: Duration = Duration::from_millis(900);
+/// How long the first table waits for more processes to join.
+const GATHER_TIME: Duration = Duration::from_millis(500);
+/// How long a process waits for the members to take it in before it leaves its wish in the store.
+const JOIN_PATIENCE: Duration = Duration::from_millis(1200);
+/// How long a wish in the store may take before it is written anew.
+const JOIN_REPEAT: Duration = Duration::from_secs(4);
+
+/// The table as the store held it last.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Base {
+    revision: Revision,
+    epoch: Epoch,
+}
+
+#[derive(Default)]
+struct State {
+    base: Option<Base>,
+    joins: BTreeMap<String, MemberInfo>,
+    operators: BTreeMap<String, Item>,
+}
+
+/// Follows the store.
+pub struct Follower {
+    store: Arc<dyn Store>,
+    dialect: Arc<dyn OperatorDialect>,
+    membership: Arc<Membership>,
+    instance: InstanceId,
+    state: Mutex<State>,
+}
+
+/// What a thread remembers of its calls to the store.
+struct Contact {
+    name: &'static str,
+    lost: bool,
+}
+
+impl Follower {
+    /// Creates a follower for the process `instance`.
+    pub fn new(
+        store: Arc<dyn Store>,
+        dialect: Arc<dyn OperatorDialect>,
+        membership: Arc<Membership>,
+        instance: InstanceId,
+    ) -> Self {
+        Self {
+            store,
+            dialect,
+            membership,
+            instance,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Follows the operators' routing until the process stops.
+    pub fn follow_routing(&self, stop: &Stop) {
+        let prefix = self.dialect.prefix().to_owned();
+        self.follow(
+            stop,
+            "routing",
+            &prefix,
+            |range| self.take_routing(range),
+            |changes, _| self.change_routing(changes),
+        );
+    }
+
+    /// Follows the table, and the wishes to join, until the process stops.
+    pub fn follow_table(&self, stop: &Stop) {
+        self.follow(
+            stop,
+            "table",
+            OWN_PREFIX,
+            |range| self.take_own(range),
+            |changes, _| self.change_own(changes),
+        );
+    }
+
+    /// Reads a prefix and watches it.
+    fn follow(
+        &self,
+        stop: &Stop,
+        name: &'static str,
+        prefix: &str,
+        take: impl Fn(Range),
+        change: impl Fn(Vec<Change>, Revision),
+    ) {
+        let mut contact = Contact { name, lost: false };
+        let mut after: Option<Revision> = None;
+        while !stop.is_raised() {
+            let step = match after {
+                None => self.store.range(prefix).map(|range| {
+                    let as_of = range.as_of;
+                    take(range);
+                    Some(as_of)
+                }),
+                Some(revision) => {
+                    let watched = self.store.watch(prefix, revision, WATCH_TIME);
+                    watched.map(|watched| match watched {
+                        Watched::Changes { changes, as_of } => {
+                            change(changes, as_of);
+                            Some(as_of.max(revision))
+                        }
+                        Watched::HistoryLost => {
+                            tracing::info!(event = "history-lost", watch = name, %revision);
+                            None
+                        }
+                    })
+                }
+            };
+            match step {
+                Ok(next) => {
+                    after = next;
+                    contact.regained();
+                }
+                Err(_) if stop.is_raised() => {}
+                Err(e) => {
+                    contact.lost(&e);
+                    stop.wait(FAILURE_PAUSE);
+                }
+            }
+        }
+    }
+
+    fn take_routing(&self, range: Range) {
+        let items = range.items.into_iter().map(|i| (i.key.clone(), i));
+        sync::lock(&self.state).operators = items.collect();
+        self.adopt_routing(range.as_of);
+    }
+
+    fn change_routing(&self, changes: Vec<Change>) {
+        let mut newest = Revision::default();
+        let mut state = sync::lock(&self.state);
+        for change in changes {
+            match change {
+                Change::Put(item) => {
+                    newest = newest.max(item.revision);
+                    state.operators.insert(item.key.clone(), item);
+                }
+                Change::Removed { key, revision } => {
+                    newest = newest.max(revision);
+                    state.operators.remove(&key);
+                }
+            }
+        }
+        drop(state);
+        if newest > Revision::default() {
+            self.adopt_routing(newest);
+        }
+    }
+
+    /// Puts the operators' values in force, as they were at the revision `as_of`.
+    fn adopt_routing(&self, as_of: Revision) {
+        let items: Vec<Item> = sync::lock(&self.state)
+            .operators
+            .values()
+            .cloned()
+            .collect();
+        if items.is_empty() {
+            return;
+        }
+        let mut desired = match self.dialect.read(&items) {
+            Ok(desired) => desired,
+            Err(e) => {
+                tracing::error!(event = "routing-refused", revision = %as_of, error = %e);
+                return;
+            }
+        };
+        let active = self.membership.active();
+        let newest = items.iter().map(|i| i.revision).max().unwrap_or_default();
+        desired.version = DocumentVersion(newest.0);
+        if let Some(present) = &active.desired {
+            let present_version = present.version;
+            let mut same = desired.clone();
+            same.version = present_version;
+            if same == **present {
+                return;
+            }
+            if desired.version <= present_version {
+                // A removal leaves no revision of its own behind.
+                desired.version = DocumentVersion(as_of.0);
+            }
+        }
+        self.membership.adopt_desired(desired);
+    }
+
+    fn take_own(&self, range: Range) {
+        sync::lock(&self.state).joins.clear();
+        let has_table = range.items.iter().any(|i| i.key == TABLE_KEY);
+        if !has_table {
+            sync::lock(&self.state).base = Some(Base::default());
+        }
+        self.change_own(range.items.into_iter().map(Change::Put).collect());
+    }
+
+    fn change_own(&self, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Put(item) if item.key == TABLE_KEY => self.take_table(&item),
+                Change::Put(item) if item.key.starts_with(JOIN_PREFIX) => self.take_join(item),
+                Change::Put(item) => {
+                    tracing::warn!(event = "unknown-key", key = item.key);
+                }
+                Change::Removed { key, .. } => {
+                    sync::lock(&self.state).joins.remove(&key);
+                }
+            }
+        }
+    }
+
+    fn take_table(&self, item: &Item) {
+        let table: Table = match postcard::from_bytes(&item.value) {
+            Ok(table) => table,
+            Err(e) => {
+                tracing::error!(event = "table-refused", revision = %item.revision, error = %e);
+                return;
+            }
+        };
+        let base = Base {
+            revision: item.revision,
+            epoch: table.epoch,
+        };
+        let mut state = sync::lock(&self.state);
+        if state.base.is_none_or(|b| b.revision <= base.revision) {
+            state.base = Some(base);
+        }
+        drop(state);
+        self.membership.adopt_from_platform(table);
+    }
+
+    fn take_join(&self, item: Item) {
+        match postcard::from_bytes::<MemberInfo>(&item.value) {
+            Ok(info) => {
+                sync::lock(&self.state).joins.insert(item.key, info);
+            }
+            Err(e) => {
+                tracing::error!(event = "join-refused", key = item.key, error = %e);
+            }
+        }
+    }
+
+    /// Plans, and asks to join, until the process stops.
+    pub fn plan(&self, stop: &Stop) {
+        let mut contact = Contact {
+            name: "plan",
+            lost: false,
+        };
+        let mut due_since: Option<Instant> = None;
+        let mut outside_since = Instant::now();
+        let mut asked: Option<Instant> = None;
+        let mut looked: Option<Instant> = None;
+        while !stop.wait(PLAN_INTERVAL) {
+            if self.is_member() {
+                outside_since = Instant::now();
+                asked = None;
+            } else if self.shall_ask(outside_since, asked) {
+                asked = Some(Instant::now());
+                self.leave_wish(&mut contact);
+            }
+            let turn = self.turn();
+            // The daemons that don't plan now need not look as often.
+            let rests = turn > 0 && looked.is_some_and(|at| at.elapsed() < TURN_TIME);
+            if rests {
+                continue;
+            }
+            looked = Some(Instant::now());
+            let Some((base, table)) = self.next_table() else {
+                due_since = None;
+                continue;
+            };
+            let since = *due_since.get_or_insert_with(Instant::now);
+            let wait = match base.epoch == Epoch::default() {
+                true => GATHER_TIME + TURN_TIME * turn,
+                false => TURN_TIME * turn,
+            };
+            if since.elapsed() >= wait {
+                due_since = None;
+                self.write(base, &table, &mut contact, stop);
+            }
+        }
+    }
+
+    fn is_member(&self) -> bool {
+        self.membership
+            .with(|o, _| o.table().members.contains_key(&o.info().session))
+    }
+
+    /// Returns whether it is time to leave a wish to join in the store.
+    fn shall_ask(&self, outside_since: Instant, asked: Option<Instant>) -> bool {
+        let Some(base) = sync::lock(&self.state).base else {
+            return false;
+        };
+        let alone = base.epoch == Epoch::default();
+        let waited = alone || outside_since.elapsed() >= JOIN_PATIENCE;
+        waited && asked.is_none_or(|at| at.elapsed() >= JOIN_REPEAT)
+    }
+
+    fn leave_wish(&self, contact: &mut Contact) {
+        let info = self.membership.with(|o, _| o.info().clone());
+        let value = match postcard::to_stdvec(&info) {
+            Ok(value) => value,
+            Err(e) => {
+                tracing::error!(event = "join-not-encoded", error = %e);
+                return;
+            }
+        };
+        let key = format!("{JOIN_PREFIX}{}", self.instance);
+        let transaction = Transaction {
+            puts: vec![(key, value)],
+            ..Transaction::default()
+        };
+        match self.store.commit(&transaction) {
+            Ok(_) => tracing::info!(event = "join-asked", session = %info.session),
+            Err(e) => contact.lost(&e),
+        }
+    }
+
+    /// Returns how many daemons come before this one to plan.
+    fn turn(&self) -> u32 {
+        let joins = self.all_joins();
+        let place = self.membership.with(|o, _| {
+            let table = o.table();
+            let members = table.members.keys();
+            let mut live: Vec<InstanceId> = members
+                .filter(|s| !o.certified().contains_key(s))
+                .map(|s| s.instance)
+                .collect();
+            live.sort_unstable();
+            live.dedup();
+            live.sort_by_key(|i| *i != table.planner);
+            live.iter().position(|i| *i == self.instance).or_else(|| {
+                let mut outside = joins.keys().filter(|i| !live.contains(i));
+                let place = outside.position(|i| *i == self.instance)?;
+                Some(live.len() + place)
+            })
+        });
+        u32::try_from(place.unwrap_or(0)).unwrap_or(0)
+    }
+
+    /// Returns all that processes say of themselves that want to join, or that changed.
+    fn all_joins(&self) -> BTreeMap<InstanceId, MemberInfo> {
+        let state = sync::lock(&self.state);
+        let stored = state.joins.values();
+        let mut joins: BTreeMap<InstanceId, MemberInfo> = stored
+            .map(|info| (info.session.instance, info.clone()))
+            .collect();
+        drop(state);
+        joins.extend(self.membership.joins());
+        joins
+    }
+
+    /// Returns the table that should follow the one in the store.
+    fn next_table(&self) -> Option<(Base, Table)> {
+        let base = sync::lock(&self.state).base?;
+        let active = self.membership.active();
+        active.desired.as_ref()?;
+        let joins = self.all_joins();
+        let loads = self.membership.loads();
+        self.membership.with(|o, _| {
+            if o.table().epoch != base.epoch || active.version < o.table().document {
+                return None;
+            }
+            let input = PlanInput {
+                table: o.table(),
+                document: &active.document,
+                version: active.version,
+                joins: &joins,
+                facts: o.facts(),
+                certified: o.certified(),
+                loads: &loads,
+                planner: self.instance,
+            };
+            planner::plan(&input).map(|table| (base, table))
+        })
+    }
+
+    /// Writes a table; whatever becomes of that, what the store holds then decides.
+    fn write(&self, base: Base, table: &Table, contact: &mut Contact, stop: &Stop) {
+        let value = match postcard::to_stdvec(table) {
+            Ok(value) => value,
+            Err(e) => {
+                tracing::error!(event = "table-not-encoded", error = %e);
+                return;
+            }
+        };
+        let bytes = value.len();
+        let state = sync::lock(&self.state);
+        let taken = |info: &MemberInfo| {
+            table.members.contains_key(&info.session)
+                || table
+                    .members
+                    .keys()
+                    .any(|s| s.instance == info.session.instance && s.tenure > info.session.tenure)
+        };
+        let joins = state.joins.iter().filter(|(_, info)| taken(info));
+        let transaction = Transaction {
+            expected: vec![(TABLE_KEY.to_owned(), base.revision)],
+            puts: vec![(TABLE_KEY.to_owned(), value)],
+            removals: joins.map(|(key, _)| key.clone()).collect(),
+        };
+        drop(state);
+        match self.store.commit(&transaction) {
+            Ok(Committed::Done(revision)) => {
+                let epoch = table.epoch;
+                tracing::info!(event = "table-written", %epoch, %revision, bytes);
+                sync::lock(&self.state).base = Some(Base { revision, epoch });
+                self.membership.adopt_from_platform(table.clone());
+                self.membership.forget_joins(table);
+                self.membership.with(|o, _| o.announce_versions());
+                contact.regained();
+            }
+            Ok(Committed::Conflict) => {
+                tracing::info!(event = "table-conflict", epoch = %table.epoch);
+                self.read_table(contact);
+            }
+            Err(e) => {
+                contact.lost(&e);
+                stop.wait(FAILURE_PAUSE);
+                self.read_table(contact);
+            }
+        }
+    }
+
+    /// Reads what the store holds, after a write whose outcome is in doubt.
+    fn read_table(&self, contact: &mut Contact) {
+        match self.store.range(TABLE_KEY) {
+            Ok(range) => {
+                for item in range.items.iter().filter(|i| i.key == TABLE_KEY) {
+                    self.take_table(item);
+                }
+            }
+            Err(e) => contact.lost(&e),
+        }
+    }
+}
+
+impl Contact {
+    /// Tells once that the store can't be used.
+    fn lost(&mut self, e: &StoreError) {
+        if !self.lost {
+            tracing::warn!(event = "store-lost", use_ = self.name, error = %e);
+        }
+        self.lost = true;
+    }
+
+    /// Tells once that the store can be used again.
+    fn regained(&mut self) {
+        if self.lost {
+            tracing::info!(event = "store-regained", use_ = self.name);
+        }
+        self.lost = false;
+    }
+}
--- /dev/null
+++ b/src/process/host/keeper.rs
@@ -0,0 +1,518 @@
+//! Grants the upstream the keys that the daemon may serve, and takes them back.
+//!
+//! A grant never outlasts the session that allows it, and no grant is under way while it is
+//! decided which keys are released: so a released key can't be granted anew by an earlier round.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crate::connection::dialect::{Grant, UpstreamDialect};
+use crate::connection::peer_message::{KeyHandover, PeerRequest};
+use crate::connection::peer_pool::PeerPool;
+use crate::connection::upstream_pool::OrderFailure;
+use crate::connection::wire::Waiter;
+use crate::process::clock::Clock;
+use crate::process::host::beside::Life;
+use crate::process::host::key_ranges::{self, Run};
+use crate::process::host::upstream_gate::UpstreamGate;
+use crate::process::membership::Membership;
+use crate::process::moment::Moment;
+use crate::process::sync;
+use crate::version::epoch::Epoch;
+use crate::version::service_name::ServiceName;
+use crate::version::session_id::SessionId;
+use crate::version::slice_id::SliceId;
+use crate::version::token::Token;
+use crate::version::upstream::UpstreamBoot;
+
+/// How far the clock that measures a hold may be off.
+const CLOCK_DRIFT: f64 = 0.02;
+/// What a hold is shorter than the lease, for the way of the call.
+const HOLD_MARGIN: Duration = Duration::from_millis(20);
+/// The least hold that is worth a call.
+const HOLD_MIN: Duration = Duration::from_millis(150);
+/// What must be left of a hold at the least before it is renewed.
+const RENEW_BELOW: Duration = Duration::from_millis(1000);
+/// How long a grant may take.
+const GRANT_TIME: Duration = Duration::from_millis(400);
+/// How long a release may take: the work on its keys ends first.
+const RELEASE_TIME: Duration = Duration::from_millis(2500);
+/// How long a handover may take to the next holder.
+const HANDOVER_TIME: Duration = Duration::from_millis(600);
+/// How long a handover waits for the table that gives its keys.
+const HANDOVER_KEEP: Duration = Duration::from_secs(8);
+/// The HTTP status by which an upstream says that it has seen a higher fence.
+const FENCED_STATUS: u16 = 409;
+
+/// A range of slices that was granted.
+#[derive(Clone, Debug)]
+struct Held {
+    service: ServiceName,
+    run: Run,
+    /// Until when the upstream surely holds the keys.
+    sure: Moment,
+    /// Until when it may hold them.
+    maybe: Moment,
+}
+
+#[derive(Default)]
+struct State {
+    boot: Option<UpstreamBoot>,
+    held: Vec<Held>,
+    handovers: Vec<(KeyHandover, Moment)>,
+    failing_since: Option<Moment>,
+}
+
+/// Keeps the upstream's grants in step with what the daemon may serve.
+pub struct Keeper {
+    clock: Arc<dyn Clock>,
+    membership: Arc<Membership>,
+    gate: Arc<UpstreamGate>,
+    peers: Arc<PeerPool>,
+    dialect: Arc<dyn UpstreamDialect>,
+    hold_max: Duration,
+    state: Mutex<State>,
+}
+
+impl Keeper {
+    /// Creates a keeper that holds nothing; no hold is longer than `hold_max`.
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        membership: Arc<Membership>,
+        gate: Arc<UpstreamGate>,
+        peers: Arc<PeerPool>,
+        dialect: Arc<dyn UpstreamDialect>,
+        hold_max: Duration,
+    ) -> Self {
+        Self {
+            clock,
+            membership,
+            gate,
+            peers,
+            dialect,
+            hold_max,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Takes in what upstreams handed over with keys that come here.
+    pub fn take_handovers(&self, handovers: Vec<KeyHandover>) {
+        let now = self.clock.now();
+        let mut state = sync::lock(&self.state);
+        state
+            .handovers
+            .retain(|(_, at)| now.since(*at) < HANDOVER_KEEP);
+        state
+            .handovers
+            .extend(handovers.into_iter().map(|h| (h, now)));
+    }
+
+    /// Grants what is due, and ends the session where the upstream is gone.
+    pub fn round(&self) {
+        let mut state = sync::lock(&self.state);
+        let Some(life) = self.gate.life() else {
+            state.held.clear();
+            drop(state);
+            self.resign_if_listed("the upstream is gone");
+            return;
+        };
+        self.note_life(&mut state, &life);
+        let (served, live_until, count) = self.served(&life);
+        let now = self.clock.now();
+        let Some(live_until) = live_until else {
+            // Each hold ends before the lease that allowed it.
+            state.held.clear();
+            self.gate.set_granted(BTreeMap::new());
+            return;
+        };
+        state.held.retain(|h| h.maybe > now);
+        for run in key_ranges::runs_of(&served) {
+            for (part, handover) in state.parts_due(now, &life.service, run) {
+                let granted = self.grant(&mut state, &life, part, handover, live_until, count);
+                if !granted {
+                    break;
+                }
+            }
+        }
+        let granted = state.granted(&served);
+        let lost = state.failing_since.is_some_and(|since| {
+            now.since(since) > RENEW_BELOW && state.held.iter().all(|h| h.sure <= now)
+        });
+        drop(state);
+        self.gate.set_granted(granted);
+        if lost {
+            self.gate.note_loss("grants are not answered");
+        }
+    }
+
+    /// Releases what the table of `epoch` took away, hands it over, and tells the others.
+    pub fn release(&self, epoch: Epoch) {
+        let mut by_next: BTreeMap<SocketAddr, Vec<KeyHandover>> = BTreeMap::new();
+        let lost: Vec<(Held, Option<SocketAddr>)> = self.take_lost();
+        let released: Vec<_> = thread::scope(|scope| {
+            let one = |(held, next)| scope.spawn(move || (self.release_run(&held), held, next));
+            let running: Vec<_> = lost.into_iter().map(one).collect();
+            running.into_iter().filter_map(|t| t.join().ok()).collect()
+        });
+        for (handover, held, next) in released {
+            if let (Some(handover), Some(next)) = (handover, next) {
+                by_next.entry(next).or_default().push(KeyHandover {
+                    service: held.service,
+                    first: held.run.first,
+                    last: held.run.last,
+                    handover,
+                });
+            }
+        }
+        for (peer, handovers) in by_next {
+            let ranges = handovers.len();
+            let request = PeerRequest::KeyHandover(handovers);
+            let called = self
+                .peers
+                .call(peer, &request, HANDOVER_TIME, &Waiter::none(), || false);
+            match called {
+                Ok(_) => tracing::info!(event = "keys-handed-over", %peer, ranges),
+                Err(e) => tracing::warn!(event = "handover-failed", %peer, ranges, error = %e),
+            }
+        }
+        self.membership.with(|o, now| o.let_go(now, epoch));
+    }
+
+    /// Takes out what is held and not served any more, with the next holder of each range.
+    fn take_lost(&self) -> Vec<(Held, Option<SocketAddr>)> {
+        let mut state = sync::lock(&self.state);
+        let Some(life) = self.gate.life() else {
+            return Vec::new();
+        };
+        let (served, _, _) = self.served(&life);
+        let mut kept = Vec::new();
+        let mut lost: Vec<(Held, Option<SocketAddr>)> = Vec::new();
+        for held in std::mem::take(&mut state.held) {
+            for number in held.run.first.0..=held.run.last.0 {
+                let slice = SliceId(number);
+                let piece = Held {
+                    run: Run {
+                        first: slice,
+                        last: slice,
+                        ..held.run
+                    },
+                    ..held.clone()
+                };
+                if served.contains_key(&slice) {
+                    append(&mut kept, piece);
+                    continue;
+                }
+                let next = self.next_holder(&held.service, slice);
+                match lost.last_mut() {
+                    Some((last, n)) if *n == next && follows(last, &piece) => {
+                        last.run.last = slice;
+                    }
+                    _ => lost.push((piece, next)),
+                }
+            }
+        }
+        state.held = kept;
+        lost
+    }
+
+    /// Returns where the daemon is that holds a slice next.
+    fn next_holder(&self, service: &ServiceName, slice: SliceId) -> Option<SocketAddr> {
+        self.membership.with(|o, _| {
+            let assignment = o.table().assignment(service, slice)?;
+            let next = assignment.candidates.first()?;
+            let own = *next == o.info().session;
+            o.table().peer(*next).filter(|_| !own)
+        })
+    }
+
+    /// Takes a range back from the upstream; returns what it hands over.
+    fn release_run(&self, held: &Held) -> Option<String> {
+        let count = self.slice_count(&held.service);
+        let keys = key_ranges::keys_of(held.run.first, held.run.last, count);
+        let fence = key_ranges::fence_of(held.run.token);
+        let call = self.dialect.release(keys, fence);
+        let started = self.clock.now();
+        match self.gate.pool().control(&call, RELEASE_TIME) {
+            Ok((head, facts)) if head.status < 300 => {
+                let ms = self.clock.now().since(started).as_millis();
+                tracing::info!(
+                    event = "keys-released",
+                    first = keys.first.0,
+                    last = keys.last.0,
+                    fence,
+                    ms
+                );
+                facts.handover
+            }
+            Err(OrderFailure::Refused) => {
+                self.gate.note_loss("connection refused");
+                None
+            }
+            other => {
+                let reason = reason_of(other.map(|(head, _)| head.status));
+                tracing::warn!(
+                    event = "release-failed",
+                    first = keys.first.0,
+                    last = keys.last.0,
+                    fence,
+                    reason
+                );
+                // Nobody else may hold the keys before the grant has run out.
+                let left = held.maybe.since(self.clock.now());
+                thread::sleep(left);
+                None
+            }
+        }
+    }
+
+    /// Grants a range; returns whether the upstream took it.
+    fn grant(
+        &self,
+        state: &mut State,
+        life: &Life,
+        run: Run,
+        handover: Option<String>,
+        live_until: Moment,
+        count: usize,
+    ) -> bool {
+        let sent = self.clock.now();
+        let allowed = live_until
+            .since(sent + HOLD_MARGIN)
+            .mul_f64(1.0 / (1.0 + CLOCK_DRIFT));
+        let hold = allowed.min(self.hold_max);
+        if hold < HOLD_MIN {
+            return true;
+        }
+        let grant = Grant {
+            keys: key_ranges::keys_of(run.first, run.last, count),
+            fence: key_ranges::fence_of(run.token),
+            hold,
+            handover: handover.clone(),
+        };
+        let result = self
+            .gate
+            .pool()
+            .control(&self.dialect.grant(&grant), GRANT_TIME);
+        let now = self.clock.now();
+        let maybe = now + hold.mul_f64(1.0 + CLOCK_DRIFT);
+        let status = match result {
+            Ok((head, _)) => Ok(head.status),
+            Err(OrderFailure::Refused) => {
+                self.gate.note_loss("connection refused");
+                return false;
+            }
+            Err(e) => Err(e),
+        };
+        let sure = match status {
+            Ok(200..300) => sent + hold.mul_f64(1.0 - CLOCK_DRIFT),
+            _ => sent,
+        };
+        let is_new = state.note(&life.service, run, sure, maybe);
+        if matches!(status, Ok(200..300)) {
+            state.failing_since = None;
+            if let Some(handover) = &handover {
+                state.handovers.retain(|(h, _)| h.handover != *handover);
+            }
+            if is_new {
+                tracing::info!(
+                    event = "keys-granted",
+                    first = grant.keys.first.0,
+                    last = grant.keys.last.0,
+                    fence = grant.fence,
+                    hold_ms = hold.as_millis() as u64,
+                    warm = handover.is_some()
+                );
+            }
+            return true;
+        }
+        if status == Ok(FENCED_STATUS) {
+            self.membership.with(|o, _| o.raise_incarnation());
+        }
+        state.failing_since.get_or_insert(sent);
+        let reason = reason_of(status);
+        tracing::warn!(
+            event = "grant-failed",
+            first = grant.keys.first.0,
+            last = grant.keys.last.0,
+            fence = grant.fence,
+            reason
+        );
+        false
+    }
+
+    /// Returns the slices that may be served now, until when the session is live, and how many
+    /// slices the service has.
+    fn served(&self, life: &Life) -> (BTreeMap<SliceId, Token>, Option<Moment>, usize) {
+        self.membership.with(|o, now| {
+            let served = o.served(now).into_iter();
+            let own = served.filter(|((service, _), _)| *service == life.service);
+            let own = own.map(|((_, slice), token)| (slice, token)).collect();
+            let slices = o.table().services.get(&life.service);
+            let count = slices.map_or(0, |s| s.slices.len());
+            (own, o.live_until(now), count)
+        })
+    }
+
+    fn slice_count(&self, service: &ServiceName) -> usize {
+        let table = self.membership.table();
+        table.services.get(service).map_or(0, |s| s.slices.len())
+    }
+
+    /// Notes a new run of the upstream: it holds nothing, and needs higher fences.
+    fn note_life(&self, state: &mut State, life: &Life) {
+        let boot = life.boot();
+        if state.boot == Some(boot) {
+            return;
+        }
+        if state.boot.is_some() {
+            self.membership.with(|o, _| o.raise_incarnation());
+        }
+        state.boot = Some(boot);
+        state.held.clear();
+        state.failing_since = None;
+    }
+
+    /// Ends the session where others wait for it: they may serve its keys at once.
+    fn resign_if_listed(&self, reason: &str) {
+        let session: Option<SessionId> = self.membership.with(|o, _| {
+            let me = o.info().session;
+            let mut all = o.table().assignments();
+            all.any(|(_, _, a)| a.rank(me).is_some()).then_some(me)
+        });
+        if let Some(session) = session {
+            tracing::warn!(event = "session-resigned", %session, reason);
+            self.membership.with(|o, now| o.resign(now));
+        }
+    }
+}
+
+impl State {
+    /// Returns the parts of `run` whose grants are due, with the handovers that go with them.
+    fn parts_due(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        run: Run,
+    ) -> Vec<(Run, Option<String>)> {
+        let mut parts: Vec<(Run, Option<String>)> = Vec::new();
+        let fresh = |h: &&Held| h.sure > now + RENEW_BELOW;
+        let mut number = run.first.0;
+        while number <= run.last.0 {
+            let slice = SliceId(number);
+            let holds = |h: &&Held| {
+                let inside = h.run.first <= slice && slice <= h.run.last;
+                inside && h.service == *service && h.run.token == run.token
+            };
+            if let Some(held) = self.held.iter().find(holds) {
+                let last = held.run.last.min(run.last);
+                if !fresh(&held) {
+                    let part = Run {
+                        first: slice,
+                        last,
+                        ..run
+                    };
+                    parts.push((part, None));
+                }
+                number = last.0 + 1;
+                continue;
+            }
+            let handed = self
+                .handovers
+                .iter()
+                .map(|(h, _)| h)
+                .find(|h| h.service == *service && h.first <= slice && slice <= h.last);
+            let handover = handed.map(|h| h.handover.clone());
+            let part = Run {
+                first: slice,
+                last: slice,
+                ..run
+            };
+            match parts.last_mut() {
+                Some((last, with))
+                    if last.last.0 + 1 == number
+                        && *with == handover
+                        && !self.holds_any(service, last) =>
+                {
+                    last.last = slice;
+                }
+                _ => parts.push((part, handover)),
+            }
+            number += 1;
+        }
+        parts
+    }
+
+    fn holds_any(&self, service: &ServiceName, run: &Run) -> bool {
+        self.held.iter().any(|h| {
+            h.service == *service
+                && h.run.token == run.token
+                && h.run.first <= run.last
+                && run.first <= h.run.last
+        })
+    }
+
+    /// Notes a grant; returns whether its keys were not held before.
+    fn note(&mut self, service: &ServiceName, run: Run, sure: Moment, maybe: Moment) -> bool {
+        let same = |h: &&mut Held| {
+            h.service == *service
+                && h.run.token == run.token
+                && h.run.first <= run.first
+                && run.last <= h.run.last
+        };
+        if let Some(held) = self.held.iter_mut().find(same) {
+            held.sure = held.sure.max(sure);
+            held.maybe = held.maybe.max(maybe);
+            return false;
+        }
+        let overlaps =
+            |h: &Held| h.service == *service && h.run.first <= run.last && run.first <= h.run.last;
+        let covered = |h: &Held| run.first <= h.run.first && h.run.last <= run.last;
+        self.held.retain(|h| !(overlaps(h) && covered(h)));
+        self.held.push(Held {
+            service: service.clone(),
+            run,
+            sure,
+            maybe,
+        });
+        true
+    }
+
+    /// Returns until when the upstream surely holds each of the slices `served`.
+    fn granted(&self, served: &BTreeMap<SliceId, Token>) -> BTreeMap<SliceId, Moment> {
+        let mut granted = BTreeMap::new();
+        for held in &self.held {
+            for number in held.run.first.0..=held.run.last.0 {
+                let slice = SliceId(number);
+                if served.get(&slice) == Some(&held.run.token) {
+                    granted.insert(slice, held.sure);
+                }
+            }
+        }
+        granted
+    }
+}
+
+/// Appends a slice to the last range, where it follows that.
+fn append(ranges: &mut Vec<Held>, piece: Held) {
+    match ranges.last_mut() {
+        Some(last) if follows(last, &piece) => last.run.last = piece.run.last,
+        _ => ranges.push(piece),
+    }
+}
+
+fn follows(last: &Held, piece: &Held) -> bool {
+    last.run.last.0 + 1 == piece.run.first.0
+        && last.run.token == piece.run.token
+        && last.service == piece.service
+        && last.maybe == piece.maybe
+}
+
+fn reason_of(result: Result<u16, OrderFailure>) -> String {
+    match result {
+        Ok(status) => format!("status {status}"),
+        Err(e) => format!("{e:?}"),
+    }
+}
--- /dev/null
+++ b/src/process/host/mod.rs
@@ -0,0 +1,29 @@
+//! The daemon beside an upstream of a platform: it takes callers' requests, brings each to the
+//! right upstream, and decides alone what reaches the upstream on its own host.
+//!
+//! | module | decides |
+//! |---|---|
+//! | [`entry`] | where a request goes, how often, and what its caller is told |
+//! | [`selection`] | which of equal upstreams gets a request |
+//! | [`upstream_gate`] | whether and when an order reaches the upstream here |
+//! | [`admission`] | how many orders at once, in which order, at what pace |
+//! | [`beside`] | which run of the upstream is the present one, and in what state |
+//! | [`keeper`] | which keys the upstream is granted, and when they are taken back |
+//! | [`follower`] | which routing and table are in force, and who plans |
+//! | [`budget_share`] | how many repeats this daemon may send |
+//! | [`service`] | start, signals and the planned stop |
+
+pub mod admission;
+pub mod beside;
+pub mod budget_share;
+pub mod entry;
+pub mod follower;
+pub mod host_settings;
+pub mod keeper;
+pub mod key_ranges;
+pub mod parts;
+pub mod reports;
+pub mod running;
+pub mod selection;
+pub mod service;
+pub mod upstream_gate;
--- /dev/null
+++ b/src/process/host/parts.rs
@@ -0,0 +1,206 @@
+//! The parts that all threads of the daemon share, and how it serves other daemons.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use crate::connection::dialect::{Report, StatusReport};
+use crate::connection::peer_message::{PeerReply, PeerRequest};
+use crate::connection::peer_server::PeerHandler;
+use crate::connection::wire::Waiter;
+use crate::process::clock::Clock;
+use crate::process::host::beside::Change;
+use crate::process::host::entry::Entry;
+use crate::process::host::host_settings::HostSettings;
+use crate::process::host::keeper::Keeper;
+use crate::process::host::running::{Running, Standing};
+use crate::process::host::upstream_gate::UpstreamGate;
+use crate::process::membership::Membership;
+use crate::process::metrics::Metrics;
+use crate::process::stop::Stop;
+use crate::request::order::Order;
+use crate::request::verdict::{Cause, Verdict};
+use crate::version::epoch::Epoch;
+use crate::version::instance_id::InstanceId;
+use crate::version::upstream::Upstream;
+
+/// How long a caller is told to wait for a process that is not the one meant.
+const GONE_RETRY: Duration = Duration::from_millis(300);
+
+/// The parts of the daemon.
+pub struct Parts {
+    pub(super) settings: HostSettings,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) instance: InstanceId,
+    pub(super) membership: Arc<Membership>,
+    pub(super) gate: Arc<UpstreamGate>,
+    pub(super) keeper: Arc<Keeper>,
+    pub(super) entry: Arc<Entry>,
+    pub(super) running: Running,
+    pub(super) metrics: Arc<Metrics>,
+    /// Raised once the process has been asked to stop.
+    pub(super) leaving: Arc<Stop>,
+    /// Raised once all threads shall end.
+    pub(super) stop: Arc<Stop>,
+    /// Whether the process was ready once.
+    pub(super) was_ready: AtomicBool,
+}
+
+impl Parts {
+    /// Returns whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        if self.leaving.is_raised() {
+            return false;
+        }
+        let knows = self.membership.active().desired.is_some();
+        let ready = knows && (self.was_ready.load(Ordering::SeqCst) || self.knows_members());
+        if ready && !self.was_ready.swap(true, Ordering::SeqCst) {
+            tracing::info!(event = "ready");
+        }
+        ready
+    }
+
+    /// Returns whether the daemon has adopted a table.
+    fn knows_members(&self) -> bool {
+        self.membership.table().epoch > Epoch::default()
+    }
+
+    /// Takes in what the upstream says of itself.
+    pub fn take_report(&self, report: Report) {
+        match report {
+            Report::Status(status) => self.take_status(&status),
+            Report::Leaving {
+                instance,
+                started_ms,
+            } => {
+                if self.gate.leave(&instance, started_ms) {
+                    tracing::info!(event = "upstream-leaving", instance, by = "leave");
+                    self.describe_leaving(true);
+                }
+            }
+        }
+    }
+
+    fn take_status(&self, status: &StatusReport) {
+        if status.address != self.settings.upstream {
+            tracing::info!(event = "report-ignored", instance = status.instance, address = %status.address, reason = "another address");
+            return;
+        }
+        let change = self.gate.report(status);
+        match change {
+            Change::NewLife => {
+                tracing::info!(
+                    event = "upstream-up", instance = status.instance, service = %status.service,
+                    slots = status.slots, cold_ms = status.cold_for.as_millis() as u64, draining = status.draining
+                );
+                self.describe_upstream(status);
+            }
+            Change::Leaving => {
+                tracing::info!(
+                    event = "upstream-leaving",
+                    instance = status.instance,
+                    by = "report"
+                );
+                self.describe_leaving(true);
+            }
+            Change::Outdated => {
+                tracing::info!(
+                    event = "report-ignored",
+                    instance = status.instance,
+                    sequence = status.sequence,
+                    reason = "outdated"
+                );
+            }
+            Change::Refreshed => {}
+        }
+    }
+
+    /// Tells the planner which upstream is here.
+    fn describe_upstream(&self, status: &StatusReport) {
+        let Some(life) = self.gate.life() else {
+            return;
+        };
+        let upstream = Upstream {
+            service: status.service.clone(),
+            address: status.address,
+            boot: life.boot(),
+            slots: status.slots,
+            cold_slots: 1,
+            connections: 1,
+            checks_grants: true,
+        };
+        let leaving = status.draining || self.leaving.is_raised();
+        self.membership.with(|o, now| {
+            o.describe(now, |info| {
+                info.upstream = Some(upstream);
+                info.leaving = leaving;
+            });
+        });
+    }
+
+    /// Tells the planner whether the upstream here leaves.
+    pub fn describe_leaving(&self, leaving: bool) {
+        self.membership
+            .with(|o, now| o.describe(now, |info| info.leaving = leaving));
+    }
+
+    /// Brings another daemon's order to the upstream; a copy of an earlier one joins that.
+    fn serve_order(&self, instance: InstanceId, order: &Order, waiter: &Waiter) -> PeerReply {
+        if instance != self.instance {
+            return self.done(Verdict::not_run(Cause::NotOwner, GONE_RETRY));
+        }
+        let now = self.clock.now();
+        let run = match self.running.begin(now, &order.id) {
+            Standing::First(run) => run,
+            Standing::Joined(run) => {
+                let reply = run.wait(order.remaining);
+                return reply
+                    .unwrap_or_else(|| self.done(Verdict::timed_out("no outcome in time")));
+            }
+            Standing::Forgotten => return self.done(Verdict::unknown("a late copy")),
+        };
+        let verdict = self.gate.run(order, &waiter.returning(&run.claims));
+        let reply = self.done(verdict);
+        self.running.end(self.clock.now(), &order.id, &run, &reply);
+        reply
+    }
+
+    fn done(&self, verdict: Verdict) -> PeerReply {
+        PeerReply::Done {
+            verdict: Box::new(verdict),
+            load: self.gate.load(),
+        }
+    }
+}
+
+impl PeerHandler for Parts {
+    fn handle(&self, request: PeerRequest, waiter: &Waiter) -> PeerReply {
+        match request {
+            PeerRequest::Order { instance, order } => self.serve_order(instance, &order, waiter),
+            PeerRequest::Table => {
+                let table = self.membership.table();
+                let some = table.epoch > Epoch::default();
+                PeerReply::Table(some.then(|| Box::new((*table).clone())))
+            }
+            PeerRequest::Desired => {
+                let active = self.membership.active();
+                PeerReply::Desired(active.desired.as_ref().map(|d| Box::new((**d).clone())))
+            }
+            PeerRequest::KeyHandover(handovers) => {
+                self.keeper.take_handovers(handovers);
+                PeerReply::Taken
+            }
+            PeerRequest::Forward(_)
+            | PeerRequest::Run { .. }
+            | PeerRequest::Configuration
+            | PeerRequest::Handover(_) => {
+                tracing::warn!(event = "peer-request-refused", reason = "not served here");
+                PeerReply::NotServing("this daemon takes orders only".to_owned())
+            }
+        }
+    }
+
+    fn malformed(&self) {
+        self.metrics.malformed();
+    }
+}
--- /dev/null
+++ b/src/process/host/running.rs
@@ -0,0 +1,100 @@
+//! The orders that came from other daemons, so that one that is sent again joins the first.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+use crate::connection::peer_message::PeerReply;
+use crate::connection::wire::Claims;
+use crate::process::moment::Moment;
+use crate::process::sync;
+
+/// How long the outcome of an order is kept.
+const KEEP_REPLY: Duration = Duration::from_secs(3);
+/// How long an order's id is known, so that a copy that a network held up never runs.
+const KEEP_ID: Duration = Duration::from_secs(60);
+/// The most ids known.
+const IDS_MAX: usize = 50_000;
+
+/// An order that is being worked on, or was.
+#[derive(Debug, Default)]
+pub struct Run {
+    reply: Mutex<Option<PeerReply>>,
+    done: Condvar,
+    /// The connections on which its outcome is waited for.
+    pub claims: Arc<Claims>,
+}
+
+impl Run {
+    /// Waits up to `span` for the outcome.
+    pub fn wait(&self, span: Duration) -> Option<PeerReply> {
+        let reply = sync::lock(&self.reply);
+        let waited = self.done.wait_timeout_while(reply, span, |r| r.is_none());
+        waited.unwrap_or_else(PoisonError::into_inner).0.clone()
+    }
+}
+
+/// How an order that has just come stands to the earlier ones.
+pub enum Standing {
+    /// It is the first with its id.
+    First(Arc<Run>),
+    /// An earlier copy of it is being worked on, or was lately.
+    Joined(Arc<Run>),
+    /// An earlier copy of it was worked on, and its outcome is forgotten.
+    Forgotten,
+}
+
+#[derive(Default)]
+struct State {
+    runs: HashMap<String, Arc<Run>>,
+    ended: BTreeMap<(Moment, String), ()>,
+    ids: HashMap<String, Moment>,
+}
+
+/// The orders of the last minute.
+#[derive(Default)]
+pub struct Running {
+    state: Mutex<State>,
+}
+
+impl Running {
+    /// Takes in an order that came at `now`.
+    pub fn begin(&self, now: Moment, id: &str) -> Standing {
+        let mut state = sync::lock(&self.state);
+        state.forget(now);
+        if let Some(run) = state.runs.get(id) {
+            run.claims.join();
+            return Standing::Joined(Arc::clone(run));
+        }
+        if state.ids.contains_key(id) {
+            return Standing::Forgotten;
+        }
+        let run = Arc::new(Run::default());
+        state.runs.insert(id.to_owned(), Arc::clone(&run));
+        state.ids.insert(id.to_owned(), now);
+        Standing::First(run)
+    }
+
+    /// Takes in the outcome of an order.
+    pub fn end(&self, now: Moment, id: &str, run: &Run, reply: &PeerReply) {
+        *sync::lock(&run.reply) = Some(reply.clone());
+        run.done.notify_all();
+        let mut state = sync::lock(&self.state);
+        state.ended.insert((now, id.to_owned()), ());
+    }
+}
+
+impl State {
+    fn forget(&mut self, now: Moment) {
+        while let Some(entry) = self.ended.first_entry() {
+            if now.since(entry.key().0) < KEEP_REPLY {
+                break;
+            }
+            let (_, id) = entry.remove_entry().0;
+            self.runs.remove(&id);
+        }
+        if self.ids.len() > IDS_MAX {
+            self.ids.retain(|_, at| now.since(*at) < KEEP_ID);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/host/selection.rs
@@ -0,0 +1,118 @@
+//! Which of the equal upstreams of a service gets a request, from what this daemon saw of them.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use crate::process::host::upstream_gate::LoadNote;
+use crate::process::moment::Moment;
+use crate::process::sync;
+use crate::version::domain_name::DomainName;
+use crate::version::instance_id::InstanceId;
+use crate::version::member::Member;
+
+/// The mean time of an order at an upstream that was not tried yet, in microseconds.
+const MEAN_UNKNOWN_MICROS: f64 = 100_000.0;
+/// How fast a load note loses its weight.
+const NOTE_AGE: Duration = Duration::from_millis(400);
+/// What a request to another failure domain counts for, in microseconds.
+const FAR_MICROS: f64 = 15_000.0;
+/// What each byte of its body adds to that, in microseconds.
+const FAR_MICROS_PER_BYTE: f64 = 1.5;
+/// The weight of a new outcome in the failing part.
+const FAILING_WEIGHT: f64 = 0.1;
+/// How fast the failing part is forgotten.
+const FAILING_AGE: Duration = Duration::from_secs(4);
+/// How many times its cost an upstream counts for that fails always.
+const FAILING_FACTOR: f64 = 8.0;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    note: LoadNote,
+    noted: Moment,
+    mine: u32,
+    failing: f64,
+    failed: Moment,
+}
+
+/// What this daemon saw of the upstreams of all services.
+#[derive(Debug, Default)]
+pub struct Selection {
+    seen: Mutex<HashMap<InstanceId, Seen>>,
+}
+
+impl Selection {
+    /// Chooses the upstream with the least expected time for a request with a body of `bytes`
+    /// that begins in `home`, of those of `members` that `tried` does not name.
+    pub fn pick<'m>(
+        &self,
+        now: Moment,
+        members: &'m [Member],
+        tried: &[InstanceId],
+        home: &DomainName,
+        bytes: usize,
+    ) -> Option<&'m Member> {
+        let seen = sync::lock(&self.seen);
+        let free = members
+            .iter()
+            .filter(|m| !tried.contains(&m.info.session.instance));
+        let costed = free.map(|m| {
+            let known = seen.get(&m.info.session.instance).copied();
+            let mut cost = known.unwrap_or_default().cost(now, m);
+            if m.info.domain != *home {
+                cost += FAR_MICROS + FAR_MICROS_PER_BYTE * bytes as f64;
+            }
+            // Equal costs are told apart at random, so that not all daemons choose alike.
+            (cost + rand::random::<f64>() * FAR_MICROS / 4.0, m)
+        });
+        costed.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, m)| m)
+    }
+
+    /// Notes that a request goes to an upstream.
+    pub fn start(&self, instance: InstanceId) {
+        sync::lock(&self.seen).entry(instance).or_default().mine += 1;
+    }
+
+    /// Notes that a request came back, with the load told with it.
+    pub fn end(&self, now: Moment, instance: InstanceId, failed: bool, note: Option<LoadNote>) {
+        let mut all = sync::lock(&self.seen);
+        let seen = all.entry(instance).or_default();
+        seen.mine = seen.mine.saturating_sub(1);
+        let present = seen.failing(now);
+        let outcome = if failed { 1.0 } else { 0.0 };
+        seen.failing = present + (outcome - present) * FAILING_WEIGHT;
+        seen.failed = now;
+        if let Some(note) = note {
+            seen.note = note;
+            seen.noted = now;
+        }
+    }
+
+    /// Forgets processes that `keep` does not name.
+    pub fn retain(&self, keep: impl Fn(InstanceId) -> bool) {
+        sync::lock(&self.seen).retain(|&i, _| keep(i));
+    }
+}
+
+impl Seen {
+    /// Returns the expected time of one more order, in microseconds.
+    fn cost(&self, now: Moment, member: &Member) -> f64 {
+        let slots = member.info.upstream.as_ref().map_or(1, |u| u.slots);
+        let mean = match self.note.mean_micros {
+            0 => MEAN_UNKNOWN_MICROS,
+            micros => f64::from(micros),
+        };
+        let age = now.since(self.noted).as_secs_f64() / NOTE_AGE.as_secs_f64();
+        let told = f64::from(self.note.in_flight + self.note.waiting) * (-age).exp();
+        let busy = told.max(f64::from(self.mine));
+        let over = (busy + 1.0 - f64::from(slots)).max(0.0);
+        let work = mean * (1.0 + busy / f64::from(slots) * 0.25);
+        let failing = 1.0 + self.failing(now) * FAILING_FACTOR;
+        (work + mean * over / f64::from(slots)) * failing
+    }
+
+    fn failing(&self, now: Moment) -> f64 {
+        let age = now.since(self.failed).as_secs_f64() / FAILING_AGE.as_secs_f64();
+        self.failing * (-age).exp()
+    }
+}
--- /dev/null
+++ b/src/process/host/service.rs
@@ -0,0 +1,386 @@
+//! Starts the daemon beside an upstream, and stops it as planned.
+
+use std::net::{TcpListener, UdpSocket};
+use std::sync::mpsc::{self, Receiver};
+use std::sync::{Arc, atomic::AtomicBool};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use crate::connection::dialect::{CallerDialect, Discovery, OperatorDialect, UpstreamDialect};
+use crate::connection::front::{Front, FrontHandler};
+use crate::connection::peer_pool::{PeerPool, PeerTimes};
+use crate::connection::peer_server::{PeerHandler, PeerServer};
+use crate::connection::upstream_pool::UpstreamPool;
+use crate::process::clock::{Clock, SystemClock};
+use crate::process::daemon::{self, DaemonError};
+use crate::process::host::entry::{Entry, EntryParts};
+use crate::process::host::follower::Follower;
+use crate::process::host::host_settings::HostSettings;
+use crate::process::host::keeper::Keeper;
+use crate::process::host::parts::Parts;
+use crate::process::host::reports::{ReadyFront, ReportFront};
+use crate::process::host::running::Running;
+use crate::process::host::upstream_gate::UpstreamGate;
+use crate::process::load_report::{LoadReport, SliceLoad};
+use crate::process::membership::{Event, Membership};
+use crate::process::metrics::Metrics;
+use crate::process::ownership::Ownership;
+use crate::process::stop::Stop;
+use crate::process::store::Store;
+use crate::process::workers::Workers;
+use crate::version::epoch::Epoch;
+use crate::version::instance_id::InstanceId;
+use crate::version::key_hash::KeyHash;
+use crate::version::member::{MemberInfo, WEIGHT_FULL};
+use crate::version::session_id::SessionId;
+
+/// How long other daemons may take to confirm an order and to say more of it.
+const PEER_TIMES: PeerTimes = PeerTimes {
+    confirm: Duration::from_millis(120),
+    patience: Duration::from_millis(600),
+};
+/// How often grants and regular duties are looked at.
+const ROUND: Duration = Duration::from_millis(100);
+/// How often the load is reported.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// The most slices in a load report.
+const REPORT_SLICES_MAX: usize = 16;
+/// How often the process looks whether it stops while nothing happens.
+const EVENT_STEP: Duration = Duration::from_millis(500);
+/// How long callers may still come after the process has said that it is not ready.
+const UNREADY_TIME: Duration = Duration::from_millis(2600);
+/// What is left of the time for a planned stop when the last connections are closed.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// How often a stopping process looks whether it is done.
+const STOP_STEP: Duration = Duration::from_millis(50);
+
+/// How the daemon speaks with the platform.
+pub struct Platform {
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// What callers speak.
+    pub callers: Arc<dyn CallerDialect>,
+    /// What upstreams speak.
+    pub upstreams: Arc<dyn UpstreamDialect>,
+    /// How upstreams make themselves known.
+    pub discovery: Arc<dyn Discovery>,
+    /// How operators write the routing that they want.
+    pub operators: Arc<dyn OperatorDialect>,
+}
+
+/// A running daemon.
+pub struct HostService {
+    parts: Arc<Parts>,
+    callers: Front,
+    ready: Front,
+    reports: Front,
+    peers: PeerServer,
+    store: Arc<dyn Store>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl HostService {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where an address is taken or a thread can't be started.
+    pub fn start(settings: HostSettings, platform: Platform) -> Result<Self, DaemonError> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let socket = UdpSocket::bind(settings.peers);
+        let socket = socket.map_err(|e| daemon::listen_error("peers", settings.peers, e))?;
+        let peer_listener = daemon::listen("peers", settings.peers)?;
+        let caller_listener = daemon::listen("callers", settings.callers)?;
+        let ready_listener = daemon::listen("ready", settings.ready)?;
+        let report_listener = daemon::listen("reports", settings.reports)?;
+        let instance = InstanceId(rand::random());
+        tracing::info!(event = "start", node = settings.node, %instance, peers = %settings.peers);
+        let (events, received) = mpsc::channel();
+        let parts = build(settings, &platform, clock, socket, instance, events)?;
+        let threads = start_threads(&parts, &platform, received)?;
+        let peers = PeerServer::start(peer_listener, Arc::clone(&parts) as Arc<dyn PeerHandler>)?;
+        let entry = Arc::clone(&parts.entry);
+        let callers = start_front(caller_listener, entry)?;
+        let ready = start_front(ready_listener, Arc::new(ReadyFront(Arc::clone(&parts))))?;
+        let discovery = Arc::clone(&platform.discovery);
+        let report_front = ReportFront {
+            parts: Arc::clone(&parts),
+            discovery,
+        };
+        let reports = start_front(report_listener, Arc::new(report_front))?;
+        Ok(Self {
+            parts,
+            callers,
+            ready,
+            reports,
+            peers,
+            store: platform.store,
+            threads,
+        })
+    }
+
+    /// Stops as planned: tells that it takes no new callers, hands its keys over, serves those who
+    /// still come, and joins all threads before the time for the stop runs out.
+    pub fn stop(mut self) {
+        tracing::info!(event = "stop");
+        let begun = Instant::now();
+        let grace = Duration::from_secs_f64(self.parts.settings.grace_s);
+        let until = begun + grace.saturating_sub(STOP_MARGIN);
+        self.parts.leaving.raise();
+        self.parts.describe_leaving(true);
+        while Instant::now() < until {
+            let quiet = self.callers.connections() == 0 && self.parts.gate.load().in_flight == 0;
+            if begun.elapsed() >= UNREADY_TIME && quiet && self.has_left() {
+                break;
+            }
+            thread::sleep(STOP_STEP);
+        }
+        if self.has_left() {
+            self.parts.membership.with(|o, now| o.resign(now));
+        } else {
+            tracing::warn!(event = "stopped-with-keys");
+        }
+        thread::sleep(STOP_STEP);
+        self.parts.stop.raise();
+        self.store.close();
+        self.callers.stop();
+        self.reports.stop();
+        self.ready.stop();
+        self.peers.stop();
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+        tracing::info!(event = "stopped", ms = begun.elapsed().as_millis() as u64);
+    }
+
+    /// Returns whether no slice is this daemon's any more, and all others know it.
+    fn has_left(&self) -> bool {
+        self.parts.membership.with(|o, _| {
+            let me = o.info().session;
+            let table = o.table();
+            let Some(member) = table.members.get(&me) else {
+                return true;
+            };
+            let mut mine = table
+                .assignments()
+                .filter(|(_, _, a)| a.candidates.first() == Some(&me));
+            member.info.leaving && mine.next().is_none() && o.facts().adopted(me) == table.epoch
+        })
+    }
+}
+
+fn start_front(
+    listener: TcpListener,
+    handler: Arc<dyn FrontHandler>,
+) -> Result<Front, DaemonError> {
+    Ok(Front::start(listener, handler)?)
+}
+
+/// Creates the parts of a daemon.
+fn build(
+    settings: HostSettings,
+    platform: &Platform,
+    clock: Arc<dyn Clock>,
+    socket: UdpSocket,
+    instance: InstanceId,
+    events: mpsc::Sender<Event>,
+) -> Result<Arc<Parts>, DaemonError> {
+    let metrics = Arc::new(Metrics::new()?);
+    let peers = Arc::new(PeerPool::new(settings.peers.ip(), PEER_TIMES));
+    let membership = Arc::new(Membership::new(
+        Arc::clone(&clock),
+        ownership(&settings, &*clock, instance),
+        socket,
+        Arc::clone(&peers),
+        Arc::clone(&metrics),
+        events,
+    )?);
+    let upstream_pool = UpstreamPool::new(
+        settings.upstream,
+        Some(settings.peers.ip()),
+        Arc::clone(&platform.upstreams),
+    );
+    let gate = Arc::new(UpstreamGate::new(
+        Arc::clone(&clock),
+        Arc::clone(&membership),
+        upstream_pool,
+        Duration::from_millis(settings.drain_ms),
+    ));
+    let keeper = Arc::new(Keeper::new(
+        Arc::clone(&clock),
+        Arc::clone(&membership),
+        Arc::clone(&gate),
+        Arc::clone(&peers),
+        Arc::clone(&platform.upstreams),
+        Duration::from_millis(settings.hold_max_ms),
+    ));
+    let leaving = Arc::new(Stop::default());
+    let entry = Arc::new(Entry::new(EntryParts {
+        clock: Arc::clone(&clock),
+        membership: Arc::clone(&membership),
+        gate: Arc::clone(&gate),
+        peers,
+        dialect: Arc::clone(&platform.callers),
+        metrics: Arc::clone(&metrics),
+        instance,
+        domain: settings.domain.clone(),
+        origin: settings.service.clone(),
+        budget: settings.budget(),
+        stop: Arc::clone(&leaving),
+    }));
+    Ok(Arc::new(Parts {
+        settings,
+        clock,
+        instance,
+        membership,
+        gate,
+        keeper,
+        entry,
+        running: Running::default(),
+        metrics,
+        leaving,
+        stop: Arc::default(),
+        was_ready: AtomicBool::new(false),
+    }))
+}
+
+/// Creates the ownership rules of a process that has just started.
+fn ownership(settings: &HostSettings, clock: &dyn Clock, instance: InstanceId) -> Ownership {
+    let info = MemberInfo {
+        session: SessionId {
+            instance,
+            tenure: 1,
+        },
+        peer: settings.peers,
+        entry: settings.callers,
+        domain: settings.domain.clone(),
+        upstream: None,
+        leaving: false,
+        weight: WEIGHT_FULL,
+    };
+    let cell = KeyHash::of(b"host").0;
+    Ownership::new(
+        cell,
+        settings.lease_times(),
+        info,
+        clock.now(),
+        rand::random(),
+    )
+}
+
+/// Starts the threads that live as long as the process.
+fn start_threads(
+    parts: &Arc<Parts>,
+    platform: &Platform,
+    received: Receiver<Event>,
+) -> Result<Vec<JoinHandle<()>>, DaemonError> {
+    let follower = Arc::new(Follower::new(
+        Arc::clone(&platform.store),
+        Arc::clone(&platform.operators),
+        Arc::clone(&parts.membership),
+        parts.instance,
+    ));
+    let (routing, table, plan) = (Arc::clone(&follower), Arc::clone(&follower), follower);
+    let fetchers = Workers::start("fetch", 1)?;
+    let releasers = Workers::start("release", 2)?;
+    let stop = || Arc::clone(&parts.stop);
+    let (s1, s2, s3, s4) = (stop(), stop(), stop(), stop());
+    let membership = Arc::clone(&parts.membership);
+    let (for_events, for_duties) = (Arc::clone(parts), Arc::clone(parts));
+    Ok(vec![
+        spawn("routing", move || routing.follow_routing(&s1))?,
+        spawn("table", move || table.follow_table(&s2))?,
+        spawn("plan", move || plan.plan(&s3))?,
+        spawn("datagrams", move || membership.run(&s4))?,
+        spawn("events", move || {
+            react(&for_events, &received, &fetchers, &releasers)
+        })?,
+        spawn("duties", move || do_duties(&for_duties))?,
+    ])
+}
+
+/// Does what the membership asks of the rest of the process.
+fn react(parts: &Arc<Parts>, events: &Receiver<Event>, fetchers: &Workers, releasers: &Workers) {
+    while !parts.stop.is_raised() {
+        let Ok(event) = events.recv_timeout(EVENT_STEP) else {
+            continue;
+        };
+        let parts = Arc::clone(parts);
+        match event {
+            Event::Adopted(epoch) => {
+                let version = parts.membership.active().version;
+                parts.metrics.versions(epoch.0, version.0);
+                parts.entry.forget_gone();
+                releasers.submit(move || parts.keeper.release(epoch));
+            }
+            Event::Lapsed | Event::Ended(_) => parts.keeper.round(),
+            Event::Suspects(suspects) => parts.gate.suspect(&suspects),
+            Event::Cleared(fingerprint) => parts.gate.clear(fingerprint),
+            Event::FetchTable { from, epoch } => fetchers.submit(move || {
+                if parts.membership.table().epoch < epoch {
+                    parts.membership.fetch_table(from);
+                }
+            }),
+            Event::FetchConfiguration { from, version } => fetchers.submit(move || {
+                if parts.membership.active().version < version {
+                    parts.membership.fetch_desired(from);
+                }
+            }),
+        }
+    }
+}
+
+/// Does the regular duties until the process stops.
+fn do_duties(parts: &Parts) {
+    let started = Instant::now();
+    let times = parts.settings.lease_times();
+    let mut reported = started;
+    let mut epoch = Epoch::default();
+    while !parts.stop.wait(ROUND) {
+        parts.keeper.round();
+        let waited = started.elapsed() > times.silence() + times.renewal;
+        if waited && parts.membership.has_read_platform() {
+            parts.membership.with(|o, now| o.succeed_address(now));
+        }
+        if reported.elapsed() >= REPORT_INTERVAL {
+            report(parts, reported.elapsed(), &mut epoch);
+            reported = Instant::now();
+        }
+    }
+}
+
+/// Tells the planner the load of the last `span`.
+fn report(parts: &Parts, span: Duration, epoch: &mut Epoch) {
+    let load = parts.gate.load();
+    let waiting = usize::try_from(load.waiting).unwrap_or(usize::MAX);
+    parts.metrics.gate(load.in_flight, load.slots, waiting);
+    let served = parts.gate.take_served();
+    let rate = |orders: u64| (orders as f64 / span.as_secs_f64()) as u32;
+    let mut slices: Vec<SliceLoad> = served
+        .iter()
+        .map(|(&slice, &n)| SliceLoad {
+            slice,
+            rate: rate(n),
+        })
+        .collect();
+    slices.sort_by_key(|s| std::cmp::Reverse(s.rate));
+    slices.truncate(REPORT_SLICES_MAX);
+    let total = rate(served.values().sum());
+    let in_use = f64::from(total) * f64::from(load.mean_micros) / 1e6;
+    let report = LoadReport {
+        session: None,
+        epoch: std::mem::replace(epoch, parts.membership.table().epoch),
+        slices,
+        rate: total,
+        busy: (in_use / f64::from(load.slots.max(1)) * 1000.0) as u32,
+        capacity: 1000,
+    };
+    parts.membership.report_load(report);
+}
+
+fn spawn(
+    name: &str,
+    work: impl FnOnce() + Send + 'static,
+) -> Result<JoinHandle<()>, std::io::Error> {
+    thread::Builder::new().name(name.to_owned()).spawn(work)
+}
--- /dev/null
+++ b/src/process/host/upstream_gate.rs
@@ -0,0 +1,468 @@
+//! The gate to the upstream beside the daemon: all that reaches it passes here.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::mpsc::{self, RecvTimeoutError, SyncSender};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::connection::dialect::StatusReport;
+use crate::connection::upstream_pool::{Answered, OrderFailure, UpstreamPool};
+use crate::connection::wire::Waiter;
+use crate::process::clock::Clock;
+use crate::process::datagram::Message;
+use crate::process::host::admission::{Admission, Ticket, Turn};
+use crate::process::host::beside::{Beside, Change, Life};
+use crate::process::host::key_ranges;
+use crate::process::membership::Membership;
+use crate::process::moment::Moment;
+use crate::process::sync;
+use crate::request::fingerprint::Fingerprint;
+use crate::request::order::Order;
+use crate::request::quarantine::{Quarantine, Standing, Suspicion};
+use crate::request::verdict::{Cause, Verdict};
+use crate::version::key_hash::KeyHash;
+use crate::version::slice_id::SliceId;
+use crate::version::upstream::UpstreamBoot;
+
+/// How long an order that waits sleeps before it looks whether its caller is still there.
+const WAIT_STEP: Duration = Duration::from_millis(100);
+/// How long a caller is told to wait for a key that moves.
+const MOVE_RETRY: Duration = Duration::from_millis(100);
+/// How long a caller is told to wait for an upstream that is down.
+const DOWN_RETRY: Duration = Duration::from_millis(300);
+/// How long before the drain's bound the gate closes.
+const DRAIN_MARGIN: Duration = Duration::from_millis(400);
+/// The least time that is worth an order.
+const ORDER_TIME_MIN: Duration = Duration::from_millis(5);
+
+/// The load at an upstream, as answers carry it to the daemons that choose.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNote {
+    /// The orders at the upstream.
+    pub in_flight: u32,
+    /// The orders that wait in the daemon beside it.
+    pub waiting: u32,
+    /// The orders that it works on at once.
+    pub slots: u32,
+    /// The mean time of an order, in microseconds.
+    pub mean_micros: u32,
+}
+
+struct Flight {
+    fingerprint: Fingerprint,
+}
+
+#[derive(Default)]
+struct State {
+    beside: Beside,
+    admission: Admission,
+    callers: HashMap<Ticket, SyncSender<()>>,
+    flights: HashMap<u64, Flight>,
+    next_flight: u64,
+    quarantine: Quarantine,
+    crashed: HashSet<UpstreamBoot>,
+    granted: BTreeMap<SliceId, Moment>,
+    served: BTreeMap<SliceId, u64>,
+}
+
+/// The gate to the upstream beside the daemon.
+pub struct UpstreamGate {
+    clock: Arc<dyn Clock>,
+    membership: Arc<Membership>,
+    pool: UpstreamPool,
+    drain_bound: Duration,
+    state: Mutex<State>,
+}
+
+impl UpstreamGate {
+    /// Creates the gate to an upstream that has not reported yet; one that leaves gets nothing
+    /// more after `drain_bound`.
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        membership: Arc<Membership>,
+        pool: UpstreamPool,
+        drain_bound: Duration,
+    ) -> Self {
+        Self {
+            clock,
+            membership,
+            pool,
+            drain_bound,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Returns the connections to the upstream.
+    pub fn pool(&self) -> &UpstreamPool {
+        &self.pool
+    }
+
+    /// Returns the present run of the upstream, where it is up.
+    pub fn life(&self) -> Option<Life> {
+        sync::lock(&self.state).beside.up().cloned()
+    }
+
+    /// Takes in a report of the upstream.
+    pub fn report(&self, report: &StatusReport) -> Change {
+        let now = self.clock.now();
+        let cold_rate = self.cold_rate(report);
+        let mut state = sync::lock(&self.state);
+        let before = state.beside.up().map(Life::boot);
+        let change = state.beside.report(now, report);
+        if change == Change::NewLife {
+            state.granted.clear();
+            let suspects = before.map(|boot| state.suspect_flights(now, boot));
+            drop(state);
+            self.pool.clear();
+            self.tell_suspects(suspects.unwrap_or_default());
+            state = sync::lock(&self.state);
+        }
+        if change != Change::Outdated {
+            let until = now + report.cold_for;
+            state.admission.set_slots(report.slots);
+            state.admission.set_cold(now, until, cold_rate);
+        }
+        change
+    }
+
+    /// Takes in that the upstream leaves; returns whether that is news.
+    pub fn leave(&self, instance: &str, started_ms: Option<u64>) -> bool {
+        let now = self.clock.now();
+        sync::lock(&self.state)
+            .beside
+            .leave(now, instance, started_ms)
+    }
+
+    /// Notes that the upstream's process is gone; returns whether that is news.
+    pub fn lose(&self) -> bool {
+        let now = self.clock.now();
+        let mut state = sync::lock(&self.state);
+        let boot = state.beside.up().map(Life::boot);
+        let news = state.beside.lose();
+        state.granted.clear();
+        let suspects = boot.map(|boot| state.suspect_flights(now, boot));
+        drop(state);
+        self.pool.clear();
+        self.tell_suspects(suspects.unwrap_or_default());
+        news
+    }
+
+    /// Returns the load that the upstream carries.
+    pub fn load(&self) -> LoadNote {
+        let state = sync::lock(&self.state);
+        LoadNote {
+            in_flight: state.admission.in_flight(),
+            waiting: u32::try_from(state.admission.waiting()).unwrap_or(u32::MAX),
+            slots: state.admission.slots(),
+            mean_micros: state.admission.mean_micros() as u32,
+        }
+    }
+
+    /// Returns how many orders of each slice were given since the last call.
+    pub fn take_served(&self) -> BTreeMap<SliceId, u64> {
+        std::mem::take(&mut sync::lock(&self.state).served)
+    }
+
+    /// Sets until when the upstream surely holds each slice.
+    pub fn set_granted(&self, granted: BTreeMap<SliceId, Moment>) {
+        sync::lock(&self.state).granted = granted;
+    }
+
+    /// Takes in requests that other daemons suspect.
+    pub fn suspect(&self, suspects: &[Suspicion]) {
+        let now = self.clock.now();
+        let mut state = sync::lock(&self.state);
+        for suspicion in suspects {
+            state.quarantine.suspect(now, suspicion);
+        }
+    }
+
+    /// Takes in that another daemon's upstream ran a suspect without a crash.
+    pub fn clear(&self, fingerprint: Fingerprint) {
+        let now = self.clock.now();
+        sync::lock(&self.state).quarantine.clear(now, fingerprint);
+    }
+
+    /// Brings an order to the upstream and returns what became of it.
+    pub fn run(&self, order: &Order, waiter: &Waiter) -> Verdict {
+        let now = self.clock.now();
+        let deadline = now + order.remaining;
+        let objective = now + order.objective;
+        if let Err(refusal) = self.allowed(order) {
+            return refusal;
+        }
+        let fingerprint = Fingerprint::of_order(order);
+        if let Err(refusal) = self.take_turn(order, fingerprint, deadline, objective, waiter) {
+            return refusal;
+        }
+        // What was right when the order came may have changed while it waited.
+        let (flight, life) = match self.take_off(order, fingerprint) {
+            Ok(taken) => taken,
+            Err(refusal) => {
+                self.land(None, None, None);
+                return refusal;
+            }
+        };
+        let given = self.clock.now();
+        let left = deadline.since(given);
+        if left < ORDER_TIME_MIN {
+            self.land(Some(flight), None, None);
+            return Verdict::not_run(Cause::TimedOut, MOVE_RETRY);
+        }
+        let result = self.pool.order(order, &life.instance, left, waiter);
+        let took = self.clock.now().since(given);
+        self.conclude(order, &life, flight, fingerprint, took, result)
+    }
+
+    /// Turns the upstream's answer, or its lack, into a verdict.
+    fn conclude(
+        &self,
+        order: &Order,
+        life: &Life,
+        flight: u64,
+        fingerprint: Fingerprint,
+        took: Duration,
+        result: Result<Answered, OrderFailure>,
+    ) -> Verdict {
+        match result {
+            Ok(answered) => {
+                self.land(Some(flight), Some(took), Some(fingerprint));
+                Verdict::Ran(answered.answer)
+            }
+            Err(OrderFailure::NotRun { status, facts }) => {
+                self.land(Some(flight), None, None);
+                let other = facts.instance.as_ref().filter(|i| **i != life.instance);
+                tracing::info!(event = "upstream-shed", request = %order.id, status, ?other);
+                if let Some(span) = facts.cold_for {
+                    let now = self.clock.now();
+                    sync::lock(&self.state).beside.turn_cold(now, span);
+                }
+                Verdict::not_run(Cause::Shed, MOVE_RETRY)
+            }
+            Err(OrderFailure::Refused) => {
+                // Counted before the loss is noted: no byte was sent, so it is no suspect.
+                self.land(Some(flight), None, None);
+                self.note_loss("connection refused");
+                Verdict::not_run(Cause::Down, DOWN_RETRY)
+            }
+            Err(OrderFailure::NotSent(reason)) => {
+                self.land(Some(flight), None, None);
+                tracing::info!(event = "order-not-sent", request = %order.id, reason);
+                Verdict::not_run(Cause::Down, DOWN_RETRY)
+            }
+            Err(OrderFailure::MaybeRun(reason)) => {
+                self.look_for_crash();
+                self.land(Some(flight), None, None);
+                Verdict::unknown(reason)
+            }
+            Err(OrderFailure::TimedOut) => {
+                self.land(Some(flight), Some(took), None);
+                Verdict::timed_out("the upstream did not answer in time")
+            }
+            Err(OrderFailure::Abandoned) => {
+                self.land(Some(flight), None, None);
+                Verdict::unknown("the caller left")
+            }
+        }
+    }
+
+    /// Returns whether the upstream may get the order now.
+    fn allowed(&self, order: &Order) -> Result<(), Verdict> {
+        let now = self.clock.now();
+        let active = self.membership.active();
+        let state = sync::lock(&self.state);
+        let Some(life) = state.beside.up() else {
+            return Err(Verdict::not_run(Cause::Down, DOWN_RETRY));
+        };
+        if life.service != order.service {
+            return Err(Verdict::not_run(Cause::Down, DOWN_RETRY));
+        }
+        if !active.document.takes_work(&life.domain) {
+            return Err(Verdict::not_run(Cause::Evacuated, MOVE_RETRY));
+        }
+        let closes = self.drain_bound.saturating_sub(DRAIN_MARGIN);
+        if life.leaving_since.is_some_and(|at| now.since(at) >= closes) {
+            return Err(Verdict::not_run(Cause::Draining, MOVE_RETRY));
+        }
+        drop(state);
+        match order.key {
+            Some(_) => self.slice_of(order).map(|_| ()),
+            None => Ok(()),
+        }
+    }
+
+    /// Returns the slice of an order, where the upstream holds it now.
+    fn slice_of(&self, order: &Order) -> Result<Option<SliceId>, Verdict> {
+        let Some(key) = order.key else {
+            return Ok(None);
+        };
+        let not_owner = || Verdict::not_run(Cause::NotOwner, MOVE_RETRY);
+        let serving = self.membership.with(|o, now| {
+            let count = o.table().services.get(&order.service)?.slices.len();
+            let slice = key_ranges::slice_of(key, count);
+            o.serve(now, &order.service, KeyHash(slice.0)).ok()
+        });
+        let serving = serving.ok_or_else(not_owner)?;
+        let now = self.clock.now();
+        let state = sync::lock(&self.state);
+        let held = state
+            .granted
+            .get(&serving.slice)
+            .is_some_and(|&until| until > now);
+        match held {
+            true => Ok(Some(serving.slice)),
+            false => Err(not_owner()),
+        }
+    }
+
+    /// Waits for the order's turn.
+    fn take_turn(
+        &self,
+        order: &Order,
+        fingerprint: Fingerprint,
+        deadline: Moment,
+        objective: Moment,
+        waiter: &Waiter,
+    ) -> Result<(), Verdict> {
+        let now = self.clock.now();
+        let mut state = sync::lock(&self.state);
+        if state.quarantine.standing(now, fingerprint) == Standing::Quarantined {
+            return Err(Verdict::not_run(Cause::Quarantined, deadline.since(now)));
+        }
+        let ticket = match state
+            .admission
+            .arrive(now, order.priority, deadline, objective)
+        {
+            Turn::Now => return Ok(()),
+            Turn::Refused { cause, retry_after } => {
+                return Err(Verdict::not_run(cause, retry_after));
+            }
+            Turn::Wait(ticket) => ticket,
+        };
+        let (tx, rx) = mpsc::sync_channel(1);
+        state.callers.insert(ticket, tx);
+        let mut step = state.admission.next_turn(now);
+        drop(state);
+        loop {
+            let span = step.unwrap_or(WAIT_STEP).clamp(ORDER_TIME_MIN, WAIT_STEP);
+            match rx.recv_timeout(span) {
+                Ok(()) => return Ok(()),
+                Err(RecvTimeoutError::Disconnected) => {
+                    return Err(Verdict::not_run(Cause::Stopping, MOVE_RETRY));
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            let now = self.clock.now();
+            let left = waiter.has_left();
+            let mut state = sync::lock(&self.state);
+            if (left || now + ORDER_TIME_MIN >= deadline) && state.admission.leave(ticket) {
+                state.callers.remove(&ticket);
+                let cause = if left {
+                    Cause::CallerLeft
+                } else {
+                    Cause::TimedOut
+                };
+                return Err(Verdict::not_run(cause, MOVE_RETRY));
+            }
+            state.call(now);
+            step = state.admission.next_turn(now);
+        }
+    }
+
+    /// Notes an order as given, where that is still right.
+    fn take_off(&self, order: &Order, fingerprint: Fingerprint) -> Result<(u64, Life), Verdict> {
+        self.allowed(order)?;
+        let slice = self.slice_of(order)?;
+        let mut state = sync::lock(&self.state);
+        let Some(life) = state.beside.up().cloned() else {
+            return Err(Verdict::not_run(Cause::Down, DOWN_RETRY));
+        };
+        if let Some(slice) = slice {
+            *state.served.entry(slice).or_default() += 1;
+        }
+        state.next_flight += 1;
+        let flight = state.next_flight;
+        state.flights.insert(flight, Flight { fingerprint });
+        Ok((flight, life))
+    }
+
+    /// Ends an order's turn; `ran` names the request where the upstream ran it without a crash.
+    fn land(&self, flight: Option<u64>, took: Option<Duration>, ran: Option<Fingerprint>) {
+        let now = self.clock.now();
+        let mut state = sync::lock(&self.state);
+        if let Some(flight) = flight {
+            state.flights.remove(&flight);
+        }
+        state.admission.done(took);
+        let cleared = ran.filter(|&f| state.quarantine.clear(now, f));
+        state.call(now);
+        drop(state);
+        if let Some(fingerprint) = cleared {
+            self.membership.tell_all(&Message::Cleared(fingerprint));
+        }
+    }
+
+    /// Finds out whether the upstream's process is gone.
+    fn look_for_crash(&self) {
+        match self.pool.probe() {
+            Err(OrderFailure::Refused) => self.note_loss("connection refused"),
+            Err(e) => tracing::debug!(event = "upstream-probe", error = ?e),
+            Ok(()) => {}
+        }
+    }
+
+    /// Notes the loss of the upstream.
+    pub fn note_loss(&self, reason: &str) {
+        if self.lose() {
+            tracing::warn!(event = "upstream-lost", reason);
+            self.membership
+                .with(|o, now| o.describe(now, |info| info.upstream = None));
+        }
+    }
+
+    fn tell_suspects(&self, suspects: Vec<Suspicion>) {
+        if !suspects.is_empty() {
+            tracing::warn!(event = "suspects", count = suspects.len());
+            self.membership.tell_all(&Message::Suspects(suspects));
+        }
+    }
+
+    fn cold_rate(&self, report: &StatusReport) -> f64 {
+        let active = self.membership.active();
+        let desired = active.desired.as_ref();
+        let terms = desired.and_then(|d| d.services.get(&report.service));
+        terms.map_or(0.0, |t| t.cold_rate)
+    }
+}
+
+impl State {
+    /// Tells those whose turn it is.
+    fn call(&mut self, now: Moment) {
+        for ticket in self.admission.call(now) {
+            if let Some(caller) = self.callers.remove(&ticket) {
+                // A caller that no longer waits ends its turn itself.
+                let _ = caller.try_send(());
+            }
+        }
+    }
+
+    /// Suspects all that was in flight when the run `boot` of the upstream ended.
+    fn suspect_flights(&mut self, now: Moment, boot: UpstreamBoot) -> Vec<Suspicion> {
+        if !self.crashed.insert(boot) {
+            return Vec::new();
+        }
+        let flights = self.flights.values();
+        let suspects: Vec<Suspicion> = flights
+            .map(|f| Suspicion {
+                fingerprint: f.fingerprint,
+                boot,
+            })
+            .collect();
+        for suspicion in &suspects {
+            self.quarantine.suspect(now, suspicion);
+        }
+        suspects
+    }
+}
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -10,6 +10,7 @@
 
 use crate::connection::peer_message::{PeerReply, PeerRequest};
 use crate::connection::peer_pool::{Called, PeerPool};
+use crate::connection::wire::Waiter;
 use crate::process::clock::Clock;
 use crate::process::datagram::{DATAGRAM_BYTES_MAX, Datagram, Message};
 use crate::process::joins::Joins;
@@ -23,6 +24,7 @@
 use crate::request::fingerprint::Fingerprint;
 use crate::request::quarantine::Suspicion;
 use crate::version::configuration::Configuration;
+use crate::version::desired::Desired;
 use crate::version::document::Document;
 use crate::version::document_error::DocumentError;
 use crate::version::document_version::DocumentVersion;
@@ -76,6 +78,8 @@
     pub document: Document,
     /// The configuration as the platform holds it.
     pub configuration: Option<Configuration>,
+    /// The routing that operators want, where they write that in place of a document.
+    pub desired: Option<Arc<Desired>>,
 }
 
 /// The membership of this process: ownership rules, datagrams, table and configuration.
@@ -226,24 +230,52 @@
             version,
             document,
             configuration: Some(configuration),
+            desired: None,
         });
         drop(active);
         tracing::info!(%version, "configuration in force");
+        self.announce_document(version);
+        Ok(())
+    }
+
+    /// Adopts a routing where it is newer than the one in force; returns whether it is.
+    pub fn adopt_desired(&self, desired: Desired) -> bool {
+        let version = desired.version;
+        let mut active = sync::write(&self.active);
+        if version <= active.version {
+            return false;
+        }
+        let label = desired.label.clone();
+        *active = Arc::new(Active {
+            version,
+            document: desired.document(),
+            configuration: None,
+            desired: Some(Arc::new(desired)),
+        });
+        drop(active);
+        tracing::info!(event = "routing-in-force", %version, label);
+        self.announce_document(version);
+        true
+    }
+
+    fn announce_document(&self, version: DocumentVersion) {
         self.with(|o, _| {
             if version > o.document() {
                 o.adopt_document(version);
                 o.announce_versions();
             }
         });
-        Ok(())
     }
 
     /// Gets the table of the daemon at `from` and adopts it.
     pub fn fetch_table(&self, from: SocketAddr) {
-        match self
-            .pool
-            .call(from, &PeerRequest::Table, FETCH_TIME, || false)
-        {
+        match self.pool.call(
+            from,
+            &PeerRequest::Table,
+            FETCH_TIME,
+            &Waiter::none(),
+            || false,
+        ) {
             Ok(Called {
                 reply: PeerReply::Table(Some(table)),
                 ..
@@ -257,10 +289,13 @@
 
     /// Gets the configuration of the daemon at `from` and adopts it.
     pub fn fetch_configuration(&self, from: SocketAddr) {
-        match self
-            .pool
-            .call(from, &PeerRequest::Configuration, FETCH_TIME, || false)
-        {
+        match self.pool.call(
+            from,
+            &PeerRequest::Configuration,
+            FETCH_TIME,
+            &Waiter::none(),
+            || false,
+        ) {
             Ok(Called {
                 reply: PeerReply::Configuration(Some(configuration)),
                 ..
@@ -292,6 +327,24 @@
         }
     }
 
+    /// Gets the routing of the daemon at `from` and adopts it.
+    pub fn fetch_desired(&self, from: SocketAddr) {
+        let request = PeerRequest::Desired;
+        match self
+            .pool
+            .call(from, &request, FETCH_TIME, &Waiter::none(), || false)
+        {
+            Ok(Called {
+                reply: PeerReply::Desired(Some(desired)),
+                ..
+            }) => {
+                self.adopt_desired(*desired);
+            }
+            Ok(_) => {}
+            Err(e) => tracing::debug!(%from, error = %e, "routing not fetched"),
+        }
+    }
+
     fn take(&self, bytes: &[u8]) {
         self.metrics.datagram_received(bytes.len());
         let Ok(datagram) = Datagram::decode(bytes) else {
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -7,6 +7,7 @@
 use crate::connection::caller::{CallerHandler, Terms};
 use crate::connection::peer_message::{PeerReply, PeerRequest};
 use crate::connection::peer_server::PeerHandler;
+use crate::connection::wire::Waiter;
 use crate::process::burn::BurnLog;
 use crate::process::clock::Clock;
 use crate::process::gate::Gate;
@@ -207,7 +208,7 @@
 }
 
 impl PeerHandler for Node {
-    fn handle(&self, request: PeerRequest) -> PeerReply {
+    fn handle(&self, request: PeerRequest, _waiter: &Waiter) -> PeerReply {
         match request {
             PeerRequest::Forward(envelope) => self.router.serve_forwarded(envelope),
             PeerRequest::Run {
@@ -228,6 +229,9 @@
                 self.owner.take_handover(handovers);
                 PeerReply::Taken
             }
+            PeerRequest::Order { .. } | PeerRequest::Desired | PeerRequest::KeyHandover(_) => {
+                PeerReply::NotServing("this daemon takes no such call".to_owned())
+            }
         }
     }
 
--- a/src/process/owner.rs
+++ b/src/process/owner.rs
@@ -7,6 +7,7 @@
 use crate::connection::peer_message::{Handover, PeerReply, PeerRequest};
 use crate::connection::peer_pool::PeerPool;
 use crate::connection::upstream_link::Fence;
+use crate::connection::wire::Waiter;
 use crate::process::clock::Clock;
 use crate::process::gate::{Gate, Passage, Right, SliceOf};
 use crate::process::membership::Membership;
@@ -277,7 +278,10 @@
         for (peer, handovers) in by_owner {
             let slices = handovers.len();
             let request = PeerRequest::Handover(handovers);
-            match self.pool.call(peer, &request, HANDOVER_TIME, || false) {
+            match self
+                .pool
+                .call(peer, &request, HANDOVER_TIME, &Waiter::none(), || false)
+            {
                 Ok(_) => tracing::info!(%peer, slices, "records handed over"),
                 Err(e) => tracing::warn!(%peer, slices, error = %e, "records not handed over"),
             }
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -243,6 +243,13 @@
         self.learn(now, news);
     }
 
+    /// Raises the fence tokens of all that this daemon serves from now on: the upstream started
+    /// anew, or has seen a higher fence.
+    pub fn raise_incarnation(&mut self) {
+        self.tenure.incarnation += 1;
+        self.held.clear();
+    }
+
     /// Ends the daemon's session by its own word, and starts the next.
     pub fn resign(&mut self, now: Moment) {
         let old = self.tenure.id;
--- a/src/process/planner/mod.rs
+++ b/src/process/planner/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod balance;
 pub mod members;
+pub mod ranges;
 pub mod slices;
 pub mod witnesses;
 
--- a/src/process/planner/slices.rs
+++ b/src/process/planner/slices.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::process::planner::{PlanInput, balance};
+use crate::process::planner::{PlanInput, balance, ranges};
 use crate::version::assignment::{Assignment, CANDIDATES_MAX};
 use crate::version::epoch::Epoch;
 use crate::version::member::Member;
@@ -20,6 +20,9 @@
 /// The part of its fair number of slices that an owner gets more in one plan: one in so many.
 const FILL_STEPS: u32 = 4;
 
+/// Into how many groups with the same candidates the ranges of a service fall.
+const RANGE_GROUPS: usize = 24;
+
 /// Returns the slices of each service for the table of `epoch`.
 pub fn plan(
     input: &PlanInput<'_>,
@@ -91,15 +94,24 @@
         }
         first.push(kept);
     }
-    place_orphans(name, slices, owners, &mut shares, &mut first);
-    rebalance(name, owners, &mut shares, &mut first);
+    if service.ranged {
+        ranges::place_orphans(owners, &mut shares, &mut first);
+        ranges::fill(owners, &mut shares, &mut first);
+    } else {
+        place_orphans(name, slices, owners, &mut shares, &mut first);
+        rebalance(name, owners, &mut shares, &mut first);
+    }
     if service.policy == Policy::Adaptive && service.kind == ServiceKind::Keyed {
         balance::spread(input, owners, &mut first);
     }
     let numbered = slices.iter().zip(first).enumerate();
     let planned = numbered.map(|(number, (assignment, owner))| {
-        let item = item_of(name, number);
-        let candidates = candidates(item, assignment, owner, owners);
+        // Neighbouring ranges get the same candidates, so that they stay one range.
+        let group = match service.ranged {
+            true => number * RANGE_GROUPS / slices.len(),
+            false => number,
+        };
+        let candidates = candidates(item_of(name, group), assignment, owner, owners);
         succeed(input, epoch, assignment, candidates)
     });
     planned.collect()
@@ -227,7 +239,7 @@
 }
 
 /// How many slices each owner holds, and how many are its fair number.
-struct Shares {
+pub struct Shares {
     held: BTreeMap<SessionId, u32>,
     fair: BTreeMap<SessionId, f64>,
 }
@@ -245,6 +257,16 @@
         }
     }
 
+    /// Returns how many slices the owner lacks of its fair number.
+    pub fn missing(&self, owner: SessionId) -> f64 {
+        self.fair(owner) - self.held(owner)
+    }
+
+    /// Returns how many slices the owner holds above its fair number.
+    pub fn surplus(&self, owner: SessionId) -> f64 {
+        -self.missing(owner)
+    }
+
     fn held(&self, owner: SessionId) -> f64 {
         f64::from(self.held.get(&owner).copied().unwrap_or(0))
     }
@@ -269,11 +291,13 @@
         self.held(owner) > self.fair(owner).ceil()
     }
 
-    fn is_nearly_empty(&self, owner: SessionId) -> bool {
+    /// Returns whether the owner holds far less than its fair number.
+    pub fn is_nearly_empty(&self, owner: SessionId) -> bool {
         self.held(owner) < self.fair(owner) * f64::from(FILL_BELOW_PERCENT) / 100.0
     }
 
-    fn is_below(&self, owner: SessionId) -> bool {
+    /// Returns whether the owner holds less than its fair number.
+    pub fn is_below(&self, owner: SessionId) -> bool {
         self.held(owner) < self.fair(owner).floor()
     }
 
@@ -282,11 +306,13 @@
         steps as u32
     }
 
-    fn take(&mut self, owner: SessionId) {
+    /// Notes that the owner gets a slice.
+    pub fn take(&mut self, owner: SessionId) {
         *self.held.entry(owner).or_default() += 1;
     }
 
-    fn give_back(&mut self, owner: SessionId) {
+    /// Notes that a slice is taken from the owner.
+    pub fn give_back(&mut self, owner: SessionId) {
         if let Some(held) = self.held.get_mut(&owner) {
             *held -= 1;
         }
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -11,6 +11,7 @@
 use crate::connection::peer_error::PeerError;
 use crate::connection::peer_message::{PeerReply, PeerRequest};
 use crate::connection::peer_pool::PeerPool;
+use crate::connection::wire::Waiter;
 use crate::process::choice::Choice;
 use crate::process::clock::Clock;
 use crate::process::gate::{Gate, Passage, Right};
@@ -316,7 +317,7 @@
         match self
             .parts
             .pool
-            .call(member.info.peer, request, limit, has_ended)
+            .call(member.info.peer, request, limit, &Waiter::none(), has_ended)
         {
             Ok(called) => match called.reply {
                 PeerReply::Answer(answer) => Try::Answered(answer, called.repeated),
--- a/src/request/fingerprint.rs
+++ b/src/request/fingerprint.rs
@@ -2,6 +2,7 @@
 
 use crate::newtype;
 use crate::request::envelope::Envelope;
+use crate::request::order::Order;
 
 newtype::hexadecimal! {
     /// The hash of a request's service, method, path, key and body.
@@ -23,4 +24,20 @@
         }
         Self(hasher.digest())
     }
+
+    /// Returns the fingerprint of an order; its caller gives each attempt another id.
+    pub fn of_order(order: &Order) -> Self {
+        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        let head = [
+            order.service.as_str(),
+            order.origin.as_str(),
+            &order.method,
+            &order.target,
+        ];
+        for part in head.iter().map(|p| p.as_bytes()).chain([&order.body.0[..]]) {
+            hasher.update(&part.len().to_le_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.digest())
+    }
 }
--- /dev/null
+++ b/src/request/headers.rs
@@ -0,0 +1,79 @@
+//! The headers of an HTTP message, in their order.
+
+use serde::{Deserialize, Serialize};
+
+/// Headers that concern only one connection and are never passed on (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The headers of a message; names compare without regard to case.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Headers(Vec<(String, Vec<u8>)>);
+
+impl Headers {
+    /// Appends a header.
+    pub fn push(&mut self, name: impl Into<String>, value: impl Into<Vec<u8>>) {
+        self.0.push((name.into(), value.into()));
+    }
+
+    /// Returns the first value of `name`.
+    pub fn get(&self, name: &str) -> Option<&[u8]> {
+        let mut named = self.0.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        named.next().map(|(_, value)| value.as_slice())
+    }
+
+    /// Returns the first value of `name` as text without surrounding space.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        std::str::from_utf8(self.get(name)?).ok().map(str::trim)
+    }
+
+    /// Returns all values of `name`.
+    pub fn all<'h>(&'h self, name: &'h str) -> impl Iterator<Item = &'h [u8]> {
+        let named = self.0.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        named.map(|(_, value)| value.as_slice())
+    }
+
+    /// Returns whether one of the comma-separated values of `name` is `token`.
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
+        let values = self.all(name).filter_map(|v| std::str::from_utf8(v).ok());
+        let mut tokens = values.flat_map(|v| v.split(','));
+        tokens.any(|t| t.trim().eq_ignore_ascii_case(token))
+    }
+
+    /// Removes all headers of `name`.
+    pub fn remove(&mut self, name: &str) {
+        self.0.retain(|(n, _)| !n.eq_ignore_ascii_case(name));
+    }
+
+    /// Returns the headers that may be passed on: none that concern one connection, and none that
+    /// `Connection` names. The length is left out too, as each hop states it anew.
+    pub fn end_to_end(&self) -> Self {
+        let named: Vec<String> = self
+            .all("connection")
+            .filter_map(|v| std::str::from_utf8(v).ok())
+            .flat_map(|v| v.split(','))
+            .map(|t| t.trim().to_ascii_lowercase())
+            .collect();
+        let passes = |name: &str| {
+            let name = name.to_ascii_lowercase();
+            !HOP_BY_HOP.contains(&name.as_str())
+                && name != "content-length"
+                && !named.contains(&name)
+        };
+        Self(self.0.iter().filter(|(n, _)| passes(n)).cloned().collect())
+    }
+
+    /// Returns all headers in their order.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.0.iter().map(|(n, v)| (n.as_str(), v.as_slice()))
+    }
+}
--- /dev/null
+++ b/src/request/shard_key.rs
@@ -0,0 +1,31 @@
+//! The number that places a request among the keys of a divided service.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// The number of keys of a divided service.
+pub const KEYS: u32 = 65_536;
+
+/// A key of a service that is divided by ranges of keys.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ShardKey(pub u16);
+
+impl fmt::Display for ShardKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for ShardKey {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod assignment;
 pub mod configuration;
+pub mod desired;
 pub mod digest;
 pub mod document;
 pub mod document_error;
--- a/src/version/service.rs
+++ b/src/version/service.rs
@@ -41,6 +41,8 @@
     pub policy: Policy,
     /// Into how many slices the keys are split; a change takes effect for new services only.
     pub slices: u32,
+    /// Whether the slices are ranges of keys, so that neighbours should have the same owner.
+    pub ranged: bool,
     /// How long a request may take when its caller doesn't say, in milliseconds.
     pub deadline_ms: u64,
     /// How many requests may wait for each upstream.
@@ -61,6 +63,7 @@
             kind: ServiceKind::Keyed,
             policy: Policy::Adaptive,
             slices: 64,
+            ranged: false,
             deadline_ms: 1000,
             queue: 64,
             retry_percent: 10,
--- a/src/version/table.rs
+++ b/src/version/table.rs
@@ -15,13 +15,44 @@
 use crate::version::session_id::SessionId;
 use crate::version::slice_id::SliceId;
 
+/// The most slices of a service.
+const SLICES_MAX: usize = 65_536;
+
 /// The slices of one service.
+///
+/// Encoded as runs of equal assignments, as neighbours mostly are alike.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Vec<(u32, Assignment)>", into = "Vec<(u32, Assignment)>")]
 pub struct ServiceSlices {
     /// The assignment of each slice, by its number.
     pub slices: Vec<Assignment>,
 }
 
+impl From<Vec<(u32, Assignment)>> for ServiceSlices {
+    fn from(runs: Vec<(u32, Assignment)>) -> Self {
+        let mut slices = Vec::new();
+        for (length, assignment) in runs {
+            let room = SLICES_MAX - slices.len();
+            let length = usize::try_from(length).unwrap_or(usize::MAX).min(room);
+            slices.extend(std::iter::repeat_n(assignment, length));
+        }
+        Self { slices }
+    }
+}
+
+impl From<ServiceSlices> for Vec<(u32, Assignment)> {
+    fn from(service: ServiceSlices) -> Self {
+        let mut runs: Self = Vec::new();
+        for assignment in service.slices {
+            match runs.last_mut() {
+                Some((length, last)) if *last == assignment => *length += 1,
+                _ => runs.push((1, assignment)),
+            }
+        }
+        runs
+    }
+}
+
 impl ServiceSlices {
     /// Returns the slice that `key` falls in, or `None` where the service has no slices.
     pub fn slice_of(&self, key: KeyHash) -> Option<SliceId> {
