--- a/src/connection/dialect.rs
+++ b/src/connection/dialect.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::connection::front::{HttpReply, HttpRequest};
@@ -73,7 +74,7 @@
 }
 
 /// A range of keys, both ends included.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyRange {
     /// The first key.
     pub first: ShardKey,
--- a/src/connection/peer_message.rs
+++ b/src/connection/peer_message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::connection::dialect::KeyRange;
 use crate::process::host::upstream_gate::LoadNote;
 use crate::process::wall_time::WallTime;
 use crate::request::answer::Answer;
@@ -56,10 +57,8 @@
 pub struct KeyHandover {
     /// The service.
     pub service: ServiceName,
-    /// The first slice.
-    pub first: SliceId,
-    /// The last slice.
-    pub last: SliceId,
+    /// The keys.
+    pub keys: KeyRange,
     /// The upstream's token for what it handed over.
     pub handover: String,
 }
--- a/src/process/host/entry.rs
+++ b/src/process/host/entry.rs
@@ -14,7 +14,6 @@
 use crate::connection::wire::{Waiter, WireError};
 use crate::process::clock::Clock;
 use crate::process::host::budget_share::{BudgetShare, BudgetTerms};
-use crate::process::host::key_ranges;
 use crate::process::host::selection::Selection;
 use crate::process::host::upstream_gate::{LoadNote, UpstreamGate};
 use crate::process::membership::Membership;
@@ -276,11 +275,9 @@
     /// Returns the daemon that most likely holds the order's key.
     fn holder(&self, order: &Order) -> Option<Member> {
         let key = order.key?;
-        self.parts.membership.with(|o, _| {
-            let count = o.table().services.get(&order.service)?.slices.len();
-            let slice = key_ranges::slice_of(key, count);
-            o.owner(&order.service, KeyHash(slice.0)).cloned()
-        })
+        self.parts
+            .membership
+            .with(|o, _| o.owner(&order.service, KeyHash(key.0.into())).cloned())
     }
 
     /// Tries an order on the upstream beside `member`.
--- a/src/process/host/keeper.rs
+++ b/src/process/host/keeper.rs
@@ -25,7 +25,6 @@
 use crate::version::service_name::ServiceName;
 use crate::version::session_id::SessionId;
 use crate::version::slice_id::SliceId;
-use crate::version::token::Token;
 use crate::version::upstream::UpstreamBoot;
 
 /// How far the clock that measures a hold may be off.
@@ -47,7 +46,7 @@
 /// The HTTP status by which an upstream says that it has seen a higher fence.
 const FENCED_STATUS: u16 = 409;
 
-/// A range of slices that was granted.
+/// A range of keys that was granted.
 #[derive(Clone, Debug)]
 struct Held {
     service: ServiceName,
@@ -58,12 +57,26 @@
     maybe: Moment,
 }
 
+impl Held {
+    /// Returns the same grant for other keys.
+    fn with(&self, run: Run) -> Self {
+        Self {
+            run,
+            ..self.clone()
+        }
+    }
+}
+
 #[derive(Default)]
 struct State {
     boot: Option<UpstreamBoot>,
     held: Vec<Held>,
     handovers: Vec<(KeyHandover, Moment)>,
     failing_since: Option<Moment>,
+    /// How many releases are under way.
+    releases: usize,
+    /// The newest epoch for which the lost keys were taken out.
+    released_for: Epoch,
 }
 
 /// Keeps the upstream's grants in step with what the daemon may serve.
@@ -120,20 +133,19 @@
             return;
         };
         self.note_life(&mut state, &life);
-        let (served, live_until, count) = self.served(&life);
+        let (served, live_until) = self.served(&life);
         let now = self.clock.now();
         let Some(live_until) = live_until else {
             // Each hold ends before the lease that allowed it.
             state.held.clear();
-            self.gate.set_granted(BTreeMap::new());
+            self.gate.set_granted(Vec::new());
             return;
         };
         state.held.retain(|h| h.maybe > now);
-        for run in key_ranges::runs_of(&served) {
+        'runs: for run in &served {
             for (part, handover) in state.parts_due(now, &life.service, run) {
-                let granted = self.grant(&mut state, &life, part, handover, live_until, count);
-                if !granted {
-                    break;
+                if !self.grant(&mut state, &life, part, handover, live_until) {
+                    break 'runs;
                 }
             }
         }
@@ -148,76 +160,103 @@
         }
     }
 
-    /// Releases what the table of `epoch` took away, hands it over, and tells the others.
+    /// Releases what the table of `epoch` took away, hands it over, and tells the others once
+    /// nothing is being released any more.
     pub fn release(&self, epoch: Epoch) {
-        let mut by_next: BTreeMap<SocketAddr, Vec<KeyHandover>> = BTreeMap::new();
-        let lost: Vec<(Held, Option<SocketAddr>)> = self.take_lost();
+        let lost = self.take_lost(epoch);
         let released: Vec<_> = thread::scope(|scope| {
             let one = |(held, next)| scope.spawn(move || (self.release_run(&held), held, next));
             let running: Vec<_> = lost.into_iter().map(one).collect();
             running.into_iter().filter_map(|t| t.join().ok()).collect()
         });
+        let mut by_next: BTreeMap<SocketAddr, Vec<KeyHandover>> = BTreeMap::new();
         for (handover, held, next) in released {
             if let (Some(handover), Some(next)) = (handover, next) {
                 by_next.entry(next).or_default().push(KeyHandover {
                     service: held.service,
-                    first: held.run.first,
-                    last: held.run.last,
+                    keys: held.run.keys(),
                     handover,
                 });
             }
         }
         for (peer, handovers) in by_next {
-            let ranges = handovers.len();
-            let request = PeerRequest::KeyHandover(handovers);
-            let called = self
-                .peers
-                .call(peer, &request, HANDOVER_TIME, &Waiter::none(), || false);
-            match called {
-                Ok(_) => tracing::info!(event = "keys-handed-over", %peer, ranges),
-                Err(e) => tracing::warn!(event = "handover-failed", %peer, ranges, error = %e),
-            }
+            self.hand_over(peer, handovers);
+        }
+        let mut state = sync::lock(&self.state);
+        state.releases -= 1;
+        let done = (state.releases == 0).then_some(state.released_for);
+        drop(state);
+        if let Some(epoch) = done {
+            self.membership.with(|o, now| o.let_go(now, epoch));
+        }
+    }
+
+    fn hand_over(&self, peer: SocketAddr, handovers: Vec<KeyHandover>) {
+        let ranges = handovers.len();
+        let request = PeerRequest::KeyHandover(handovers);
+        let called = self
+            .peers
+            .call(peer, &request, HANDOVER_TIME, &Waiter::none(), || false);
+        match called {
+            Ok(_) => tracing::info!(event = "keys-handed-over", %peer, ranges),
+            Err(e) => tracing::warn!(event = "handover-failed", %peer, ranges, error = %e),
         }
-        self.membership.with(|o, now| o.let_go(now, epoch));
     }
 
-    /// Takes out what is held and not served any more, with the next holder of each range.
-    fn take_lost(&self) -> Vec<(Held, Option<SocketAddr>)> {
+    /// Takes out what is held and not served under the table of `epoch` any more, with the next
+    /// holder of each range.
+    fn take_lost(&self, epoch: Epoch) -> Vec<(Held, Option<SocketAddr>)> {
         let mut state = sync::lock(&self.state);
+        state.releases += 1;
+        state.released_for = state.released_for.max(epoch);
         let Some(life) = self.gate.life() else {
             return Vec::new();
         };
-        let (served, _, _) = self.served(&life);
+        let (served, _) = self.served(&life);
         let mut kept = Vec::new();
-        let mut lost: Vec<(Held, Option<SocketAddr>)> = Vec::new();
+        let mut lost = Vec::new();
         for held in std::mem::take(&mut state.held) {
-            for number in held.run.first.0..=held.run.last.0 {
-                let slice = SliceId(number);
-                let piece = Held {
-                    run: Run {
-                        first: slice,
-                        last: slice,
-                        ..held.run
-                    },
-                    ..held.clone()
-                };
-                if served.contains_key(&slice) {
-                    append(&mut kept, piece);
-                    continue;
-                }
-                let next = self.next_holder(&held.service, slice);
-                match lost.last_mut() {
-                    Some((last, n)) if *n == next && follows(last, &piece) => {
-                        last.run.last = slice;
-                    }
-                    _ => lost.push((piece, next)),
-                }
+            let gone = held.run.without(&served);
+            kept.extend(
+                held.run
+                    .without(&gone)
+                    .into_iter()
+                    .map(|run| held.with(run)),
+            );
+            for run in gone {
+                lost.extend(self.by_next_holder(&held, run));
             }
         }
         state.held = kept;
+        let granted = state.granted(&served);
+        self.gate.set_granted(granted);
         lost
     }
 
+    /// Divides a range by who holds its keys next.
+    fn by_next_holder(&self, held: &Held, run: Run) -> Vec<(Held, Option<SocketAddr>)> {
+        let table = self.membership.table();
+        let mut parts: Vec<(Held, Option<SocketAddr>)> = Vec::new();
+        let Some(slices) = table.services.get(&held.service) else {
+            return vec![(held.with(run), None)];
+        };
+        for place in 0..slices.slices.len() {
+            let Some((first, last)) = slices.keys_at(place) else {
+                continue;
+            };
+            let range = Run { first, last, ..run };
+            let Some(shared) = run.shared(&range) else {
+                continue;
+            };
+            let next = self.next_holder(&held.service, slices.slice_at(place));
+            match parts.last_mut() {
+                Some((part, n)) if *n == next => part.run.last = shared.last,
+                _ => parts.push((held.with(shared), next)),
+            }
+        }
+        parts
+    }
+
     /// Returns where the daemon is that holds a slice next.
     fn next_holder(&self, service: &ServiceName, slice: SliceId) -> Option<SocketAddr> {
         self.membership.with(|o, _| {
@@ -230,8 +269,7 @@
 
     /// Takes a range back from the upstream; returns what it hands over.
     fn release_run(&self, held: &Held) -> Option<String> {
-        let count = self.slice_count(&held.service);
-        let keys = key_ranges::keys_of(held.run.first, held.run.last, count);
+        let keys = held.run.keys();
         let fence = key_ranges::fence_of(held.run.token);
         let call = self.dialect.release(keys, fence);
         let started = self.clock.now();
@@ -276,7 +314,6 @@
         run: Run,
         handover: Option<String>,
         live_until: Moment,
-        count: usize,
     ) -> bool {
         let sent = self.clock.now();
         let allowed = live_until
@@ -287,7 +324,7 @@
             return true;
         }
         let grant = Grant {
-            keys: key_ranges::keys_of(run.first, run.last, count),
+            keys: run.keys(),
             fence: key_ranges::fence_of(run.token),
             hold,
             handover: handover.clone(),
@@ -343,24 +380,22 @@
         false
     }
 
-    /// Returns the slices that may be served now, until when the session is live, and how many
-    /// slices the service has.
-    fn served(&self, life: &Life) -> (BTreeMap<SliceId, Token>, Option<Moment>, usize) {
+    /// Returns the keys that may be served now, and until when the session is live.
+    fn served(&self, life: &Life) -> (Vec<Run>, Option<Moment>) {
         self.membership.with(|o, now| {
+            let Some(slices) = o.table().services.get(&life.service) else {
+                return (Vec::new(), o.live_until(now));
+            };
             let served = o.served(now).into_iter();
             let own = served.filter(|((service, _), _)| *service == life.service);
-            let own = own.map(|((_, slice), token)| (slice, token)).collect();
-            let slices = o.table().services.get(&life.service);
-            let count = slices.map_or(0, |s| s.slices.len());
-            (own, o.live_until(now), count)
+            let runs = own.filter_map(|((_, slice), token)| {
+                let (first, last) = slices.keys_at(slices.place_of(slice)?)?;
+                Some(Run { first, last, token })
+            });
+            (key_ranges::joined(runs), o.live_until(now))
         })
     }
 
-    fn slice_count(&self, service: &ServiceName) -> usize {
-        let table = self.membership.table();
-        table.services.get(service).map_or(0, |s| s.slices.len())
-    }
-
     /// Notes a new run of the upstream: it holds nothing, and needs higher fences.
     fn note_life(&self, state: &mut State, life: &Life) {
         let boot = life.boot();
@@ -395,82 +430,51 @@
         &self,
         now: Moment,
         service: &ServiceName,
-        run: Run,
+        run: &Run,
     ) -> Vec<(Run, Option<String>)> {
-        let mut parts: Vec<(Run, Option<String>)> = Vec::new();
-        let fresh = |h: &&Held| h.sure > now + RENEW_BELOW;
-        let mut number = run.first.0;
-        while number <= run.last.0 {
-            let slice = SliceId(number);
-            let holds = |h: &&Held| {
-                let inside = h.run.first <= slice && slice <= h.run.last;
-                inside && h.service == *service && h.run.token == run.token
-            };
-            if let Some(held) = self.held.iter().find(holds) {
-                let last = held.run.last.min(run.last);
-                if !fresh(&held) {
-                    let part = Run {
-                        first: slice,
-                        last,
-                        ..run
-                    };
-                    parts.push((part, None));
-                }
-                number = last.0 + 1;
-                continue;
-            }
-            let handed = self
-                .handovers
-                .iter()
-                .map(|(h, _)| h)
-                .find(|h| h.service == *service && h.first <= slice && slice <= h.last);
-            let handover = handed.map(|h| h.handover.clone());
-            let part = Run {
-                first: slice,
-                last: slice,
-                ..run
-            };
-            match parts.last_mut() {
-                Some((last, with))
-                    if last.last.0 + 1 == number
-                        && *with == handover
-                        && !self.holds_any(service, last) =>
-                {
-                    last.last = slice;
+        let own = |h: &&Held| h.service == *service && h.run.token == run.token;
+        let held: Vec<&Held> = self.held.iter().filter(own).collect();
+        let due = held.iter().filter(|h| h.sure <= now + RENEW_BELOW);
+        let due = due.filter_map(|h| h.run.shared(run));
+        let mut parts: Vec<(Run, Option<String>)> = due.map(|part| (part, None)).collect();
+        let known: Vec<Run> = held.iter().map(|h| h.run).collect();
+        for fresh in run.without(&known) {
+            let mut handed = Vec::new();
+            for (handover, _) in self.handovers.iter().filter(|(h, _)| h.service == *service) {
+                let range = Run {
+                    first: handover.keys.first.0,
+                    last: handover.keys.last.0,
+                    token: run.token,
+                };
+                let shared = range.shared(&fresh);
+                let new: Vec<Run> = shared.iter().flat_map(|r| r.without(&handed)).collect();
+                for part in new {
+                    handed.push(part);
+                    parts.push((part, Some(handover.handover.clone())));
                 }
-                _ => parts.push((part, handover)),
             }
-            number += 1;
+            let rest = fresh.without(&handed).into_iter();
+            parts.extend(rest.map(|part| (part, None)));
         }
         parts
     }
 
-    fn holds_any(&self, service: &ServiceName, run: &Run) -> bool {
-        self.held.iter().any(|h| {
-            h.service == *service
-                && h.run.token == run.token
-                && h.run.first <= run.last
-                && run.first <= h.run.last
-        })
-    }
-
     /// Notes a grant; returns whether its keys were not held before.
     fn note(&mut self, service: &ServiceName, run: Run, sure: Moment, maybe: Moment) -> bool {
-        let same = |h: &&mut Held| {
-            h.service == *service
-                && h.run.token == run.token
-                && h.run.first <= run.first
-                && run.last <= h.run.last
-        };
+        let same = |h: &&mut Held| h.service == *service && h.run == run;
         if let Some(held) = self.held.iter_mut().find(same) {
             held.sure = held.sure.max(sure);
             held.maybe = held.maybe.max(maybe);
             return false;
         }
-        let overlaps =
-            |h: &Held| h.service == *service && h.run.first <= run.last && run.first <= h.run.last;
-        let covered = |h: &Held| run.first <= h.run.first && h.run.last <= run.last;
-        self.held.retain(|h| !(overlaps(h) && covered(h)));
+        let mut left = Vec::new();
+        for held in std::mem::take(&mut self.held) {
+            match held.service == *service {
+                true => left.extend(held.run.without(&[run]).into_iter().map(|r| held.with(r))),
+                false => left.push(held),
+            }
+        }
+        self.held = left;
         self.held.push(Held {
             service: service.clone(),
             run,
@@ -480,36 +484,18 @@
         true
     }
 
-    /// Returns until when the upstream surely holds each of the slices `served`.
-    fn granted(&self, served: &BTreeMap<SliceId, Token>) -> BTreeMap<SliceId, Moment> {
-        let mut granted = BTreeMap::new();
+    /// Returns which of the keys `served` the upstream surely holds, and until when.
+    fn granted(&self, served: &[Run]) -> Vec<(Run, Moment)> {
+        let mut granted = Vec::new();
         for held in &self.held {
-            for number in held.run.first.0..=held.run.last.0 {
-                let slice = SliceId(number);
-                if served.get(&slice) == Some(&held.run.token) {
-                    granted.insert(slice, held.sure);
-                }
-            }
+            let same = served.iter().filter(|run| run.token == held.run.token);
+            let shared = same.filter_map(|run| run.shared(&held.run));
+            granted.extend(shared.map(|run| (run, held.sure)));
         }
         granted
     }
 }
 
-/// Appends a slice to the last range, where it follows that.
-fn append(ranges: &mut Vec<Held>, piece: Held) {
-    match ranges.last_mut() {
-        Some(last) if follows(last, &piece) => last.run.last = piece.run.last,
-        _ => ranges.push(piece),
-    }
-}
-
-fn follows(last: &Held, piece: &Held) -> bool {
-    last.run.last.0 + 1 == piece.run.first.0
-        && last.run.token == piece.run.token
-        && last.service == piece.service
-        && last.maybe == piece.maybe
-}
-
 fn reason_of(result: Result<u16, OrderFailure>) -> String {
     match result {
         Ok(status) => format!("status {status}"),
--- a/src/process/host/key_ranges.rs
+++ b/src/process/host/key_ranges.rs
@@ -1,21 +1,18 @@
-//! How keys fall into slices, and slices into ranges of keys.
+//! Ranges of keys under one token, as grants name them.
 //!
 //! ```
-//! use foxtaildrift::process::host::key_ranges;
-//! use foxtaildrift::request::shard_key::ShardKey;
-//! use foxtaildrift::version::slice_id::SliceId;
+//! use foxtaildrift::process::host::key_ranges::Run;
+//! use foxtaildrift::version::epoch::Epoch;
+//! use foxtaildrift::version::token::Token;
 //!
-//! let slice = key_ranges::slice_of(ShardKey(300), 512);
-//! assert_eq!(slice, SliceId(2));
-//! let keys = key_ranges::keys_of(slice, SliceId(3), 512);
-//! assert_eq!((keys.first, keys.last), (ShardKey(256), ShardKey(511)));
+//! let token = Token { since: Epoch(3), rank: 0, incarnation: 1 };
+//! let run = Run { first: 0, last: 99, token };
+//! let left = run.without(&[Run { first: 10, last: 19, token }]);
+//! assert_eq!(left.iter().map(|r| (r.first, r.last)).collect::<Vec<_>>(), [(0, 9), (20, 99)]);
 //! ```
 
-use std::collections::BTreeMap;
-
 use crate::connection::dialect::KeyRange;
-use crate::request::shard_key::{KEYS, ShardKey};
-use crate::version::slice_id::SliceId;
+use crate::request::shard_key::ShardKey;
 use crate::version::token::Token;
 
 /// The bits of a fence number that hold the place among the candidates.
@@ -23,52 +20,91 @@
 /// The bits of a fence number that count the returns of a session and the lives of an upstream.
 const INCARNATION_BITS: u32 = 18;
 
-/// Slices in a row that are held under one token.
+/// Keys in a row that are held under one token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Run {
-    /// The first slice.
-    pub first: SliceId,
-    /// The last slice.
-    pub last: SliceId,
+    /// The first key.
+    pub first: u16,
+    /// The last key.
+    pub last: u16,
     /// The token.
     pub token: Token,
 }
 
-/// Returns the slice that `key` falls in, of `count` slices.
-pub fn slice_of(key: ShardKey, count: usize) -> SliceId {
-    let count = u64::try_from(count).unwrap_or(u64::MAX);
-    SliceId(u64::from(key.0) * count / u64::from(KEYS))
-}
+impl Run {
+    /// Returns the keys.
+    pub fn keys(&self) -> KeyRange {
+        KeyRange {
+            first: ShardKey(self.first),
+            last: ShardKey(self.last),
+        }
+    }
 
-/// Returns the keys of the slices from `first` to `last`, of `count` slices.
-pub fn keys_of(first: SliceId, last: SliceId, count: usize) -> KeyRange {
-    let width = u64::from(KEYS) / u64::try_from(count.max(1)).unwrap_or(1);
-    let key = |n: u64| ShardKey(u16::try_from(n).unwrap_or(u16::MAX));
-    KeyRange {
-        first: key(first.0 * width),
-        last: key((last.0 + 1) * width - 1),
+    /// Returns whether a key is in the range.
+    pub fn contains(&self, key: u16) -> bool {
+        self.first <= key && key <= self.last
+    }
+
+    /// Returns the keys that this range shares with `other`, under this one's token.
+    pub fn shared(&self, other: &Run) -> Option<Run> {
+        let first = self.first.max(other.first);
+        let last = self.last.min(other.last);
+        (first <= last).then_some(Run {
+            first,
+            last,
+            token: self.token,
+        })
+    }
+
+    /// Returns what is left of the range without the keys of `others`.
+    pub fn without(&self, others: &[Run]) -> Vec<Run> {
+        let mut left = vec![*self];
+        for other in others {
+            left = left.iter().flat_map(|run| run.minus(other)).collect();
+        }
+        left
+    }
+
+    fn minus(&self, other: &Run) -> Vec<Run> {
+        let Some(shared) = self.shared(other) else {
+            return vec![*self];
+        };
+        let mut left = Vec::new();
+        if self.first < shared.first {
+            left.push(Run {
+                last: shared.first - 1,
+                ..*self
+            });
+        }
+        if shared.last < self.last {
+            left.push(Run {
+                first: shared.last + 1,
+                ..*self
+            });
+        }
+        left
     }
 }
 
-/// Returns the fence number of a token: it orders as tokens of one slice do.
+/// Returns the fence number of a token: it orders as tokens of one key do.
 pub fn fence_of(token: Token) -> u64 {
     let rank = u64::from(token.rank).min((1 << RANK_BITS) - 1);
     let incarnation = u64::from(token.incarnation).min((1 << INCARNATION_BITS) - 1);
     (token.since.0 << (RANK_BITS + INCARNATION_BITS)) | (rank << INCARNATION_BITS) | incarnation
 }
 
-/// Joins neighbouring slices with the same token.
-pub fn runs_of(slices: &BTreeMap<SliceId, Token>) -> Vec<Run> {
-    let mut runs: Vec<Run> = Vec::new();
-    for (&slice, &token) in slices {
-        match runs.last_mut() {
-            Some(run) if run.last.0 + 1 == slice.0 && run.token == token => run.last = slice,
-            _ => runs.push(Run {
-                first: slice,
-                last: slice,
-                token,
-            }),
+/// Joins neighbouring ranges with the same token; `runs` are in the order of their keys.
+pub fn joined(runs: impl IntoIterator<Item = Run>) -> Vec<Run> {
+    let mut all: Vec<Run> = Vec::new();
+    for run in runs {
+        match all.last_mut() {
+            Some(last)
+                if last.last.checked_add(1) == Some(run.first) && last.token == run.token =>
+            {
+                last.last = run.last;
+            }
+            _ => all.push(run),
         }
     }
-    runs
+    all
 }
--- /dev/null
+++ b/src/process/host/load_meter.rs
@@ -0,0 +1,90 @@
+//! How busy each range of keys keeps the upstream, smoothed over the latest reports.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::process::host::upstream_gate::LoadNote;
+use crate::process::load_report::{LoadReport, RangeLoad};
+use crate::version::epoch::Epoch;
+use crate::version::service_name::ServiceName;
+use crate::version::table::Table;
+
+/// The weight of the newest span in the smoothed rates.
+const NEWEST_WEIGHT: f64 = 0.3;
+/// The rate below which a key is forgotten, in orders a second.
+const RATE_MIN: f64 = 0.05;
+/// The most ranges in a report.
+const RANGES_MAX: usize = 64;
+/// Into how many parts of the same load a range is offered to be cut.
+const PARTS: usize = 4;
+
+/// The orders a second of each key.
+#[derive(Debug, Default)]
+pub struct LoadMeter {
+    rates: BTreeMap<u16, f64>,
+    epoch: Epoch,
+}
+
+impl LoadMeter {
+    /// Takes in the orders of a span of time by key.
+    pub fn count(&mut self, served: BTreeMap<u16, u32>, span: Duration) {
+        for rate in self.rates.values_mut() {
+            *rate *= 1.0 - NEWEST_WEIGHT;
+        }
+        for (key, orders) in served {
+            let rate = f64::from(orders) / span.as_secs_f64();
+            *self.rates.entry(key).or_default() += rate * NEWEST_WEIGHT;
+        }
+        self.rates.retain(|_, rate| *rate >= RATE_MIN);
+    }
+
+    /// Returns the report on a service; it counts for the table under which the whole latest span
+    /// was measured.
+    pub fn report(&mut self, table: &Table, service: &ServiceName, load: &LoadNote) -> LoadReport {
+        let per_order = f64::from(load.mean_micros) / 1e6 / f64::from(load.slots.max(1)) * 1000.0;
+        let mut ranges = Vec::new();
+        if let Some(slices) = table.services.get(service) {
+            for place in 0..slices.slices.len() {
+                let Some((low, high)) = slices.keys_at(place) else {
+                    break;
+                };
+                let rate: f64 = self.rates.range(low..=high).map(|(_, r)| r).sum();
+                let busy = (rate * per_order) as u32;
+                if busy > 0 {
+                    ranges.push(RangeLoad {
+                        slice: slices.slice_at(place),
+                        busy,
+                        cuts: self.cuts(low, high, rate),
+                    });
+                }
+            }
+        }
+        ranges.sort_by_key(|r| std::cmp::Reverse(r.busy));
+        ranges.truncate(RANGES_MAX);
+        let total: f64 = self.rates.values().sum();
+        LoadReport {
+            session: None,
+            epoch: std::mem::replace(&mut self.epoch, table.epoch),
+            slices: Vec::new(),
+            ranges,
+            rate: total as u32,
+            busy: (total * per_order) as u32,
+            capacity: 1000,
+        }
+    }
+
+    /// Returns the keys at which a range falls into parts of about the same load.
+    fn cuts(&self, low: u16, high: u16, total: f64) -> Vec<u16> {
+        let mut cuts = Vec::new();
+        let mut sum = 0.0;
+        for (&key, rate) in self.rates.range(low..=high) {
+            let due = total * (cuts.len() + 1) as f64 / PARTS as f64;
+            // A key that carries a part of its own begins one, and ends it too.
+            if sum >= due && cuts.len() + 1 < PARTS && key > low {
+                cuts.push(key);
+            }
+            sum += rate;
+        }
+        cuts
+    }
+}
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -9,6 +9,7 @@
 //! | [`admission`] | how many orders at once, in which order, at what pace |
 //! | [`beside`] | which run of the upstream is the present one, and in what state |
 //! | [`keeper`] | which keys the upstream is granted, and when they are taken back |
+//! | [`load_meter`] | how busy each range of keys keeps the upstream |
 //! | [`follower`] | which routing and table are in force, and who plans |
 //! | [`budget_share`] | how many repeats this daemon may send |
 //! | [`service`] | start, signals and the planned stop |
@@ -21,6 +22,7 @@
 pub mod host_settings;
 pub mod keeper;
 pub mod key_ranges;
+pub mod load_meter;
 pub mod parts;
 pub mod reports;
 pub mod running;
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -17,18 +17,17 @@
 use crate::process::host::follower::Follower;
 use crate::process::host::host_settings::HostSettings;
 use crate::process::host::keeper::Keeper;
+use crate::process::host::load_meter::LoadMeter;
 use crate::process::host::parts::Parts;
 use crate::process::host::reports::{ReadyFront, ReportFront};
 use crate::process::host::running::Running;
 use crate::process::host::upstream_gate::UpstreamGate;
-use crate::process::load_report::{LoadReport, SliceLoad};
 use crate::process::membership::{Event, Membership};
 use crate::process::metrics::Metrics;
 use crate::process::ownership::Ownership;
 use crate::process::stop::Stop;
 use crate::process::store::Store;
 use crate::process::workers::Workers;
-use crate::version::epoch::Epoch;
 use crate::version::instance_id::InstanceId;
 use crate::version::key_hash::KeyHash;
 use crate::version::member::{MemberInfo, WEIGHT_FULL};
@@ -43,8 +42,6 @@
 const ROUND: Duration = Duration::from_millis(100);
 /// How often the load is reported.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// The most slices in a load report.
-const REPORT_SLICES_MAX: usize = 16;
 /// How often the process looks whether it stops while nothing happens.
 const EVENT_STEP: Duration = Duration::from_millis(500);
 /// How long callers may still come after the process has said that it is not ready.
@@ -282,7 +279,7 @@
     ));
     let (routing, table, plan) = (Arc::clone(&follower), Arc::clone(&follower), follower);
     let fetchers = Workers::start("fetch", 1)?;
-    let releasers = Workers::start("release", 2)?;
+    let releasers = Workers::start("release", 4)?;
     let stop = || Arc::clone(&parts.stop);
     let (s1, s2, s3, s4) = (stop(), stop(), stop(), stop());
     let membership = Arc::clone(&parts.membership);
@@ -335,7 +332,7 @@
     let started = Instant::now();
     let times = parts.settings.lease_times();
     let mut reported = started;
-    let mut epoch = Epoch::default();
+    let mut meter = LoadMeter::default();
     while !parts.stop.wait(ROUND) {
         parts.keeper.round();
         let waited = started.elapsed() > times.silence() + times.renewal;
@@ -343,38 +340,23 @@
             parts.membership.with(|o, now| o.succeed_address(now));
         }
         if reported.elapsed() >= REPORT_INTERVAL {
-            report(parts, reported.elapsed(), &mut epoch);
+            report(parts, &mut meter, reported.elapsed());
             reported = Instant::now();
         }
     }
 }
 
 /// Tells the planner the load of the last `span`.
-fn report(parts: &Parts, span: Duration, epoch: &mut Epoch) {
+fn report(parts: &Parts, meter: &mut LoadMeter, span: Duration) {
     let load = parts.gate.load();
     let waiting = usize::try_from(load.waiting).unwrap_or(usize::MAX);
     parts.metrics.gate(load.in_flight, load.slots, waiting);
-    let served = parts.gate.take_served();
-    let rate = |orders: u64| (orders as f64 / span.as_secs_f64()) as u32;
-    let mut slices: Vec<SliceLoad> = served
-        .iter()
-        .map(|(&slice, &n)| SliceLoad {
-            slice,
-            rate: rate(n),
-        })
-        .collect();
-    slices.sort_by_key(|s| std::cmp::Reverse(s.rate));
-    slices.truncate(REPORT_SLICES_MAX);
-    let total = rate(served.values().sum());
-    let in_use = f64::from(total) * f64::from(load.mean_micros) / 1e6;
-    let report = LoadReport {
-        session: None,
-        epoch: std::mem::replace(epoch, parts.membership.table().epoch),
-        slices,
-        rate: total,
-        busy: (in_use / f64::from(load.slots.max(1)) * 1000.0) as u32,
-        capacity: 1000,
+    meter.count(parts.gate.take_served(), span);
+    let Some(life) = parts.gate.life() else {
+        return;
     };
+    let table = parts.membership.table();
+    let report = meter.report(&table, &life.service, &load);
     parts.membership.report_load(report);
 }
 
--- a/src/process/host/upstream_gate.rs
+++ b/src/process/host/upstream_gate.rs
@@ -14,16 +14,16 @@
 use crate::process::datagram::Message;
 use crate::process::host::admission::{Admission, Ticket, Turn};
 use crate::process::host::beside::{Beside, Change, Life};
-use crate::process::host::key_ranges;
+use crate::process::host::key_ranges::Run;
 use crate::process::membership::Membership;
 use crate::process::moment::Moment;
 use crate::process::sync;
 use crate::request::fingerprint::Fingerprint;
 use crate::request::order::Order;
 use crate::request::quarantine::{Quarantine, Standing, Suspicion};
+use crate::request::shard_key::ShardKey;
 use crate::request::verdict::{Cause, Verdict};
 use crate::version::key_hash::KeyHash;
-use crate::version::slice_id::SliceId;
 use crate::version::upstream::UpstreamBoot;
 
 /// How long an order that waits sleeps before it looks whether its caller is still there.
@@ -63,8 +63,8 @@
     next_flight: u64,
     quarantine: Quarantine,
     crashed: HashSet<UpstreamBoot>,
-    granted: BTreeMap<SliceId, Moment>,
-    served: BTreeMap<SliceId, u64>,
+    granted: Vec<(Run, Moment)>,
+    served: BTreeMap<u16, u32>,
 }
 
 /// The gate to the upstream beside the daemon.
@@ -160,13 +160,13 @@
         }
     }
 
-    /// Returns how many orders of each slice were given since the last call.
-    pub fn take_served(&self) -> BTreeMap<SliceId, u64> {
+    /// Returns how many orders of each key were given since the last call.
+    pub fn take_served(&self) -> BTreeMap<u16, u32> {
         std::mem::take(&mut sync::lock(&self.state).served)
     }
 
-    /// Sets until when the upstream surely holds each slice.
-    pub fn set_granted(&self, granted: BTreeMap<SliceId, Moment>) {
+    /// Sets until when the upstream surely holds which keys.
+    pub fn set_granted(&self, granted: Vec<(Run, Moment)>) {
         sync::lock(&self.state).granted = granted;
     }
 
@@ -288,32 +288,23 @@
         }
         drop(state);
         match order.key {
-            Some(_) => self.slice_of(order).map(|_| ()),
+            Some(key) => self.holds(order, key),
             None => Ok(()),
         }
     }
 
-    /// Returns the slice of an order, where the upstream holds it now.
-    fn slice_of(&self, order: &Order) -> Result<Option<SliceId>, Verdict> {
-        let Some(key) = order.key else {
-            return Ok(None);
-        };
-        let not_owner = || Verdict::not_run(Cause::NotOwner, MOVE_RETRY);
-        let serving = self.membership.with(|o, now| {
-            let count = o.table().services.get(&order.service)?.slices.len();
-            let slice = key_ranges::slice_of(key, count);
-            o.serve(now, &order.service, KeyHash(slice.0)).ok()
-        });
-        let serving = serving.ok_or_else(not_owner)?;
+    /// Returns whether the daemon may serve a key now, and the upstream holds it.
+    fn holds(&self, order: &Order, key: ShardKey) -> Result<(), Verdict> {
+        let hash = KeyHash(key.0.into());
+        let may = self
+            .membership
+            .with(|o, now| o.serve(now, &order.service, hash).is_ok());
         let now = self.clock.now();
         let state = sync::lock(&self.state);
-        let held = state
-            .granted
-            .get(&serving.slice)
-            .is_some_and(|&until| until > now);
-        match held {
-            true => Ok(Some(serving.slice)),
-            false => Err(not_owner()),
+        let held = |(run, until): &(Run, Moment)| run.contains(key.0) && *until > now;
+        match may && state.granted.iter().any(held) {
+            true => Ok(()),
+            false => Err(Verdict::not_run(Cause::NotOwner, MOVE_RETRY)),
         }
     }
 
@@ -374,13 +365,12 @@
     /// Notes an order as given, where that is still right.
     fn take_off(&self, order: &Order, fingerprint: Fingerprint) -> Result<(u64, Life), Verdict> {
         self.allowed(order)?;
-        let slice = self.slice_of(order)?;
         let mut state = sync::lock(&self.state);
         let Some(life) = state.beside.up().cloned() else {
             return Err(Verdict::not_run(Cause::Down, DOWN_RETRY));
         };
-        if let Some(slice) = slice {
-            *state.served.entry(slice).or_default() += 1;
+        if let Some(key) = order.key {
+            *state.served.entry(key.0).or_default() += 1;
         }
         state.next_flight += 1;
         let flight = state.next_flight;
--- a/src/process/load_report.rs
+++ b/src/process/load_report.rs
@@ -15,6 +15,8 @@
     pub epoch: Epoch,
     /// Requests a second by slice, the busiest first.
     pub slices: Vec<SliceLoad>,
+    /// The load of the ranges of keys, where the slices are such.
+    pub ranges: Vec<RangeLoad>,
     /// Requests a second over all slices.
     pub rate: u32,
     /// How much of what the upstream can do at its usual speed is in use, in per mille.
@@ -23,6 +25,17 @@
     pub capacity: u32,
 }
 
+/// The load of one range of keys.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RangeLoad {
+    /// The range.
+    pub slice: SliceId,
+    /// How much of the upstream's slots it keeps busy, in per mille.
+    pub busy: u32,
+    /// Keys at which the range falls into parts of about the same load.
+    pub cuts: Vec<u16>,
+}
+
 /// The load of one slice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SliceLoad {
--- a/src/process/planner/ranges.rs
+++ b/src/process/planner/ranges.rs
@@ -1,92 +1,261 @@
-//! Places slices that are ranges of keys: neighbours get the same owner, so that an upstream holds
-//! few ranges.
+//! Plans slices that are ranges of keys: neighbours get the same owner, busy ranges are split where
+//! their load divides, and parts of them move from busy upstreams to idle ones.
 
 use std::collections::BTreeMap;
 
-use crate::process::planner::slices::Shares;
+use crate::process::load_report::RangeLoad;
+use crate::process::planner::PlanInput;
+use crate::process::planner::slices::{candidates, item_of, succeed};
+use crate::version::epoch::Epoch;
 use crate::version::member::Member;
+use crate::version::service_name::ServiceName;
 use crate::version::session_id::SessionId;
+use crate::version::slice_id::SliceId;
+use crate::version::table::ServiceSlices;
 
-/// Gives the slices without an owner to owners below their fair number, in ranges as long as
-/// possible.
-pub fn place_orphans(
-    owners: &BTreeMap<SessionId, &Member>,
-    shares: &mut Shares,
-    first: &mut [Option<SessionId>],
-) {
-    for number in 0..first.len() {
-        if first[number].is_some() {
+/// How many groups of neighbouring ranges have candidates of their own.
+const GROUPS: usize = 24;
+/// The number of keys.
+const KEYS: usize = 65_536;
+/// The most ranges of a service.
+const RANGES_MAX: usize = 768;
+/// How busy a range may keep an upstream before it is split, in per mille of its slots.
+const SPLIT_ABOVE: u32 = 90;
+/// The part that a range's width counts in its cost; its measured load counts for the rest.
+const WIDTH_PART: f64 = 0.3;
+/// How far above its fair share an owner may get when it takes ranges over.
+const TAKE_BOUND: f64 = 1.05;
+/// The part of its fair share below which an owner is filled up.
+const FILL_BELOW: f64 = 0.5;
+/// How busy an upstream must be for ranges to leave it, in per mille of its slots.
+const BUSY_MIN: u32 = 500;
+/// How much busier than the idlest it must be, in per mille.
+const DIFFERENCE_MIN: u32 = 220;
+/// The part of that difference that may move at once.
+const MOVE_PART: f64 = 0.65;
+/// The most ranges that move in one plan.
+const MOVES_MAX: usize = 3;
+
+type Owners<'m> = BTreeMap<SessionId, &'m Member>;
+
+/// Returns the ranges of a service for the table of `epoch`.
+pub fn plan(
+    input: &PlanInput<'_>,
+    epoch: Epoch,
+    name: &ServiceName,
+    present: ServiceSlices,
+    owners: &Owners<'_>,
+) -> ServiceSlices {
+    let loads = loads(input);
+    let slices = split_busy(&loads, present);
+    let mut first = kept_owners(input, &slices, owners);
+    if !owners.is_empty() {
+        let mut shares = Shares::new(&slices, &loads, owners, &first);
+        place_orphans(owners, &mut shares, &mut first);
+        fill(owners, &mut shares, &mut first);
+        balance(input, &slices, &loads, owners, &mut first);
+    }
+    let mut planned = slices.clone();
+    for (place, assignment) in slices.slices.iter().enumerate() {
+        let (low, _) = slices.keys_at(place).unwrap_or_default();
+        // Neighbouring ranges get the same candidates, so that they stay one range to the upstream.
+        let group = usize::from(low) * GROUPS / KEYS;
+        let chosen = candidates(item_of(name, group), assignment, first[place], owners);
+        planned.slices[place] = succeed(input, epoch, assignment, chosen);
+    }
+    planned
+}
+
+/// Returns the newest load of each range.
+fn loads<'i>(input: &PlanInput<'i>) -> BTreeMap<SliceId, &'i RangeLoad> {
+    let mut newest: BTreeMap<SliceId, (Epoch, &RangeLoad)> = BTreeMap::new();
+    for report in input.loads.values() {
+        for load in &report.ranges {
+            let known = newest.get(&load.slice).map(|(epoch, _)| *epoch);
+            if known.is_none_or(|epoch| epoch <= report.epoch) {
+                newest.insert(load.slice, (report.epoch, load));
+            }
+        }
+    }
+    newest.into_iter().map(|(s, (_, load))| (s, load)).collect()
+}
+
+/// Splits busy ranges where their load divides; the parts keep the assignment of the whole.
+fn split_busy(loads: &BTreeMap<SliceId, &RangeLoad>, present: ServiceSlices) -> ServiceSlices {
+    let mut split = ServiceSlices::default();
+    let room = RANGES_MAX.saturating_sub(present.slices.len());
+    let mut added = 0;
+    for (place, assignment) in present.slices.iter().enumerate() {
+        let Some((low, high)) = present.keys_at(place) else {
+            return present;
+        };
+        split.firsts.push(low);
+        split.slices.push(assignment.clone());
+        let load = loads.get(&present.slice_at(place));
+        let Some(load) = load.filter(|l| l.busy > SPLIT_ABOVE) else {
+            continue;
+        };
+        let mut last = low;
+        for &cut in &load.cuts {
+            if cut > last && cut <= high && added < room {
+                split.firsts.push(cut);
+                split.slices.push(assignment.clone());
+                last = cut;
+                added += 1;
+            }
+        }
+    }
+    split
+}
+
+/// Returns the present owner of each range, where it may go on.
+fn kept_owners(
+    input: &PlanInput<'_>,
+    slices: &ServiceSlices,
+    owners: &Owners<'_>,
+) -> Vec<Option<SessionId>> {
+    let kept = slices.slices.iter().map(|assignment| {
+        let mut alive = assignment.candidates.iter().filter(|&&s| !input.is_gone(s));
+        let present = alive.next().copied();
+        present.filter(|s| owners.contains_key(s))
+    });
+    kept.collect()
+}
+
+/// Gives the ranges without an owner to owners below their fair share, as many neighbours as
+/// possible to the same.
+fn place_orphans(owners: &Owners<'_>, shares: &mut Shares, first: &mut [Option<SessionId>]) {
+    for place in 0..first.len() {
+        if first[place].is_some() {
             continue;
         }
-        let before = number.checked_sub(1).and_then(|n| first[n]);
-        let neighbour = before.filter(|&s| shares.is_below(s));
-        let Some(owner) = neighbour.or_else(|| emptiest(owners, shares)) else {
+        let before = place.checked_sub(1).and_then(|p| first[p]);
+        let neighbour = before.filter(|&s| shares.has_room(s, place));
+        let Some(owner) = neighbour.or_else(|| shares.emptiest(owners)) else {
             return;
         };
-        shares.take(owner);
-        first[number] = Some(owner);
+        shares.give(place, None, owner);
+        first[place] = Some(owner);
     }
 }
 
-/// Fills owners that hold far less than their fair number with a range of those that hold more.
-pub fn fill(
-    owners: &BTreeMap<SessionId, &Member>,
-    shares: &mut Shares,
-    first: &mut [Option<SessionId>],
-) {
+/// Fills owners that hold far less than their fair share with ranges of those that hold more.
+fn fill(owners: &Owners<'_>, shares: &mut Shares, first: &mut [Option<SessionId>]) {
     let empty: Vec<SessionId> = owners
         .keys()
         .copied()
-        .filter(|&s| shares.is_nearly_empty(s))
+        .filter(|&s| shares.held(s) < shares.fair * FILL_BELOW)
         .collect();
     for owner in empty {
-        // Each round takes a range from one of the others.
-        for _ in 0..owners.len() {
-            let Some(donor) = fullest(owners, shares).filter(|&d| d != owner) else {
-                break;
-            };
-            let wanted = shares.missing(owner).min(shares.surplus(donor));
-            if wanted < 1.0 {
-                break;
-            }
-            for number in end_of_longest(donor, first, wanted as usize) {
-                shares.give_back(donor);
-                shares.take(owner);
-                first[number] = Some(owner);
+        // From the end of the keys on: the ranges that come over are neighbours.
+        for place in (0..first.len()).rev() {
+            let Some(donor) = first[place] else { continue };
+            let cost = shares.costs[place];
+            let fits = shares.held(owner) + cost <= shares.fair;
+            let spare = shares.held(donor) - cost >= shares.fair;
+            if donor != owner && fits && spare {
+                shares.give(place, Some(donor), owner);
+                first[place] = Some(owner);
             }
         }
     }
 }
 
-fn emptiest(owners: &BTreeMap<SessionId, &Member>, shares: &Shares) -> Option<SessionId> {
-    let by_missing =
-        |a: &&SessionId, b: &&SessionId| shares.missing(**a).total_cmp(&shares.missing(**b));
-    owners.keys().max_by(by_missing).copied()
+/// Moves ranges from the busiest upstream to the idlest, where all loads were measured under the
+/// present table.
+fn balance(
+    input: &PlanInput<'_>,
+    slices: &ServiceSlices,
+    loads: &BTreeMap<SliceId, &RangeLoad>,
+    owners: &Owners<'_>,
+    first: &mut [Option<SessionId>],
+) {
+    let mut busy: BTreeMap<SessionId, u32> = BTreeMap::new();
+    for &owner in owners.keys() {
+        let report = input.loads.get(&owner);
+        let Some(report) = report.filter(|r| r.epoch >= input.table.epoch) else {
+            return;
+        };
+        busy.insert(owner, report.busy);
+    }
+    for _ in 0..MOVES_MAX {
+        let most = busy.iter().max_by_key(|(_, b)| **b);
+        let least = busy.iter().min_by_key(|(_, b)| **b);
+        let (Some((&from, &high)), Some((&to, &low))) = (most, least) else {
+            return;
+        };
+        if high < BUSY_MIN || high - low < DIFFERENCE_MIN {
+            return;
+        }
+        let bound = f64::from(high - low) * MOVE_PART;
+        let load_of = |place: usize| loads.get(&slices.slice_at(place)).map_or(0, |l| l.busy);
+        let owned = (0..first.len()).filter(|&p| first[p] == Some(from));
+        let fits = owned.filter(|&p| load_of(p) > 0 && f64::from(load_of(p)) <= bound);
+        let Some(place) = fits.max_by_key(|&p| load_of(p)) else {
+            return;
+        };
+        let moved = load_of(place);
+        first[place] = Some(to);
+        busy.insert(from, high.saturating_sub(moved));
+        busy.insert(to, low + moved);
+    }
 }
 
-fn fullest(owners: &BTreeMap<SessionId, &Member>, shares: &Shares) -> Option<SessionId> {
-    let by_surplus =
-        |a: &&SessionId, b: &&SessionId| shares.surplus(**a).total_cmp(&shares.surplus(**b));
-    owners.keys().max_by(by_surplus).copied()
+/// The costs of ranges, and how much of them each owner holds; all costs together make one.
+struct Shares {
+    costs: Vec<f64>,
+    held: BTreeMap<SessionId, f64>,
+    fair: f64,
 }
 
-/// Returns the last slices, at most `count`, of the longest range of `owner`.
-fn end_of_longest(
-    owner: SessionId,
-    first: &[Option<SessionId>],
-    count: usize,
-) -> std::ops::Range<usize> {
-    let mut longest = 0..0;
-    let mut start = 0;
-    for number in 0..=first.len() {
-        let goes_on = first.get(number).is_some_and(|f| *f == Some(owner));
-        if goes_on {
-            continue;
+impl Shares {
+    fn new(
+        slices: &ServiceSlices,
+        loads: &BTreeMap<SliceId, &RangeLoad>,
+        owners: &Owners<'_>,
+        first: &[Option<SessionId>],
+    ) -> Self {
+        let busy = |place: usize| loads.get(&slices.slice_at(place)).map_or(0, |l| l.busy);
+        let total: u32 = (0..first.len()).map(busy).sum();
+        let width_part = if total == 0 { 1.0 } else { WIDTH_PART };
+        let cost = |place: usize| {
+            let (low, high) = slices.keys_at(place).unwrap_or_default();
+            let width = (f64::from(high) - f64::from(low) + 1.0) / KEYS as f64;
+            let load = f64::from(busy(place)) / f64::from(total.max(1));
+            width * width_part + load * (1.0 - width_part)
+        };
+        let costs: Vec<f64> = (0..first.len()).map(cost).collect();
+        let mut held = BTreeMap::new();
+        for (cost, owner) in costs.iter().zip(first) {
+            if let Some(owner) = owner {
+                *held.entry(*owner).or_default() += cost;
+            }
         }
-        if number - start > longest.len() {
-            longest = start..number;
+        Self {
+            costs,
+            held,
+            fair: 1.0 / owners.len().max(1) as f64,
+        }
+    }
+
+    fn held(&self, owner: SessionId) -> f64 {
+        self.held.get(&owner).copied().unwrap_or(0.0)
+    }
+
+    fn has_room(&self, owner: SessionId, place: usize) -> bool {
+        self.held(owner) + self.costs[place] <= self.fair * TAKE_BOUND
+    }
+
+    fn emptiest(&self, owners: &Owners<'_>) -> Option<SessionId> {
+        let by_held = |a: &&SessionId, b: &&SessionId| self.held(**a).total_cmp(&self.held(**b));
+        owners.keys().min_by(by_held).copied()
+    }
+
+    fn give(&mut self, place: usize, from: Option<SessionId>, to: SessionId) {
+        let cost = self.costs[place];
+        if let Some(from) = from {
+            *self.held.entry(from).or_default() -= cost;
         }
-        start = number + 1;
+        *self.held.entry(to).or_default() += cost;
     }
-    longest.end - count.min(longest.len())..longest.end
 }
--- a/src/process/planner/slices.rs
+++ b/src/process/planner/slices.rs
@@ -20,9 +20,6 @@
 /// The part of its fair number of slices that an owner gets more in one plan: one in so many.
 const FILL_STEPS: u32 = 4;
 
-/// Into how many groups with the same candidates the ranges of a service fall.
-const RANGE_GROUPS: usize = 24;
-
 /// Returns the slices of each service for the table of `epoch`.
 pub fn plan(
     input: &PlanInput<'_>,
@@ -34,11 +31,21 @@
         let owners = eligible(input, name, members);
         let present = input.table.services.get(name);
         let slices = match present {
-            Some(present) => present.slices.clone(),
-            None => vec![Assignment::default(); usize::try_from(service.slices).unwrap_or(1)],
+            Some(present) => present.clone(),
+            None if service.ranged => ServiceSlices::ranged(service.slices),
+            None => ServiceSlices {
+                slices: vec![Assignment::default(); usize::try_from(service.slices).unwrap_or(1)],
+                firsts: Vec::new(),
+            },
+        };
+        let planned = match service.ranged {
+            true => ranges::plan(input, epoch, name, slices, &owners),
+            false => ServiceSlices {
+                slices: plan_service(input, epoch, name, service, &slices.slices, &owners),
+                firsts: Vec::new(),
+            },
         };
-        let slices = plan_service(input, epoch, name, service, &slices, &owners);
-        services.insert(name.clone(), ServiceSlices { slices });
+        services.insert(name.clone(), planned);
     }
     for (name, present) in &input.table.services {
         let removed = || release(input, epoch, present);
@@ -68,6 +75,7 @@
     let released = slices.map(|a| succeed(input, epoch, a, Vec::new()));
     ServiceSlices {
         slices: released.collect(),
+        firsts: present.firsts.clone(),
     }
 }
 
@@ -94,24 +102,15 @@
         }
         first.push(kept);
     }
-    if service.ranged {
-        ranges::place_orphans(owners, &mut shares, &mut first);
-        ranges::fill(owners, &mut shares, &mut first);
-    } else {
-        place_orphans(name, slices, owners, &mut shares, &mut first);
-        rebalance(name, owners, &mut shares, &mut first);
-    }
+    place_orphans(name, slices, owners, &mut shares, &mut first);
+    rebalance(name, owners, &mut shares, &mut first);
     if service.policy == Policy::Adaptive && service.kind == ServiceKind::Keyed {
         balance::spread(input, owners, &mut first);
     }
     let numbered = slices.iter().zip(first).enumerate();
     let planned = numbered.map(|(number, (assignment, owner))| {
-        // Neighbouring ranges get the same candidates, so that they stay one range.
-        let group = match service.ranged {
-            true => number * RANGE_GROUPS / slices.len(),
-            false => number,
-        };
-        let candidates = candidates(item_of(name, group), assignment, owner, owners);
+        let item = item_of(name, number);
+        let candidates = candidates(item, assignment, owner, owners);
         succeed(input, epoch, assignment, candidates)
     });
     planned.collect()
@@ -185,7 +184,7 @@
 }
 
 /// Returns the candidates of a slice: its owner, then others in other failure domains.
-fn candidates(
+pub(super) fn candidates(
     item: u64,
     assignment: &Assignment,
     owner: Option<SessionId>,
@@ -212,7 +211,7 @@
 }
 
 /// Returns the assignment that follows `present` with `candidates`.
-fn succeed(
+pub(super) fn succeed(
     input: &PlanInput<'_>,
     epoch: Epoch,
     present: &Assignment,
@@ -227,7 +226,7 @@
 }
 
 /// Returns the item that stands for a slice in rendezvous hashing.
-fn item_of(name: &ServiceName, number: usize) -> u64 {
+pub(super) fn item_of(name: &ServiceName, number: usize) -> u64 {
     let text = format!("{name}/{number}");
     xxhash_rust::xxh3::xxh3_64(text.as_bytes())
 }
@@ -239,7 +238,7 @@
 }
 
 /// How many slices each owner holds, and how many are its fair number.
-pub struct Shares {
+struct Shares {
     held: BTreeMap<SessionId, u32>,
     fair: BTreeMap<SessionId, f64>,
 }
@@ -257,16 +256,6 @@
         }
     }
 
-    /// Returns how many slices the owner lacks of its fair number.
-    pub fn missing(&self, owner: SessionId) -> f64 {
-        self.fair(owner) - self.held(owner)
-    }
-
-    /// Returns how many slices the owner holds above its fair number.
-    pub fn surplus(&self, owner: SessionId) -> f64 {
-        -self.missing(owner)
-    }
-
     fn held(&self, owner: SessionId) -> f64 {
         f64::from(self.held.get(&owner).copied().unwrap_or(0))
     }
@@ -291,13 +280,11 @@
         self.held(owner) > self.fair(owner).ceil()
     }
 
-    /// Returns whether the owner holds far less than its fair number.
-    pub fn is_nearly_empty(&self, owner: SessionId) -> bool {
+    fn is_nearly_empty(&self, owner: SessionId) -> bool {
         self.held(owner) < self.fair(owner) * f64::from(FILL_BELOW_PERCENT) / 100.0
     }
 
-    /// Returns whether the owner holds less than its fair number.
-    pub fn is_below(&self, owner: SessionId) -> bool {
+    fn is_below(&self, owner: SessionId) -> bool {
         self.held(owner) < self.fair(owner).floor()
     }
 
@@ -306,13 +293,11 @@
         steps as u32
     }
 
-    /// Notes that the owner gets a slice.
-    pub fn take(&mut self, owner: SessionId) {
+    fn take(&mut self, owner: SessionId) {
         *self.held.entry(owner).or_default() += 1;
     }
 
-    /// Notes that a slice is taken from the owner.
-    pub fn give_back(&mut self, owner: SessionId) {
+    fn give_back(&mut self, owner: SessionId) {
         if let Some(held) = self.held.get_mut(&owner) {
             *held -= 1;
         }
--- a/src/process/upkeep.rs
+++ b/src/process/upkeep.rs
@@ -178,6 +178,7 @@
             session: None,
             epoch,
             slices,
+            ranges: Vec::new(),
             rate: total,
             busy: busy_per_mille(total, &load),
             capacity: load.capacity,
--- a/src/version/desired.rs
+++ b/src/version/desired.rs
@@ -23,8 +23,8 @@
 use crate::version::service::{Service, ServiceKind};
 use crate::version::service_name::ServiceName;
 
-/// Into how many slices the keys of a divided service are split; a power of two.
-pub const SLICES: u32 = 512;
+/// Into how many ranges the keys of a divided service fall at first; busy ones are split.
+pub const RANGES: u32 = 64;
 
 /// Where a part of a route's requests goes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -147,7 +147,7 @@
 fn ranged() -> Service {
     Service {
         kind: ServiceKind::Keyed,
-        slices: SLICES,
+        slices: RANGES,
         ranged: true,
         ..Service::default()
     }
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -4,7 +4,7 @@
 //! use foxtaildrift::version::key_hash::KeyHash;
 //! use foxtaildrift::version::table::ServiceSlices;
 //!
-//! let service = ServiceSlices { slices: vec![Default::default(); 64] };
+//! let service = ServiceSlices { slices: vec![Default::default(); 64], firsts: vec![] };
 //! let slice = service.slice_of(KeyHash::of(b"member-17"));
 //! assert!(slice.is_some_and(|s| s.index() < 64));
 //! ```
--- a/src/version/table.rs
+++ b/src/version/table.rs
@@ -15,6 +15,8 @@
 use crate::version::session_id::SessionId;
 use crate::version::slice_id::SliceId;
 
+/// The number of keys of a service that is divided by ranges.
+const KEYS: usize = 65_536;
 /// The most slices of a service.
 const SLICES_MAX: usize = 65_536;
 
@@ -22,47 +24,110 @@
 ///
 /// Encoded as runs of equal assignments, as neighbours mostly are alike.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "Vec<(u32, Assignment)>", into = "Vec<(u32, Assignment)>")]
+#[serde(try_from = "EncodedSlices", into = "EncodedSlices")]
 pub struct ServiceSlices {
-    /// The assignment of each slice, by its number.
+    /// The assignment of each slice, in the order of the slices.
     pub slices: Vec<Assignment>,
+    /// The first key of each slice where the slices are ranges of keys; empty where keys are
+    /// hashed.
+    pub firsts: Vec<u16>,
 }
 
-impl From<Vec<(u32, Assignment)>> for ServiceSlices {
-    fn from(runs: Vec<(u32, Assignment)>) -> Self {
+/// The encoded form of a service's slices.
+#[derive(Serialize, Deserialize)]
+struct EncodedSlices {
+    runs: Vec<(u32, Assignment)>,
+    firsts: Vec<u16>,
+}
+
+impl TryFrom<EncodedSlices> for ServiceSlices {
+    type Error = &'static str;
+
+    fn try_from(encoded: EncodedSlices) -> Result<Self, Self::Error> {
         let mut slices = Vec::new();
-        for (length, assignment) in runs {
-            let room = SLICES_MAX - slices.len();
-            let length = usize::try_from(length).unwrap_or(usize::MAX).min(room);
+        for (length, assignment) in encoded.runs {
+            let length = usize::try_from(length).unwrap_or(usize::MAX);
+            if length > SLICES_MAX - slices.len() {
+                return Err("too many slices");
+            }
             slices.extend(std::iter::repeat_n(assignment, length));
         }
-        Self { slices }
+        let firsts = encoded.firsts;
+        let rises = firsts.first().is_none_or(|&f| f == 0) && firsts.is_sorted_by(|a, b| a < b);
+        if !firsts.is_empty() && (firsts.len() != slices.len() || !rises) {
+            return Err("the ranges don't fit the slices");
+        }
+        Ok(Self { slices, firsts })
     }
 }
 
-impl From<ServiceSlices> for Vec<(u32, Assignment)> {
+impl From<ServiceSlices> for EncodedSlices {
     fn from(service: ServiceSlices) -> Self {
-        let mut runs: Self = Vec::new();
+        let mut runs: Vec<(u32, Assignment)> = Vec::new();
         for assignment in service.slices {
             match runs.last_mut() {
                 Some((length, last)) if *last == assignment => *length += 1,
                 _ => runs.push((1, assignment)),
             }
         }
-        runs
+        Self {
+            runs,
+            firsts: service.firsts,
+        }
     }
 }
 
 impl ServiceSlices {
+    /// Returns `count` ranges of keys of equal width, without candidates.
+    pub fn ranged(count: u32) -> Self {
+        let count = usize::try_from(count.clamp(1, 4096)).unwrap_or(1);
+        let first = |n: usize| u16::try_from(n * KEYS / count).unwrap_or(u16::MAX);
+        Self {
+            slices: vec![Assignment::default(); count],
+            firsts: (0..count).map(first).collect(),
+        }
+    }
+
     /// Returns the slice that `key` falls in, or `None` where the service has no slices.
     pub fn slice_of(&self, key: KeyHash) -> Option<SliceId> {
         let count = u64::try_from(self.slices.len()).ok().filter(|&n| n > 0)?;
-        Some(SliceId(key.0 % count))
+        if self.firsts.is_empty() {
+            return Some(SliceId(key.0 % count));
+        }
+        let key = u16::try_from(key.0).ok()?;
+        let place = self.firsts.partition_point(|&f| f <= key).checked_sub(1)?;
+        Some(self.slice_at(place))
+    }
+
+    /// Returns the slice at a place in the order; a range goes by its first key, which stays when
+    /// it is split.
+    pub fn slice_at(&self, place: usize) -> SliceId {
+        let plain = u64::try_from(place).unwrap_or(u64::MAX);
+        SliceId(self.firsts.get(place).map_or(plain, |&f| u64::from(f)))
+    }
+
+    /// Returns the place of a slice in the order.
+    pub fn place_of(&self, slice: SliceId) -> Option<usize> {
+        if self.firsts.is_empty() {
+            return Some(slice.index()).filter(|&i| i < self.slices.len());
+        }
+        let first = u16::try_from(slice.0).ok()?;
+        self.firsts.binary_search(&first).ok()
+    }
+
+    /// Returns the first and last key of the range at a place in the order.
+    pub fn keys_at(&self, place: usize) -> Option<(u16, u16)> {
+        let first = *self.firsts.get(place)?;
+        let last = self
+            .firsts
+            .get(place + 1)
+            .map_or(u16::MAX, |&next| next - 1);
+        Some((first, last))
     }
 
     /// Returns the assignment of `slice`.
     pub fn assignment(&self, slice: SliceId) -> Option<&Assignment> {
-        self.slices.get(slice.index())
+        self.slices.get(self.place_of(slice)?)
     }
 }
 
@@ -90,8 +155,8 @@
     /// Returns all slices with their assignments.
     pub fn assignments(&self) -> impl Iterator<Item = (&ServiceName, SliceId, &Assignment)> {
         self.services.iter().flat_map(|(name, service)| {
-            let numbered = (0..).map(SliceId).zip(&service.slices);
-            numbered.map(move |(slice, assignment)| (name, slice, assignment))
+            let placed = service.slices.iter().enumerate();
+            placed.map(move |(place, a)| (name, service.slice_at(place), a))
         })
     }
 
