--- a/src/connection/front.rs
+++ b/src/connection/front.rs
@@ -106,11 +106,18 @@
     stopping: AtomicBool,
 }
 
+/// An open connection.
+struct Open {
+    stream: Arc<TcpStream>,
+    /// Whether a request is being read or answered on it.
+    busy: Arc<AtomicBool>,
+}
+
 #[derive(Default)]
 struct State {
     waiting: VecDeque<TcpStream>,
     idle_threads: usize,
-    open: HashMap<u64, Arc<TcpStream>>,
+    open: HashMap<u64, Open>,
     next: u64,
     threads: Vec<JoinHandle<()>>,
 }
@@ -148,22 +155,37 @@
         })
     }
 
-    /// Returns how many connections are open.
-    pub fn connections(&self) -> usize {
-        sync::lock(&self.shared.state).open.len()
+    /// Returns on how many connections a request is being read or answered.
+    pub fn busy(&self) -> usize {
+        let state = sync::lock(&self.shared.state);
+        let open = state.open.values();
+        open.filter(|o| o.busy.load(Ordering::SeqCst)).count() + state.waiting.len()
     }
 
-    /// Closes all connections and joins all threads.
-    pub fn stop(&mut self) {
+    /// Takes no more connections, and closes those on which nothing happens; requests that were
+    /// begun are still answered.
+    pub fn close(&mut self) {
         self.shared.stopping.store(true, Ordering::SeqCst);
         // A connection to ourselves wakes the acceptor.
         let _ = TcpStream::connect_timeout(&self.address, ACCEPT_PAUSE);
         if let Some(acceptor) = self.acceptor.take() {
             let _ = acceptor.join();
         }
+        let state = sync::lock(&self.shared.state);
+        for open in state.open.values() {
+            if !open.busy.load(Ordering::SeqCst) {
+                // It may have been closed by the caller meanwhile.
+                let _ = open.stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    /// Closes all connections and joins all threads.
+    pub fn stop(&mut self) {
+        self.close();
         let mut state = sync::lock(&self.shared.state);
-        for stream in state.open.values() {
-            let _ = stream.shutdown(Shutdown::Both);
+        for open in state.open.values() {
+            let _ = open.stream.shutdown(Shutdown::Both);
         }
         let threads: Vec<_> = state.threads.drain(..).collect();
         drop(state);
@@ -223,14 +245,14 @@
 
 /// Serves connections until none comes for a while.
 fn work(shared: &Shared) {
-    while let Some((number, wire)) = next_connection(shared) {
-        serve(wire, shared);
+    while let Some((number, wire, busy)) = next_connection(shared) {
+        serve(wire, shared, &busy);
         sync::lock(&shared.state).open.remove(&number);
     }
 }
 
 /// Waits for a connection.
-fn next_connection(shared: &Shared) -> Option<(u64, Wire)> {
+fn next_connection(shared: &Shared) -> Option<(u64, Wire, Arc<AtomicBool>)> {
     let mut state = sync::lock(&shared.state);
     loop {
         if let Some(stream) = state.waiting.pop_front() {
@@ -239,8 +261,13 @@
             };
             state.next += 1;
             let number = state.next;
-            state.open.insert(number, Arc::clone(wire.stream()));
-            return Some((number, wire));
+            let open = Open {
+                stream: Arc::clone(wire.stream()),
+                busy: Arc::default(),
+            };
+            let busy = Arc::clone(&open.busy);
+            state.open.insert(number, open);
+            return Some((number, wire, busy));
         }
         if shared.stopping.load(Ordering::SeqCst) {
             return None;
@@ -257,10 +284,10 @@
 }
 
 /// Serves one connection, one request at a time, until it ends.
-fn serve(mut wire: Wire, shared: &Shared) {
+fn serve(mut wire: Wire, shared: &Shared, busy: &AtomicBool) {
     let handler = &*shared.handler;
     loop {
-        let request = match read_request(&mut wire, handler) {
+        let request = match read_request(&mut wire, handler, busy) {
             Ok(request) => request,
             Err(e) => {
                 refuse(&mut wire, handler, &e);
@@ -292,9 +319,18 @@
 }
 
 /// Reads a whole request.
-fn read_request(wire: &mut Wire, handler: &dyn FrontHandler) -> Result<HttpRequest, WireError> {
+fn read_request(
+    wire: &mut Wire,
+    handler: &dyn FrontHandler,
+    busy: &AtomicBool,
+) -> Result<HttpRequest, WireError> {
     let limits = handler.limits();
     let idle_until = Instant::now() + limits.idle_time;
+    busy.store(false, Ordering::SeqCst);
+    if wire.buffered().is_empty() {
+        wire.fill(idle_until, &Waiter::none())?;
+    }
+    busy.store(true, Ordering::SeqCst);
     let head = http1::read_request_head(wire, idle_until, limits.head_time, limits.head_bytes)?;
     let at = Instant::now();
     let framing = http1::request_framing(&head.headers)?;
--- a/src/process/host/follower.rs
+++ b/src/process/host/follower.rs
@@ -33,7 +33,11 @@
 /// How long a plan must be due for each daemon that comes before this one in turn.
 const TURN_TIME: Duration = Duration::from_millis(900);
 /// How long the first table waits for more processes to join.
-const GATHER_TIME: Duration = Duration::from_millis(500);
+const GATHER_TIME: Duration = Duration::from_millis(1500);
+/// How many daemons watch the table; the others hear of it from them.
+const WATCHERS: u32 = 3;
+/// How often a daemon that does not watch looks whether it should.
+const WATCH_STEP: Duration = Duration::from_millis(500);
 /// How long a process waits for the members to take it in before it leaves its wish in the store.
 const JOIN_PATIENCE: Duration = Duration::from_millis(1200);
 /// How long a wish in the store may take before it is written anew.
@@ -92,6 +96,7 @@
             stop,
             "routing",
             &prefix,
+            || true,
             |range| self.take_routing(range),
             |changes, _| self.change_routing(changes),
         );
@@ -103,6 +108,7 @@
             stop,
             "table",
             OWN_PREFIX,
+            || self.turn() < WATCHERS || !self.is_member(),
             |range| self.take_own(range),
             |changes, _| self.change_own(changes),
         );
@@ -114,12 +120,17 @@
         stop: &Stop,
         name: &'static str,
         prefix: &str,
+        watches: impl Fn() -> bool,
         take: impl Fn(Range),
         change: impl Fn(Vec<Change>, Revision),
     ) {
         let mut contact = Contact { name, lost: false };
         let mut after: Option<Revision> = None;
         while !stop.is_raised() {
+            if after.is_some() && !watches() {
+                stop.wait(WATCH_STEP);
+                continue;
+            }
             let step = match after {
                 None => self.store.range(prefix).map(|range| {
                     let as_of = range.as_of;
@@ -305,9 +316,15 @@
                 true => GATHER_TIME + TURN_TIME * turn,
                 false => TURN_TIME * turn,
             };
-            if since.elapsed() >= wait {
+            if since.elapsed() < wait {
+                continue;
+            }
+            if base.epoch.next() == table.epoch {
                 due_since = None;
                 self.write(base, &table, &mut contact, stop);
+            } else {
+                // This daemon heard of the table from others, and does not know its revision.
+                self.read_table(&mut contact);
             }
         }
     }
@@ -389,7 +406,7 @@
         let joins = self.all_joins();
         let loads = self.membership.loads();
         self.membership.with(|o, _| {
-            if o.table().epoch != base.epoch || active.version < o.table().document {
+            if o.table().epoch < base.epoch || active.version < o.table().document {
                 return None;
             }
             let input = PlanInput {
--- a/src/process/host/load_meter.rs
+++ b/src/process/host/load_meter.rs
@@ -10,7 +10,7 @@
 use crate::version::table::Table;
 
 /// The weight of the newest span in the smoothed rates.
-const NEWEST_WEIGHT: f64 = 0.3;
+const NEWEST_WEIGHT: f64 = 0.2;
 /// The rate below which a key is forgotten, in orders a second.
 const RATE_MIN: f64 = 0.05;
 /// The most ranges in a report.
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -46,8 +46,10 @@
 const EVENT_STEP: Duration = Duration::from_millis(500);
 /// How long callers may still come after the process has said that it is not ready.
 const UNREADY_TIME: Duration = Duration::from_millis(2600);
-/// What is left of the time for a planned stop when the last connections are closed.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// The part of the time for a planned stop after which no new connection is taken.
+const CLOSE_PART: f64 = 0.55;
+/// What is left of that time when the last connections are closed.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// How often a stopping process looks whether it is done.
 const STOP_STEP: Duration = Duration::from_millis(50);
 
@@ -125,13 +127,17 @@
         let until = begun + grace.saturating_sub(STOP_MARGIN);
         self.parts.leaving.raise();
         self.parts.describe_leaving(true);
-        while Instant::now() < until {
-            let quiet = self.callers.connections() == 0 && self.parts.gate.load().in_flight == 0;
-            if begun.elapsed() >= UNREADY_TIME && quiet && self.has_left() {
+        let close_at = begun + grace.mul_f64(CLOSE_PART);
+        while Instant::now() < close_at {
+            if begun.elapsed() >= UNREADY_TIME && self.is_quiet() && self.has_left() {
                 break;
             }
             thread::sleep(STOP_STEP);
         }
+        self.callers.close();
+        while Instant::now() < until && !(self.is_quiet() && self.has_left()) {
+            thread::sleep(STOP_STEP);
+        }
         if self.has_left() {
             self.parts.membership.with(|o, now| o.resign(now));
         } else {
@@ -150,6 +156,11 @@
         tracing::info!(event = "stopped", ms = begun.elapsed().as_millis() as u64);
     }
 
+    /// Returns whether nobody waits for an answer here.
+    fn is_quiet(&self) -> bool {
+        self.callers.busy() == 0 && self.parts.gate.load().in_flight == 0
+    }
+
     /// Returns whether no slice is this daemon's any more, and all others know it.
     fn has_left(&self) -> bool {
         self.parts.membership.with(|o, _| {
--- a/src/process/planner/ranges.rs
+++ b/src/process/planner/ranges.rs
@@ -28,13 +28,13 @@
 /// The part of its fair share below which an owner is filled up.
 const FILL_BELOW: f64 = 0.5;
 /// How busy an upstream must be for ranges to leave it, in per mille of its slots.
-const BUSY_MIN: u32 = 500;
+const BUSY_MIN: u32 = 600;
 /// How much busier than the idlest it must be, in per mille.
-const DIFFERENCE_MIN: u32 = 220;
+const DIFFERENCE_MIN: u32 = 300;
 /// The part of that difference that may move at once.
-const MOVE_PART: f64 = 0.65;
+const MOVE_PART: f64 = 0.55;
 /// The most ranges that move in one plan.
-const MOVES_MAX: usize = 3;
+const MOVES_MAX: usize = 2;
 
 type Owners<'m> = BTreeMap<SessionId, &'m Member>;
 
