Recover at once where all processes restart: former grants are released, keys go back to where they were

Cause: a new process waited for its predecessor's lease before it stated its end, and keys went to other upstreams than before, where they are slow for five seconds. A process can't act after its successor has bound its address: so the successor takes all keys back from the upstream, keeps the handover, and states the end.

--- a/src/process/host/entry.rs
+++ b/src/process/host/entry.rs
@@ -47,6 +47,9 @@
 const ROUTING_RETRY: Duration = Duration::from_millis(300);
 /// How long a caller is told to wait for a holder that has just been lost.
 const HOLDER_RETRY: Duration = Duration::from_millis(800);
+/// How much longer than a request its outcome is awaited from another daemon, which tells it when
+/// the request's time runs out there.
+const OUTCOME_TIME: Duration = Duration::from_millis(60);
 /// The least time that is worth a try.
 const TRY_TIME_MIN: Duration = Duration::from_millis(10);
 
@@ -294,10 +297,13 @@
         };
         let session = member.info.session;
         let is_over = || self.parts.membership.with(|o, _| o.is_over(session));
-        let called =
-            self.parts
-                .peers
-                .call(member.info.peer, &request, order.remaining, waiter, is_over);
+        let called = self.parts.peers.call(
+            member.info.peer,
+            &request,
+            order.remaining + OUTCOME_TIME,
+            waiter,
+            is_over,
+        );
         let verdict = match called {
             Ok(called) => {
                 if let PeerReply::Done { verdict, load } = called.reply {
--- a/src/process/host/keeper.rs
+++ b/src/process/host/keeper.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::connection::dialect::{Grant, UpstreamDialect};
+use crate::connection::dialect::{Grant, KeyRange, UpstreamDialect};
 use crate::connection::peer_message::{KeyHandover, PeerRequest};
 use crate::connection::peer_pool::PeerPool;
 use crate::connection::upstream_pool::OrderFailure;
@@ -21,10 +21,12 @@
 use crate::process::membership::Membership;
 use crate::process::moment::Moment;
 use crate::process::sync;
+use crate::request::shard_key::ShardKey;
 use crate::version::epoch::Epoch;
 use crate::version::service_name::ServiceName;
 use crate::version::session_id::SessionId;
 use crate::version::slice_id::SliceId;
+use crate::version::token::Token;
 use crate::version::upstream::UpstreamBoot;
 
 /// How far the clock that measures a hold may be off.
@@ -43,6 +45,8 @@
 const HANDOVER_TIME: Duration = Duration::from_millis(600);
 /// How long a handover waits for the table that gives its keys.
 const HANDOVER_KEEP: Duration = Duration::from_secs(8);
+/// The HTTP status by which an upstream says that its service is not divided by keys.
+const NO_KEYS_STATUS: u16 = 400;
 /// The HTTP status by which an upstream says that it has seen a higher fence.
 const FENCED_STATUS: u16 = 409;
 
@@ -123,6 +127,80 @@
             .extend(handovers.into_iter().map(|h| (h, now)));
     }
 
+    /// Takes back what a former process on this host granted, and states that process's end; it
+    /// can't grant any more, so others need not wait for its lease to run out.
+    pub fn succeed_former(&self) {
+        if !self.membership.has_read_platform() {
+            return;
+        }
+        let former = self.membership.with(|o, _| o.former_sessions());
+        if former.is_empty() {
+            return;
+        }
+        let epoch = self.membership.table().epoch;
+        // As high as any fence that the former process can have used, and below all later ones.
+        let fence = key_ranges::fence_of(Token {
+            since: epoch,
+            rank: u32::MAX,
+            incarnation: u32::MAX,
+        });
+        let all = KeyRange {
+            first: ShardKey(0),
+            last: ShardKey(u16::MAX),
+        };
+        let call = self.dialect.release(all, fence);
+        match self.gate.pool().control(&call, RELEASE_TIME) {
+            Ok((head, facts)) if head.status < 300 => {
+                tracing::info!(
+                    event = "former-released",
+                    sessions = former.len(),
+                    warm = facts.handover.is_some()
+                );
+                self.keep_handover(all, facts.handover);
+            }
+            Ok((head, _)) if head.status == NO_KEYS_STATUS => {
+                tracing::info!(
+                    event = "former-released",
+                    sessions = former.len(),
+                    reason = "the upstream takes no keys"
+                );
+            }
+            Err(OrderFailure::Refused) => {
+                tracing::info!(
+                    event = "former-released",
+                    sessions = former.len(),
+                    reason = "the upstream is gone"
+                );
+            }
+            other => {
+                let reason = reason_of(other.map(|(head, _)| head.status));
+                tracing::warn!(
+                    event = "former-not-released",
+                    sessions = former.len(),
+                    reason
+                );
+                return;
+            }
+        }
+        self.membership.with(|o, now| {
+            if o.table().epoch == epoch {
+                o.succeed_address(now);
+            }
+        });
+    }
+
+    /// Keeps what the upstream handed over, for when its keys come back here.
+    fn keep_handover(&self, keys: KeyRange, handover: Option<String>) {
+        let (Some(life), Some(handover)) = (self.gate.life(), handover) else {
+            return;
+        };
+        self.take_handovers(vec![KeyHandover {
+            service: life.service,
+            keys,
+            handover,
+        }]);
+    }
+
     /// Grants what is due, and ends the session where the upstream is gone.
     pub fn round(&self) {
         let mut state = sync::lock(&self.state);
@@ -351,7 +429,7 @@
         if matches!(status, Ok(200..300)) {
             state.failing_since = None;
             if let Some(handover) = &handover {
-                state.handovers.retain(|(h, _)| h.handover != *handover);
+                state.use_handover(handover, &run);
             }
             if is_new {
                 tracing::info!(
@@ -459,6 +537,33 @@
         parts
     }
 
+    /// Notes that a handover was used for the keys of `run`.
+    fn use_handover(&mut self, handover: &str, run: &Run) {
+        let mut left = Vec::new();
+        for (known, at) in std::mem::take(&mut self.handovers) {
+            if known.handover != handover {
+                left.push((known, at));
+                continue;
+            }
+            let range = Run {
+                first: known.keys.first.0,
+                last: known.keys.last.0,
+                token: run.token,
+            };
+            for part in range.without(&[*run]) {
+                let keys = part.keys();
+                left.push((
+                    KeyHandover {
+                        keys,
+                        ..known.clone()
+                    },
+                    at,
+                ));
+            }
+        }
+        self.handovers = left;
+    }
+
     /// Notes a grant; returns whether its keys were not held before.
     fn note(&mut self, service: &ServiceName, run: Run, sure: Moment, maybe: Moment) -> bool {
         let same = |h: &&mut Held| h.service == *service && h.run == run;
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -345,6 +345,7 @@
     let mut reported = started;
     let mut meter = LoadMeter::default();
     while !parts.stop.wait(ROUND) {
+        parts.keeper.succeed_former();
         parts.keeper.round();
         let waited = started.elapsed() > times.silence() + times.renewal;
         if waited && parts.membership.has_read_platform() {
--- a/src/process/host/upstream_gate.rs
+++ b/src/process/host/upstream_gate.rs
@@ -30,6 +30,8 @@
 const WAIT_STEP: Duration = Duration::from_millis(100);
 /// How long a caller is told to wait for a key that moves.
 const MOVE_RETRY: Duration = Duration::from_millis(100);
+/// How long a caller is told to wait after an upstream with room turned its order away.
+const SHED_RETRY: Duration = Duration::from_millis(15);
 /// How long a caller is told to wait for an upstream that is down.
 const DOWN_RETRY: Duration = Duration::from_millis(300);
 /// How long before the drain's bound the gate closes.
@@ -239,7 +241,7 @@
                     let now = self.clock.now();
                     sync::lock(&self.state).beside.turn_cold(now, span);
                 }
-                Verdict::not_run(Cause::Shed, MOVE_RETRY)
+                Verdict::not_run(Cause::Shed, SHED_RETRY)
             }
             Err(OrderFailure::Refused) => {
                 // Counted before the loss is noted: no byte was sent, so it is no suspect.
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -227,6 +227,9 @@
             .adopt(now, &self.table, self.info.session.instance);
         self.certify(now);
         self.check_membership(now);
+        if !self.joined {
+            self.join_at = now;
+        }
         self.held = self.still_entitled(now, before);
         self.out.push(Output::Adopted(self.table.epoch));
         self.renew_at = now + self.times.renewal;
@@ -250,6 +253,17 @@
         self.held.clear();
     }
 
+    /// Returns the sessions of former processes on this daemon's own address that are not known to
+    /// have ended.
+    pub fn former_sessions(&self) -> Vec<SessionId> {
+        let me = self.info.session.instance;
+        let sessions = self.table.members.iter();
+        let here = sessions.filter(|(s, m)| s.instance != me && m.info.peer == self.info.peer);
+        here.map(|(&s, _)| s)
+            .filter(|s| !self.certified.contains_key(s))
+            .collect()
+    }
+
     /// Ends the daemon's session by its own word, and starts the next.
     pub fn resign(&mut self, now: Moment) {
         let old = self.tenure.id;
@@ -262,9 +276,10 @@
 
     /// States the end of former processes on this daemon's own address.
     ///
-    /// Sound only after this process has held the address for a lease and its margin, and after
-    /// it has read the platform's table: grants go to the address in the table, so a former
-    /// process can have had none since, and it ended under no newer table.
+    /// Sound only after it has read the platform's table, so that the former process ended under
+    /// no newer one, and after nothing that the former process allowed can still be under way:
+    /// either the upstream here has given all keys back, or this process has held the address for
+    /// a lease and its margin.
     pub fn succeed_address(&mut self, now: Moment) {
         let me = self.info.session.instance;
         let peer = self.info.peer;
--- a/src/process/planner/ranges.rs
+++ b/src/process/planner/ranges.rs
@@ -51,6 +51,7 @@
     let mut first = kept_owners(input, &slices, owners);
     if !owners.is_empty() {
         let mut shares = Shares::new(&slices, &loads, owners, &first);
+        give_back(input, &slices, owners, &mut shares, &mut first);
         place_orphans(owners, &mut shares, &mut first);
         fill(owners, &mut shares, &mut first);
         balance(input, &slices, &loads, owners, &mut first);
@@ -122,6 +123,32 @@
     kept.collect()
 }
 
+/// Gives ranges whose owner has ended to the next process beside the same upstream, which has
+/// their state still.
+fn give_back(
+    input: &PlanInput<'_>,
+    slices: &ServiceSlices,
+    owners: &Owners<'_>,
+    shares: &mut Shares,
+    first: &mut [Option<SessionId>],
+) {
+    for (place, assignment) in slices.slices.iter().enumerate() {
+        if first[place].is_some() {
+            continue;
+        }
+        let former = assignment.candidates.first();
+        let former = former.and_then(|s| input.table.members.get(s));
+        let Some(upstream) = former.and_then(|m| m.info.upstream.as_ref()) else {
+            continue;
+        };
+        let same = |m: &Member| m.info.upstream.as_ref() == Some(upstream);
+        if let Some((&owner, _)) = owners.iter().find(|(_, m)| same(m)) {
+            shares.give(place, None, owner);
+            first[place] = Some(owner);
+        }
+    }
+}
+
 /// Gives the ranges without an owner to owners below their fair share, as many neighbours as
 /// possible to the same.
 fn place_orphans(owners: &Owners<'_>, shares: &mut Shares, first: &mut [Option<SessionId>]) {
