--- a/src/process/host/keeper.rs
+++ b/src/process/host/keeper.rs
@@ -39,6 +39,8 @@
 const RENEW_BELOW: Duration = Duration::from_millis(1000);
 /// How long a grant may take.
 const GRANT_TIME: Duration = Duration::from_millis(400);
+/// How long grants may fail before the upstream counts as lost, once all holds have run out.
+const FAILING_MAX: Duration = Duration::from_millis(900);
 /// How long a release may take: the work on its keys ends first.
 const RELEASE_TIME: Duration = Duration::from_millis(2500);
 /// How long a handover may take to the next holder.
@@ -213,13 +215,23 @@
         self.note_life(&mut state, &life);
         let (served, live_until) = self.served(&life);
         let now = self.clock.now();
+        state.held.retain(|h| h.maybe > now);
         let Some(live_until) = live_until else {
-            // Each hold ends before the lease that allowed it.
-            state.held.clear();
+            // The upstream may still hold keys: a change of witnesses can end a lease early.
+            drop(state);
             self.gate.set_granted(Vec::new());
             return;
         };
-        state.held.retain(|h| h.maybe > now);
+        let failing = state.failing_since;
+        if failing.is_some_and(|since| now.since(since) > FAILING_MAX) {
+            let ended = state.held.is_empty();
+            state.failing_since = failing.filter(|_| !ended);
+            drop(state);
+            if ended {
+                self.gate.note_loss("grants are not answered");
+            }
+            return;
+        }
         'runs: for run in &served {
             for (part, handover) in state.parts_due(now, &life.service, run) {
                 if !self.grant(&mut state, &life, part, handover, live_until) {
@@ -228,14 +240,8 @@
             }
         }
         let granted = state.granted(&served);
-        let lost = state.failing_since.is_some_and(|since| {
-            now.since(since) > RENEW_BELOW && state.held.iter().all(|h| h.sure <= now)
-        });
         drop(state);
         self.gate.set_granted(granted);
-        if lost {
-            self.gate.note_loss("grants are not answered");
-        }
     }
 
     /// Releases what the table of `epoch` took away, hands it over, and tells the others once
