--- a/src/process/host/keeper.rs
+++ b/src/process/host/keeper.rs
@@ -38,7 +38,11 @@
 /// What must be left of a hold at the least before it is renewed.
 const RENEW_BELOW: Duration = Duration::from_millis(1000);
 /// How long a grant may take.
-const GRANT_TIME: Duration = Duration::from_millis(400);
+const GRANT_TIME: Duration = Duration::from_millis(150);
+/// How many grants of one round may fail.
+const FAILURES_MAX: u32 = 3;
+/// How long after a planned leave has begun the planner may take to move the keys.
+const LEAVE_TIME: Duration = Duration::from_millis(1000);
 /// How long grants may fail before the upstream counts as lost, once all holds have run out.
 const FAILING_MAX: Duration = Duration::from_millis(900);
 /// How long a release may take: the work on its keys ends first.
@@ -61,6 +65,8 @@
     sure: Moment,
     /// Until when it may hold them.
     maybe: Moment,
+    /// Until when a grant without an answer may still take effect.
+    doubt: Moment,
 }
 
 impl Held {
@@ -81,6 +87,8 @@
     failing_since: Option<Moment>,
     /// How many releases are under way.
     releases: usize,
+    /// Whether all keys are being given to others.
+    giving_up: bool,
     /// The newest epoch for which the lost keys were taken out.
     released_for: Epoch,
 }
@@ -215,6 +223,17 @@
         self.note_life(&mut state, &life);
         let (served, live_until) = self.served(&life);
         let now = self.clock.now();
+        if state.giving_up {
+            return;
+        }
+        let late = life
+            .leaving_since
+            .is_some_and(|since| now.since(since) > LEAVE_TIME);
+        if late && (!state.held.is_empty() || !served.is_empty()) {
+            drop(state);
+            self.give_up("the upstream leaves and its keys were not moved");
+            return;
+        }
         state.held.retain(|h| h.maybe > now);
         let Some(live_until) = live_until else {
             // The upstream may still hold keys: a change of witnesses can end a lease early.
@@ -232,9 +251,11 @@
             }
             return;
         }
+        let mut failures = 0;
         'runs: for run in &served {
             for (part, handover) in state.parts_due(now, &life.service, run) {
-                if !self.grant(&mut state, &life, part, handover, live_until) {
+                failures += u32::from(!self.grant(&mut state, &life, part, handover, live_until));
+                if failures >= FAILURES_MAX {
                     break 'runs;
                 }
             }
@@ -248,6 +269,31 @@
     /// nothing is being released any more.
     pub fn release(&self, epoch: Epoch) {
         let lost = self.take_lost(epoch);
+        self.release_all(lost);
+        let mut state = sync::lock(&self.state);
+        state.releases -= 1;
+        let done = (state.releases == 0).then_some(state.released_for);
+        drop(state);
+        if let Some(epoch) = done {
+            self.membership.with(|o, now| o.let_go(now, epoch));
+        }
+    }
+
+    /// Gives all keys to the next candidates and ends the session: the planner did not move them
+    /// in time, and the upstream or this process is about to stop.
+    pub fn give_up(&self, reason: &str) {
+        let mut state = sync::lock(&self.state);
+        let all = std::mem::take(&mut state.held);
+        state.giving_up = true;
+        drop(state);
+        self.gate.set_granted(Vec::new());
+        let parts = all.iter().flat_map(|h| self.by_next_holder(h, h.run));
+        self.release_all(parts.collect());
+        self.resign_if_listed(reason);
+        sync::lock(&self.state).giving_up = false;
+    }
+
+    fn release_all(&self, lost: Vec<(Held, Option<SocketAddr>)>) {
         let released: Vec<_> = thread::scope(|scope| {
             let one = |(held, next)| scope.spawn(move || (self.release_run(&held), held, next));
             let running: Vec<_> = lost.into_iter().map(one).collect();
@@ -266,13 +312,6 @@
         for (peer, handovers) in by_next {
             self.hand_over(peer, handovers);
         }
-        let mut state = sync::lock(&self.state);
-        state.releases -= 1;
-        let done = (state.releases == 0).then_some(state.released_for);
-        drop(state);
-        if let Some(epoch) = done {
-            self.membership.with(|o, now| o.let_go(now, epoch));
-        }
     }
 
     fn hand_over(&self, peer: SocketAddr, handovers: Vec<KeyHandover>) {
@@ -345,9 +384,10 @@
     fn next_holder(&self, service: &ServiceName, slice: SliceId) -> Option<SocketAddr> {
         self.membership.with(|o, _| {
             let assignment = o.table().assignment(service, slice)?;
-            let next = assignment.candidates.first()?;
-            let own = *next == o.info().session;
-            o.table().peer(*next).filter(|_| !own)
+            let me = o.info().session;
+            let mut others = assignment.candidates.iter().filter(|s| **s != me);
+            let next = others.find(|s| !o.is_over(**s))?;
+            o.table().peer(*next)
         })
     }
 
@@ -367,6 +407,8 @@
                     fence,
                     ms
                 );
+                // A grant that was not answered may take effect after the release.
+                thread::sleep(held.doubt.since(self.clock.now()));
                 facts.handover
             }
             Err(OrderFailure::Refused) => {
@@ -431,7 +473,11 @@
             Ok(200..300) => sent + hold.mul_f64(1.0 - CLOCK_DRIFT),
             _ => sent,
         };
-        let is_new = state.note(&life.service, run, sure, maybe);
+        let doubt = match status {
+            Err(_) => maybe,
+            Ok(_) => Moment::default(),
+        };
+        let is_new = state.note(&life.service, run, sure, maybe, doubt);
         if matches!(status, Ok(200..300)) {
             state.failing_since = None;
             if let Some(handover) = &handover {
@@ -571,13 +617,24 @@
     }
 
     /// Notes a grant; returns whether its keys were not held before.
-    fn note(&mut self, service: &ServiceName, run: Run, sure: Moment, maybe: Moment) -> bool {
+    fn note(
+        &mut self,
+        service: &ServiceName,
+        run: Run,
+        sure: Moment,
+        maybe: Moment,
+        doubt: Moment,
+    ) -> bool {
         let same = |h: &&mut Held| h.service == *service && h.run == run;
         if let Some(held) = self.held.iter_mut().find(same) {
             held.sure = held.sure.max(sure);
             held.maybe = held.maybe.max(maybe);
+            held.doubt = held.doubt.max(doubt);
             return false;
         }
+        let overlaps = |h: &&Held| h.service == *service && h.run.shared(&run).is_some();
+        let doubts = self.held.iter().filter(overlaps).map(|h| h.doubt);
+        let doubt = doubts.fold(doubt, Moment::max);
         let mut left = Vec::new();
         for held in std::mem::take(&mut self.held) {
             match held.service == *service {
@@ -591,6 +648,7 @@
             run,
             sure,
             maybe,
+            doubt,
         });
         true
     }
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -46,6 +46,8 @@
 const EVENT_STEP: Duration = Duration::from_millis(500);
 /// How long callers may still come after the process has said that it is not ready.
 const UNREADY_TIME: Duration = Duration::from_millis(2600);
+/// How long a planned stop waits for the planner to move the keys.
+const LEAVE_TIME: Duration = Duration::from_millis(1500);
 /// The part of the time for a planned stop after which no new connection is taken.
 const CLOSE_PART: f64 = 0.55;
 /// What is left of that time when the last connections are closed.
@@ -128,13 +130,21 @@
         self.parts.leaving.raise();
         self.parts.describe_leaving(true);
         let close_at = begun + grace.mul_f64(CLOSE_PART);
+        let mut given_up = false;
         while Instant::now() < close_at {
+            if !given_up && begun.elapsed() >= LEAVE_TIME && !self.has_left() {
+                given_up = true;
+                self.parts
+                    .keeper
+                    .give_up("the process stops and its keys were not moved");
+            }
             if begun.elapsed() >= UNREADY_TIME && self.is_quiet() && self.has_left() {
                 break;
             }
             thread::sleep(STOP_STEP);
         }
         self.callers.close();
+        self.parts.gate.close();
         while Instant::now() < until && !(self.is_quiet() && self.has_left()) {
             thread::sleep(STOP_STEP);
         }
--- a/src/process/host/upstream_gate.rs
+++ b/src/process/host/upstream_gate.rs
@@ -24,6 +24,7 @@
 use crate::request::shard_key::ShardKey;
 use crate::request::verdict::{Cause, Verdict};
 use crate::version::key_hash::KeyHash;
+use crate::version::service_name::ServiceName;
 use crate::version::upstream::UpstreamBoot;
 
 /// How long an order that waits sleeps before it looks whether its caller is still there.
@@ -34,6 +35,8 @@
 const SHED_RETRY: Duration = Duration::from_millis(15);
 /// How long a caller is told to wait for an upstream that is down.
 const DOWN_RETRY: Duration = Duration::from_millis(300);
+/// The orders a second that a cold upstream gets while the routing is unknown.
+const COLD_RATE_UNKNOWN: f64 = 4.0;
 /// How long before the drain's bound the gate closes.
 const DRAIN_MARGIN: Duration = Duration::from_millis(400);
 /// The least time that is worth an order.
@@ -66,6 +69,8 @@
     quarantine: Quarantine,
     crashed: HashSet<UpstreamBoot>,
     granted: Vec<(Run, Moment)>,
+    /// Whether the process takes no orders any more.
+    closed: bool,
     served: BTreeMap<u16, u32>,
 }
 
@@ -109,7 +114,6 @@
     /// Takes in a report of the upstream.
     pub fn report(&self, report: &StatusReport) -> Change {
         let now = self.clock.now();
-        let cold_rate = self.cold_rate(report);
         let mut state = sync::lock(&self.state);
         let before = state.beside.up().map(Life::boot);
         let change = state.beside.report(now, report);
@@ -122,9 +126,7 @@
             state = sync::lock(&self.state);
         }
         if change != Change::Outdated {
-            let until = now + report.cold_for;
             state.admission.set_slots(report.slots);
-            state.admission.set_cold(now, until, cold_rate);
         }
         change
     }
@@ -137,6 +139,11 @@
             .leave(now, instance, started_ms)
     }
 
+    /// Takes no orders any more; those that were taken are finished.
+    pub fn close(&self) {
+        sync::lock(&self.state).closed = true;
+    }
+
     /// Notes that the upstream's process is gone; returns whether that is news.
     pub fn lose(&self) -> bool {
         let now = self.clock.now();
@@ -275,6 +282,9 @@
         let now = self.clock.now();
         let active = self.membership.active();
         let state = sync::lock(&self.state);
+        if state.closed {
+            return Err(Verdict::not_run(Cause::Stopping, MOVE_RETRY));
+        }
         let Some(life) = state.beside.up() else {
             return Err(Verdict::not_run(Cause::Down, DOWN_RETRY));
         };
@@ -320,7 +330,10 @@
         waiter: &Waiter,
     ) -> Result<(), Verdict> {
         let now = self.clock.now();
+        let cold_rate = self.cold_rate(&order.service);
         let mut state = sync::lock(&self.state);
+        let cold_until = state.beside.up().map_or(now, |life| life.cold_until);
+        state.admission.set_cold(now, cold_until, cold_rate);
         if state.quarantine.standing(now, fingerprint) == Standing::Quarantined {
             return Err(Verdict::not_run(Cause::Quarantined, deadline.since(now)));
         }
@@ -421,11 +434,12 @@
         }
     }
 
-    fn cold_rate(&self, report: &StatusReport) -> f64 {
+    /// Returns how many orders a second a cold upstream of `service` bears.
+    fn cold_rate(&self, service: &ServiceName) -> f64 {
         let active = self.membership.active();
         let desired = active.desired.as_ref();
-        let terms = desired.and_then(|d| d.services.get(&report.service));
-        terms.map_or(0.0, |t| t.cold_rate)
+        let terms = desired.and_then(|d| d.services.get(service));
+        terms.map_or(COLD_RATE_UNKNOWN, |t| t.cold_rate)
     }
 }
 
