--- a/src/process/host/entry.rs
+++ b/src/process/host/entry.rs
@@ -39,6 +39,8 @@
 const BODY_TIME_MAX: Duration = Duration::from_secs(30);
 /// The part of the objective that a request waits for a key without a holder.
 const KEY_WAIT_PART: u32 = 6;
+/// The part of the objective that it waits for a key that moves.
+const MOVE_WAIT_PART: u32 = 2;
 /// The first pause before another try for such a key.
 const PAUSE_MIN: Duration = Duration::from_millis(4);
 /// The longest such pause.
@@ -97,6 +99,17 @@
 struct Trace {
     tries: u32,
     upstream: Option<InstanceId>,
+    load: Option<LoadNote>,
+}
+
+impl Trace {
+    fn new() -> Self {
+        Self {
+            tries: 0,
+            upstream: None,
+            load: None,
+        }
+    }
 }
 
 impl Entry {
@@ -133,11 +146,8 @@
         match (divided, order.key) {
             (true, Some(_)) => self.route_keyed(rule, order, deadline, objective, waiter),
             (true, None) => {
-                let trace = Trace {
-                    tries: 0,
-                    upstream: None,
-                };
-                (Verdict::not_run(Cause::NoOwner, HOLDER_RETRY), trace)
+                let refused = Verdict::not_run(Cause::NoOwner, HOLDER_RETRY);
+                (refused, Trace::new())
             }
             (false, _) => {
                 order.key = None;
@@ -155,11 +165,10 @@
         objective: Moment,
         waiter: &Waiter,
     ) -> (Verdict, Trace) {
-        let patience = self.parts.clock.now() + order.objective / KEY_WAIT_PART;
-        let mut trace = Trace {
-            tries: 0,
-            upstream: None,
-        };
+        let started = self.parts.clock.now();
+        let patience = started + order.objective / KEY_WAIT_PART;
+        let move_patience = started + order.objective / MOVE_WAIT_PART;
+        let mut trace = Trace::new();
         let mut pause = PAUSE_MIN;
         let mut given = 0;
         let mut maybe_run = false;
@@ -179,10 +188,15 @@
             trace.tries += 1;
             trace.upstream = Some(holder.info.session.instance);
             let tried = self.try_on(&holder, order, waiter);
+            trace.load = tried.load;
             let again = match &tried.verdict {
                 Verdict::Ran(_) => false,
                 Verdict::NotRun { cause, .. } => {
                     given += u32::from(*cause == Cause::Shed);
+                    let patience = match cause {
+                        Cause::NotOwner => move_patience,
+                        _ => patience,
+                    };
                     self.may_wait(*cause, order, rule, given)
                         && self.pause(&mut pause, patience, waiter)
                 }
@@ -220,10 +234,7 @@
         waiter: &Waiter,
     ) -> (Verdict, Trace) {
         let patience = self.parts.clock.now() + order.objective / KEY_WAIT_PART;
-        let mut trace = Trace {
-            tries: 0,
-            upstream: None,
-        };
+        let mut trace = Trace::new();
         let mut pause = PAUSE_MIN;
         let mut tried = Vec::new();
         let mut given = 0;
@@ -254,6 +265,7 @@
             let failed = !matches!(&outcome.verdict, Verdict::Ran(a) if a.status < 500);
             let now = self.parts.clock.now();
             self.selection.end(now, instance, failed, outcome.load);
+            trace.load = outcome.load;
             last = outcome.verdict;
             let again = match &last {
                 Verdict::Ran(_) => false,
@@ -287,8 +299,8 @@
     fn try_on(&self, member: &Member, order: &Order, waiter: &Waiter) -> Tried {
         let instance = member.info.session.instance;
         if instance == self.parts.instance {
-            let verdict = self.parts.gate.run(order, waiter);
-            let load = Some(self.parts.gate.load());
+            let (verdict, load) = self.parts.gate.run(order, waiter);
+            let load = Some(load);
             return Tried { verdict, load };
         }
         let request = PeerRequest::Order {
@@ -544,6 +556,10 @@
         status,
         tries = trace.tries,
         upstream,
+        waited_ms = trace.load.map(|l| l.waited_ms),
+        ran_ms = trace.load.map(|l| l.ran_ms),
+        in_flight = trace.load.map(|l| l.in_flight),
+        waiting = trace.load.map(|l| l.waiting),
         ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
     );
 }
--- a/src/process/host/load_meter.rs
+++ b/src/process/host/load_meter.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Default)]
 pub struct LoadMeter {
     rates: BTreeMap<u16, f64>,
+    /// The weight that all spans so far have in the rates; it nears one.
+    weight: f64,
     epoch: Epoch,
 }
 
@@ -31,6 +33,7 @@
         for rate in self.rates.values_mut() {
             *rate *= 1.0 - NEWEST_WEIGHT;
         }
+        self.weight = self.weight * (1.0 - NEWEST_WEIGHT) + NEWEST_WEIGHT;
         for (key, orders) in served {
             let rate = f64::from(orders) / span.as_secs_f64();
             *self.rates.entry(key).or_default() += rate * NEWEST_WEIGHT;
@@ -41,7 +44,8 @@
     /// Returns the report on a service; it counts for the table under which the whole latest span
     /// was measured.
     pub fn report(&mut self, table: &Table, service: &ServiceName, load: &LoadNote) -> LoadReport {
-        let per_order = f64::from(load.mean_micros) / 1e6 / f64::from(load.slots.max(1)) * 1000.0;
+        let per_order = f64::from(load.mean_micros) / 1e6 / f64::from(load.slots.max(1)) * 1000.0
+            / self.weight.max(NEWEST_WEIGHT);
         let mut ranges = Vec::new();
         if let Some(slices) = table.services.get(service) {
             for place in 0..slices.slices.len() {
--- a/src/process/host/parts.rs
+++ b/src/process/host/parts.rs
@@ -159,8 +159,11 @@
             }
             Standing::Forgotten => return self.done(Verdict::unknown("a late copy")),
         };
-        let verdict = self.gate.run(order, &waiter.returning(&run.claims));
-        let reply = self.done(verdict);
+        let (verdict, load) = self.gate.run(order, &waiter.returning(&run.claims));
+        let reply = PeerReply::Done {
+            verdict: Box::new(verdict),
+            load,
+        };
         self.running.end(self.clock.now(), &order.id, &run, &reply);
         reply
     }
--- a/src/process/host/upstream_gate.rs
+++ b/src/process/host/upstream_gate.rs
@@ -53,6 +53,17 @@
     pub slots: u32,
     /// The mean time of an order, in microseconds.
     pub mean_micros: u32,
+    /// How long the order that this note goes with waited for its turn, in milliseconds.
+    pub waited_ms: u32,
+    /// How long it took at the upstream, in milliseconds.
+    pub ran_ms: u32,
+}
+
+/// Where the time of an order went.
+#[derive(Default)]
+struct Times {
+    waited: Duration,
+    ran: Duration,
 }
 
 struct Flight {
@@ -166,6 +177,7 @@
             waiting: u32::try_from(state.admission.waiting()).unwrap_or(u32::MAX),
             slots: state.admission.slots(),
             mean_micros: state.admission.mean_micros() as u32,
+            ..LoadNote::default()
         }
     }
 
@@ -194,8 +206,19 @@
         sync::lock(&self.state).quarantine.clear(now, fingerprint);
     }
 
-    /// Brings an order to the upstream and returns what became of it.
-    pub fn run(&self, order: &Order, waiter: &Waiter) -> Verdict {
+    /// Brings an order to the upstream and returns what became of it, with the load after it.
+    pub fn run(&self, order: &Order, waiter: &Waiter) -> (Verdict, LoadNote) {
+        let mut times = Times::default();
+        let verdict = self.run_timed(order, waiter, &mut times);
+        let load = LoadNote {
+            waited_ms: millis(times.waited),
+            ran_ms: millis(times.ran),
+            ..self.load()
+        };
+        (verdict, load)
+    }
+
+    fn run_timed(&self, order: &Order, waiter: &Waiter, times: &mut Times) -> Verdict {
         let now = self.clock.now();
         let deadline = now + order.remaining;
         let objective = now + order.objective;
@@ -215,6 +238,7 @@
             }
         };
         let given = self.clock.now();
+        times.waited = given.since(now);
         let left = deadline.since(given);
         if left < ORDER_TIME_MIN {
             self.land(Some(flight), None, None);
@@ -222,6 +246,7 @@
         }
         let result = self.pool.order(order, &life.instance, left, waiter);
         let took = self.clock.now().since(given);
+        times.ran = took;
         self.conclude(order, &life, flight, fingerprint, took, result)
     }
 
@@ -472,3 +497,7 @@
         suspects
     }
 }
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- a/src/process/planner/ranges.rs
+++ b/src/process/planner/ranges.rs
@@ -20,7 +20,7 @@
 /// The most ranges of a service.
 const RANGES_MAX: usize = 768;
 /// How busy a range may keep an upstream before it is split, in per mille of its slots.
-const SPLIT_ABOVE: u32 = 90;
+const SPLIT_ABOVE: u32 = 120;
 /// The part that a range's width counts in its cost; its measured load counts for the rest.
 const WIDTH_PART: f64 = 0.3;
 /// How far above its fair share an owner may get when it takes ranges over.
@@ -28,13 +28,13 @@
 /// The part of its fair share below which an owner is filled up.
 const FILL_BELOW: f64 = 0.5;
 /// How busy an upstream must be for ranges to leave it, in per mille of its slots.
-const BUSY_MIN: u32 = 600;
+const BUSY_MIN: u32 = 450;
 /// How much busier than the idlest it must be, in per mille.
-const DIFFERENCE_MIN: u32 = 300;
+const DIFFERENCE_MIN: u32 = 180;
 /// The part of that difference that may move at once.
-const MOVE_PART: f64 = 0.55;
+const MOVE_PART: f64 = 0.5;
 /// The most ranges that move in one plan.
-const MOVES_MAX: usize = 2;
+const MOVES_MAX: usize = 8;
 
 type Owners<'m> = BTreeMap<SessionId, &'m Member>;
 
@@ -188,8 +188,8 @@
     }
 }
 
-/// Moves ranges from the busiest upstream to the idlest, where all loads were measured under the
-/// present table.
+/// Moves ranges from the busiest upstream to the idlest, where all loads were measured after the
+/// last move.
 fn balance(
     input: &PlanInput<'_>,
     slices: &ServiceSlices,
@@ -197,10 +197,13 @@
     owners: &Owners<'_>,
     first: &mut [Option<SessionId>],
 ) {
+    // Splits leave the loads of owners as they were; only moves make older measurements void.
+    let moved = slices.slices.iter().map(|a| a.since).max();
+    let moved = moved.unwrap_or(input.table.epoch);
     let mut busy: BTreeMap<SessionId, u32> = BTreeMap::new();
     for &owner in owners.keys() {
         let report = input.loads.get(&owner);
-        let Some(report) = report.filter(|r| r.epoch >= input.table.epoch) else {
+        let Some(report) = report.filter(|r| r.epoch >= moved) else {
             return;
         };
         busy.insert(owner, report.busy);
@@ -222,6 +225,10 @@
             return;
         };
         let moved = load_of(place);
+        tracing::info!(
+            event = "range-moves", slice = %slices.slice_at(place), busy = moved,
+            %from, from_busy = high, %to, to_busy = low
+        );
         first[place] = Some(to);
         busy.insert(from, high.saturating_sub(moved));
         busy.insert(to, low + moved);
