--- a/src/cmd/host.rs
+++ b/src/cmd/host.rs
@@ -71,7 +71,10 @@
     path: Option<PathBuf>,
     connect: impl Fn(&HostSettings) -> Platform,
 ) -> ExitCode {
-    let _writer = logging::start_bounded(&settings.log_level);
+    let _log = match logging::start_bounded(&settings.log_level) {
+        Ok(thread) => thread,
+        Err(e) => return failed(&e),
+    };
     let asked = Arc::new(AtomicBool::new(false));
     let changed = Arc::new(AtomicBool::new(false));
     for (signal, flag) in [(SIGTERM, &asked), (SIGINT, &asked), (SIGHUP, &changed)] {
--- a/src/connection/front.rs
+++ b/src/connection/front.rs
@@ -256,7 +256,7 @@
     let mut state = sync::lock(&shared.state);
     loop {
         if let Some(stream) = state.waiting.pop_front() {
-            let Ok(wire) = Wire::new(stream) else {
+            let Ok(wire) = Wire::accepted(stream) else {
                 continue;
             };
             state.next += 1;
@@ -312,7 +312,7 @@
             return;
         }
         if close {
-            linger(&mut wire);
+            // All that the caller sent was read, so that the close resets nothing.
             return;
         }
     }
--- a/src/connection/peer_message.rs
+++ b/src/connection/peer_message.rs
@@ -52,6 +52,15 @@
     KeyHandover(Vec<KeyHandover>),
 }
 
+impl PeerRequest {
+    /// Returns whether the receiver confirms the call before it works on it.
+    ///
+    /// An order is not: its reply mostly comes soon, and a copy joins it where that is late.
+    pub fn is_confirmed(&self) -> bool {
+        !matches!(self, PeerRequest::Order { .. })
+    }
+}
+
 /// What an upstream handed over when keys were taken from it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyHandover {
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -162,7 +162,11 @@
     ) -> Result<PeerReply, Failure> {
         let bytes = frame::encode(request).map_err(Failure::Failed)?;
         wire.write(&bytes, false, until, waiter).map_err(turn)?;
-        let mut reply = read_within(wire, confirm, until, waiter)?;
+        let first = match request.is_confirmed() {
+            true => confirm,
+            false => self.times.patience,
+        };
+        let mut reply = read_within(wire, first, until, waiter)?;
         while reply == PeerReply::Received {
             reply = read_within(wire, self.times.patience, until, waiter)?;
         }
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -6,11 +6,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::connection::frame;
 use crate::connection::peer_message::{PeerReply, PeerRequest};
-use crate::connection::wire::Waiter;
+use crate::connection::wire::{Waiter, Wire};
 
 /// The most connections at once; more are closed at once.
 const CONNECTIONS_MAX: usize = 4096;
@@ -115,22 +115,19 @@
 }
 
 fn admit(stream: TcpStream, number: u64, shared: &Arc<Shared>) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    stream.set_write_timeout(Some(WRITE_TIME))?;
-    stream.set_read_timeout(Some(IDLE_TIME))?;
     let mut open = lock(&shared.open);
     if open.len() >= CONNECTIONS_MAX || shared.stopping.load(Ordering::SeqCst) {
         return Ok(());
     }
-    let stream = Arc::new(stream);
-    open.insert(number, Arc::clone(&stream));
+    let wire = Wire::accepted(stream)?;
+    open.insert(number, Arc::clone(wire.stream()));
     drop(open);
     let for_thread = Arc::clone(shared);
     let started = thread::Builder::new()
         .name("peer".to_owned())
         .stack_size(STACK_BYTES)
         .spawn(move || {
-            serve(&stream, &for_thread);
+            serve(wire, &for_thread);
             lock(&for_thread.open).remove(&number);
         });
     match started {
@@ -144,28 +141,53 @@
 }
 
 /// Serves one connection, one call at a time, until it ends.
-fn serve(stream: &Arc<TcpStream>, shared: &Shared) {
-    let waiter = Waiter::of(stream);
-    let mut stream: &TcpStream = stream;
-    loop {
-        let request = match frame::read::<PeerRequest>(&mut stream) {
-            Ok(request) => request,
-            Err(frame::FrameError::Io(_)) => return,
-            Err(_) => {
-                shared.handler.malformed();
-                return;
-            }
-        };
-        if frame::write(&mut stream, &PeerReply::Received).is_err() {
+fn serve(mut wire: Wire, shared: &Shared) {
+    let waiter = Waiter::of(wire.stream());
+    while let Some(request) = read_request(&mut wire, shared) {
+        if request.is_confirmed() && !write_reply(&mut wire, &PeerReply::Received) {
             return;
         }
         let reply = shared.handler.handle(request, &waiter);
-        if frame::write(&mut stream, &reply).is_err() {
+        if !write_reply(&mut wire, &reply) {
             return;
         }
     }
 }
 
+/// Reads the next call; `None` where the connection ends or sends what is no call.
+fn read_request(wire: &mut Wire, shared: &Shared) -> Option<PeerRequest> {
+    let until = Instant::now() + IDLE_TIME;
+    loop {
+        match frame::decode::<PeerRequest>(wire.buffered()) {
+            Ok(Some((request, used))) => {
+                wire.consume(used);
+                return Some(request);
+            }
+            Ok(None) => {
+                wire.fill(until, &Waiter::none()).ok()?;
+            }
+            Err(e) => {
+                tracing::warn!(event = "malformed-frame", error = %e);
+                shared.handler.malformed();
+                return None;
+            }
+        }
+    }
+}
+
+/// Writes a reply; returns whether the connection can be used on.
+fn write_reply(wire: &mut Wire, reply: &PeerReply) -> bool {
+    let bytes = match frame::encode(reply) {
+        Ok(bytes) => bytes,
+        Err(e) => {
+            tracing::error!(event = "reply-not-encoded", error = %e);
+            return false;
+        }
+    };
+    let until = Instant::now() + WRITE_TIME;
+    wire.write(&bytes, false, until, &Waiter::none()).is_ok()
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/connection/wire.rs
+++ b/src/connection/wire.rs
@@ -136,6 +136,8 @@
     stream: Arc<TcpStream>,
     buf: Vec<u8>,
     start: usize,
+    /// Whether something was sent since the last read, so that the answer will take a while.
+    asked: bool,
 }
 
 impl Wire {
@@ -145,12 +147,22 @@
     ///
     /// Returns an error where the socket's options can't be set.
     pub fn new(stream: TcpStream) -> io::Result<Self> {
-        stream.set_nonblocking(true)?;
         guard(&stream)?;
+        Self::accepted(stream)
+    }
+
+    /// Takes a connection over that has its options from its listener.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the socket's options can't be set.
+    pub fn accepted(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nonblocking(true)?;
         Ok(Self {
             stream: Arc::new(stream),
             buf: Vec::new(),
             start: 0,
+            asked: false,
         })
     }
 
@@ -213,6 +225,9 @@
     /// Returns an error where the connection ended or failed, where nothing came before `until`,
     /// or where `waiter` left.
     pub fn fill(&mut self, until: Instant, waiter: &Waiter) -> Result<usize, WireError> {
+        if std::mem::take(&mut self.asked) {
+            self.wait(PollFlags::IN, until, waiter)?;
+        }
         loop {
             match self.read_some() {
                 Ok(0) => return Err(WireError::Closed),
@@ -240,6 +255,7 @@
         waiter: &Waiter,
     ) -> Result<usize, WireError> {
         let mut written = 0;
+        self.asked = true;
         while written < bytes.len() {
             match (&*self.stream).write(&bytes[written..]) {
                 Ok(0) => return Err(WireError::Closed),
@@ -333,14 +349,19 @@
     Ok((fds[0].revents(), other))
 }
 
-/// Lets the kernel notice a link that went silent.
-fn guard(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
+/// Lets the kernel notice a link that went silent, and send at once.
+///
+/// # Errors
+///
+/// Returns an error where the socket's options can't be set.
+pub fn guard(socket: impl AsFd) -> io::Result<()> {
+    let socket = socket.as_fd();
+    sockopt::set_tcp_nodelay(socket, true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_TIME)
         .with_interval(KEEPALIVE_TIME)
         .with_retries(KEEPALIVE_RETRIES);
-    socket2::SockRef::from(stream).set_tcp_keepalive(&keepalive)?;
-    sockopt::set_tcp_user_timeout(stream, USER_TIMEOUT_MS)?;
+    socket2::SockRef::from(&socket).set_tcp_keepalive(&keepalive)?;
+    sockopt::set_tcp_user_timeout(socket, USER_TIMEOUT_MS)?;
     Ok(())
 }
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -13,6 +13,7 @@
 use crate::connection::http_server::{HttpHandler, HttpServer};
 use crate::connection::peer_pool::{PeerPool, PeerTimes};
 use crate::connection::peer_server::{PeerHandler, PeerServer};
+use crate::connection::wire;
 use crate::process::admin::{self, AdminApi};
 use crate::process::clock::{Clock, SystemClock};
 use crate::process::custodian::Custodian;
@@ -306,7 +307,7 @@
         )?;
         socket.set_reuse_address(true)?;
         // Connections take this over from their listener.
-        socket.set_tcp_nodelay(true)?;
+        wire::guard(&socket)?;
         socket.bind(&SockAddr::from(address))?;
         socket.listen(BACKLOG)?;
         Ok(TcpListener::from(socket))
--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -1,9 +1,12 @@
 //! Structured logs.
 
+use std::io;
+
 use serde::{Deserialize, Serialize};
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
+use crate::process::log_buffer::{LogBuffer, LogThread};
+
 /// How log lines are written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -28,25 +31,23 @@
     };
 }
 
-/// How many lines may wait to be written; further ones are dropped and counted.
-const LINES_MAX: usize = 2048;
-
-/// Starts to log to standard output, as one JSON object a line, from a thread of its own: a slow
-/// reader loses lines and never stops the process. The lines that wait are written when the
-/// returned guard is dropped.
-pub fn start_bounded(level: &str) -> WorkerGuard {
+/// Starts to log to standard output, as one JSON object a line; the lines that wait are written
+/// when the returned thread is dropped.
+///
+/// # Errors
+///
+/// Returns an error where no thread can be started.
+pub fn start_bounded(level: &str) -> io::Result<LogThread> {
     let filter = EnvFilter::new(format!("warn,foxtaildrift={level}"));
-    let (writer, guard) = NonBlockingBuilder::default()
-        .buffered_lines_limit(LINES_MAX)
-        .lossy(true)
-        .finish(std::io::stdout());
+    let buffer = LogBuffer::default();
+    let thread = buffer.start(io::stdout())?;
     let builder = tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
         .with_target(false)
         .with_env_filter(filter)
-        .with_writer(writer);
+        .with_writer(buffer);
     // A second call has no effect.
     let _ = builder.try_init();
-    guard
+    Ok(thread)
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -30,6 +30,7 @@
 pub mod joins;
 pub mod lease_times;
 pub mod load_report;
+pub mod log_buffer;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
