--- a/tests/testsuite/planner.rs
+++ b/tests/testsuite/planner.rs
@@ -201,6 +201,7 @@
                 session: Some(session(n)),
                 epoch: cell.table.epoch,
                 slices: slices.into_iter().map(slice).collect(),
+                ranges: Vec::new(),
                 rate,
                 busy,
                 capacity: 1000,
