--- /dev/null
+++ b/crates/bench/src/host_cluster.rs
@@ -0,0 +1,344 @@
+//! An environment of the daemons beside upstreams of the users' platform: real processes on
+//! loopback addresses, with the store's and the upstreams' stand-ins.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use foxtaildrift::connection::dialect::ControlCall;
+use foxtaildrift::connection::http_client::HttpClient;
+use foxtaildrift::request::headers::Headers;
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::args::BenchError;
+
+/// How long a call may take.
+const CALL_TIME: Duration = Duration::from_secs(3);
+/// How often a condition is looked at while waiting.
+const POLL: Duration = Duration::from_millis(50);
+
+/// The environments that this process has started.
+static STARTED: AtomicU32 = AtomicU32::new(0);
+
+/// A host: a daemon and the upstream beside it.
+pub struct Host {
+    /// Where callers' requests are taken.
+    pub callers: SocketAddr,
+    /// The service of the upstream.
+    pub service: &'static str,
+    ready: SocketAddr,
+    settings: PathBuf,
+    daemon: Option<Child>,
+    upstream: Option<Child>,
+}
+
+/// An answer as a caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: Headers,
+    /// The body.
+    pub body: String,
+}
+
+/// A running environment.
+pub struct HostCluster {
+    /// The hosts.
+    pub hosts: Vec<Host>,
+    /// The folder of settings, logs and journals.
+    pub folder: PathBuf,
+    program: PathBuf,
+    store: SocketAddr,
+    store_process: Option<Child>,
+    next_id: AtomicU32,
+}
+
+impl HostCluster {
+    /// Starts an environment whose processes are subcommands of `program`: an upstream for each of
+    /// `services`, of which those named in `divided` take only keys that were granted.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a process can't be started.
+    pub fn start(
+        program: &Path,
+        services: &[&'static str],
+        divided: &[&str],
+    ) -> Result<Self, BenchError> {
+        let process = std::process::id();
+        let number = STARTED.fetch_add(1, Ordering::SeqCst);
+        let net = 2 + u8::try_from((process * 7 + number * 31) % 250).unwrap_or(0);
+        let folder = std::env::temp_dir().join(format!("foxtaildrift-host-{process}-{number}"));
+        let _ = fs::remove_dir_all(&folder);
+        fs::create_dir_all(&folder).map_err(BenchError::turn("folder"))?;
+        let store = SocketAddr::from(([127, net, 250, 1], 8500));
+        let mut cluster = Self {
+            hosts: Vec::new(),
+            folder,
+            program: program.to_owned(),
+            store,
+            store_process: None,
+            next_id: AtomicU32::new(0),
+        };
+        let listen = store.to_string();
+        cluster.store_process = Some(cluster.spawn("store", &["store", "--listen", &listen])?);
+        for (number, service) in services.iter().enumerate() {
+            let host = cluster.lay_out(net, number, service)?;
+            cluster.hosts.push(host);
+            cluster.start_daemon(number)?;
+            cluster.start_upstream(number, divided.contains(service))?;
+        }
+        Ok(cluster)
+    }
+
+    fn lay_out(&self, net: u8, number: usize, service: &'static str) -> Result<Host, BenchError> {
+        let domain = number % 3;
+        let last = u8::try_from(number + 1).unwrap_or(1);
+        let at = |port| SocketAddr::from(([127, net, 1, last], port));
+        let settings = self.folder.join(format!("{number}.yaml"));
+        let text = format!(
+            "node: host-{number}\ndomain: domain-{domain}\ncallers: {}\npeers: {}\nready: {}\n\
+             reports: {}\nupstream: {}\nservice: {service}\nstore: {}\n",
+            at(8080),
+            at(7400),
+            at(9400),
+            at(9401),
+            at(9000),
+            self.store
+        );
+        fs::write(&settings, text).map_err(BenchError::turn("settings"))?;
+        Ok(Host {
+            callers: at(8080),
+            service,
+            ready: at(9400),
+            settings,
+            daemon: None,
+            upstream: None,
+        })
+    }
+
+    /// Starts the daemon of a host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the process can't be started.
+    pub fn start_daemon(&mut self, number: usize) -> Result<(), BenchError> {
+        let settings = self.hosts[number].settings.display().to_string();
+        let name = format!("daemon-{number}");
+        let child = self.spawn(&name, &["host", "--settings", &settings])?;
+        self.hosts[number].daemon = Some(child);
+        Ok(())
+    }
+
+    fn start_upstream(&mut self, number: usize, divided: bool) -> Result<(), BenchError> {
+        let host = &self.hosts[number];
+        let at = |port| SocketAddr::new(host.callers.ip(), port).to_string();
+        let journal = self.journal(number).display().to_string();
+        let domain = format!("domain-{}", number % 3);
+        let (listen, reports) = (at(9000), at(9401));
+        let mut args = vec![
+            "ranged-upstream",
+            "--listen",
+            &listen,
+            "--reports",
+            &reports,
+            "--service",
+            host.service,
+            "--domain",
+            &domain,
+            "--journal",
+            &journal,
+        ];
+        if divided {
+            args.push("--divided");
+        }
+        let child = self.spawn(&format!("upstream-{number}"), &args)?;
+        self.hosts[number].upstream = Some(child);
+        Ok(())
+    }
+
+    /// Returns where the upstream of a host notes what it runs.
+    pub fn journal(&self, number: usize) -> PathBuf {
+        self.folder.join(format!("{number}.journal"))
+    }
+
+    /// Returns what the daemon of a host has logged.
+    pub fn log(&self, number: usize) -> String {
+        let path = self.folder.join(format!("daemon-{number}.log"));
+        fs::read_to_string(path).unwrap_or_default()
+    }
+
+    fn spawn(&self, name: &str, args: &[&str]) -> Result<Child, BenchError> {
+        let turn = BenchError::turn(name);
+        let mut log = fs::OpenOptions::new();
+        log.create(true).append(true);
+        let log = log
+            .open(self.folder.join(format!("{name}.log")))
+            .map_err(&turn)?;
+        let errors = log.try_clone().map_err(&turn)?;
+        let mut command = Command::new(&self.program);
+        command
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors);
+        command.spawn().map_err(&turn)
+    }
+
+    /// Ends the daemon of a host at once.
+    pub fn kill_daemon(&mut self, number: usize) {
+        if let Some(mut daemon) = self.hosts[number].daemon.take() {
+            end(&mut daemon);
+        }
+    }
+
+    /// Asks the daemon of a host to stop, and returns how long it took to end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not end within `limit`; it is then ended.
+    pub fn stop_daemon(&mut self, number: usize, limit: Duration) -> Result<Duration, BenchError> {
+        let Some(mut daemon) = self.hosts[number].daemon.take() else {
+            return Err(BenchError(format!("host {number} has no daemon")));
+        };
+        let started = Instant::now();
+        let pid = i32::try_from(daemon.id()).ok().and_then(Pid::from_raw);
+        let pid = pid.ok_or_else(|| BenchError("no process id".to_owned()))?;
+        kill_process(pid, Signal::TERM).map_err(BenchError::turn("signal"))?;
+        while started.elapsed() < limit {
+            if daemon
+                .try_wait()
+                .map_err(BenchError::turn("wait"))?
+                .is_some()
+            {
+                return Ok(started.elapsed());
+            }
+            thread::sleep(POLL);
+        }
+        end(&mut daemon);
+        Err(BenchError(format!(
+            "daemon {number} did not stop in {limit:?}"
+        )))
+    }
+
+    /// Asks the store's stand-in for something: a fault, or a value that operators write.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not answer.
+    pub fn control_store(&self, what: &str, body: &str) -> Result<String, BenchError> {
+        let target = format!("/control/{what}");
+        let seen = call(
+            self.store,
+            "POST",
+            &target,
+            Headers::default(),
+            body.as_bytes(),
+        )?;
+        Ok(seen.body)
+    }
+
+    /// Returns whether a daemon says that it is ready.
+    pub fn is_ready(&self, number: usize) -> bool {
+        let ready = self.hosts[number].ready;
+        call(ready, "GET", "/ready", Headers::default(), b"").is_ok_and(|s| s.status == 200)
+    }
+
+    /// Sends a request through the daemon of a host, with an id of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no answer came.
+    pub fn request(
+        &self,
+        number: usize,
+        method: &'static str,
+        target: &str,
+        key: Option<u16>,
+    ) -> Result<Seen, BenchError> {
+        let id = self.next_id.fetch_add(1, Ordering::SeqCst);
+        let mut headers = Headers::default();
+        headers.push("Host", "a.example");
+        headers.push("Request-Id", format!("request-{id}"));
+        headers.push("Deadline-Ms", "2000");
+        if let Some(key) = key {
+            headers.push("Shard-Key", key.to_string());
+        }
+        call(self.hosts[number].callers, method, target, headers, b"")
+    }
+
+    /// Waits until `condition` holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not within `limit`.
+    pub fn wait_until(
+        &self,
+        what: &str,
+        limit: Duration,
+        condition: impl Fn(&Self) -> bool,
+    ) -> Result<Duration, BenchError> {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if condition(self) {
+                return Ok(started.elapsed());
+            }
+            thread::sleep(POLL);
+        }
+        Err(BenchError(format!("not within {limit:?}: {what}")))
+    }
+}
+
+impl Drop for HostCluster {
+    fn drop(&mut self) {
+        for host in &mut self.hosts {
+            let processes = [host.daemon.take(), host.upstream.take()];
+            processes
+                .into_iter()
+                .flatten()
+                .for_each(|mut p| end(&mut p));
+        }
+        if let Some(mut store) = self.store_process.take() {
+            end(&mut store);
+        }
+        if !thread::panicking() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Ends a process of this environment.
+fn end(process: &mut Child) {
+    // It may have ended by itself.
+    let _ = process.kill();
+    let _ = process.wait();
+}
+
+fn call(
+    to: SocketAddr,
+    method: &'static str,
+    target: &str,
+    headers: Headers,
+    body: &[u8],
+) -> Result<Seen, BenchError> {
+    let client = HttpClient::new(to, None);
+    let call = ControlCall {
+        method,
+        target: target.to_owned(),
+        headers,
+        body: body.to_vec(),
+    };
+    let answered = client.call(&call, CALL_TIME);
+    let (head, body) = answered.map_err(BenchError::turn("call"))?;
+    Ok(Seen {
+        status: head.status,
+        headers: head.headers,
+        body: String::from_utf8_lossy(&body).into_owned(),
+    })
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,9 @@
 use std::process::ExitCode;
 
 use foxtaildrift_bench::args::BenchError;
-use foxtaildrift_bench::{explore, platform_stand_in, runs, upstream_stand_in};
+use foxtaildrift_bench::{
+    explore, platform_stand_in, ranged_upstream, runs, store_stand_in, upstream_stand_in,
+};
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
@@ -15,6 +17,11 @@
         "platform" => platform_stand_in::run(rest),
         "upstream" => upstream_stand_in::run(rest),
         "daemon" => return foxtaildrift::cmd::daemon::execute(rest),
+        "host" => {
+            return foxtaildrift::cmd::host::execute(rest, None, foxtaildrift_platform::connect);
+        }
+        "store" => store_stand_in::run(rest),
+        "ranged-upstream" => ranged_upstream::run(rest),
         "explore" => explore::run(rest),
         _ => match runs::RUNS.iter().find(|(n, _)| n == name) {
             Some((_, run)) => run(rest),
--- /dev/null
+++ b/crates/bench/src/ranged_upstream.rs
@@ -0,0 +1,252 @@
+//! A small stand-in for an upstream of the users' platform: it takes grants of key ranges, reports
+//! its state to the daemon beside it, and notes what it runs in a journal.
+
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use foxtaildrift::connection::dialect::ControlCall;
+use foxtaildrift::connection::front::{Front, FrontHandler, FrontLimits, HttpReply, HttpRequest};
+use foxtaildrift::connection::http_client::HttpClient;
+use foxtaildrift::connection::http1::RequestHead;
+use foxtaildrift::connection::wire::{Waiter, WireError};
+use foxtaildrift::process::sync;
+use foxtaildrift::request::headers::Headers;
+use serde_json::{Value, json};
+
+use crate::args::{self, BenchError};
+
+/// What the stand-in takes.
+const LIMITS: FrontLimits = FrontLimits {
+    head_bytes: 16 * 1024,
+    body_bytes: 4 * 1024 * 1024,
+    head_time: Duration::from_secs(2),
+    idle_time: Duration::from_secs(10),
+};
+/// How often the state is reported.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// How long a report may take.
+const REPORT_TIME: Duration = Duration::from_millis(900);
+
+struct Held {
+    first: u64,
+    last: u64,
+    fence: u64,
+    until: Instant,
+}
+
+#[derive(Default)]
+struct State {
+    held: Vec<Held>,
+    highest: Vec<Held>,
+    running: u32,
+}
+
+struct RangedUpstream {
+    id: String,
+    divided: bool,
+    work: Duration,
+    journal: String,
+    state: Mutex<State>,
+}
+
+/// Runs the stand-in until the process is killed.
+///
+/// # Errors
+///
+/// Returns an error where the arguments don't fit or the address is taken.
+pub fn run(args: &[String]) -> Result<(), BenchError> {
+    let matches = args::parse(args, |o| {
+        o.reqopt("", "listen", "where orders are taken", "ADDRESS");
+        o.reqopt("", "reports", "where the state is reported", "ADDRESS");
+        o.reqopt("", "service", "the service", "NAME");
+        o.reqopt("", "domain", "the failure domain", "NAME");
+        o.reqopt("", "journal", "where runs are noted", "FILE");
+        o.optopt("", "work-ms", "how long an order takes", "N");
+        o.optflag("", "divided", "take only keys that were granted");
+    })?;
+    let text = |name: &str| args::value(&matches, name, String::new());
+    let address: SocketAddr = parse(&text("listen")?)?;
+    let reports: SocketAddr = parse(&text("reports")?)?;
+    let listener = TcpListener::bind(address).map_err(BenchError::turn("listen"))?;
+    let born = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let born = u64::try_from(born.as_millis()).unwrap_or(0);
+    let upstream = Arc::new(RangedUpstream {
+        id: format!("i-{born:x}-{}", address.ip()),
+        divided: matches.opt_present("divided"),
+        work: Duration::from_millis(args::value(&matches, "work-ms", 20)?),
+        journal: text("journal")?,
+        state: Mutex::default(),
+    });
+    let id = upstream.id.clone();
+    let _front = Front::start(listener, upstream).map_err(BenchError::turn("listen"))?;
+    let client = HttpClient::new(reports, Some(address.ip()));
+    let info =
+        json!({"Service": text("service")?, "Version": "v1", "Zone": text("domain")?, "Slots": 8});
+    for sequence in 1u64.. {
+        let status = json!({"State": "ready", "Sequence": sequence, "WarmupRemainingMs": 0});
+        let body =
+            json!({"Address": address.to_string(), "born": born, "Info": info, "Status": status});
+        let mut headers = Headers::default();
+        headers.push("Host", "reports");
+        let call = ControlCall {
+            method: "POST",
+            target: format!("/Instances.Heartbeat/{id}"),
+            headers,
+            body: body.to_string().into_bytes(),
+        };
+        // The daemon may be down; the next report tells the same.
+        let _ = client.call(&call, REPORT_TIME);
+        thread::sleep(REPORT_INTERVAL);
+    }
+    Ok(())
+}
+
+fn parse(text: &str) -> Result<SocketAddr, BenchError> {
+    text.parse().map_err(BenchError::turn("address"))
+}
+
+impl RangedUpstream {
+    fn grant(&self, body: &Value) -> HttpReply {
+        let number = |name: &str| body[name].as_u64().unwrap_or(0);
+        let (first, last, fence) = (number("From"), number("To"), number("fence"));
+        let mut state = sync::lock(&self.state);
+        let overlaps = |h: &&Held| h.first <= last && first <= h.last;
+        if state
+            .highest
+            .iter()
+            .filter(overlaps)
+            .any(|h| h.fence > fence)
+        {
+            return HttpReply::text(409, "a higher fence was seen");
+        }
+        let until = Instant::now() + Duration::from_millis(number("HoldMs"));
+        let held = || Held {
+            first,
+            last,
+            fence,
+            until,
+        };
+        state.held.retain(|h| !(h.first == first && h.last == last));
+        state.held.push(held());
+        state.highest.push(held());
+        self.note(&format!("grant {first} {last} {fence}"));
+        HttpReply::text(200, "")
+    }
+
+    fn release(&self, body: &Value) -> HttpReply {
+        let number = |name: &str| body[name].as_u64().unwrap_or(0);
+        let (first, last) = (number("From"), number("To"));
+        let mut kept = Vec::new();
+        let mut state = sync::lock(&self.state);
+        for held in std::mem::take(&mut state.held) {
+            let parts = [
+                (
+                    held.first,
+                    held.last.min(first.saturating_sub(1)),
+                    held.first < first,
+                ),
+                (held.first.max(last + 1), held.last, held.last > last),
+            ];
+            for (from, to, some) in parts {
+                if some {
+                    kept.push(Held {
+                        first: from,
+                        last: to,
+                        ..held
+                    });
+                }
+            }
+        }
+        state.held = kept;
+        drop(state);
+        while sync::lock(&self.state).running > 0 {
+            thread::sleep(Duration::from_millis(2));
+        }
+        let mut reply = HttpReply::text(200, "");
+        reply.headers.push("Handover", "warm");
+        reply
+    }
+
+    fn holds(&self, key: Option<u64>) -> bool {
+        let now = Instant::now();
+        let state = sync::lock(&self.state);
+        let inside = |h: &Held| key.is_some_and(|k| h.first <= k && k <= h.last) && h.until > now;
+        !self.divided || state.held.iter().any(inside)
+    }
+
+    fn work(&self, request: &HttpRequest, id: &str) -> HttpReply {
+        let head = &request.head;
+        let expected = head.headers.text("Expected-Instance");
+        let key = head.headers.text("Shard-Key").and_then(|k| k.parse().ok());
+        let mut reply = if expected.is_some_and(|e| e != self.id) || !self.holds(key) {
+            let mut reply = HttpReply::text(421, "not here");
+            reply.headers.push("Not-Executed", "1");
+            reply
+        } else {
+            sync::lock(&self.state).running += 1;
+            self.note(&format!("run {id} {} {}", head.method, head.target));
+            thread::sleep(self.work);
+            sync::lock(&self.state).running -= 1;
+            let mut reply = HttpReply::text(200, format!("{} {}", head.method, head.target));
+            reply.headers.push("Response-Signature", "s");
+            reply
+        };
+        reply.headers.push("Request-Id", id);
+        reply
+    }
+
+    fn note(&self, line: &str) {
+        let file = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.journal);
+        let written = file.and_then(|mut f| f.write_all(format!("{line}\n").as_bytes()));
+        written.expect("the journal can be written");
+    }
+}
+
+impl FrontHandler for RangedUpstream {
+    fn limits(&self) -> FrontLimits {
+        LIMITS
+    }
+
+    fn body_time(&self, _head: &RequestHead) -> Duration {
+        LIMITS.head_time
+    }
+
+    fn handle(&self, request: HttpRequest, waiter: &Waiter) -> HttpReply {
+        let body = || serde_json::from_slice(&request.body).unwrap_or(Value::Null);
+        match request.head.path() {
+            "/grant" if self.divided => self.grant(&body()),
+            "/release" if self.divided => self.release(&body()),
+            "/grant" | "/release" => HttpReply::text(400, "no keys"),
+            _ => {
+                let id = request
+                    .head
+                    .headers
+                    .text("Request-Id")
+                    .unwrap_or("")
+                    .to_owned();
+                let reply = self.work(&request, &id);
+                if waiter.has_left() {
+                    self.note(&format!("left {id}"));
+                }
+                reply
+            }
+        }
+    }
+
+    fn refuse(&self, error: &WireError) -> HttpReply {
+        HttpReply::text(400, error.to_string())
+    }
+
+    fn is_closing(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/bench/src/store_stand_in.rs
@@ -0,0 +1,232 @@
+//! A small stand-in for the users' store: ranges, watches and transactions, with faults that can
+//! be switched on.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::TcpListener;
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use foxtaildrift::connection::front::{Front, FrontHandler, FrontLimits, HttpReply, HttpRequest};
+use foxtaildrift::connection::http1::RequestHead;
+use foxtaildrift::connection::wire::{Waiter, WireError};
+use foxtaildrift::process::sync;
+use serde_json::{Value, json};
+
+use crate::args::{self, BenchError};
+
+/// What the stand-in takes.
+const LIMITS: FrontLimits = FrontLimits {
+    head_bytes: 16 * 1024,
+    body_bytes: 4 * 1024 * 1024,
+    head_time: Duration::from_secs(2),
+    idle_time: Duration::from_secs(30),
+};
+/// How many changes are known.
+const HISTORY_MAX: usize = 1000;
+/// The items of a page.
+const PAGE: usize = 50;
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, (String, u64)>,
+    history: VecDeque<Value>,
+    forgotten: u64,
+    down: bool,
+    calls: u64,
+}
+
+/// The stand-in's handler.
+#[derive(Default)]
+pub struct StoreStandIn {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// Runs the stand-in until the process is killed.
+///
+/// # Errors
+///
+/// Returns an error where the arguments don't fit or the address is taken.
+pub fn run(args: &[String]) -> Result<(), BenchError> {
+    let matches = args::parse(args, |o| {
+        o.reqopt("", "listen", "where calls are taken", "ADDRESS");
+    })?;
+    let address: String = args::value(&matches, "listen", String::new())?;
+    let listener = TcpListener::bind(&address).map_err(BenchError::turn("listen"))?;
+    let handler = Arc::new(StoreStandIn::default());
+    let _front = Front::start(listener, handler).map_err(BenchError::turn("listen"))?;
+    loop {
+        thread::park();
+    }
+}
+
+impl StoreStandIn {
+    fn range(&self, prefix: &str, after: &str) -> HttpReply {
+        let state = sync::lock(&self.state);
+        let fit = state.items.iter().filter(|(k, _)| k.starts_with(prefix));
+        let mut rest = fit.filter(|(k, _)| k.as_str() > after);
+        let page: Vec<Value> = rest.by_ref().take(PAGE).map(|(k, v)| item(k, v)).collect();
+        let more = rest.next().is_some();
+        json_reply(
+            200,
+            &json!({"items": page, "HasMore": more, "AsOf": state.revision}),
+        )
+    }
+
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> HttpReply {
+        let until = Instant::now() + wait;
+        let mut state = sync::lock(&self.state);
+        loop {
+            if after < state.forgotten {
+                return json_reply(410, &json!({}));
+            }
+            let fits = |e: &&Value| {
+                let key = e["Key"].as_str().unwrap_or_default();
+                key.starts_with(prefix) && e["Revision"].as_u64() > Some(after)
+            };
+            let events: Vec<Value> = state.history.iter().filter(fits).cloned().collect();
+            let left = until.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() || state.down {
+                let as_of = state.revision;
+                return json_reply(200, &json!({"events": events, "AsOf": as_of}));
+            }
+            let waited = self.changed.wait_timeout(state, left);
+            state = waited.unwrap_or_else(std::sync::PoisonError::into_inner).0;
+        }
+    }
+
+    fn commit(&self, body: &Value) -> HttpReply {
+        let empty = Vec::new();
+        let rows = |name: &str| body[name].as_array().unwrap_or(&empty).clone();
+        let mut state = sync::lock(&self.state);
+        let holds = |row: &Value| {
+            let key = row["Key"].as_str().unwrap_or_default();
+            let present = state.items.get(key).map_or(0, |(_, r)| *r);
+            row["Revision"].as_u64() == Some(present)
+        };
+        if !rows("ExpectedRevision").iter().all(holds) {
+            return json_reply(412, &json!({"items": []}));
+        }
+        state.revision += 1;
+        let revision = state.revision;
+        for put in rows("Puts") {
+            let key = put["Key"].as_str().unwrap_or_default().to_owned();
+            let value = put["Value"].as_str().unwrap_or_default().to_owned();
+            let entry = (value, revision);
+            let event = item(&key, &entry);
+            state.remember(event);
+            state.items.insert(key, entry);
+        }
+        for key in rows("Remove").iter().filter_map(Value::as_str) {
+            if state.items.remove(key).is_some() {
+                state.remember(json!({"Key": key, "Revision": revision, "Removed": true}));
+            }
+        }
+        drop(state);
+        self.changed.notify_all();
+        json_reply(200, &json!({"Revision": revision}))
+    }
+
+    /// Switches faults, and writes what operators write.
+    fn control(&self, path: &str, body: &[u8]) -> HttpReply {
+        match path {
+            "/control/down" | "/control/up" => {
+                sync::lock(&self.state).down = path.ends_with("down");
+                self.changed.notify_all();
+            }
+            "/control/forget" => {
+                let mut state = sync::lock(&self.state);
+                state.forgotten = state.revision;
+                state.history.clear();
+            }
+            "/control/calls" => {
+                let calls = sync::lock(&self.state).calls;
+                return HttpReply::text(200, calls.to_string());
+            }
+            _ => {
+                let key = path.trim_start_matches("/control/put/");
+                let value = STANDARD.encode(body);
+                return self.commit(&json!({"Puts": [{"Key": key, "Value": value}]}));
+            }
+        }
+        HttpReply::text(200, "")
+    }
+}
+
+impl State {
+    fn remember(&mut self, event: Value) {
+        self.history.push_back(event);
+        while self.history.len() > HISTORY_MAX {
+            let oldest = self.history.pop_front();
+            let revision = oldest.and_then(|e| e["Revision"].as_u64());
+            self.forgotten = revision.unwrap_or(self.forgotten);
+        }
+    }
+}
+
+impl FrontHandler for StoreStandIn {
+    fn limits(&self) -> FrontLimits {
+        LIMITS
+    }
+
+    fn body_time(&self, _head: &RequestHead) -> Duration {
+        LIMITS.head_time
+    }
+
+    fn handle(&self, request: HttpRequest, _waiter: &Waiter) -> HttpReply {
+        let path = request.head.path().to_owned();
+        if path.starts_with("/control/") {
+            return self.control(&path, &request.body);
+        }
+        let mut state = sync::lock(&self.state);
+        state.calls += 1;
+        if state.down {
+            return HttpReply::text(503, "down");
+        }
+        drop(state);
+        let query = |name: &str| {
+            let pairs = request.head.target.split(['?', '&']).skip(1);
+            let mut named = pairs
+                .filter_map(|p| p.split_once('='))
+                .filter(|(n, _)| *n == name);
+            named.next().map(|(_, v)| v.to_owned()).unwrap_or_default()
+        };
+        match path.as_str() {
+            "/kv-range" => self.range(&query("PathPrefix"), &query("after")),
+            "/kv-watch" => {
+                let wait = Duration::from_millis(query("WaitMs").parse().unwrap_or(0));
+                self.watch(
+                    &query("PathPrefix"),
+                    query("after").parse().unwrap_or(0),
+                    wait,
+                )
+            }
+            "/kv-txn" => match serde_json::from_slice(&request.body) {
+                Ok(body) => self.commit(&body),
+                Err(e) => HttpReply::text(400, e.to_string()),
+            },
+            _ => HttpReply::text(404, "no such call"),
+        }
+    }
+
+    fn refuse(&self, error: &WireError) -> HttpReply {
+        HttpReply::text(400, error.to_string())
+    }
+
+    fn is_closing(&self) -> bool {
+        false
+    }
+}
+
+fn item(key: &str, (value, revision): &(String, u64)) -> Value {
+    json!({"Key": key, "Value": value, "Revision": revision, "CreatedRev": revision, "Lease": 0})
+}
+
+/// Returns an answer with a JSON body.
+pub fn json_reply(status: u16, body: &Value) -> HttpReply {
+    HttpReply::text(status, body.to_string())
+}
--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod daemon;
 mod explore;
+mod host;
 mod journal;
 mod runs;
--- a/crates/bench/tests/testsuite/runs.rs
+++ b/crates/bench/tests/testsuite/runs.rs
@@ -8,11 +8,11 @@
     let output = Command::new(env!("CARGO_BIN_EXE_foxtaildrift-bench"))
         .args(args)
         .output();
-    let text = String::from_utf8(output.expect("the run starts").stdout).expect("it prints text");
-    let line = text
-        .lines()
-        .find(|l| l.starts_with("RESULT "))
-        .expect("it prints a result");
+    let output = output.expect("the run starts");
+    let errors = String::from_utf8_lossy(&output.stderr);
+    let text = String::from_utf8(output.stdout).expect("it prints text");
+    let line = text.lines().find(|l| l.starts_with("RESULT "));
+    let line = line.unwrap_or_else(|| panic!("{args:?} printed no result: {errors}"));
     println!("{line}");
     let fields = line.split(' ').filter_map(|f| f.split_once('='));
     fields
--- a/src/process/host/entry.rs
+++ b/src/process/host/entry.rs
@@ -24,7 +24,7 @@
 use crate::request::body::Body;
 use crate::request::order::Order;
 use crate::request::verdict::{Cause, Verdict};
-use crate::version::desired::{CallerLimits, Desired, RouteRule, Target};
+use crate::version::desired::{Desired, RouteRule, Target};
 use crate::version::domain_name::DomainName;
 use crate::version::instance_id::InstanceId;
 use crate::version::key_hash::KeyHash;
@@ -476,7 +476,7 @@
     fn limits(&self) -> FrontLimits {
         let active = self.parts.membership.active();
         let limits = active.desired.as_ref().map(|d| d.limits);
-        let limits = limits.unwrap_or_else(CallerLimits::default);
+        let limits = limits.unwrap_or_default();
         FrontLimits {
             head_bytes: limits.head_bytes,
             body_bytes: limits.body_bytes,
--- a/src/process/host/follower.rs
+++ b/src/process/host/follower.rs
@@ -269,6 +269,10 @@
         }
         drop(state);
         self.membership.adopt_from_platform(table);
+        if !self.is_member() {
+            // The members of the table can be asked at once.
+            self.membership.with(|o, now| o.describe(now, |_| {}));
+        }
     }
 
     fn take_join(&self, item: Item) {
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -227,9 +227,6 @@
             .adopt(now, &self.table, self.info.session.instance);
         self.certify(now);
         self.check_membership(now);
-        if !self.joined {
-            self.join_at = now;
-        }
         self.held = self.still_entitled(now, before);
         self.out.push(Output::Adopted(self.table.epoch));
         self.renew_at = now + self.times.renewal;
--- a/tests/testsuite/log_buffer.rs
+++ b/tests/testsuite/log_buffer.rs
@@ -43,7 +43,7 @@
     let written = reader.0.lock().unwrap();
     let text = String::from_utf8_lossy(&written);
     let told = text.lines().filter(|l| l.contains("log-lines-dropped"));
-    let dropped: u64 = told.map(|l| count_of(l)).sum();
+    let dropped: u64 = told.map(count_of).sum();
     let whole = text.lines().filter(|l| l.len() == 999).count() as u64;
     assert_eq!(whole + dropped, 10_000, "each line is written or counted");
     assert!(dropped > 0);
