--- a/src/process/host/host_settings.rs
+++ b/src/process/host/host_settings.rs
@@ -47,6 +47,9 @@
     pub renewal_ms: u64,
     /// How long a lease holds, in milliseconds.
     pub lease_ms: u64,
+    /// How long a session may stay lapsed before it is given up, in milliseconds: then others may
+    /// serve its keys, also where most of its witnesses were lost with it.
+    pub give_up_ms: u64,
     /// The longest hold of a grant, in milliseconds.
     pub hold_max_ms: u64,
     /// After how long an upstream that leaves gets nothing more, in milliseconds.
@@ -78,6 +81,7 @@
             store: local(8500),
             renewal_ms: 400,
             lease_ms: 2000,
+            give_up_ms: 1200,
             hold_max_ms: 10_000,
             drain_ms: 2000,
             grace_s: 6.0,
@@ -126,6 +130,7 @@
             renewal: Duration::from_millis(self.renewal_ms),
             lease,
             margin: lease / 20,
+            give_up: Duration::from_millis(self.give_up_ms),
         }
     }
 
@@ -152,6 +157,9 @@
         if self.renewal_ms < 10 || self.renewal_ms > self.lease_ms / 3 {
             return range("renewal_ms", self.renewal_ms, "10 to a third of lease_ms");
         }
+        if !(100..=600_000).contains(&self.give_up_ms) {
+            return range("give_up_ms", self.give_up_ms, "100 to 600000");
+        }
         if !(500..=600_000).contains(&self.hold_max_ms) {
             return range("hold_max_ms", self.hold_max_ms, "500 to 600000");
         }
--- a/src/process/lease_times.rs
+++ b/src/process/lease_times.rs
@@ -13,6 +13,8 @@
     pub lease: Duration,
     /// What a witness waits on top of the lease, for clocks that drift.
     pub margin: Duration,
+    /// How long a session may stay lapsed before its holder gives it up for a new one.
+    pub give_up: Duration,
 }
 
 impl Default for LeaseTimes {
@@ -21,6 +23,7 @@
             renewal: Duration::from_millis(500),
             lease: Duration::from_millis(2000),
             margin: Duration::from_millis(100),
+            give_up: Duration::from_secs(10),
         }
     }
 }
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -42,8 +42,6 @@
 const ASK_REPEAT: Duration = Duration::from_millis(100);
 /// How often a daemon repeats its wish to join.
 const JOIN_REPEAT: Duration = Duration::from_millis(500);
-/// How long a session may stay lapsed before its holder gives it up for a new one.
-const LAPSE_MAX: Duration = Duration::from_secs(10);
 /// A gap between two ticks that shows that the process was paused.
 const PAUSE_MIN: Duration = Duration::from_millis(300);
 
@@ -493,7 +491,7 @@
             }
             None => {}
         }
-        if self.joined && !live && now.since(self.lapsed_since) > LAPSE_MAX {
+        if self.joined && !live && now.since(self.lapsed_since) > self.times.give_up {
             self.resign(now);
         }
     }
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -121,6 +121,7 @@
             renewal,
             lease,
             margin: lease / 20,
+            ..LeaseTimes::default()
         }
     }
 
--- /dev/null
+++ b/tests/testsuite/host/give_up.rs
@@ -0,0 +1,82 @@
+//! A session whose witnesses are gone.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use foxtaildrift::Table;
+use foxtaildrift::process::lease_times::LeaseTimes;
+use foxtaildrift::process::moment::Moment;
+use foxtaildrift::process::output::Output;
+use foxtaildrift::process::ownership::Ownership;
+use foxtaildrift::version::epoch::Epoch;
+use foxtaildrift::version::instance_id::InstanceId;
+use foxtaildrift::version::member::{Member, MemberInfo, WEIGHT_FULL};
+use foxtaildrift::version::session_id::SessionId;
+use foxtaildrift::version::witness_set::{WitnessAddress, WitnessSet};
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(1000 + millis)
+}
+
+fn peer(last: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 1, last], 7400))
+}
+
+/// Returns when a session ends that none of its witnesses ever grants, in milliseconds.
+fn ends_after(times: LeaseTimes) -> Option<u64> {
+    let session = SessionId {
+        instance: InstanceId(1),
+        tenure: 1,
+    };
+    let info = MemberInfo {
+        session,
+        peer: peer(1),
+        entry: peer(1),
+        domain: "zarzis".parse().unwrap(),
+        upstream: None,
+        leaving: false,
+        weight: WEIGHT_FULL,
+    };
+    let mut ownership = Ownership::new(1, times, info.clone(), at(0), 7);
+    let gone = (2..5).map(|n| WitnessAddress {
+        instance: InstanceId(n.into()),
+        peer: peer(n),
+    });
+    let member = Member {
+        info,
+        witnesses: vec![WitnessSet(gone.collect())],
+        witnesses_since: Epoch(1),
+        settling: false,
+    };
+    let table = Table {
+        epoch: Epoch(1),
+        members: BTreeMap::from([(session, member)]),
+        ..Table::default()
+    };
+    ownership.adopt(at(0), table.into());
+    (0..12_000).step_by(25).find(|&now| {
+        ownership.tick(at(now));
+        let ended = |o: &Output| matches!(o, Output::Ended(s) if *s == session);
+        ownership.take_outputs().iter().any(ended)
+    })
+}
+
+#[test]
+fn a_session_without_witnesses_is_given_up_in_time() {
+    // twice-dark (karite-sud, seed 2): new members had dead witnesses, and waited for ten seconds.
+    let times = LeaseTimes {
+        give_up: Duration::from_millis(1200),
+        ..LeaseTimes::default()
+    };
+    let ended = ends_after(times);
+    assert!(
+        ended.is_some_and(|ms| (1200..1400).contains(&ms)),
+        "{ended:?}"
+    );
+    let ended = ends_after(LeaseTimes::default());
+    assert!(
+        ended.is_some_and(|ms| (10_000..10_200).contains(&ms)),
+        "{ended:?}"
+    );
+}
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod beside;
 mod budget_share;
+mod give_up;
 mod holds;
 mod load_meter;
 mod ranges;
--- a/tests/testsuite/host/settings.rs
+++ b/tests/testsuite/host/settings.rs
@@ -16,6 +16,7 @@
     let cases = [
         ("lease_ms: 99", "lease_ms"),
         ("renewal_ms: 1999", "renewal_ms"),
+        ("give_up_ms: 99", "give_up_ms"),
         ("hold_max_ms: 1", "hold_max_ms"),
         ("drain_ms: 0", "drain_ms"),
         ("grace_s: 0", "grace_s"),
