--- a/src/connection/dialect.rs
+++ b/src/connection/dialect.rs
@@ -41,19 +41,6 @@
     fn answered_id(&self, id: &str) -> (&'static str, String);
 }
 
-/// The load that an upstream tells with its answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ToldLoad {
-    /// The orders that it works on.
-    pub running: u32,
-    /// The orders that wait in it.
-    pub waiting: u32,
-    /// The orders that it works on at once.
-    pub slots: u32,
-    /// How long work takes now, in per cent of the usual time.
-    pub slowness_percent: Option<u32>,
-}
-
 /// What the head of an upstream's answer says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerFacts {
@@ -65,8 +52,6 @@
     pub not_run: bool,
     /// The run of the upstream that answers.
     pub instance: Option<String>,
-    /// The load of the upstream.
-    pub load: Option<ToldLoad>,
     /// How long the upstream stays cold.
     pub cold_for: Option<Duration>,
     /// The handover that goes with released keys.
@@ -122,9 +107,6 @@
 
     /// Returns the call that takes keys back.
     fn release(&self, keys: KeyRange, fence: u64) -> ControlCall;
-
-    /// Returns the call that asks for the upstream's health.
-    fn health(&self, path: &str) -> ControlCall;
 }
 
 /// What an upstream reports of itself.
--- a/src/connection/peer_message.rs
+++ b/src/connection/peer_message.rs
@@ -3,10 +3,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::connection::dialect::KeyRange;
-use crate::process::host::upstream_gate::LoadNote;
 use crate::process::wall_time::WallTime;
 use crate::request::answer::Answer;
 use crate::request::envelope::Envelope;
+use crate::request::load_note::LoadNote;
 use crate::request::order::Order;
 use crate::request::records::SliceRecords;
 use crate::request::verdict::Verdict;
--- a/src/process/host/follower.rs
+++ b/src/process/host/follower.rs
@@ -491,7 +491,7 @@
     /// Tells once that the store can't be used.
     fn lost(&mut self, e: &StoreError) {
         if !self.lost {
-            tracing::warn!(event = "store-lost", use_ = self.name, error = %e);
+            tracing::warn!(event = "store-lost", for_what = self.name, error = %e);
         }
         self.lost = true;
     }
@@ -499,7 +499,7 @@
     /// Tells once that the store can be used again.
     fn regained(&mut self) {
         if self.lost {
-            tracing::info!(event = "store-regained", use_ = self.name);
+            tracing::info!(event = "store-regained", for_what = self.name);
         }
         self.lost = false;
     }
--- a/src/process/host/load_meter.rs
+++ b/src/process/host/load_meter.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::process::host::upstream_gate::LoadNote;
 use crate::process::load_report::{LoadReport, RangeLoad};
+use crate::request::load_note::LoadNote;
 use crate::version::epoch::Epoch;
 use crate::version::service_name::ServiceName;
 use crate::version::table::Table;
--- a/src/process/host/selection.rs
+++ b/src/process/host/selection.rs
@@ -4,9 +4,9 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use crate::process::host::upstream_gate::LoadNote;
 use crate::process::moment::Moment;
 use crate::process::sync;
+use crate::request::load_note::LoadNote;
 use crate::version::domain_name::DomainName;
 use crate::version::instance_id::InstanceId;
 use crate::version::member::Member;
--- a/src/process/host/upstream_gate.rs
+++ b/src/process/host/upstream_gate.rs
@@ -5,8 +5,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use crate::connection::dialect::StatusReport;
 use crate::connection::upstream_pool::{Answered, OrderFailure, UpstreamPool};
 use crate::connection::wire::Waiter;
@@ -19,6 +17,7 @@
 use crate::process::moment::Moment;
 use crate::process::sync;
 use crate::request::fingerprint::Fingerprint;
+use crate::request::load_note::LoadNote;
 use crate::request::order::Order;
 use crate::request::quarantine::{Quarantine, Standing, Suspicion};
 use crate::request::shard_key::ShardKey;
@@ -42,23 +41,6 @@
 /// The least time that is worth an order.
 const ORDER_TIME_MIN: Duration = Duration::from_millis(5);
 
-/// The load at an upstream, as answers carry it to the daemons that choose.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadNote {
-    /// The orders at the upstream.
-    pub in_flight: u32,
-    /// The orders that wait in the daemon beside it.
-    pub waiting: u32,
-    /// The orders that it works on at once.
-    pub slots: u32,
-    /// The mean time of an order, in microseconds.
-    pub mean_micros: u32,
-    /// How long the order that this note goes with waited for its turn, in milliseconds.
-    pub waited_ms: u32,
-    /// How long it took at the upstream, in milliseconds.
-    pub ran_ms: u32,
-}
-
 /// Where the time of an order went.
 #[derive(Default)]
 struct Times {
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -375,16 +375,16 @@
                 self.emit(Event::FetchConfiguration { from, version });
             }
             Output::Adopted(epoch) => {
-                tracing::info!(%epoch, "table adopted");
+                tracing::info!(event = "table-adopted", %epoch);
                 self.emit(Event::Adopted(epoch));
             }
             Output::Lapsed => {
-                tracing::warn!("lease lapsed");
+                tracing::warn!(event = "lease-lapsed");
                 self.emit(Event::Lapsed);
             }
-            Output::Live => tracing::info!("lease live"),
+            Output::Live => tracing::info!(event = "lease-live"),
             Output::Ended(session) => {
-                tracing::warn!(%session, "session ended");
+                tracing::warn!(event = "session-ended", %session);
                 self.emit(Event::Ended(session));
             }
         }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -16,6 +16,7 @@
 pub mod headers;
 pub mod idempotency_key;
 pub mod limiter;
+pub mod load_note;
 pub mod order;
 pub mod outcome;
 pub mod pace;
--- a/src/version/desired.rs
+++ b/src/version/desired.rs
@@ -59,18 +59,10 @@
 /// What holds for the upstreams of a service.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ServiceTerms {
-    /// The path of the health check.
-    pub health_path: String,
-    /// The connections that each upstream takes.
-    pub connections: u32,
-    /// How long an upstream is cold after its start.
-    pub cold_time: Duration,
     /// The requests a second that a cold upstream bears.
     pub cold_rate: f64,
     /// Whether its keys are divided among the upstreams.
     pub divided: bool,
-    /// How long keys are slow that come without the handover of their last holder.
-    pub warm_time: Duration,
 }
 
 /// What callers may send, and how long they may take.
--- a/tests/testsuite/host/load_meter.rs
+++ b/tests/testsuite/host/load_meter.rs
@@ -5,7 +5,7 @@
 
 use foxtaildrift::Table;
 use foxtaildrift::process::host::load_meter::LoadMeter;
-use foxtaildrift::process::host::upstream_gate::LoadNote;
+use foxtaildrift::request::load_note::LoadNote;
 use foxtaildrift::version::table::ServiceSlices;
 
 #[test]
