Let each try of a request stand for itself at the daemon beside the upstream; split the entry's loops

Cause, found by reading: the daemon that holds a key answered each later try with the outcome of the first, so that nobody could wait for a key that moved.

--- a/src/process/host/entry.rs
+++ b/src/process/host/entry.rs
@@ -90,12 +90,6 @@
     turns: Mutex<HashMap<String, Vec<i64>>>,
 }
 
-/// One try of an order.
-struct Tried {
-    verdict: Verdict,
-    load: Option<LoadNote>,
-}
-
 /// How a request went, for its log line.
 struct Trace {
     tries: u32,
@@ -103,12 +97,70 @@
     load: Option<LoadNote>,
 }
 
-impl Trace {
-    fn new() -> Self {
+/// Where a request is on its way.
+struct Course {
+    deadline: Moment,
+    objective: Moment,
+    /// Until when it waits for a key without a holder.
+    patience: Moment,
+    /// Until when it waits for a key that moves.
+    move_patience: Moment,
+    pause: Duration,
+    /// The most upstreams that it may be given to, and to how many it was.
+    attempts: u32,
+    given: u32,
+    /// Whether an upstream may have run it.
+    maybe_run: bool,
+    trace: Trace,
+}
+
+impl Course {
+    fn new(now: Moment, order: &Order, attempts: u32) -> Self {
         Self {
-            tries: 0,
-            upstream: None,
-            load: None,
+            deadline: now + order.remaining,
+            objective: now + order.objective,
+            patience: now + order.objective / KEY_WAIT_PART,
+            move_patience: now + order.objective / MOVE_WAIT_PART,
+            pause: PAUSE_MIN,
+            attempts,
+            given: 0,
+            maybe_run: false,
+            trace: Trace {
+                tries: 0,
+                upstream: None,
+                load: None,
+            },
+        }
+    }
+
+    /// Sets what is left of the order's times; returns whether that is worth a try.
+    fn has_time(&self, now: Moment, order: &mut Order) -> bool {
+        order.remaining = self.deadline.since(now);
+        order.objective = self.objective.since(now);
+        order.remaining >= TRY_TIME_MIN
+    }
+
+    /// Notes how a try ended.
+    fn note(&mut self, verdict: &Verdict) {
+        match verdict {
+            Verdict::Ran(_) => {}
+            Verdict::NotRun { cause, .. } => self.given += u32::from(*cause == Cause::Shed),
+            Verdict::Unknown { .. } => {
+                self.maybe_run = true;
+                self.given += 1;
+            }
+        }
+    }
+
+    fn may_be_given_again(&self) -> bool {
+        self.given < self.attempts
+    }
+
+    /// Returns the verdict on an order whose time ran out.
+    fn timed_out(&self) -> Verdict {
+        match self.maybe_run {
+            true => Verdict::timed_out("the time ran out"),
+            false => Verdict::not_run(Cause::TimedOut, HOLDER_RETRY),
         }
     }
 }
@@ -139,151 +191,101 @@
         waiter: &Waiter,
     ) -> (Verdict, Trace) {
         let now = self.parts.clock.now();
-        let deadline = now + order.remaining;
-        let objective = now + order.objective;
         self.with_budget(&order.service, |b, terms| b.request(now, terms));
+        let mut course = Course::new(now, order, rule.attempts);
         let terms = desired.services.get(&order.service);
         let divided = terms.is_some_and(|t| t.divided);
-        match (divided, order.key) {
-            (true, Some(_)) => self.route_keyed(rule, order, deadline, objective, waiter),
-            (true, None) => {
-                let refused = Verdict::not_run(Cause::NoOwner, HOLDER_RETRY);
-                (refused, Trace::new())
-            }
+        let verdict = match (divided, order.key) {
+            (true, Some(_)) => self.route_keyed(order, &mut course, waiter),
+            (true, None) => Verdict::not_run(Cause::NoOwner, HOLDER_RETRY),
             (false, _) => {
                 order.key = None;
-                self.route_shared(rule, order, deadline, objective, waiter)
+                self.route_shared(order, &mut course, waiter)
             }
-        }
+        };
+        (truthful(verdict, course.maybe_run), course.trace)
     }
 
     /// Brings an order to the holder of its key.
-    fn route_keyed(
-        &self,
-        rule: &RouteRule,
-        order: &mut Order,
-        deadline: Moment,
-        objective: Moment,
-        waiter: &Waiter,
-    ) -> (Verdict, Trace) {
-        let started = self.parts.clock.now();
-        let patience = started + order.objective / KEY_WAIT_PART;
-        let move_patience = started + order.objective / MOVE_WAIT_PART;
-        let mut trace = Trace::new();
-        let mut pause = PAUSE_MIN;
-        let mut given = 0;
-        let mut maybe_run = false;
+    fn route_keyed(&self, order: &mut Order, course: &mut Course, waiter: &Waiter) -> Verdict {
         loop {
-            let now = self.parts.clock.now();
-            order.remaining = deadline.since(now);
-            order.objective = objective.since(now);
-            if order.remaining < TRY_TIME_MIN {
-                return (timed_out(maybe_run), trace);
+            if !course.has_time(self.parts.clock.now(), order) {
+                return course.timed_out();
             }
             let Some(holder) = self.holder(order) else {
-                if self.pause(&mut pause, patience, waiter) {
+                if self.pause(course, course.patience, waiter) {
                     continue;
                 }
-                return (refusal(Cause::NoOwner, HOLDER_RETRY, maybe_run), trace);
+                return Verdict::not_run(Cause::NoOwner, HOLDER_RETRY);
             };
-            trace.tries += 1;
-            trace.upstream = Some(holder.info.session.instance);
-            let tried = self.try_on(&holder, order, waiter);
-            trace.load = tried.load;
-            let again = match &tried.verdict {
-                Verdict::Ran(_) => false,
+            let verdict = self.try_on(&holder, order, course, waiter);
+            let again = match &verdict {
                 Verdict::NotRun { cause, .. } => {
-                    given += u32::from(*cause == Cause::Shed);
                     let patience = match cause {
-                        Cause::NotOwner => move_patience,
-                        _ => patience,
+                        Cause::NotOwner => course.move_patience,
+                        _ => course.patience,
                     };
-                    self.may_wait(*cause, order, rule, given)
-                        && self.pause(&mut pause, patience, waiter)
-                }
-                Verdict::Unknown { .. } => {
-                    maybe_run = true;
-                    given += 1;
-                    order.repeatable
-                        && given < rule.attempts
-                        && !waiter.has_left()
-                        && self.may_repeat(order)
+                    self.may_wait(*cause, order, course) && self.pause(course, patience, waiter)
                 }
+                verdict => self.may_try_again(verdict, order, course),
             };
-            if !again {
-                return (truthful(tried.verdict, maybe_run), trace);
+            if !again || waiter.has_left() {
+                return verdict;
             }
         }
     }
 
     /// Returns whether it makes sense to wait a moment after a refusal of the holder.
-    fn may_wait(&self, cause: Cause, order: &Order, rule: &RouteRule, given: u32) -> bool {
+    fn may_wait(&self, cause: Cause, order: &Order, course: &Course) -> bool {
         match cause {
             Cause::NotOwner | Cause::Unreachable | Cause::Down => true,
-            Cause::Shed => given < rule.attempts && self.may_repeat(order),
+            Cause::Shed => course.may_be_given_again() && self.may_repeat(order),
             _ => false,
         }
     }
 
     /// Brings an order to one of the equal upstreams of its service.
-    fn route_shared(
-        &self,
-        rule: &RouteRule,
-        order: &mut Order,
-        deadline: Moment,
-        objective: Moment,
-        waiter: &Waiter,
-    ) -> (Verdict, Trace) {
-        let patience = self.parts.clock.now() + order.objective / KEY_WAIT_PART;
-        let mut trace = Trace::new();
-        let mut pause = PAUSE_MIN;
+    fn route_shared(&self, order: &mut Order, course: &mut Course, waiter: &Waiter) -> Verdict {
         let mut tried = Vec::new();
-        let mut given = 0;
-        let mut maybe_run = false;
         let mut last = Verdict::not_run(Cause::NoOwner, HOLDER_RETRY);
         loop {
             let now = self.parts.clock.now();
-            order.remaining = deadline.since(now);
-            order.objective = objective.since(now);
-            if order.remaining < TRY_TIME_MIN {
-                return (timed_out(maybe_run), trace);
+            if !course.has_time(now, order) {
+                return course.timed_out();
             }
             let members = self.parts.membership.upstreams(&order.service);
             let bytes = order.body.0.len();
             let home = &self.parts.domain;
             let Some(member) = self.selection.pick(now, &members, &tried, home, bytes) else {
-                if tried.is_empty() && self.pause(&mut pause, patience, waiter) {
+                if tried.is_empty() && self.pause(course, course.patience, waiter) {
                     continue;
                 }
-                return (truthful(last, maybe_run), trace);
+                return last;
             };
             let instance = member.info.session.instance;
             tried.push(instance);
-            trace.tries += 1;
-            trace.upstream = Some(instance);
             self.selection.start(instance);
-            let outcome = self.try_on(member, order, waiter);
-            let failed = !matches!(&outcome.verdict, Verdict::Ran(a) if a.status < 500);
+            last = self.try_on(member, order, course, waiter);
+            let failed = !matches!(&last, Verdict::Ran(a) if a.status < 500);
             let now = self.parts.clock.now();
-            self.selection.end(now, instance, failed, outcome.load);
-            trace.load = outcome.load;
-            last = outcome.verdict;
-            let again = match &last {
-                Verdict::Ran(_) => false,
-                Verdict::NotRun { cause, .. } => {
-                    given += u32::from(*cause == Cause::Shed);
-                    *cause != Cause::Quarantined
-                        && (*cause != Cause::Shed
-                            || (given < rule.attempts && self.may_repeat(order)))
-                }
-                Verdict::Unknown { .. } => {
-                    maybe_run = true;
-                    given += 1;
-                    order.repeatable && given < rule.attempts && self.may_repeat(order)
-                }
-            };
-            if !again || waiter.has_left() {
-                return (truthful(last, maybe_run), trace);
+            self.selection.end(now, instance, failed, course.trace.load);
+            if !self.may_try_again(&last, order, course) || waiter.has_left() {
+                return last;
+            }
+        }
+    }
+
+    /// Returns whether an order may go to another upstream, or to the same once more.
+    fn may_try_again(&self, verdict: &Verdict, order: &Order, course: &Course) -> bool {
+        match verdict {
+            Verdict::Ran(_) => false,
+            Verdict::NotRun { cause, .. } => match cause {
+                Cause::Quarantined => false,
+                Cause::Shed => course.may_be_given_again() && self.may_repeat(order),
+                _ => true,
+            },
+            Verdict::Unknown { .. } => {
+                order.repeatable && course.may_be_given_again() && self.may_repeat(order)
             }
         }
     }
@@ -296,59 +298,72 @@
             .with(|o, _| o.owner(&order.service, KeyHash(key.0.into())).cloned())
     }
 
-    /// Tries an order on the upstream beside `member`.
-    fn try_on(&self, member: &Member, order: &Order, waiter: &Waiter) -> Tried {
+    /// Tries an order on the upstream beside `member`, and notes how that went.
+    fn try_on(
+        &self,
+        member: &Member,
+        order: &mut Order,
+        course: &mut Course,
+        waiter: &Waiter,
+    ) -> Verdict {
         let instance = member.info.session.instance;
-        if instance == self.parts.instance {
-            let (verdict, load) = self.parts.gate.run(order, waiter);
-            let load = Some(load);
-            return Tried { verdict, load };
-        }
+        course.trace.tries += 1;
+        course.trace.upstream = Some(instance);
+        // A later try is no copy of an earlier one, which the other daemon would answer as before.
+        order.attempt = course.trace.tries;
+        let (verdict, load) = match instance == self.parts.instance {
+            true => {
+                let (verdict, load) = self.parts.gate.run(order, waiter);
+                (verdict, Some(load))
+            }
+            false => self.pass_on(member, order, waiter),
+        };
+        course.trace.load = load;
+        course.note(&verdict);
+        verdict
+    }
+
+    /// Passes an order on to the daemon `member`.
+    fn pass_on(
+        &self,
+        member: &Member,
+        order: &Order,
+        waiter: &Waiter,
+    ) -> (Verdict, Option<LoadNote>) {
+        let session = member.info.session;
         let request = PeerRequest::Order {
-            instance,
+            instance: session.instance,
             order: Box::new(order.clone()),
         };
-        let session = member.info.session;
+        let to = member.info.peer;
+        let limit = order.remaining + OUTCOME_TIME;
         let is_over = || self.parts.membership.with(|o, _| o.is_over(session));
-        let called = self.parts.peers.call(
-            member.info.peer,
-            &request,
-            order.remaining + OUTCOME_TIME,
-            waiter,
-            is_over,
-        );
-        let verdict = match called {
-            Ok(called) => {
-                if let PeerReply::Done { verdict, load } = called.reply {
-                    let load = Some(load);
-                    let verdict = truthful(*verdict, false);
-                    return Tried { verdict, load };
-                }
-                Verdict::unknown("a reply that does not fit the call")
-            }
+        let verdict = match self.parts.peers.call(to, &request, limit, waiter, is_over) {
+            Ok(called) => match called.reply {
+                PeerReply::Done { verdict, load } => return (*verdict, Some(load)),
+                _ => Verdict::unknown("a reply that does not fit the call"),
+            },
             Err(PeerError::Abandoned) => Verdict::unknown("the caller left"),
-            Err(e) if e.is_unsent() => {
-                tracing::info!(event = "hop-failed", request = %order.id, to = %member.info.peer, sent = false, error = %e);
-                Verdict::not_run(Cause::Unreachable, HOLDER_RETRY)
-            }
             Err(e) => {
-                tracing::info!(event = "hop-failed", request = %order.id, to = %member.info.peer, sent = true, error = %e);
-                Verdict::unknown(format!("the daemon beside the upstream: {e}"))
+                let sent = !e.is_unsent();
+                tracing::info!(event = "hop-failed", request = %order.id, %to, sent, error = %e);
+                match sent {
+                    true => Verdict::unknown(format!("the daemon beside the upstream: {e}")),
+                    false => Verdict::not_run(Cause::Unreachable, HOLDER_RETRY),
+                }
             }
         };
-        Tried {
-            verdict,
-            load: None,
-        }
+        (verdict, None)
     }
 
     /// Waits a moment before another try; returns whether one makes sense.
-    fn pause(&self, span: &mut Duration, patience: Moment, waiter: &Waiter) -> bool {
-        if self.parts.clock.now() + *span > patience || waiter.has_left() {
+    fn pause(&self, course: &mut Course, patience: Moment, waiter: &Waiter) -> bool {
+        let span = course.pause;
+        if self.parts.clock.now() + span > patience || waiter.has_left() {
             return false;
         }
-        thread::sleep(*span);
-        *span = (*span * 2).min(PAUSE_MAX);
+        thread::sleep(span);
+        course.pause = (span * 2).min(PAUSE_MAX);
         true
     }
 
@@ -433,6 +448,7 @@
             priority: rule.priority,
             remaining: waits.saturating_sub(spent),
             objective: rule.objective.saturating_sub(spent),
+            attempt: 0,
             body: Body(request.body),
         };
         Ok((order, rule.clone()))
@@ -565,18 +581,6 @@
     );
 }
 
-/// Returns the verdict on an order whose time ran out.
-fn timed_out(maybe_run: bool) -> Verdict {
-    match maybe_run {
-        true => Verdict::timed_out("the time ran out"),
-        false => Verdict::not_run(Cause::TimedOut, HOLDER_RETRY),
-    }
-}
-
-fn refusal(cause: Cause, retry_after: Duration, maybe_run: bool) -> Verdict {
-    truthful(Verdict::not_run(cause, retry_after), maybe_run)
-}
-
 /// Turns "not run" into "may have run" where an earlier try may have run.
 fn truthful(verdict: Verdict, maybe_run: bool) -> Verdict {
     match verdict {
--- a/src/process/host/parts.rs
+++ b/src/process/host/parts.rs
@@ -150,7 +150,7 @@
             return self.done(Verdict::not_run(Cause::NotOwner, GONE_RETRY));
         }
         let now = self.clock.now();
-        let run = match self.running.begin(now, &order.id) {
+        let run = match self.running.begin(now, &order.id, order.attempt) {
             Standing::First(run) => run,
             Standing::Joined(run) => {
                 let reply = run.wait(order.remaining);
@@ -164,7 +164,9 @@
             verdict: Box::new(verdict),
             load,
         };
-        self.running.end(self.clock.now(), &order.id, &run, &reply);
+        let now = self.clock.now();
+        self.running
+            .end(now, &order.id, order.attempt, &run, &reply);
         reply
     }
 
--- a/src/process/host/running.rs
+++ b/src/process/host/running.rs
@@ -1,6 +1,6 @@
 //! The orders that came from other daemons, so that one that is sent again joins the first.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -34,6 +34,9 @@
     }
 }
 
+/// One try of an order: its id, and the number of the try.
+type TryId = (String, u32);
+
 /// How an order that has just come stands to the earlier ones.
 pub enum Standing {
     /// It is the first with its id.
@@ -46,9 +49,9 @@
 
 #[derive(Default)]
 struct State {
-    runs: HashMap<String, Arc<Run>>,
-    ended: BTreeMap<(Moment, String), ()>,
-    ids: HashMap<String, Moment>,
+    runs: HashMap<TryId, Arc<Run>>,
+    ended: BTreeSet<(Moment, TryId)>,
+    ids: HashMap<TryId, Moment>,
 }
 
 /// The orders of the last minute.
@@ -58,40 +61,43 @@
 }
 
 impl Running {
-    /// Takes in an order that came at `now`.
-    pub fn begin(&self, now: Moment, id: &str) -> Standing {
+    /// Takes in a try of an order that came at `now`.
+    pub fn begin(&self, now: Moment, id: &str, attempt: u32) -> Standing {
+        let id = (id.to_owned(), attempt);
         let mut state = sync::lock(&self.state);
         state.forget(now);
-        if let Some(run) = state.runs.get(id) {
+        if let Some(run) = state.runs.get(&id) {
             run.claims.join();
             return Standing::Joined(Arc::clone(run));
         }
-        if state.ids.contains_key(id) {
+        if state.ids.contains_key(&id) {
             return Standing::Forgotten;
         }
         let run = Arc::new(Run::default());
-        state.runs.insert(id.to_owned(), Arc::clone(&run));
-        state.ids.insert(id.to_owned(), now);
+        state.runs.insert(id.clone(), Arc::clone(&run));
+        state.ids.insert(id, now);
         Standing::First(run)
     }
 
-    /// Takes in the outcome of an order.
-    pub fn end(&self, now: Moment, id: &str, run: &Run, reply: &PeerReply) {
+    /// Takes in the outcome of a try.
+    pub fn end(&self, now: Moment, id: &str, attempt: u32, run: &Run, reply: &PeerReply) {
         *sync::lock(&run.reply) = Some(reply.clone());
         run.done.notify_all();
         let mut state = sync::lock(&self.state);
-        state.ended.insert((now, id.to_owned()), ());
+        state.ended.insert((now, (id.to_owned(), attempt)));
     }
 }
 
 impl State {
     fn forget(&mut self, now: Moment) {
-        while let Some(entry) = self.ended.first_entry() {
-            if now.since(entry.key().0) < KEEP_REPLY {
-                break;
+        while self
+            .ended
+            .first()
+            .is_some_and(|(at, _)| now.since(*at) >= KEEP_REPLY)
+        {
+            if let Some((_, id)) = self.ended.pop_first() {
+                self.runs.remove(&id);
             }
-            let (_, id) = entry.remove_entry().0;
-            self.runs.remove(&id);
         }
         if self.ids.len() > IDS_MAX {
             self.ids.retain(|_, at| now.since(*at) < KEEP_ID);
--- a/src/request/order.rs
+++ b/src/request/order.rs
@@ -26,6 +26,8 @@
     pub target: String,
     /// Its end-to-end headers.
     pub headers: Headers,
+    /// The number of the entry's try; only a copy of the same try joins it.
+    pub attempt: u32,
     /// Its whole body.
     pub body: Body,
     /// Its key, on divided services.
