Name a routing that was read anew by the store's revision at the read

Cause, found by the new evacuation step of the run with real processes: the version was the newest revision of the operators' values; after a failure domain was taken back and all processes had restarted it was lower than the one in the table, and nobody planned again: no key was served.

--- a/crates/bench/src/store_stand_in.rs
+++ b/crates/bench/src/store_stand_in.rs
@@ -147,6 +147,10 @@
                 let calls = sync::lock(&self.state).calls;
                 return HttpReply::text(200, calls.to_string());
             }
+            _ if path.starts_with("/control/remove/") => {
+                let key = path.trim_start_matches("/control/remove/");
+                return self.commit(&json!({"Remove": [key]}));
+            }
             _ => {
                 let key = path.trim_start_matches("/control/put/");
                 let value = STANDARD.encode(body);
--- a/crates/bench/tests/testsuite/host.rs
+++ b/crates/bench/tests/testsuite/host.rs
@@ -14,6 +14,8 @@
 const GRACE: Duration = Duration::from_millis(6000);
 /// How long a change of the routing may take to be in force.
 const APPLY_TIME: Duration = Duration::from_millis(2000);
+/// After how long a failure domain that is taken out gets no work.
+const EVACUATION_TIME: Duration = Duration::from_millis(5000);
 /// The keys that are tried: one in each sixteenth.
 const KEYS: [u16; 16] = [
     0, 4096, 8192, 12288, 16384, 20480, 24576, 28672, 32768, 36864, 40960, 45056, 49152, 53248,
@@ -83,6 +85,7 @@
     let mut cluster = start();
     answers_are_whole_and_refusals_plain(&cluster);
     a_changed_routing_is_in_force_soon(&cluster);
+    a_failure_domain_is_taken_out_and_back(&cluster);
     a_killed_daemons_keys_are_served_again(&mut cluster);
     a_stop_hands_over_without_the_store(&mut cluster);
     all_killed_at_once_serve_again(&mut cluster);
@@ -133,6 +136,43 @@
         .unwrap();
 }
 
+/// Returns how many orders the upstreams of the first failure domain have run.
+fn runs_in_first_domain(cluster: &HostCluster) -> usize {
+    let journals = (0..cluster.hosts.len())
+        .step_by(3)
+        .map(|n| cluster.journal(n));
+    let texts = journals.map(|j| fs::read_to_string(j).unwrap_or_default());
+    texts
+        .map(|t| t.lines().filter(|l| l.starts_with("run ")).count())
+        .sum()
+}
+
+fn a_failure_domain_is_taken_out_and_back(cluster: &HostCluster) {
+    cluster
+        .control_store("put/op/evacuate/domain-0", "{}")
+        .unwrap();
+    std::thread::sleep(EVACUATION_TIME);
+    let before = runs_in_first_domain(cluster);
+    for entry in 0..cluster.hosts.len() {
+        assert!(serves_all(cluster, entry), "entry {entry}");
+        assert_eq!(
+            cluster
+                .request(entry, "POST", "/pay/x", None)
+                .unwrap()
+                .status,
+            200
+        );
+    }
+    assert_eq!(runs_in_first_domain(cluster), before, "it gets no work");
+    cluster
+        .control_store("remove/op/evacuate/domain-0", "")
+        .unwrap();
+    let works = |c: &HostCluster| serves_all(c, 0) && runs_in_first_domain(c) > before;
+    cluster
+        .wait_until("it works again", START_TIME, works)
+        .unwrap();
+}
+
 fn a_killed_daemons_keys_are_served_again(cluster: &mut HostCluster) {
     cluster.kill_daemon(1);
     let served = cluster.wait_until("its keys are served", LOSS_TIME, |c| serves_all(c, 4));
--- a/src/process/host/follower.rs
+++ b/src/process/host/follower.rs
@@ -18,6 +18,7 @@
     Transaction, Watched,
 };
 use crate::process::sync;
+use crate::version::desired::Desired;
 use crate::version::document_version::DocumentVersion;
 use crate::version::epoch::Epoch;
 use crate::version::instance_id::InstanceId;
@@ -209,22 +210,20 @@
                 return;
             }
         };
+        // The newest revision of the values would not do: a removal leaves none of its own behind,
+        // and after a restart the version would be lower than the one that the table names.
+        desired.version = DocumentVersion(as_of.0);
         let active = self.membership.active();
-        let newest = items.iter().map(|i| i.revision).max().unwrap_or_default();
-        desired.version = DocumentVersion(newest.0);
-        if let Some(present) = &active.desired {
-            let present_version = present.version;
-            let mut same = desired.clone();
-            same.version = present_version;
-            if same == **present {
-                return;
-            }
-            if desired.version <= present_version {
-                // A removal leaves no revision of its own behind.
-                desired.version = DocumentVersion(as_of.0);
-            }
+        let same = active.desired.as_ref().is_some_and(|present| {
+            let unversioned = Desired {
+                version: present.version,
+                ..desired.clone()
+            };
+            unversioned == **present
+        });
+        if !same {
+            self.membership.adopt_desired(desired);
         }
-        self.membership.adopt_desired(desired);
     }
 
     fn take_own(&self, range: Range) {
