Count keys that are given up as a release

A give-up now also waits for releases under way before it resigns. The new test fails without the count.

--- a/src/process/host/holds.rs
+++ b/src/process/host/holds.rs
@@ -143,15 +143,24 @@
         lost
     }
 
-    /// Takes all out, to be given to others; nothing is granted until that has ended.
+    /// Takes all out, to be given to others; nothing is granted until that has ended, and it counts
+    /// as a release: a table that comes meanwhile is not let go for before.
     pub fn give_up(&mut self) -> Vec<Held> {
         self.giving_up = true;
+        self.releases += 1;
         std::mem::take(&mut self.held)
     }
 
-    /// Notes that all was given to others.
-    pub fn end_give_up(&mut self) {
+    /// Notes that all was given to others; returns the epoch to let go for, where no release is
+    /// under way.
+    pub fn end_give_up(&mut self) -> Option<Epoch> {
         self.giving_up = false;
+        self.end_release()
+    }
+
+    /// Returns how many releases are under way.
+    pub fn releases(&self) -> usize {
+        self.releases
     }
 
     /// Returns whether all is being given to others.
--- a/src/process/host/keeper.rs
+++ b/src/process/host/keeper.rs
@@ -43,6 +43,8 @@
 const LEAVE_TIME: Duration = Duration::from_millis(1000);
 /// How long a release may take: the work on its keys ends first.
 const RELEASE_TIME: Duration = Duration::from_millis(2500);
+/// How often one release looks whether the others have ended.
+const RELEASE_STEP: Duration = Duration::from_millis(20);
 /// How long a handover may take to the next holder.
 const HANDOVER_TIME: Duration = Duration::from_millis(600);
 /// The HTTP status by which an upstream says that its service is not divided by keys.
@@ -236,8 +238,20 @@
         self.gate.set_granted(Vec::new());
         let parts = all.iter().flat_map(|h| self.by_next_holder(h, h.run));
         self.release_all(parts.collect());
+        self.await_other_releases();
         self.resign_if_listed(reason);
-        sync::lock(&self.holds).end_give_up();
+        let done = sync::lock(&self.holds).end_give_up();
+        if let Some(epoch) = done {
+            self.membership.with(|o, now| o.let_go(now, epoch));
+        }
+    }
+
+    /// Waits until only the release of the caller is under way.
+    fn await_other_releases(&self) {
+        let until = self.clock.now() + RELEASE_TIME;
+        while sync::lock(&self.holds).releases() > 1 && self.clock.now() < until {
+            thread::sleep(RELEASE_STEP);
+        }
     }
 
     fn release_all(&self, lost: Vec<(Held, Option<SocketAddr>)>) {
--- a/tests/testsuite/host/holds.rs
+++ b/tests/testsuite/host/holds.rs
@@ -166,3 +166,21 @@
     let joined = key_ranges::joined([run(0, 9, 1), run(10, 19, 1), run(20, 29, 2), run(40, 49, 2)]);
     assert_eq!(joined, [run(0, 19, 1), run(20, 29, 2), run(40, 49, 2)]);
 }
+
+#[test]
+fn a_table_that_comes_while_keys_are_given_up_is_not_let_go_for() {
+    // trouble-1 789109956077 (OWNER): the upstream left, its keys were being released, and the
+    // planner's table came: the daemon let go at once, while work still ran.
+    let mut holds = Holds::default();
+    granted(&mut holds, run(11018, 11263, 38), 2000);
+    assert_eq!(holds.give_up().len(), 1);
+    holds.begin_release(Epoch(70));
+    assert!(holds.take_lost(&[]).is_empty());
+    assert_eq!(
+        holds.end_release(),
+        None,
+        "the keys are still being released"
+    );
+    assert_eq!(holds.end_give_up(), Some(Epoch(70)));
+    assert!(!holds.is_given_up());
+}
