--- a/src/connection/dialect.rs
+++ b/src/connection/dialect.rs
@@ -72,7 +72,7 @@
 pub struct Grant {
     /// The keys.
     pub keys: KeyRange,
-    /// The fence number.
+    /// The fence token.
     pub fence: u64,
     /// How long the upstream may hold them, unless the grant is renewed.
     pub hold: Duration,
--- a/src/process/host/key_ranges.rs
+++ b/src/process/host/key_ranges.rs
@@ -15,9 +15,9 @@
 use crate::request::shard_key::ShardKey;
 use crate::version::token::Token;
 
-/// The bits of a fence number that hold the place among the candidates.
+/// The bits of a fence token that hold the place among the candidates.
 const RANK_BITS: u32 = 2;
-/// The bits of a fence number that count the returns of a session and the lives of an upstream.
+/// The bits of a fence token that count the returns of a session and the lives of an upstream.
 const INCARNATION_BITS: u32 = 18;
 
 /// Keys in a row that are held under one token.
@@ -86,7 +86,7 @@
     }
 }
 
-/// Returns the fence number of a token: it orders as tokens of one key do.
+/// Returns the fence token of a token: it orders as tokens of one key do.
 pub fn fence_of(token: Token) -> u64 {
     let rank = u64::from(token.rank).min((1 << RANK_BITS) - 1);
     let incarnation = u64::from(token.incarnation).min((1 << INCARNATION_BITS) - 1);
