--- a/crates/bench/src/ranged_upstream.rs
+++ b/crates/bench/src/ranged_upstream.rs
@@ -8,13 +8,15 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use foxtaildrift::connection::buffered_connection::{ConnectionError, Recipient};
+use foxtaildrift::connection::buffered_connection::ConnectionError;
 use foxtaildrift::connection::http_client::HttpClient;
 use foxtaildrift::connection::http_listener::{
     HttpListener, HttpRequest, HttpResponse, ListenerHandler, ListenerLimits,
 };
 use foxtaildrift::connection::http1::RequestHead;
 use foxtaildrift::connection::protocol::OutgoingRequest;
+use foxtaildrift::connection::reactor::Reactor;
+use foxtaildrift::connection::recipient::Recipient;
 use foxtaildrift::process::sync;
 use foxtaildrift::request::headers::Headers;
 use serde_json::{Value, json};
@@ -106,9 +108,10 @@
         state: Mutex::default(),
     });
     let id = upstream.id.clone();
-    let _listener = HttpListener::start(listener, upstream).map_err(BenchError::with_context(
-        "can't start the upstream's stand-in",
-    ))?;
+    let reactor = Reactor::start().map_err(BenchError::with_context("can't start the stand-in"))?;
+    let _listener = HttpListener::start(&reactor, listener, upstream).map_err(
+        BenchError::with_context("can't start the upstream's stand-in"),
+    )?;
     let client = HttpClient::new(reports, Some(address.ip()));
     let info =
         json!({"Service": text("service")?, "Version": "v1", "Zone": text("domain")?, "Slots": 8});
--- a/crates/bench/src/store_stand_in.rs
+++ b/crates/bench/src/store_stand_in.rs
@@ -9,11 +9,13 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use foxtaildrift::connection::buffered_connection::{ConnectionError, Recipient};
+use foxtaildrift::connection::buffered_connection::ConnectionError;
 use foxtaildrift::connection::http_listener::{
     HttpListener, HttpRequest, HttpResponse, ListenerHandler, ListenerLimits,
 };
 use foxtaildrift::connection::http1::RequestHead;
+use foxtaildrift::connection::reactor::Reactor;
+use foxtaildrift::connection::recipient::Recipient;
 use foxtaildrift::process::{store, sync};
 use serde_json::{Value, json};
 
@@ -70,7 +72,8 @@
     let listener = TcpListener::bind(&address)
         .map_err(BenchError::with_context("can't start the store's stand-in"))?;
     let handler = Arc::new(StoreStandIn::default());
-    let _listener = HttpListener::start(listener, handler)
+    let reactor = Reactor::start().map_err(BenchError::with_context("can't start the stand-in"))?;
+    let _listener = HttpListener::start(&reactor, listener, handler)
         .map_err(BenchError::with_context("can't start the store's stand-in"))?;
     loop {
         thread::park();
--- a/crates/bench/tests/testsuite/daemon.rs
+++ b/crates/bench/tests/testsuite/daemon.rs
@@ -1,5 +1,6 @@
 //! A daemon's handling of invalid input, tested on real processes.
 
+use std::borrow::Cow;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream, UdpSocket};
 use std::process::Command;
@@ -7,6 +8,7 @@
 use std::time::Duration;
 
 use foxtaildrift::connection::frame;
+use foxtaildrift::connection::peer_frame::PeerFrame;
 use foxtaildrift::connection::peer_message::{PeerReply, PeerRequest};
 use foxtaildrift::process::clock::{Clock, SystemClock};
 use foxtaildrift::request::body::Body;
@@ -215,12 +217,12 @@
     stream
         .set_read_timeout(Some(Duration::from_secs(5)))
         .unwrap();
-    frame::write(&mut stream, call).unwrap();
-    assert_eq!(
-        frame::read::<PeerReply>(&mut stream).unwrap(),
-        PeerReply::Acknowledged
-    );
-    frame::read(&mut stream).unwrap()
+    let request = Cow::Borrowed(call);
+    frame::write(&mut stream, &PeerFrame::Call { number: 7, request }).unwrap();
+    match frame::read(&mut stream).unwrap() {
+        PeerFrame::Reply { number: 7, reply } => reply.into_owned(),
+        other => panic!("not the reply to the call: {other:?}"),
+    }
 }
 
 fn an_address_in_use_is_reported(cluster: &Cluster) {
--- a/src/connection/buffered_connection.rs
+++ b/src/connection/buffered_connection.rs
@@ -1,14 +1,12 @@
 //! A TCP connection with a read buffer, whose waits have a deadline and can be cancelled.
 //!
-//! The socket is non-blocking. Each wait is a `poll` over the connection itself and, if a
-//! [`Recipient`] waits for the result, over the recipient's connection too, so that a disconnect of
-//! the recipient ends the wait at once.
+//! The socket is non-blocking. If a [`Recipient`] waits for the result, its disconnect shuts the
+//! connection down, so that the wait ends at once.
 
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::os::fd::{AsFd, BorrowedFd};
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::os::fd::AsFd;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -16,6 +14,8 @@
 use socket2::{Domain, Protocol, SockAddr, Socket, TcpKeepalive, Type};
 use thiserror::Error;
 
+use crate::connection::recipient::Recipient;
+
 /// The most bytes of one read.
 const READ_BYTES: usize = 16 * 1024;
 /// How long a connection may be idle before the kernel sends a keepalive probe, and the interval
@@ -50,93 +50,6 @@
     TooLarge(&'static str),
 }
 
-/// How long a recipient whose connection closed may take to reconnect.
-const RECONNECT_TIME: Duration = Duration::from_millis(120);
-/// The interval at which a wait checks whether a recipient whose connection closed has reconnected.
-const RECONNECT_POLL_INTERVAL: Duration = Duration::from_millis(40);
-
-/// The caller or daemon that waits for a result; when it disconnects, the wait is cancelled.
-#[derive(Clone)]
-pub struct Recipient {
-    stream: Option<Arc<TcpStream>>,
-    reconnects: Option<Arc<Reconnects>>,
-}
-
-/// Counts the further connections on which the recipient waits for the same result.
-#[derive(Debug, Default)]
-pub struct Reconnects {
-    count: AtomicUsize,
-    closed_at: Mutex<Option<Instant>>,
-}
-
-impl Reconnects {
-    /// Records that the recipient waits for the result on one more connection.
-    pub fn record(&self) {
-        self.count.fetch_add(1, Ordering::SeqCst);
-    }
-
-    /// Returns whether the recipient has not reconnected within [`RECONNECT_TIME`].
-    ///
-    /// The time counts from the first call of this function, which is made once the recipient's
-    /// first connection is found closed.
-    fn are_overdue(&self) -> bool {
-        if self.count.load(Ordering::SeqCst) > 0 {
-            return false;
-        }
-        let mut closed_at = self
-            .closed_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        closed_at.get_or_insert_with(Instant::now).elapsed() >= RECONNECT_TIME
-    }
-}
-
-impl Recipient {
-    /// Returns a recipient that never disconnects.
-    pub fn none() -> Self {
-        Self {
-            stream: None,
-            reconnects: None,
-        }
-    }
-
-    /// Creates a recipient that is connected by `stream`.
-    pub fn new(stream: &Arc<TcpStream>) -> Self {
-        Self {
-            stream: Some(Arc::clone(stream)),
-            reconnects: None,
-        }
-    }
-
-    /// Returns the same recipient; `reconnects` counts its further connections.
-    pub fn with_reconnects(&self, reconnects: &Arc<Reconnects>) -> Self {
-        Self {
-            stream: self.stream.clone(),
-            reconnects: Some(Arc::clone(reconnects)),
-        }
-    }
-
-    /// Returns whether the recipient has disconnected and did not reconnect in time.
-    pub fn has_disconnected(&self) -> bool {
-        self.stream.as_ref().is_some_and(|s| is_closed(s)) && self.is_gone()
-    }
-
-    /// Returns whether the recipient, whose connection is closed, did not reconnect in time.
-    fn is_gone(&self) -> bool {
-        self.reconnects.as_ref().is_none_or(|r| r.are_overdue())
-    }
-}
-
-/// Returns whether the peer of `stream` has closed it, or the connection failed.
-fn is_closed(stream: &TcpStream) -> bool {
-    let mut byte = [0u8; 1];
-    match recv(stream, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT) {
-        Ok((_, read)) => read == 0,
-        Err(rustix::io::Errno::AGAIN | rustix::io::Errno::INTR) => false,
-        Err(_) => true,
-    }
-}
-
 /// A non-blocking connection with a buffer of bytes that were read and not consumed yet.
 pub struct BufferedConnection {
     stream: Arc<TcpStream>,
@@ -211,7 +124,8 @@
     pub fn consume(&mut self, count: usize) {
         self.start += count;
         if self.start >= self.buf.len() {
-            self.buf.clear();
+            // An idle connection holds no buffer.
+            self.buf = Vec::new();
             self.start = 0;
         }
     }
@@ -255,6 +169,23 @@
         }
     }
 
+    /// Reads what has arrived, up to one buffer, without waiting; returns whether the connection is
+    /// still open.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails.
+    pub fn read_once(&mut self) -> io::Result<bool> {
+        self.awaiting_response = false;
+        match self.read_available() {
+            Ok(count) => Ok(count > 0),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+                Ok(true)
+            }
+            Err(e) => Err(e),
+        }
+    }
+
     /// Writes all of `bytes`; if `stop_if_readable` is set, stops early once the peer has sent
     /// something. Returns how many bytes were written.
     ///
@@ -306,64 +237,73 @@
     }
 
     /// Waits for `events` on the connection; returns those that occurred.
+    ///
+    /// If `recipient` disconnects, the connection is shut down: its response is not wanted, and the
+    /// server learns that at once.
     fn wait(
         &self,
         events: PollFlags,
         deadline: Instant,
         recipient: &Recipient,
     ) -> Result<PollFlags, ConnectionError> {
-        let mut watched = recipient.stream.as_ref();
-        let mut disconnected = false;
-        loop {
-            let mut remaining = deadline.saturating_duration_since(Instant::now());
-            if remaining.is_zero() {
-                return Err(ConnectionError::TimedOut);
-            }
-            if disconnected {
-                remaining = remaining.min(RECONNECT_POLL_INTERVAL);
-            }
-            let disconnect = PollFlags::IN | PollFlags::RDHUP;
-            let other = watched.map(|s| (s.as_fd(), disconnect));
-            let (own, recipient_ready) =
-                poll_pair((self.stream.as_fd(), events), other, remaining)?;
-            if recipient_ready && let Some(stream) = watched {
-                disconnected = is_closed(stream);
-                // A recipient that has sent data early stays readable, so its disconnect can't be
-                // detected any more.
-                watched = None;
-            }
-            if !own.is_empty() {
-                return Ok(own);
-            }
-            if disconnected && recipient.is_gone() {
-                return Err(ConnectionError::RecipientDisconnected);
-            }
+        let stream = Arc::clone(&self.stream);
+        let watch = recipient.on_disconnect(move || {
+            // Fails if the peer has closed the connection meanwhile.
+            let _ = stream.shutdown(Shutdown::Both);
+        });
+        let occurred = poll_until(&self.stream, events, deadline);
+        drop(watch);
+        match recipient.has_disconnected() {
+            true => Err(ConnectionError::RecipientDisconnected),
+            false => occurred,
         }
     }
 }
 
-/// Polls one or two descriptors; returns the events of the first, and whether the second has any.
-fn poll_pair(
-    own: (BorrowedFd<'_>, PollFlags),
-    other: Option<(BorrowedFd<'_>, PollFlags)>,
-    timeout: Duration,
-) -> io::Result<(PollFlags, bool)> {
-    let timeout = Timespec {
-        tv_sec: i64::try_from(timeout.as_secs()).unwrap_or(i64::MAX),
-        tv_nsec: timeout.subsec_nanos().into(),
-    };
-    let mut fds = Vec::with_capacity(2);
-    fds.push(PollFd::from_borrowed_fd(own.0, own.1));
-    if let Some((fd, events)) = other {
-        fds.push(PollFd::from_borrowed_fd(fd, events));
+/// Writes all of `bytes` to a non-blocking socket.
+///
+/// # Errors
+///
+/// Returns an error if the connection fails or `deadline` passes.
+pub fn write_all(
+    mut stream: &TcpStream,
+    bytes: &[u8],
+    deadline: Instant,
+) -> Result<(), ConnectionError> {
+    let mut written = 0;
+    while written < bytes.len() {
+        match stream.write(&bytes[written..]) {
+            Ok(0) => return Err(ConnectionError::Closed),
+            Ok(count) => written += count,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                poll_until(stream, PollFlags::OUT, deadline)?;
+            }
+            Err(e) => return Err(e.into()),
+        }
     }
-    match poll(&mut fds, Some(&timeout)) {
-        Ok(_) => {}
-        Err(rustix::io::Errno::INTR) => return Ok((PollFlags::empty(), false)),
-        Err(e) => return Err(e.into()),
+    Ok(())
+}
+
+/// Polls a socket for `events` until `deadline`; returns those that occurred.
+fn poll_until(
+    stream: &TcpStream,
+    events: PollFlags,
+    deadline: Instant,
+) -> Result<PollFlags, ConnectionError> {
+    loop {
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
+            return Err(ConnectionError::TimedOut);
+        }
+        let timeout = Timespec::try_from(remaining).ok();
+        let mut fds = [PollFd::new(stream, events)];
+        match poll(&mut fds, timeout.as_ref()) {
+            Ok(0) | Err(rustix::io::Errno::INTR) => {}
+            Ok(_) => return Ok(fds[0].revents()),
+            Err(e) => return Err(io::Error::from(e).into()),
+        }
     }
-    let other = fds.get(1).is_some_and(|f| !f.revents().is_empty());
-    Ok((fds[0].revents(), other))
 }
 
 /// Sets the options by which the kernel detects a dead peer (keepalive, user timeout) and sends
--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -3,7 +3,8 @@
 
 use std::time::Instant;
 
-use crate::connection::buffered_connection::{BufferedConnection, ConnectionError, Recipient};
+use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
+use crate::connection::recipient::Recipient;
 use crate::request::headers::Headers;
 
 /// The most headers in a message.
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -5,9 +5,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::connection::buffered_connection::{BufferedConnection, ConnectionError, Recipient};
+use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::http1::{self, Framing, ResponseHead};
 use crate::connection::protocol::OutgoingRequest;
+use crate::connection::recipient::Recipient;
 use crate::process::sync;
 
 /// The timeout for establishing a connection.
--- a/src/connection/http_listener.rs
+++ b/src/connection/http_listener.rs
@@ -1,33 +1,33 @@
 //! An HTTP/1.1 listener whose handlers can detect that a caller has disconnected.
 //!
-//! Each open connection occupies one thread. When the connection closes, the thread waits for a
-//! while for another one before it ends.
+//! A reactor accepts connections and watches them. Only a connection on which a request is being
+//! read or handled occupies a thread.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
-use std::thread::{self, JoinHandle};
+use std::sync::{Arc, Mutex, OnceLock, Weak};
 use std::time::{Duration, Instant};
 
-use crate::connection::buffered_connection::{BufferedConnection, ConnectionError, Recipient};
-use crate::connection::http1::{self, RequestHead};
+use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
+use crate::connection::caller_connection::CallerConnection;
+use crate::connection::http1::RequestHead;
+use crate::connection::reactor::{Reactor, Readiness, Source, SourceNumber};
+use crate::connection::recipient::Recipient;
 use crate::process::sync;
+use crate::process::thread_pool::ThreadPool;
 use crate::request::headers::Headers;
 
 /// The most connections of a listener at a time; further ones are closed immediately.
 const CONNECTIONS_MAX: usize = 2000;
-/// How long a thread waits for another connection before it ends.
-const THREAD_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// The most requests that are handled at a time; further ones are refused.
+const REQUESTS_MAX: usize = 512;
+/// The most threads that read and refuse requests beyond [`REQUESTS_MAX`].
+const REFUSING_THREADS_MAX: usize = 16;
 /// The stack size of a thread, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
-/// How long to wait after an `accept` that failed.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// The timeout for writing a response.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long the rest of a rejected request is read and discarded, so that the response is not lost.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The limits on the size and the time of the requests of a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -94,43 +94,57 @@
     /// Returns the response to a request that could not be read because of `error`.
     fn error_response(&self, error: &ConnectionError) -> HttpResponse;
 
+    /// Returns the response to a request that is refused because too many are being handled.
+    fn overload_response(&self, _request: &HttpRequest) -> HttpResponse {
+        HttpResponse::text(503, "too many requests are in progress\n")
+    }
+
     /// Returns whether each connection must be closed after its next response.
     fn is_shutting_down(&self) -> bool;
 }
 
-/// The state that all threads of a listener share.
-struct Shared {
-    handler: Arc<dyn ListenerHandler>,
-    state: Mutex<State>,
-    /// Notified when a connection is queued, and when the listener stops.
-    queued: Condvar,
-    stopping: AtomicBool,
+/// The state that all connections of a listener share.
+pub(super) struct ListenerShared {
+    pub(super) handler: Arc<dyn ListenerHandler>,
+    pub(super) reactor: Weak<Reactor>,
+    pub(super) threads: ThreadPool,
+    pub(super) stopping: AtomicBool,
+    connections: Mutex<HashMap<u64, Arc<CallerConnection>>>,
 }
 
-/// An open connection.
-struct OpenConnection {
-    stream: Arc<TcpStream>,
-    /// Whether a request is being read or handled on it.
-    busy: Arc<AtomicBool>,
+impl ListenerShared {
+    /// Returns whether a request must be refused because too many are being handled.
+    pub(super) fn is_overloaded(&self) -> bool {
+        self.threads.jobs() > REQUESTS_MAX
+    }
+
+    /// Returns whether connections must be closed after their responses.
+    pub(super) fn is_shutting_down(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst) || self.handler.is_shutting_down()
+    }
+
+    /// Removes a connection that is closed.
+    pub(super) fn forget(&self, connection: u64) {
+        sync::lock(&self.connections).remove(&connection);
+    }
+
+    fn all_connections(&self) -> Vec<Arc<CallerConnection>> {
+        sync::lock(&self.connections).values().cloned().collect()
+    }
 }
 
-#[derive(Default)]
-struct State {
-    /// The accepted connections that no thread serves yet.
-    queue: VecDeque<TcpStream>,
-    idle_threads: usize,
-    /// The connections with a thread, by connection number.
-    connections: HashMap<u64, OpenConnection>,
-    /// The number of the last connection.
-    last_number: u64,
-    threads: Vec<JoinHandle<()>>,
+/// The listening socket.
+struct Acceptor {
+    listener: TcpListener,
+    shared: Arc<ListenerShared>,
+    last_connection: Mutex<u64>,
 }
 
 /// A running listener; [`HttpListener::stop`] joins its threads.
 pub struct HttpListener {
-    shared: Arc<Shared>,
+    shared: Arc<ListenerShared>,
     address: SocketAddr,
-    acceptor: Option<JoinHandle<()>>,
+    acceptor: Option<(Arc<Acceptor>, SourceNumber)>,
 }
 
 impl HttpListener {
@@ -138,66 +152,75 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the listener has no address or no thread can be started.
-    pub fn start(listener: TcpListener, handler: Arc<dyn ListenerHandler>) -> io::Result<Self> {
+    /// Returns an error if the listener has no address or the reactor can't watch it.
+    pub fn start(
+        reactor: &Arc<Reactor>,
+        listener: TcpListener,
+        handler: Arc<dyn ListenerHandler>,
+    ) -> io::Result<Self> {
         let address = listener.local_addr()?;
-        let shared = Arc::new(Shared {
+        listener.set_nonblocking(true)?;
+        let threads = REQUESTS_MAX + REFUSING_THREADS_MAX;
+        let shared = Arc::new(ListenerShared {
             handler,
-            state: Mutex::default(),
-            queued: Condvar::new(),
+            reactor: Arc::downgrade(reactor),
+            threads: ThreadPool::with_stack("caller", threads, STACK_BYTES),
             stopping: AtomicBool::new(false),
+            connections: Mutex::default(),
         });
-        let thread_shared = Arc::clone(&shared);
-        let acceptor = thread::Builder::new()
-            .name("accept".to_owned())
-            .stack_size(STACK_BYTES)
-            .spawn(move || accept(&listener, &thread_shared))?;
+        let acceptor = Arc::new(Acceptor {
+            listener,
+            shared: Arc::clone(&shared),
+            last_connection: Mutex::default(),
+        });
+        let number = OnceLock::new();
+        let source = Arc::clone(&acceptor) as Arc<dyn Source>;
+        reactor.add(source, Readiness::READ, |n| {
+            // The listener is added once.
+            let _ = number.set(n);
+        })?;
+        let number = number.into_inner().ok_or(io::ErrorKind::NotFound)?;
         Ok(Self {
             shared,
             address,
-            acceptor: Some(acceptor),
+            acceptor: Some((acceptor, number)),
         })
     }
 
-    /// Returns the number of connections that are queued, or on which a request is being read or
-    /// handled.
+    /// Returns the address that callers connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of connections on which a request is being read or handled, or whose last
+    /// response is on its way.
     pub fn busy_connections(&self) -> usize {
-        let state = sync::lock(&self.shared.state);
-        let open = state.connections.values();
-        open.filter(|o| o.busy.load(Ordering::SeqCst)).count() + state.queue.len()
+        let connections = self.shared.all_connections();
+        connections.iter().filter(|c| c.is_busy()).count()
     }
 
-    /// Stops accepting connections and closes the idle ones; requests in progress are still
-    /// handled.
+    /// Stops accepting connections and closes the idle ones. Connections that callers have
+    /// established already are still served, and so are requests in progress.
     pub fn stop_accepting(&mut self) {
-        self.shared.stopping.store(true, Ordering::SeqCst);
-        // A connection to the listener's own address wakes the acceptor thread.
-        let _ = TcpStream::connect_timeout(&self.address, ACCEPT_PAUSE);
-        if let Some(acceptor) = self.acceptor.take() {
-            let _ = acceptor.join();
-        }
-        let state = sync::lock(&self.shared.state);
-        for open in state.connections.values() {
-            if !open.busy.load(Ordering::SeqCst) {
-                // Fails if the caller has closed it meanwhile.
-                let _ = open.stream.shutdown(Shutdown::Both);
+        if let Some((acceptor, number)) = self.acceptor.take() {
+            acceptor.accept_all();
+            if let Some(reactor) = self.shared.reactor.upgrade() {
+                reactor.remove(number);
             }
         }
+        self.shared.stopping.store(true, Ordering::SeqCst);
+        for connection in self.shared.all_connections() {
+            connection.close_if_idle();
+        }
     }
 
     /// Closes all connections and joins all threads.
     pub fn stop(&mut self) {
         self.stop_accepting();
-        let mut state = sync::lock(&self.shared.state);
-        for open in state.connections.values() {
-            let _ = open.stream.shutdown(Shutdown::Both);
-        }
-        let threads: Vec<_> = state.threads.drain(..).collect();
-        drop(state);
-        self.shared.queued.notify_all();
-        for thread in threads {
-            let _ = thread.join();
+        for connection in self.shared.all_connections() {
+            connection.close();
         }
+        self.shared.threads.join();
     }
 }
 
@@ -207,200 +230,51 @@
     }
 }
 
-/// Accepts connections until the listener stops.
-fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
-    while !shared.stopping.load(Ordering::SeqCst) {
-        match listener.accept() {
-            Ok((stream, _)) => enqueue(stream, shared),
-            Err(e) => {
-                tracing::warn!(event = "accept-failed", error = %e);
-                thread::sleep(ACCEPT_PAUSE);
+impl Acceptor {
+    /// Accepts all connections that callers have established.
+    fn accept_all(&self) {
+        loop {
+            match self.listener.accept() {
+                Ok((stream, _)) => self.serve(stream),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    tracing::warn!(event = "accept-failed", error = %e);
+                    return;
+                }
             }
         }
     }
-}
-
-/// Queues a connection for an idle thread, or for a new one.
-fn enqueue(stream: TcpStream, shared: &Arc<Shared>) {
-    let mut state = sync::lock(&shared.state);
-    if state.connections.len() + state.queue.len() >= CONNECTIONS_MAX {
-        tracing::warn!(event = "connection-refused", open = state.connections.len());
-        return;
-    }
-    state.queue.push_back(stream);
-    if state.queue.len() <= state.idle_threads {
-        shared.queued.notify_one();
-        return;
-    }
-    for done in state.threads.extract_if(.., |t| t.is_finished()) {
-        let _ = done.join();
-    }
-    let thread_shared = Arc::clone(shared);
-    let spawned = thread::Builder::new()
-        .name("caller".to_owned())
-        .stack_size(STACK_BYTES)
-        .spawn(move || serve_connections(&thread_shared));
-    match spawned {
-        Ok(thread) => state.threads.push(thread),
-        Err(e) => {
-            tracing::warn!(event = "thread-failed", error = %e);
-            state.queue.pop_back();
-        }
-    }
-}
-
-/// Serves queued connections until none is queued within [`THREAD_IDLE_TIMEOUT`].
-fn serve_connections(shared: &Shared) {
-    while let Some((number, conn, busy)) = next_connection(shared) {
-        serve(conn, shared, &busy);
-        sync::lock(&shared.state).connections.remove(&number);
-    }
-}
-
-/// Waits for a queued connection; returns `None` if the thread must end.
-fn next_connection(shared: &Shared) -> Option<(u64, BufferedConnection, Arc<AtomicBool>)> {
-    let mut state = sync::lock(&shared.state);
-    loop {
-        if let Some(stream) = state.queue.pop_front() {
-            let Ok(conn) = BufferedConnection::from_accepted(stream) else {
-                continue;
-            };
-            state.last_number += 1;
-            let number = state.last_number;
-            let open = OpenConnection {
-                stream: Arc::clone(conn.stream()),
-                busy: Arc::default(),
-            };
-            let busy = Arc::clone(&open.busy);
-            state.connections.insert(number, open);
-            return Some((number, conn, busy));
-        }
-        if shared.stopping.load(Ordering::SeqCst) {
-            return None;
-        }
-        state.idle_threads += 1;
-        let waited = shared.queued.wait_timeout(state, THREAD_IDLE_TIMEOUT);
-        let (guard, timeout) = waited.unwrap_or_else(PoisonError::into_inner);
-        state = guard;
-        state.idle_threads -= 1;
-        if timeout.timed_out() && state.queue.is_empty() {
-            return None;
-        }
-    }
-}
 
-/// Serves the requests of one connection in turn, until it closes.
-fn serve(mut conn: BufferedConnection, shared: &Shared, busy: &AtomicBool) {
-    let handler = &*shared.handler;
-    loop {
-        let request = match read_request(&mut conn, handler, busy) {
-            Ok(request) => request,
-            Err(e) => {
-                reject(&mut conn, handler, &e);
-                return;
-            }
-        };
-        let keeps_alive = request.head.keeps_alive();
-        let is_head = request.head.method == "HEAD";
-        let recipient = Recipient::new(conn.stream());
-        let response = handler.handle(request, &recipient);
-        if response.close_without_response {
+    /// Watches an accepted connection, unless there are too many.
+    fn serve(&self, stream: TcpStream) {
+        let mut connections = sync::lock(&self.shared.connections);
+        if connections.len() >= CONNECTIONS_MAX {
+            tracing::warn!(event = "connection-refused", open = connections.len());
             return;
         }
-        let close =
-            !keeps_alive || handler.is_shutting_down() || shared.stopping.load(Ordering::SeqCst);
-        let mut bytes = http1::encode_response(
-            response.status,
-            &response.headers,
-            response.body.len(),
-            close,
-        );
-        if !is_head {
-            bytes.extend_from_slice(&response.body);
-        }
-        let deadline = Instant::now() + WRITE_TIMEOUT;
-        if let Err(e) = conn.write(&bytes, false, deadline, &Recipient::none()) {
-            tracing::debug!(event = "answer-not-written", error = %e);
-            return;
-        }
-        if close {
-            // The whole request was read, so the close does not reset the connection.
-            return;
+        let mut last = sync::lock(&self.last_connection);
+        *last += 1;
+        let started = BufferedConnection::from_accepted(stream)
+            .and_then(|conn| CallerConnection::new(&self.shared, *last, conn));
+        match started {
+            Ok(connection) => {
+                connections.insert(*last, Arc::clone(&connection));
+                drop(connections);
+                connection.watch_first();
+            }
+            Err(e) => tracing::warn!(event = "connection-not-served", error = %e),
         }
     }
 }
 
-/// Reads a complete request; `busy` is cleared while the connection is idle.
-fn read_request(
-    conn: &mut BufferedConnection,
-    handler: &dyn ListenerHandler,
-    busy: &AtomicBool,
-) -> Result<HttpRequest, ConnectionError> {
-    let limits = handler.limits();
-    let idle_deadline = Instant::now() + limits.idle_timeout;
-    busy.store(false, Ordering::SeqCst);
-    if conn.buffered().is_empty() {
-        conn.fill(idle_deadline, &Recipient::none())?;
-    }
-    busy.store(true, Ordering::SeqCst);
-    let head =
-        http1::read_request_head(conn, idle_deadline, limits.head_timeout, limits.head_bytes)?;
-    let received_at = Instant::now();
-    let framing = http1::request_framing(&head.headers)?;
-    let deadline = received_at + handler.body_timeout(&head);
-    if head.headers.has_token("expect", "100-continue") {
-        conn.write(
-            b"HTTP/1.1 100 Continue\r\n\r\n",
-            false,
-            deadline,
-            &Recipient::none(),
-        )?;
+impl Source for Acceptor {
+    fn fd(&self) -> BorrowedFd<'_> {
+        self.listener.as_fd()
     }
-    let body = http1::read_body(
-        conn,
-        framing,
-        limits.body_bytes,
-        deadline,
-        &Recipient::none(),
-    )?;
-    Ok(HttpRequest {
-        head,
-        body,
-        received_at,
-    })
-}
 
-/// Responds to a request that could not be read, unless the connection is closed or was idle.
-fn reject(conn: &mut BufferedConnection, handler: &dyn ListenerHandler, error: &ConnectionError) {
-    let idle = matches!(error, ConnectionError::TimedOut) && conn.buffered().is_empty();
-    if idle || matches!(error, ConnectionError::Closed | ConnectionError::Io(_)) {
-        return;
-    }
-    let response = handler.error_response(error);
-    let mut bytes = http1::encode_response(
-        response.status,
-        &response.headers,
-        response.body.len(),
-        true,
-    );
-    bytes.extend_from_slice(&response.body);
-    let deadline = Instant::now() + WRITE_TIMEOUT;
-    if conn
-        .write(&bytes, false, deadline, &Recipient::none())
-        .is_ok()
-    {
-        close_gracefully(conn);
+    fn handle(&self, _ready: Readiness) {
+        self.accept_all();
     }
-}
 
-/// Closes a connection so that its last response arrives: unread bytes would reset it.
-fn close_gracefully(conn: &mut BufferedConnection) {
-    if conn.stream().shutdown(Shutdown::Write).is_err() {
-        return;
-    }
-    let deadline = Instant::now() + DISCARD_TIMEOUT;
-    while conn.fill(deadline, &Recipient::none()).is_ok() {
-        let count = conn.buffered().len();
-        conn.consume(count);
-    }
+    fn sweep(&self, _now: Instant) {}
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -12,17 +12,24 @@
 //! ```
 
 pub mod buffered_connection;
+pub mod caller_connection;
 pub mod caller_http;
+pub mod calling_link;
 pub mod frame;
 pub mod http1;
 pub mod http_client;
 pub mod http_listener;
 pub mod http_server;
+pub mod peer_call;
 pub mod peer_error;
+pub mod peer_frame;
+pub mod peer_link;
 pub mod peer_message;
 pub mod peer_pool;
 pub mod peer_server;
 pub mod protocol;
+pub mod reactor;
+pub mod recipient;
 pub mod upstream_client;
 pub mod upstream_error;
 pub mod upstream_pool;
--- /dev/null
+++ b/src/connection/peer_frame.rs
@@ -0,0 +1,38 @@
+//! The frames of a connection between daemons.
+
+use std::borrow::Cow;
+
+use serde::{Deserialize, Serialize};
+
+use crate::connection::peer_message::{PeerReply, PeerRequest};
+
+/// A message on a connection between daemons. Many calls may be in progress on one connection; the
+/// daemon that connected numbers them.
+///
+/// Postcard encodes the variants by their position, so their order is part of the wire format.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerFrame<'a> {
+    /// Starts a call.
+    Call {
+        /// The number of the call, unique on its connection.
+        number: u64,
+        /// What is called.
+        request: Cow<'a, PeerRequest>,
+    },
+    /// Ends a call.
+    Reply {
+        /// The number of the call.
+        number: u64,
+        /// Its result.
+        reply: Cow<'a, PeerReply>,
+    },
+    /// States that the reply to a call is not wanted any more, so its work must be cancelled.
+    Cancel {
+        /// The number of the call.
+        number: u64,
+    },
+    /// Asks whether the connection is alive.
+    Ping,
+    /// The response to [`PeerFrame::Ping`].
+    Pong,
+}
--- /dev/null
+++ b/src/connection/peer_link.rs
@@ -0,0 +1,236 @@
+//! One connection between daemons: frames are sent without blocking and received by a reactor.
+
+use std::io::{self, ErrorKind, Write};
+use std::net::{Shutdown, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, OnceLock, Weak};
+use std::time::Instant;
+
+use crate::connection::buffered_connection::BufferedConnection;
+use crate::connection::frame::{self, FrameError};
+use crate::connection::peer_frame::PeerFrame;
+use crate::connection::reactor::{Reactor, Readiness, Source, SourceNumber};
+use crate::process::sync;
+
+/// The most unsent bytes; a peer that lets more accumulate is presumed dead.
+const UNSENT_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+/// Handles what happens on a link. The functions must not block.
+pub trait LinkHandler: Send + Sync {
+    /// Handles a received frame, except for pings and pongs.
+    fn handle_frame(&self, link: &Arc<PeerLink>, frame: PeerFrame<'static>);
+
+    /// Handles a frame that could not be decoded; the link is closed afterwards.
+    fn handle_malformed(&self, error: &FrameError);
+
+    /// Handles the close of the link; called once.
+    fn handle_close(&self, link: &PeerLink);
+
+    /// Acts on timeouts that have passed at `now`.
+    fn sweep(&self, link: &PeerLink, now: Instant);
+}
+
+#[derive(Default)]
+struct Unsent {
+    bytes: Vec<u8>,
+    /// The index of the first byte that was not sent.
+    start: usize,
+}
+
+/// A connection between daemons.
+pub struct PeerLink {
+    stream: Arc<TcpStream>,
+    reactor: Weak<Reactor>,
+    number: OnceLock<SourceNumber>,
+    /// Used by the reactor's thread only.
+    conn: Mutex<BufferedConnection>,
+    unsent: Mutex<Unsent>,
+    received_at: Mutex<Instant>,
+    closed: AtomicBool,
+    handler: Box<dyn LinkHandler>,
+    /// Itself, for the calls of its handler.
+    this: Weak<PeerLink>,
+}
+
+impl PeerLink {
+    /// Starts to receive frames on `conn`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the reactor can't watch the socket.
+    pub fn start(
+        reactor: &Arc<Reactor>,
+        conn: BufferedConnection,
+        handler: Box<dyn LinkHandler>,
+    ) -> io::Result<Arc<Self>> {
+        let link = Arc::new_cyclic(|this| Self {
+            stream: Arc::clone(conn.stream()),
+            reactor: Arc::downgrade(reactor),
+            number: OnceLock::new(),
+            conn: Mutex::new(conn),
+            unsent: Mutex::default(),
+            received_at: Mutex::new(Instant::now()),
+            closed: AtomicBool::new(false),
+            handler,
+            this: Weak::clone(this),
+        });
+        let source = Arc::clone(&link) as Arc<dyn Source>;
+        reactor.add(source, Readiness::READ, |number| {
+            // A link is added once.
+            let _ = link.number.set(number);
+        })?;
+        Ok(link)
+    }
+
+    /// Returns whether the link is closed.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
+    /// Returns when bytes were last received.
+    pub fn received_at(&self) -> Instant {
+        *sync::lock(&self.received_at)
+    }
+
+    /// Sends a frame, or queues what the socket does not take at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the frame can't be encoded, or if the link is closed or fails, which
+    /// closes it.
+    pub fn send(&self, frame: &PeerFrame<'_>) -> Result<(), FrameError> {
+        let bytes = frame::encode(frame)?;
+        let sent = self.send_bytes(&bytes);
+        if sent.is_err() {
+            self.close();
+        }
+        Ok(sent?)
+    }
+
+    /// Closes the link.
+    pub fn close(&self) {
+        if self.closed.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        // Fails if the peer has closed the connection already.
+        let _ = self.stream.shutdown(Shutdown::Both);
+        if let (Some(reactor), Some(number)) = (self.reactor.upgrade(), self.number.get()) {
+            reactor.remove(*number);
+        }
+        self.handler.handle_close(self);
+    }
+
+    fn send_bytes(&self, bytes: &[u8]) -> io::Result<()> {
+        let mut unsent = sync::lock(&self.unsent);
+        if self.is_closed() {
+            return Err(ErrorKind::NotConnected.into());
+        }
+        if unsent.bytes.is_empty() {
+            let sent = write_available(&self.stream, bytes)?;
+            if sent == bytes.len() {
+                return Ok(());
+            }
+            unsent.bytes.extend_from_slice(&bytes[sent..]);
+            return self.watch(Readiness {
+                writable: true,
+                ..Readiness::READ
+            });
+        }
+        if unsent.bytes.len() - unsent.start > UNSENT_BYTES_MAX {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        unsent.bytes.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// Sends queued bytes.
+    fn flush(&self) -> io::Result<()> {
+        let mut unsent = sync::lock(&self.unsent);
+        let sent = write_available(&self.stream, &unsent.bytes[unsent.start..])?;
+        unsent.start += sent;
+        if unsent.start < unsent.bytes.len() {
+            return Ok(());
+        }
+        *unsent = Unsent::default();
+        self.watch(Readiness::READ)
+    }
+
+    fn watch(&self, interest: Readiness) -> io::Result<()> {
+        match (self.reactor.upgrade(), self.number.get()) {
+            (Some(reactor), Some(number)) => reactor.modify(*number, self, interest),
+            _ => Err(ErrorKind::NotConnected.into()),
+        }
+    }
+
+    /// Reads what has arrived and handles the complete frames.
+    fn receive(&self) -> Result<(), FrameError> {
+        let mut conn = sync::lock(&self.conn);
+        let has_more = conn.read_once().map_err(io::Error::other)?;
+        *sync::lock(&self.received_at) = Instant::now();
+        while let Some((frame, used)) = frame::decode::<PeerFrame<'static>>(conn.buffered())? {
+            conn.consume(used);
+            self.handle_frame(frame);
+        }
+        match has_more {
+            true => Ok(()),
+            false => Err(io::Error::from(ErrorKind::UnexpectedEof).into()),
+        }
+    }
+
+    fn handle_frame(&self, frame: PeerFrame<'static>) {
+        match frame {
+            PeerFrame::Ping => {
+                // A failure closes the link.
+                let _ = self.send(&PeerFrame::Pong);
+            }
+            PeerFrame::Pong => {}
+            frame => {
+                if let Some(link) = self.this.upgrade() {
+                    self.handler.handle_frame(&link, frame);
+                }
+            }
+        }
+    }
+}
+
+impl Source for PeerLink {
+    fn fd(&self) -> BorrowedFd<'_> {
+        self.stream.as_fd()
+    }
+
+    fn handle(&self, ready: Readiness) {
+        if ready.writable && self.flush().is_err() {
+            self.close();
+            return;
+        }
+        if !ready.readable && !ready.hung_up {
+            return;
+        }
+        if let Err(e) = self.receive() {
+            if !matches!(e, FrameError::Io(_)) {
+                self.handler.handle_malformed(&e);
+            }
+            self.close();
+        }
+    }
+
+    fn sweep(&self, now: Instant) {
+        self.handler.sweep(self, now);
+    }
+}
+
+/// Writes as much of `bytes` as the socket takes at once; returns how many bytes.
+fn write_available(mut stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
+    let mut sent = 0;
+    while sent < bytes.len() {
+        match stream.write(&bytes[sent..]) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(count) => sent += count,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(sent)
+}
--- a/src/connection/peer_message.rs
+++ b/src/connection/peer_message.rs
@@ -73,17 +73,38 @@
 }
 
 impl PeerRequest {
-    /// Returns whether the receiver acknowledges the request before it processes it.
-    ///
-    /// It acknowledges neither a [`PeerRequest::Dispatch`] nor a query for its outcome: the reply
-    /// mostly follows soon, and if it is late, a duplicate waits for the outcome of the first.
-    pub fn is_acknowledged(&self) -> bool {
-        !matches!(
+    /// Returns whether the reply usually takes as long as the work of an upstream.
+    pub fn waits_for_upstream(&self) -> bool {
+        matches!(
             self,
             PeerRequest::Dispatch { .. } | PeerRequest::FetchOutcome { .. }
         )
     }
 
+    /// Returns whether the request concerns ownership or versions. Such requests are handled by
+    /// threads of their own, so that load does not delay them.
+    pub fn is_control(&self) -> bool {
+        matches!(
+            self,
+            PeerRequest::FetchTable
+                | PeerRequest::FetchConfiguration
+                | PeerRequest::FetchRoutingConfig
+                | PeerRequest::TransferRecords(_)
+                | PeerRequest::TransferKeys(_)
+        )
+    }
+
+    /// Returns the size of the caller's body that the request carries, in bytes.
+    pub fn body_bytes(&self) -> usize {
+        match self {
+            PeerRequest::Forward(envelope) | PeerRequest::DispatchShared { envelope, .. } => {
+                envelope.body.0.len()
+            }
+            PeerRequest::Dispatch { request, .. } => request.body.0.len(),
+            _ => 0,
+        }
+    }
+
     /// Returns the request that fetches the outcome of this one, or `None` if this kind has
     /// none.
     ///
@@ -142,8 +163,6 @@
 /// Postcard encodes the variants by their position, so their order is part of the wire format.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerReply {
-    /// The request has arrived and is being processed; another reply follows.
-    Acknowledged,
     /// The response to a caller's request.
     Response(ServiceResponse),
     /// The daemon does not serve the request now, and did not run it; gives the reason.
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -1,43 +1,46 @@
-//! A pool of connections to other daemons, with one call at a time on each connection.
+//! The links to other daemons: one to each daemon in use, with many calls on it, and a second one
+//! for large requests, which would delay the others.
 //!
-//! If the other daemon does not acknowledge a request in time, the connection is presumed dead.
-//! The request is then sent again on another connection, and the other daemon recognizes the
-//! duplicate by its id. If the reply to a dispatched request is late, the pool fetches only its
-//! outcome. A connection that failed or timed out is closed at the end of the call; a reply that
-//! arrives later is lost with it.
+//! If a reply is late and nothing arrives on the link, the pool sends a ping. Without a response to
+//! it the link is presumed dead, and a new one takes its place. The request is then sent again, and
+//! the other daemon recognizes the duplicate by its id; of a dispatched request only the outcome is
+//! fetched. A reply that still arrives on the earlier link counts too.
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::connection::buffered_connection::{BufferedConnection, ConnectionError, Recipient};
-use crate::connection::frame::{self, FrameError};
+use crate::connection::buffered_connection::BufferedConnection;
+use crate::connection::calling_link::CallingLink;
+use crate::connection::frame::FrameError;
+use crate::connection::peer_call::{CallEvent, PeerCall};
 use crate::connection::peer_error::PeerError;
 use crate::connection::peer_message::{PeerReply, PeerRequest};
+use crate::connection::reactor::Reactor;
+use crate::connection::recipient::Recipient;
+use crate::process::sync;
 use crate::request::envelope::Envelope;
 use crate::request::upstream_load::UpstreamLoad;
 use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 
-/// The most idle connections to one daemon.
-const IDLE_MAX: usize = 8;
-/// How long a connection may be idle and still be reused.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(6);
 /// The timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-
+/// The size of a body, in bytes, from which a request is sent on the link for large ones.
+const LARGE_BODY_BYTES: usize = 16 * 1024;
 /// The retry delay that a caller receives if a later process has replaced the addressed one.
 const REPLACED_PROCESS_RETRY: Duration = Duration::from_millis(300);
 
 /// How long a pool waits for another daemon before it sends a request again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerTimeouts {
-    /// How long the other daemon may take to acknowledge the first copy of a request; the time
-    /// doubles with each further copy, up to `reply`.
+    /// How long the response to a ping may take; also how long the reply to a request may take that
+    /// waits for no upstream. The time doubles with each new link, up to `reply`.
     pub acknowledge: Duration,
-    /// How long a reply may take after the acknowledgement, or after the request if none is
-    /// expected, before the request is sent again or its outcome is fetched on another connection.
+    /// How long the reply to a request that waits for an upstream may take before a ping is sent,
+    /// if nothing else arrives on the link.
     pub reply: Duration,
 }
 
@@ -50,10 +53,22 @@
     }
 }
 
-/// A connection without a call in progress.
-struct IdleConnection {
-    conn: BufferedConnection,
-    since: Instant,
+/// Which requests a link carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum LinkKind {
+    /// Requests without a large body.
+    Small,
+    /// Requests with a large body.
+    Large,
+}
+
+impl LinkKind {
+    fn of(request: &PeerRequest) -> Self {
+        match request.body_bytes() >= LARGE_BODY_BYTES {
+            true => Self::Large,
+            false => Self::Small,
+        }
+    }
 }
 
 /// The reply to a call.
@@ -90,37 +105,87 @@
     }
 }
 
-/// How a call ended on one connection without a reply.
+/// How an attempt of a call ended without a reply.
 enum Failure {
-    /// Nothing arrived in time; the connection may still be alive.
-    TimedOut(FrameError),
-    /// The connection failed.
-    Failed(FrameError),
-    /// The recipient of the result disconnected.
-    RecipientDisconnected,
+    /// The link is silent, or the call's time is over.
+    TimedOut,
+    /// The link was closed.
+    LinkClosed,
+}
+
+/// The attempts of a call, each on its own link; dropping it forgets them.
+struct Attempts {
+    call: Arc<PeerCall>,
+    sent: Vec<(Arc<CallingLink>, u64)>,
+}
+
+impl Attempts {
+    /// Sends `request` on `link`; returns whether that succeeded.
+    fn send(&mut self, link: &Arc<CallingLink>, request: &PeerRequest) -> Result<(), FrameError> {
+        let index = self.sent.len();
+        let number = link.start_call(&self.call, index, request)?;
+        self.sent.push((Arc::clone(link), number));
+        Ok(())
+    }
+
+    /// Asks the other daemon to cancel the call.
+    fn cancel(&self) {
+        for (link, number) in &self.sent {
+            link.cancel(*number);
+        }
+    }
+
+    /// Returns whether the reply may still arrive.
+    fn any_open(&self) -> bool {
+        self.sent.iter().any(|(link, _)| !link.is_closed())
+    }
 }
 
-/// The pooled connections of one daemon to the others.
+impl Drop for Attempts {
+    fn drop(&mut self) {
+        for (link, number) in &self.sent {
+            link.forget(*number);
+        }
+    }
+}
+
+/// The links of one daemon to the others.
 pub struct PeerPool {
+    reactor: Arc<Reactor>,
     source: IpAddr,
     timeouts: PeerTimeouts,
-    idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    links: Mutex<HashMap<(SocketAddr, LinkKind), Arc<CallingLink>>>,
 }
 
 impl PeerPool {
     /// Creates a pool that connects from the address `source`.
-    pub fn new(source: IpAddr, timeouts: PeerTimeouts) -> Self {
+    pub fn new(reactor: &Arc<Reactor>, source: IpAddr, timeouts: PeerTimeouts) -> Self {
         Self {
+            reactor: Arc::clone(reactor),
             source,
             timeouts,
-            idle: Mutex::default(),
+            links: Mutex::default(),
+        }
+    }
+
+    /// Returns the number of open links.
+    pub fn open_links(&self) -> usize {
+        let links = sync::lock(&self.links);
+        links.values().filter(|l| !l.is_closed()).count()
+    }
+
+    /// Closes all links; calls in progress fail.
+    pub fn close(&self) {
+        let links = std::mem::take(&mut *sync::lock(&self.links));
+        for link in links.values() {
+            link.close();
         }
     }
 
     /// Sends a request to the daemon at `to` and waits for its reply.
     ///
     /// The wait ends after `timeout`, when `recipient` disconnects, or when `is_pointless` returns
-    /// true, which is called after each timeout on a connection.
+    /// true, which is called after each timeout on a link.
     ///
     /// # Errors
     ///
@@ -134,169 +199,195 @@
         is_pointless: impl Fn() -> bool,
     ) -> Result<PeerCallReply, PeerError> {
         let deadline = Instant::now() + timeout;
-        // Connections that timed out stay open until the call ends: the other daemon would take
-        // their close for a disconnect of the recipient and cancel the request.
-        let mut timed_out = Vec::new();
-        let mut pooled = self.take_idle(to);
-        let mut acknowledge_timeout = self.timeouts.acknowledge;
-        let mut message = request.clone();
-        let mut resent = false;
+        let kind = LinkKind::of(request);
+        let call = Arc::new(PeerCall::default());
+        let for_waker = Arc::clone(&call);
+        let _watch = recipient.on_disconnect(move || for_waker.wake());
+        let mut attempts = Attempts {
+            call,
+            sent: Vec::new(),
+        };
+        let mut message = Cow::Borrowed(request);
+        let mut acknowledge = self.timeouts.acknowledge;
         loop {
-            let is_reused = pooled.is_some();
-            let connected = match pooled.take() {
-                Some(conn) => Ok(conn),
-                None => self.connect(to, deadline),
-            };
-            let result = match (connected, resent) {
-                (Ok(conn), _) => {
-                    self.exchange(to, conn, &message, acknowledge_timeout, deadline, recipient)
+            let resent = !attempts.sent.is_empty();
+            let (link, is_reused) = match self.link(to, kind, deadline) {
+                Ok(link) => link,
+                Err(e) if !resent => return Err(PeerError::NotSent(e)),
+                // The reply may still arrive on an earlier link.
+                Err(e) if !attempts.any_open() => {
+                    return Err(PeerError::MaybeSent(FrameError::Io(e)));
                 }
-                (Err(e), false) => return Err(PeerError::NotSent(e)),
-                // The reply may still arrive on an earlier connection.
-                (Err(e), true) => match timed_out.pop() {
-                    Some(conn) => self.await_reply(to, conn, deadline, recipient),
-                    None => return Err(PeerError::MaybeSent(FrameError::Io(e))),
-                },
-            };
-            let failure = match result {
-                Ok(PeerReply::UnknownRequest) => {
-                    // The earlier connection lost the request, so other idle ones may be dead too.
-                    self.close_idle(to);
-                    message = request.clone();
-                    continue;
+                Err(_) => {
+                    return self.await_late_reply(&attempts, deadline, recipient, is_pointless);
                 }
-                Ok(reply) => return Ok(PeerCallReply { reply, resent }),
-                Err((failure, conn)) => {
-                    if matches!(failure, Failure::TimedOut(_)) {
-                        timed_out.push(conn);
+            };
+            let failure = match attempts.send(&link, &message) {
+                Ok(()) => {
+                    match self.await_reply(&attempts, request, acknowledge, deadline, recipient) {
+                        Ok(PeerReply::UnknownRequest) => {
+                            // The earlier link lost the request.
+                            message = Cow::Borrowed(request);
+                            continue;
+                        }
+                        Ok(reply) => return Ok(PeerCallReply { reply, resent }),
+                        Err(failure) => failure,
                     }
-                    failure
                 }
+                // The link was closed before the request was sent.
+                Err(FrameError::Io(_)) if Instant::now() < deadline => continue,
+                Err(e) if !resent => {
+                    return Err(PeerError::NotSent(io::Error::other(e)));
+                }
+                Err(e) => return Err(e.into()),
             };
+            if recipient.has_disconnected() {
+                attempts.cancel();
+                return Err(PeerError::RecipientDisconnected);
+            }
             let expired = Instant::now() >= deadline;
             match failure {
-                Failure::RecipientDisconnected => return Err(PeerError::RecipientDisconnected),
-                Failure::TimedOut(e) if expired || is_pointless() => return Err(e.into()),
-                Failure::Failed(e) if expired || (!is_reused && resent) => return Err(e.into()),
-                Failure::TimedOut(_) => {
-                    let remaining = deadline.saturating_duration_since(Instant::now());
-                    message = match request.outcome_request(remaining) {
-                        Some(outcome_request) => outcome_request,
-                        None => {
-                            self.close_idle(to);
-                            without_fresh_until(request)
-                        }
-                    };
+                Failure::TimedOut if expired || is_pointless() => return Err(timed_out()),
+                Failure::LinkClosed if expired || (!is_reused && resent) => {
+                    return Err(link_closed());
                 }
-                Failure::Failed(_) => {
-                    self.close_idle(to);
-                    message = without_fresh_until(request);
+                Failure::TimedOut => {
+                    self.retire(to, kind, &link);
+                    let remaining = deadline.saturating_duration_since(Instant::now());
+                    let outcome = request.outcome_request(remaining);
+                    message = Cow::Owned(outcome.unwrap_or_else(|| without_fresh_until(request)));
                 }
+                Failure::LinkClosed => message = Cow::Owned(without_fresh_until(request)),
             }
-            resent = true;
-            acknowledge_timeout = (acknowledge_timeout * 2).min(self.timeouts.reply);
+            acknowledge = (acknowledge * 2).min(self.timeouts.reply);
         }
     }
 
-    /// Makes one call on `conn`, and returns the connection to the pool; if the call fails, the
-    /// error contains the connection.
-    fn exchange(
+    /// Waits for the reply to the last attempt, as long as its link is alive.
+    fn await_reply(
         &self,
-        to: SocketAddr,
-        mut conn: BufferedConnection,
+        attempts: &Attempts,
         request: &PeerRequest,
-        acknowledge_timeout: Duration,
+        acknowledge: Duration,
         deadline: Instant,
         recipient: &Recipient,
-    ) -> Result<PeerReply, (Failure, BufferedConnection)> {
-        match self.send_and_receive(&mut conn, request, acknowledge_timeout, deadline, recipient) {
-            Ok(reply) => {
-                self.put_idle(to, conn);
-                Ok(reply)
+    ) -> Result<PeerReply, Failure> {
+        let last = attempts.sent.len() - 1;
+        let link = &attempts.sent[last].0;
+        let mut patience = match request.waits_for_upstream() {
+            true => self.timeouts.reply,
+            false => acknowledge,
+        };
+        let mut pinged = false;
+        let mut since = Instant::now();
+        loop {
+            match attempts
+                .call
+                .wait(deadline.min(since + patience), recipient)
+            {
+                Some(CallEvent::Replied(reply)) => return Ok(reply),
+                Some(CallEvent::LinkClosed(index)) if index == last => {
+                    return Err(Failure::LinkClosed);
+                }
+                Some(CallEvent::LinkClosed(_)) => continue,
+                None => {}
             }
-            Err(failure) => Err((failure, conn)),
+            let now = Instant::now();
+            if recipient.has_disconnected() || now >= deadline {
+                return Err(Failure::TimedOut);
+            }
+            if link.received_at() > since {
+                // The link is alive, so the work takes long.
+                pinged = false;
+                patience = self.timeouts.reply;
+            } else if pinged {
+                return Err(Failure::TimedOut);
+            } else {
+                link.ping();
+                pinged = true;
+                patience = acknowledge;
+            }
+            since = now;
         }
     }
 
-    /// Continues to wait for the reply to a request that was sent on `conn` before.
-    fn await_reply(
+    /// Waits for a reply on the links of earlier attempts, when no further link can be established.
+    fn await_late_reply(
         &self,
-        to: SocketAddr,
-        mut conn: BufferedConnection,
+        attempts: &Attempts,
         deadline: Instant,
         recipient: &Recipient,
-    ) -> Result<PeerReply, (Failure, BufferedConnection)> {
+        is_pointless: impl Fn() -> bool,
+    ) -> Result<PeerCallReply, PeerError> {
         loop {
-            match read_within(&mut conn, self.timeouts.reply, deadline, recipient) {
-                Ok(PeerReply::Acknowledged) => {}
-                Ok(reply) => {
-                    self.put_idle(to, conn);
-                    return Ok(reply);
+            let until = deadline.min(Instant::now() + self.timeouts.reply);
+            match attempts.call.wait(until, recipient) {
+                Some(CallEvent::Replied(reply)) => {
+                    return Ok(PeerCallReply {
+                        reply,
+                        resent: true,
+                    });
                 }
-                Err(failure) => return Err((failure, conn)),
+                Some(CallEvent::LinkClosed(_)) if !attempts.any_open() => {
+                    return Err(link_closed());
+                }
+                Some(CallEvent::LinkClosed(_)) => continue,
+                None => {}
+            }
+            if recipient.has_disconnected() {
+                attempts.cancel();
+                return Err(PeerError::RecipientDisconnected);
+            }
+            if Instant::now() >= deadline || is_pointless() {
+                return Err(timed_out());
             }
         }
     }
 
-    /// Sends a request on `conn` and waits for its reply.
-    fn send_and_receive(
+    /// Returns the link to `to`, and whether it was established before.
+    fn link(
         &self,
-        conn: &mut BufferedConnection,
-        request: &PeerRequest,
-        acknowledge_timeout: Duration,
+        to: SocketAddr,
+        kind: LinkKind,
         deadline: Instant,
-        recipient: &Recipient,
-    ) -> Result<PeerReply, Failure> {
-        let bytes = frame::encode(request).map_err(Failure::Failed)?;
-        conn.write(&bytes, false, deadline, recipient)
-            .map_err(to_failure)?;
-        let first_timeout = match request.is_acknowledged() {
-            true => acknowledge_timeout,
-            false => self.timeouts.reply,
-        };
-        let mut reply = read_within(conn, first_timeout, deadline, recipient)?;
-        while reply == PeerReply::Acknowledged {
-            reply = read_within(conn, self.timeouts.reply, deadline, recipient)?;
+    ) -> io::Result<(Arc<CallingLink>, bool)> {
+        if let Some(link) = self.open_link(to, kind) {
+            return Ok((link, true));
         }
-        Ok(reply)
+        let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let conn = BufferedConnection::connect(to, Some(self.source), connect_deadline)?;
+        let link = CallingLink::start(&self.reactor, conn)?;
+        let mut links = sync::lock(&self.links);
+        links.retain(|_, l| !l.is_closed());
+        // Another thread may have connected meanwhile; this link then ends once it is idle.
+        links.entry((to, kind)).or_insert(Arc::clone(&link));
+        Ok((link, false))
     }
 
-    fn connect(&self, to: SocketAddr, deadline: Instant) -> io::Result<BufferedConnection> {
-        BufferedConnection::connect(
-            to,
-            Some(self.source),
-            deadline.min(Instant::now() + CONNECT_TIMEOUT),
-        )
+    fn open_link(&self, to: SocketAddr, kind: LinkKind) -> Option<Arc<CallingLink>> {
+        let links = sync::lock(&self.links);
+        links
+            .get(&(to, kind))
+            .filter(|l| !l.is_closed())
+            .map(Arc::clone)
     }
 
-    /// Returns a pooled connection to `to` that can be reused.
-    fn take_idle(&self, to: SocketAddr) -> Option<BufferedConnection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.get_mut(&to)?;
-        while let Some(connection) = list.pop() {
-            if connection.since.elapsed() < IDLE_TIMEOUT && connection.conn.is_reusable() {
-                return Some(connection.conn);
-            }
+    /// Removes a link that is presumed dead. It stays open for the calls in progress on it: the
+    /// other daemon would take its close for a disconnect of the recipient and cancel them.
+    fn retire(&self, to: SocketAddr, kind: LinkKind, link: &Arc<CallingLink>) {
+        let mut links = sync::lock(&self.links);
+        if links.get(&(to, kind)).is_some_and(|l| Arc::ptr_eq(l, link)) {
+            links.remove(&(to, kind));
         }
-        None
     }
+}
 
-    fn put_idle(&self, to: SocketAddr, conn: BufferedConnection) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.entry(to).or_default();
-        if list.len() < IDLE_MAX {
-            list.push(IdleConnection {
-                conn,
-                since: Instant::now(),
-            });
-        }
-    }
+fn timed_out() -> PeerError {
+    PeerError::MaybeSent(FrameError::Io(io::ErrorKind::TimedOut.into()))
+}
 
-    /// Closes the idle connections to `to`: if one failed, the others may be dead too.
-    fn close_idle(&self, to: SocketAddr) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.remove(&to);
-    }
+fn link_closed() -> PeerError {
+    PeerError::MaybeSent(FrameError::Io(io::ErrorKind::UnexpectedEof.into()))
 }
 
 /// Returns the request as it is sent again: without `fresh_until`, since an earlier copy may exist.
@@ -309,34 +400,3 @@
         other => other.clone(),
     }
 }
-
-/// Reads a reply within `timeout`, and before `deadline`.
-fn read_within(
-    conn: &mut BufferedConnection,
-    timeout: Duration,
-    deadline: Instant,
-    recipient: &Recipient,
-) -> Result<PeerReply, Failure> {
-    let deadline = deadline.min(Instant::now() + timeout);
-    loop {
-        match frame::decode(conn.buffered()).map_err(Failure::Failed)? {
-            Some((reply, used)) => {
-                conn.consume(used);
-                return Ok(reply);
-            }
-            None => conn.fill(deadline, recipient).map_err(to_failure)?,
-        };
-    }
-}
-
-/// Converts an error of the connection to the failure of the call.
-fn to_failure(e: ConnectionError) -> Failure {
-    match e {
-        ConnectionError::TimedOut => {
-            Failure::TimedOut(FrameError::Io(io::ErrorKind::TimedOut.into()))
-        }
-        ConnectionError::RecipientDisconnected => Failure::RecipientDisconnected,
-        ConnectionError::Io(e) => Failure::Failed(FrameError::Io(e)),
-        _ => Failure::Failed(FrameError::Io(io::ErrorKind::UnexpectedEof.into())),
-    }
-}
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -1,93 +1,124 @@
-//! Serves the requests of other daemons, with one thread for each connection.
+//! Serves the calls of other daemons: a thread for each call in progress, none for an idle link.
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::thread::{self, JoinHandle};
+use std::sync::{Arc, Mutex, OnceLock, Weak};
 use std::time::{Duration, Instant};
 
-use crate::connection::buffered_connection::{BufferedConnection, Recipient};
-use crate::connection::frame;
+use crate::connection::buffered_connection::BufferedConnection;
+use crate::connection::frame::FrameError;
+use crate::connection::peer_frame::PeerFrame;
+use crate::connection::peer_link::{LinkHandler, PeerLink};
 use crate::connection::peer_message::{PeerReply, PeerRequest};
+use crate::connection::reactor::{Reactor, Readiness, Source, SourceNumber};
+use crate::connection::recipient::Recipient;
+use crate::process::sync;
+use crate::process::thread_pool::ThreadPool;
 
-/// The most connections at a time; further ones are closed immediately.
-const CONNECTIONS_MAX: usize = 4096;
-/// How long to wait after an `accept` that failed.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// The timeout for writing a reply.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// How long a connection may be idle; the connecting daemons stop reusing theirs sooner.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// The stack size of a connection's thread, in bytes.
+/// The most links at a time; further ones are closed immediately.
+const LINKS_MAX: usize = 4096;
+/// The most requests that are processed at a time; further ones are refused.
+const REQUESTS_MAX: usize = 512;
+/// The most control requests that are processed at a time; further ones are queued.
+const CONTROL_THREADS_MAX: usize = 4;
+/// The stack size of a thread, in bytes.
 const STACK_BYTES: usize = 512 * 1024;
+/// How long a daemon whose link broke may take to ask for the result on another one.
+const RECONNECT_TIME: Duration = Duration::from_millis(120);
 
 /// Handles the requests of other daemons.
 pub trait PeerHandler: Send + Sync {
     /// Returns the reply to a request; `recipient` is the daemon that sent it.
     fn handle(&self, request: PeerRequest, recipient: &Recipient) -> PeerReply;
 
+    /// Returns the reply to a request that is refused because too many are being processed.
+    fn refuse(&self, request: &PeerRequest) -> PeerReply;
+
     /// Counts a frame that could not be decoded.
     fn count_malformed_frame(&self);
 }
 
 struct Shared {
     handler: Arc<dyn PeerHandler>,
+    reactor: Weak<Reactor>,
     stopping: AtomicBool,
-    /// The open connections, by connection number.
-    connections: Mutex<HashMap<u64, Arc<TcpStream>>>,
-    threads: Mutex<Vec<JoinHandle<()>>>,
+    links: Mutex<Vec<Weak<PeerLink>>>,
+    requests: ThreadPool,
+    control: ThreadPool,
+    /// The recipients of calls whose link broke, with the time of that.
+    cut_off: Mutex<Vec<(Instant, Recipient)>>,
+}
+
+/// The listening socket.
+struct Acceptor {
+    listener: TcpListener,
+    shared: Arc<Shared>,
 }
 
-/// The listener and its connections; [`PeerServer::stop`] joins all threads.
+/// Handles the frames of a calling daemon.
+struct CallHandler {
+    shared: Arc<Shared>,
+    /// The recipients of the calls in progress, by number.
+    running: Arc<Mutex<HashMap<u64, Recipient>>>,
+}
+
+/// The listener and its links; [`PeerServer::stop`] joins all threads.
 pub struct PeerServer {
     shared: Arc<Shared>,
-    address: SocketAddr,
-    acceptor: Option<JoinHandle<()>>,
+    number: SourceNumber,
 }
 
 impl PeerServer {
-    /// Starts accepting connections on `listener`.
+    /// Starts accepting links on `listener`.
     ///
     /// # Errors
     ///
-    /// Returns an error if the listener has no address or no thread can be started.
-    pub fn start(listener: TcpListener, handler: Arc<dyn PeerHandler>) -> io::Result<Self> {
-        let address = listener.local_addr()?;
+    /// Returns an error if the reactor can't watch the listener.
+    pub fn start(
+        reactor: &Arc<Reactor>,
+        listener: TcpListener,
+        handler: Arc<dyn PeerHandler>,
+    ) -> io::Result<Self> {
+        listener.set_nonblocking(true)?;
         let shared = Arc::new(Shared {
             handler,
+            reactor: Arc::downgrade(reactor),
             stopping: AtomicBool::new(false),
-            connections: Mutex::default(),
-            threads: Mutex::default(),
+            links: Mutex::default(),
+            requests: ThreadPool::with_stack("peer", REQUESTS_MAX, STACK_BYTES),
+            control: ThreadPool::with_stack("control", CONTROL_THREADS_MAX, STACK_BYTES),
+            cut_off: Mutex::default(),
+        });
+        let acceptor = Arc::new(Acceptor {
+            listener,
+            shared: Arc::clone(&shared),
         });
-        let thread_shared = Arc::clone(&shared);
-        let acceptor = thread::Builder::new()
-            .name("peer-accept".to_owned())
-            .spawn(move || accept(&listener, &thread_shared))?;
-        Ok(Self {
-            shared,
-            address,
-            acceptor: Some(acceptor),
-        })
+        let number = OnceLock::new();
+        reactor.add(acceptor, Readiness::READ, |n| {
+            // The listener is added once.
+            let _ = number.set(n);
+        })?;
+        let number = number.into_inner().ok_or(io::ErrorKind::NotFound)?;
+        Ok(Self { shared, number })
     }
 
-    /// Closes all connections and joins all threads.
-    pub fn stop(&mut self) {
+    /// Closes the listener and all links, cancels the calls in progress and joins all threads.
+    pub fn stop(&self) {
         self.shared.stopping.store(true, Ordering::SeqCst);
-        // A connection to the server's own address wakes the acceptor thread.
-        let _ = TcpStream::connect_timeout(&self.address, ACCEPT_PAUSE);
-        if let Some(acceptor) = self.acceptor.take() {
-            let _ = acceptor.join();
+        if let Some(reactor) = self.shared.reactor.upgrade() {
+            reactor.remove(self.number);
         }
-        for stream in lock(&self.shared.connections).values() {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        let threads: Vec<_> = lock(&self.shared.threads).drain(..).collect();
-        for thread in threads {
-            let _ = thread.join();
+        let links = std::mem::take(&mut *sync::lock(&self.shared.links));
+        for link in links.iter().filter_map(Weak::upgrade) {
+            link.close();
         }
+        self.shared.cancel_cut_off(None);
+        self.shared.requests.join();
+        self.shared.control.join();
     }
 }
 
@@ -97,101 +128,136 @@
     }
 }
 
-/// Accepts connections until the server stops; joins the threads of closed connections meanwhile.
-fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
-    let mut number = 0;
-    while !shared.stopping.load(Ordering::SeqCst) {
-        let Ok((stream, _)) = listener.accept() else {
-            thread::sleep(ACCEPT_PAUSE);
-            continue;
+impl Shared {
+    /// Starts a link on an accepted connection, unless there are too many.
+    fn accept(self: &Arc<Self>, stream: TcpStream) -> io::Result<()> {
+        let Some(reactor) = self.reactor.upgrade() else {
+            return Ok(());
         };
-        number += 1;
-        if let Err(e) = start_connection(stream, number, shared) {
-            tracing::warn!(error = %e, "could not serve a connection from another daemon");
+        let mut links = sync::lock(&self.links);
+        links.retain(|l| l.upgrade().is_some_and(|l| !l.is_closed()));
+        if links.len() >= LINKS_MAX || self.stopping.load(Ordering::SeqCst) {
+            return Ok(());
         }
-        let mut threads = lock(&shared.threads);
-        for done in threads.extract_if(.., |t| t.is_finished()) {
-            let _ = done.join();
+        let conn = BufferedConnection::from_accepted(stream)?;
+        let handler = Box::new(CallHandler {
+            shared: Arc::clone(self),
+            running: Arc::default(),
+        });
+        let link = PeerLink::start(&reactor, conn, handler)?;
+        links.push(Arc::downgrade(&link));
+        Ok(())
+    }
+
+    /// Cancels the calls whose link broke more than [`RECONNECT_TIME`] before `now`, or all if that
+    /// is `None`.
+    fn cancel_cut_off(&self, now: Option<Instant>) {
+        let is_due = |cut_at: Instant| {
+            now.is_none_or(|n| n.saturating_duration_since(cut_at) >= RECONNECT_TIME)
+        };
+        let mut cut_off = sync::lock(&self.cut_off);
+        let due: Vec<_> = cut_off.extract_if(.., |(at, _)| is_due(*at)).collect();
+        drop(cut_off);
+        for (_, recipient) in due {
+            match now {
+                Some(_) => recipient.disconnect_unless_reconnected(),
+                None => recipient.disconnect(),
+            }
         }
     }
 }
 
-/// Starts a thread for a connection, unless the server stops or has too many.
-fn start_connection(stream: TcpStream, number: u64, shared: &Arc<Shared>) -> io::Result<()> {
-    let mut connections = lock(&shared.connections);
-    if connections.len() >= CONNECTIONS_MAX || shared.stopping.load(Ordering::SeqCst) {
-        return Ok(());
+impl Source for Acceptor {
+    fn fd(&self) -> BorrowedFd<'_> {
+        self.listener.as_fd()
     }
-    let conn = BufferedConnection::from_accepted(stream)?;
-    connections.insert(number, Arc::clone(conn.stream()));
-    drop(connections);
-    let thread_shared = Arc::clone(shared);
-    let spawned = thread::Builder::new()
-        .name("peer".to_owned())
-        .stack_size(STACK_BYTES)
-        .spawn(move || {
-            serve(conn, &thread_shared);
-            lock(&thread_shared.connections).remove(&number);
-        });
-    match spawned {
-        Ok(thread) => lock(&shared.threads).push(thread),
-        Err(e) => {
-            lock(&shared.connections).remove(&number);
-            return Err(e);
+
+    fn handle(&self, _ready: Readiness) {
+        loop {
+            match self.listener.accept() {
+                Ok((stream, _)) => {
+                    if let Err(e) = self.shared.accept(stream) {
+                        tracing::warn!(event = "link-not-started", error = %e);
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    tracing::warn!(event = "accept-failed", error = %e);
+                    return;
+                }
+            }
         }
     }
-    Ok(())
+
+    fn sweep(&self, now: Instant) {
+        self.shared.cancel_cut_off(Some(now));
+    }
 }
 
-/// Serves the requests of one connection in turn, until it closes.
-fn serve(mut conn: BufferedConnection, shared: &Shared) {
-    let recipient = Recipient::new(conn.stream());
-    while let Some(request) = read_request(&mut conn, shared) {
-        if request.is_acknowledged() && !write_reply(&mut conn, &PeerReply::Acknowledged) {
-            return;
-        }
-        let reply = shared.handler.handle(request, &recipient);
-        if !write_reply(&mut conn, &reply) {
+impl CallHandler {
+    fn start_call(&self, link: &Arc<PeerLink>, number: u64, request: PeerRequest) {
+        let is_control = request.is_control();
+        if !is_control && self.shared.requests.jobs() >= REQUESTS_MAX {
+            let reply = self.shared.handler.refuse(&request);
+            send_reply(link, number, reply);
             return;
         }
+        let recipient = Recipient::connected();
+        sync::lock(&self.running).insert(number, recipient.clone());
+        let handler = Arc::clone(&self.shared.handler);
+        let (link, running) = (Arc::clone(link), Arc::clone(&self.running));
+        let pool = match is_control {
+            true => &self.shared.control,
+            false => &self.shared.requests,
+        };
+        pool.submit(move || {
+            let reply = handler.handle(request, &recipient);
+            sync::lock(&running).remove(&number);
+            send_reply(&link, number, reply);
+        });
     }
 }
 
-/// Reads the next request; returns `None` if the connection closes or sends a malformed frame.
-fn read_request(conn: &mut BufferedConnection, shared: &Shared) -> Option<PeerRequest> {
-    let deadline = Instant::now() + IDLE_TIMEOUT;
-    loop {
-        match frame::decode::<PeerRequest>(conn.buffered()) {
-            Ok(Some((request, used))) => {
-                conn.consume(used);
-                return Some(request);
-            }
-            Ok(None) => {
-                conn.fill(deadline, &Recipient::none()).ok()?;
+impl LinkHandler for CallHandler {
+    fn handle_frame(&self, link: &Arc<PeerLink>, frame: PeerFrame<'static>) {
+        match frame {
+            PeerFrame::Call { number, request } => {
+                self.start_call(link, number, request.into_owned());
             }
-            Err(e) => {
-                tracing::warn!(event = "malformed-frame", error = %e);
-                shared.handler.count_malformed_frame();
-                return None;
+            PeerFrame::Cancel { number } => {
+                let recipient = sync::lock(&self.running).get(&number).cloned();
+                if let Some(recipient) = recipient {
+                    recipient.disconnect();
+                }
             }
+            PeerFrame::Reply { .. } | PeerFrame::Ping | PeerFrame::Pong => {}
         }
     }
+
+    fn handle_malformed(&self, error: &FrameError) {
+        tracing::warn!(event = "malformed-frame", error = %error);
+        self.shared.handler.count_malformed_frame();
+    }
+
+    fn handle_close(&self, _link: &PeerLink) {
+        let running = std::mem::take(&mut *sync::lock(&self.running));
+        let now = Instant::now();
+        let cut = running.into_values().map(|recipient| (now, recipient));
+        sync::lock(&self.shared.cut_off).extend(cut);
+    }
+
+    fn sweep(&self, _link: &PeerLink, _now: Instant) {}
 }
 
-/// Writes a reply; returns whether the connection can still be used.
-fn write_reply(conn: &mut BufferedConnection, reply: &PeerReply) -> bool {
-    let bytes = match frame::encode(reply) {
-        Ok(bytes) => bytes,
+fn send_reply(link: &PeerLink, number: u64, reply: PeerReply) {
+    let reply = Cow::Owned(reply);
+    match link.send(&PeerFrame::Reply { number, reply }) {
+        Ok(()) => {}
+        Err(FrameError::Io(e)) => tracing::debug!(event = "reply-not-sent", error = %e),
         Err(e) => {
+            // Without a reply the caller would wait until its deadline.
             tracing::error!(event = "reply-not-encoded", error = %e);
-            return false;
+            link.close();
         }
-    };
-    let deadline = Instant::now() + WRITE_TIMEOUT;
-    conn.write(&bytes, false, deadline, &Recipient::none())
-        .is_ok()
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- /dev/null
+++ b/src/connection/recipient.rs
@@ -0,0 +1,124 @@
+//! The caller or daemon that waits for a result, and what its disconnect cancels.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use crate::process::sync;
+
+/// Called when a recipient disconnects.
+type Waker = Box<dyn Fn() + Send>;
+
+/// Counts the further connections on which a recipient waits for the same result.
+#[derive(Debug, Default)]
+pub struct Reconnects {
+    count: AtomicUsize,
+}
+
+impl Reconnects {
+    /// Records that the recipient waits for the result on one more connection.
+    pub fn record(&self) {
+        self.count.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn is_zero(&self) -> bool {
+        self.count.load(Ordering::SeqCst) == 0
+    }
+}
+
+#[derive(Default)]
+struct State {
+    disconnected: bool,
+    reconnects: Option<Arc<Reconnects>>,
+    /// The registered wakers, by number.
+    wakers: Vec<(u64, Waker)>,
+    last_waker: u64,
+}
+
+/// The caller or daemon that waits for a result; when it disconnects, the work for it is cancelled.
+#[derive(Clone, Default)]
+pub struct Recipient {
+    /// `None` for a recipient that never disconnects.
+    state: Option<Arc<Mutex<State>>>,
+}
+
+impl Recipient {
+    /// Returns a recipient that never disconnects.
+    pub fn none() -> Self {
+        Self::default()
+    }
+
+    /// Creates a recipient that is connected.
+    pub fn connected() -> Self {
+        Self {
+            state: Some(Arc::default()),
+        }
+    }
+
+    /// Lets `reconnects` count the further connections on which the recipient waits.
+    pub fn set_reconnects(&self, reconnects: &Arc<Reconnects>) {
+        if let Some(state) = &self.state {
+            sync::lock(state).reconnects = Some(Arc::clone(reconnects));
+        }
+    }
+
+    /// Returns whether the recipient has disconnected.
+    pub fn has_disconnected(&self) -> bool {
+        let state = self.state.as_ref();
+        state.is_some_and(|s| sync::lock(s).disconnected)
+    }
+
+    /// Records that the recipient no longer wants the result, and cancels the work for it.
+    pub fn disconnect(&self) {
+        let Some(state) = &self.state else {
+            return;
+        };
+        let mut state = sync::lock(state);
+        state.disconnected = true;
+        for (_, waker) in &state.wakers {
+            waker();
+        }
+    }
+
+    /// Does the same as [`Recipient::disconnect`], unless the recipient waits on another connection.
+    pub fn disconnect_unless_reconnected(&self) {
+        let Some(state) = &self.state else {
+            return;
+        };
+        let reconnects = sync::lock(state).reconnects.clone();
+        if reconnects.is_none_or(|r| r.is_zero()) {
+            self.disconnect();
+        }
+    }
+
+    /// Calls `waker` when the recipient disconnects, or at once if it has, until the returned value
+    /// is dropped. The waker must not call the recipient and must not block.
+    pub fn on_disconnect(&self, waker: impl Fn() + Send + 'static) -> DisconnectWatch {
+        let Some(state) = &self.state else {
+            return DisconnectWatch { registered: None };
+        };
+        let mut locked = sync::lock(state);
+        if locked.disconnected {
+            waker();
+        }
+        locked.last_waker += 1;
+        let number = locked.last_waker;
+        locked.wakers.push((number, Box::new(waker)));
+        DisconnectWatch {
+            registered: Some((Arc::clone(state), number)),
+        }
+    }
+}
+
+/// A registered waker of a [`Recipient`]; dropping it removes the waker.
+#[must_use = "the waker is removed when this is dropped"]
+pub struct DisconnectWatch {
+    registered: Option<(Arc<Mutex<State>>, u64)>,
+}
+
+impl Drop for DisconnectWatch {
+    fn drop(&mut self) {
+        if let Some((state, number)) = &self.registered {
+            sync::lock(state).wakers.retain(|(n, _)| n != number);
+        }
+    }
+}
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -14,6 +14,7 @@
 use crate::connection::http_server::{HttpHandler, HttpServer};
 use crate::connection::peer_pool::{PeerPool, PeerTimeouts};
 use crate::connection::peer_server::{PeerHandler, PeerServer};
+use crate::connection::reactor::Reactor;
 use crate::process::admin::{self, AdminApi};
 use crate::process::clock::{Clock, SystemClock};
 use crate::process::http_platform::HttpPlatform;
@@ -71,6 +72,7 @@
 pub struct Daemon {
     node: Arc<Node>,
     caller_server: HttpServer,
+    reactor: Arc<Reactor>,
     peer_server: PeerServer,
     admin_server: HttpServer,
     /// Watches the configuration; it stops before the other threads.
@@ -94,7 +96,12 @@
         let instance = InstanceId(rand::random());
         tracing::info!(%instance, peer = %settings.advertised_address(), "daemon starts");
         let metrics = Arc::new(Metrics::new()?);
-        let pool = Arc::new(PeerPool::new(settings.peer.ip(), PeerTimeouts::default()));
+        let reactor = Reactor::start()?;
+        let pool = Arc::new(PeerPool::new(
+            &reactor,
+            settings.peer.ip(),
+            PeerTimeouts::default(),
+        ));
         let (event_tx, event_rx) = mpsc::channel();
         let ownership = ownership(&settings, &*clock, instance);
         let membership = Arc::new(Membership::new(
@@ -141,8 +148,11 @@
             settings,
         });
         let (configuration_thread, threads) = start_threads(&node, event_rx, instance)?;
-        let peer_server =
-            PeerServer::start(peer_listener, Arc::clone(&node) as Arc<dyn PeerHandler>)?;
+        let peer_server = PeerServer::start(
+            &reactor,
+            peer_listener,
+            Arc::clone(&node) as Arc<dyn PeerHandler>,
+        )?;
         let caller_handler = CallerHttpHandler::new(Arc::clone(&node) as Arc<dyn CallerHandler>);
         let caller_handler: Arc<dyn HttpHandler> = Arc::new(caller_handler);
         let workers = node.settings.workers;
@@ -164,6 +174,7 @@
         Ok(Self {
             node,
             caller_server,
+            reactor,
             peer_server,
             admin_server,
             configuration_thread,
@@ -188,6 +199,7 @@
         // request that arrived after it stopped would wait until the process ends.
         self.caller_server.stop();
         tracing::info!("daemon stopped");
+        self.reactor.stop();
     }
 }
 
@@ -219,8 +231,8 @@
     let (planner, stop_planning) = (platform_sync, stop());
     let stop_tasks = stop();
     let (event_node, stop_events) = (Arc::clone(node), stop());
-    let fetchers = ThreadPool::start("fetch", 2)?;
-    let releasers = ThreadPool::start("release", 1)?;
+    let fetchers = ThreadPool::new("fetch", 2);
+    let releasers = ThreadPool::new("release", 1);
     let configuration_thread = spawn("configuration", move || {
         watcher.follow_configuration(&stop_watching)
     })?;
--- a/src/process/host/endpoints.rs
+++ b/src/process/host/endpoints.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::connection::buffered_connection::{ConnectionError, Recipient};
+use crate::connection::buffered_connection::ConnectionError;
 use crate::connection::http_listener::{
     HttpRequest, HttpResponse, ListenerHandler, ListenerLimits,
 };
 use crate::connection::http1::RequestHead;
 use crate::connection::protocol::Discovery;
+use crate::connection::recipient::Recipient;
 use crate::process::host::host_context::HostContext;
 
 /// Limits of these endpoints.
--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -10,10 +10,10 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::connection::buffered_connection::Recipient;
 use crate::connection::peer_message::{KeyHandover, PeerRequest};
 use crate::connection::peer_pool::PeerPool;
 use crate::connection::protocol::{Grant, KeyRange, UpstreamProtocol};
+use crate::connection::recipient::Recipient;
 use crate::connection::upstream_pool::UpstreamRequestFailure;
 use crate::process::clock::Clock;
 use crate::process::host::host_dispatcher::HostDispatcher;
--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -4,10 +4,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use crate::connection::buffered_connection::Recipient;
 use crate::connection::peer_message::{PeerReply, PeerRequest};
 use crate::connection::peer_server::PeerHandler;
 use crate::connection::protocol::{StatusReport, UpstreamReport};
+use crate::connection::recipient::Recipient;
 use crate::process::clock::Clock;
 use crate::process::host::grant_manager::GrantManager;
 use crate::process::host::host_dispatcher::HostDispatcher;
@@ -18,12 +18,15 @@
 use crate::process::membership::Membership;
 use crate::process::metrics::Metrics;
 use crate::process::stop_flag::StopFlag;
-use crate::request::upstream_outcome::UpstreamOutcome;
+use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 use crate::request::upstream_request::UpstreamRequest;
 use crate::version::epoch::Epoch;
 use crate::version::instance_id::InstanceId;
 use crate::version::upstream::Upstream;
 
+/// Retry delay returned while too many requests of other daemons are in progress.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Shared state of the daemon.
 pub struct HostContext {
     pub(super) settings: HostSettings,
@@ -164,9 +167,8 @@
             RequestStatus::New(execution) => execution,
             status => return self.await_execution(&status, request.remaining),
         };
-        let (outcome, load) = self
-            .dispatcher
-            .dispatch(request, &recipient.with_reconnects(&execution.reconnects));
+        recipient.set_reconnects(&execution.reconnects);
+        let (outcome, load) = self.dispatcher.dispatch(request, recipient);
         let reply = PeerReply::Completed {
             outcome: Box::new(outcome),
             load,
@@ -255,6 +257,18 @@
         }
     }
 
+    fn refuse(&self, request: &PeerRequest) -> PeerReply {
+        match request {
+            PeerRequest::Dispatch { .. } => self.completed(UpstreamOutcome::not_run(
+                NotRunCause::Overloaded,
+                OVERLOAD_RETRY_AFTER,
+            )),
+            _ => self.completed(UpstreamOutcome::unknown(
+                "too many requests are in progress",
+            )),
+        }
+    }
+
     fn count_malformed_frame(&self) {
         self.metrics.record_malformed();
     }
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use crate::connection::buffered_connection::Recipient;
 use crate::connection::protocol::StatusReport;
+use crate::connection::recipient::Recipient;
 use crate::connection::upstream_pool::{ReceivedResponse, UpstreamPool, UpstreamRequestFailure};
 use crate::process::clock::Clock;
 use crate::process::datagram::Message;
--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::connection::buffered_connection::{ConnectionError, Recipient};
+use crate::connection::buffered_connection::ConnectionError;
 use crate::connection::http_listener::{
     HttpRequest, HttpResponse, ListenerHandler, ListenerLimits,
 };
@@ -14,6 +14,7 @@
 use crate::connection::peer_message::PeerRequest;
 use crate::connection::peer_pool::PeerPool;
 use crate::connection::protocol::CallerProtocol;
+use crate::connection::recipient::Recipient;
 use crate::process::clock::Clock;
 use crate::process::host::host_dispatcher::HostDispatcher;
 use crate::process::host::request_progress::{OWNER_RETRY_AFTER, RequestProgress, RequestTrace};
@@ -44,6 +45,8 @@
 const BODY_TIMEOUT_MAX: Duration = Duration::from_secs(30);
 /// Retry delay returned while the routing is unknown.
 const ROUTING_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry delay returned while too many requests are in progress on this host.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// How much longer than the request's time left this daemon waits for another daemon, which reports
 /// a timeout when the request's time runs out there.
 const OUTCOME_GRACE: Duration = Duration::from_millis(60);
@@ -523,6 +526,20 @@
         HttpResponse::text(status, format!("{error}\n"))
     }
 
+    fn overload_response(&self, request: &HttpRequest) -> HttpResponse {
+        let id = self.deps.protocol.parse_head(&request.head).id;
+        tracing::info!(
+            event = "request-refused",
+            status = 503,
+            request = id,
+            error = "too many requests are in progress"
+        );
+        self.build_response(
+            &id.unwrap_or_default(),
+            UpstreamOutcome::not_run(NotRunCause::Overloaded, OVERLOAD_RETRY_AFTER),
+        )
+    }
+
     fn is_shutting_down(&self) -> bool {
         self.deps.stop.is_set()
     }
--- a/src/process/host/recent_requests.rs
+++ b/src/process/host/recent_requests.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
-use crate::connection::buffered_connection::Reconnects;
 use crate::connection::peer_message::PeerReply;
+use crate::connection::recipient::Reconnects;
 use crate::process::moment::Moment;
 use crate::process::sync;
 
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -1,15 +1,16 @@
 //! Starts the daemon, and stops it gracefully.
 
-use std::net::{TcpListener, UdpSocket};
+use std::net::UdpSocket;
 use std::sync::mpsc::{self, Receiver};
 use std::sync::{Arc, atomic::AtomicBool};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use crate::connection::http_listener::{HttpListener, ListenerHandler};
+use crate::connection::http_listener::HttpListener;
 use crate::connection::peer_pool::{PeerPool, PeerTimeouts};
 use crate::connection::peer_server::{PeerHandler, PeerServer};
 use crate::connection::protocol::{CallerProtocol, Discovery, OperatorProtocol, UpstreamProtocol};
+use crate::connection::reactor::Reactor;
 use crate::connection::upstream_pool::UpstreamPool;
 use crate::process::clock::{Clock, SystemClock};
 use crate::process::daemon::{self, DaemonError};
@@ -73,6 +74,8 @@
 /// Running daemon.
 pub struct HostService {
     context: Arc<HostContext>,
+    reactor: Arc<Reactor>,
+    pool: Arc<PeerPool>,
     callers: HttpListener,
     ready: HttpListener,
     reports: HttpListener,
@@ -99,12 +102,18 @@
         let instance = InstanceId(rand::random());
         tracing::info!(event = "start", node = settings.node, %instance, peers = %settings.peers);
         let (event_tx, event_rx) = mpsc::channel();
-        let context = build_context(settings, &platform, clock, socket, instance, event_tx)?;
+        let reactor = Reactor::start()?;
+        let pool = Arc::new(PeerPool::new(&reactor, listen_address.ip(), PEER_TIMEOUTS));
+        let context = build_context(
+            settings, &platform, clock, socket, &pool, instance, event_tx,
+        )?;
         let threads = start_threads(&context, &platform, event_rx)?;
-        let peers = PeerServer::start(peer_listener, Arc::clone(&context) as Arc<dyn PeerHandler>)?;
+        let peer_handler = Arc::clone(&context) as Arc<dyn PeerHandler>;
+        let peers = PeerServer::start(&reactor, peer_listener, peer_handler)?;
         let router = Arc::clone(&context.router);
-        let callers = start_listener(caller_listener, router)?;
-        let ready = start_listener(
+        let callers = HttpListener::start(&reactor, caller_listener, router)?;
+        let ready = HttpListener::start(
+            &reactor,
             ready_listener,
             Arc::new(ReadinessHandler(Arc::clone(&context))),
         )?;
@@ -113,9 +122,11 @@
             context: Arc::clone(&context),
             discovery,
         };
-        let reports = start_listener(report_listener, Arc::new(report_handler))?;
+        let reports = HttpListener::start(&reactor, report_listener, Arc::new(report_handler))?;
         Ok(Self {
             context,
+            reactor,
+            pool,
             callers,
             ready,
             reports,
@@ -167,6 +178,8 @@
         self.reports.stop();
         self.ready.stop();
         self.peers.stop();
+        self.pool.close();
+        self.reactor.stop();
         for thread in self.threads.drain(..) {
             let _ = thread.join();
         }
@@ -197,32 +210,22 @@
     }
 }
 
-fn start_listener(
-    listener: TcpListener,
-    handler: Arc<dyn ListenerHandler>,
-) -> Result<HttpListener, DaemonError> {
-    Ok(HttpListener::start(listener, handler)?)
-}
-
 /// Builds the shared state of a daemon.
 fn build_context(
     settings: HostSettings,
     platform: &HostPlatform,
     clock: Arc<dyn Clock>,
     socket: UdpSocket,
+    peers: &Arc<PeerPool>,
     instance: InstanceId,
     event_tx: mpsc::Sender<MembershipEvent>,
 ) -> Result<Arc<HostContext>, DaemonError> {
     let metrics = Arc::new(Metrics::new()?);
-    let peers = Arc::new(PeerPool::new(
-        settings.peers_listen_address().ip(),
-        PEER_TIMEOUTS,
-    ));
     let membership = Arc::new(Membership::new(
         Arc::clone(&clock),
         ownership(&settings, &*clock, instance),
         socket,
-        Arc::clone(&peers),
+        Arc::clone(peers),
         Arc::clone(&metrics),
         event_tx,
     )?);
@@ -241,7 +244,7 @@
         Arc::clone(&clock),
         Arc::clone(&membership),
         Arc::clone(&dispatcher),
-        Arc::clone(&peers),
+        Arc::clone(peers),
         Arc::clone(&platform.upstream_protocol),
         Duration::from_millis(settings.hold_max_ms),
     ));
@@ -250,7 +253,7 @@
         clock: Arc::clone(&clock),
         membership: Arc::clone(&membership),
         dispatcher: Arc::clone(&dispatcher),
-        peers,
+        peers: Arc::clone(peers),
         protocol: Arc::clone(&platform.caller_protocol),
         metrics: Arc::clone(&metrics),
         instance,
@@ -315,8 +318,8 @@
         context.instance,
     ));
     let (routing, table, planner) = (Arc::clone(&store_sync), Arc::clone(&store_sync), store_sync);
-    let fetchers = ThreadPool::start("fetch", 1)?;
-    let releasers = ThreadPool::start("release", 4)?;
+    let fetchers = ThreadPool::new("fetch", 1);
+    let releasers = ThreadPool::new("release", 4);
     let stop = || Arc::clone(&context.stop);
     let (stop_routing, stop_table, stop_planning, stop_datagrams) =
         (stop(), stop(), stop(), stop());
--- a/src/process/key_owner.rs
+++ b/src/process/key_owner.rs
@@ -5,9 +5,9 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use crate::connection::buffered_connection::Recipient;
 use crate::connection::peer_message::{PeerReply, PeerRequest, SliceHandover};
 use crate::connection::peer_pool::PeerPool;
+use crate::connection::recipient::Recipient;
 use crate::connection::upstream_client::SliceFence;
 use crate::process::clock::Clock;
 use crate::process::membership::Membership;
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -8,9 +8,9 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
-use crate::connection::buffered_connection::Recipient;
 use crate::connection::peer_message::{PeerReply, PeerRequest};
 use crate::connection::peer_pool::{PeerCallReply, PeerPool};
+use crate::connection::recipient::Recipient;
 use crate::process::clock::Clock;
 use crate::process::datagram::{DATAGRAM_BYTES_MAX, Datagram, Message};
 use crate::process::join_requests::JoinRequests;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -4,10 +4,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::connection::buffered_connection::Recipient;
 use crate::connection::caller_http::{CallerHandler, RequestPolicy};
 use crate::connection::peer_message::{PeerReply, PeerRequest};
 use crate::connection::peer_server::PeerHandler;
+use crate::connection::recipient::Recipient;
 use crate::process::burn::BurnCounters;
 use crate::process::clock::Clock;
 use crate::process::key_owner::KeyOwner;
@@ -251,6 +251,10 @@
         }
     }
 
+    fn refuse(&self, _request: &PeerRequest) -> PeerReply {
+        PeerReply::NotServing("too many requests are in progress".to_owned())
+    }
+
     fn count_malformed_frame(&self) {
         self.metrics.record_malformed();
     }
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -8,10 +8,10 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::connection::buffered_connection::Recipient;
 use crate::connection::peer_error::PeerError;
 use crate::connection::peer_message::{PeerReply, PeerRequest};
 use crate::connection::peer_pool::PeerPool;
+use crate::connection::recipient::Recipient;
 use crate::process::clock::Clock;
 use crate::process::key_owner::{KeyOwner, LocalRunner, Runner};
 use crate::process::membership::Membership;
@@ -107,7 +107,7 @@
     /// Returns an error if a thread can't be started.
     pub fn new(deps: RouterDeps) -> io::Result<Self> {
         Ok(Self {
-            hedge_pool: ThreadPool::start("hedge", deps.workers)?,
+            hedge_pool: ThreadPool::new("hedge", usize::try_from(deps.workers).unwrap_or(1)),
             deps,
             selector: SharedUpstreamSelector::default(),
             budgets: Mutex::default(),
--- a/tests/testsuite/http1.rs
+++ b/tests/testsuite/http1.rs
@@ -1,13 +1,12 @@
 //! HTTP/1.1 heads and bodies, valid and invalid, and cancellation of waits.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use foxtaildrift::connection::buffered_connection::{
-    BufferedConnection, ConnectionError, Recipient,
-};
+use foxtaildrift::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use foxtaildrift::connection::http1::{self, Framing};
+use foxtaildrift::connection::recipient::Recipient;
 use foxtaildrift::request::headers::Headers;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -119,19 +118,24 @@
 fn a_wait_ends_when_the_recipient_disconnects() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let caller = TcpStream::connect(address).unwrap();
-    let caller_conn = BufferedConnection::new(listener.accept().unwrap().0).unwrap();
     let upstream = TcpStream::connect(address).unwrap();
     let mut conn = BufferedConnection::new(upstream).unwrap();
-    let recipient = Recipient::new(caller_conn.stream());
+    let mut far_end = listener.accept().unwrap().0;
+    let recipient = Recipient::connected();
     assert!(!recipient.has_disconnected());
-    let closing = std::thread::spawn(move || {
+    let left = recipient.clone();
+    let leaving = std::thread::spawn(move || {
         std::thread::sleep(Duration::from_millis(50));
-        drop(caller);
+        left.disconnect();
     });
     let started = Instant::now();
     let ended = conn.fill(deadline(), &recipient);
-    closing.join().unwrap();
+    leaving.join().unwrap();
+    // The server learns it at once too.
+    far_end
+        .set_read_timeout(Some(Duration::from_millis(400)))
+        .unwrap();
+    assert_eq!(far_end.read(&mut [0; 8]).unwrap(), 0);
     assert!(
         matches!(ended, Err(ConnectionError::RecipientDisconnected)),
         "{ended:?}"
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod host;
 mod http1;
+mod http_listener;
 mod limiter;
 mod log_buffer;
 mod log_events;
--- a/tests/testsuite/peer_pool.rs
+++ b/tests/testsuite/peer_pool.rs
@@ -1,14 +1,21 @@
-//! Calls to another daemon whose reply is late.
+//! Calls between daemons: late replies, silent and broken links, cancellation, threads.
 
+use std::borrow::Cow;
+use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use foxtaildrift::connection::buffered_connection::Recipient;
 use foxtaildrift::connection::frame;
+use foxtaildrift::connection::peer_error::PeerError;
+use foxtaildrift::connection::peer_frame::PeerFrame;
 use foxtaildrift::connection::peer_message::{PeerReply, PeerRequest};
 use foxtaildrift::connection::peer_pool::{PeerPool, PeerTimeouts};
+use foxtaildrift::connection::peer_server::{PeerHandler, PeerServer};
+use foxtaildrift::connection::reactor::Reactor;
+use foxtaildrift::connection::recipient::Recipient;
 use foxtaildrift::request::body::Body;
 use foxtaildrift::request::headers::Headers;
 use foxtaildrift::request::upstream_request::UpstreamRequest;
@@ -21,9 +28,18 @@
 /// The delay of the reply: several times the reply timeout.
 const REPLY_DELAY: Duration = Duration::from_millis(350);
 
+fn pool(reactor: &Arc<Reactor>) -> PeerPool {
+    PeerPool::new(reactor, IpAddr::V4(Ipv4Addr::LOCALHOST), TIMEOUTS)
+}
+
 fn dispatch_request() -> PeerRequest {
+    dispatch("a", 100)
+}
+
+/// Returns a request with the given id and a body of `body_bytes` bytes.
+fn dispatch(id: &str, body_bytes: usize) -> PeerRequest {
     let request = UpstreamRequest {
-        id: "a".to_owned(),
+        id: id.to_owned(),
         service: "desk".parse().unwrap(),
         origin: "desk".parse().unwrap(),
         method: "POST".to_owned(),
@@ -35,7 +51,7 @@
         remaining: Duration::from_secs(2),
         objective: Duration::from_secs(1),
         attempt: 1,
-        body: Body(vec![0; 100]),
+        body: Body(vec![0; body_bytes]),
     };
     PeerRequest::Dispatch {
         instance: InstanceId(1),
@@ -58,12 +74,223 @@
         let read = stream.read(&mut buf).expect("could not read the request");
         assert!(read > 0);
         thread::sleep(REPLY_DELAY);
-        let reply = frame::encode(&PeerReply::Accepted).expect("could not encode the reply");
+        let reply = Cow::Owned(PeerReply::Accepted);
+        let reply = frame::encode(&PeerFrame::Reply { number: 1, reply });
+        let reply = reply.expect("could not encode the reply");
         stream.write_all(&reply).expect("could not write the reply");
     });
-    let pool = PeerPool::new(IpAddr::V4(Ipv4Addr::LOCALHOST), TIMEOUTS);
+    let reactor = Reactor::start().expect("no reactor");
+    let pool = pool(&reactor);
     let limit = Duration::from_secs(2);
     let result = pool.call(to, &dispatch_request(), limit, &Recipient::none(), || false);
     server.join().expect("the server panicked");
     assert_eq!(result.expect("no reply arrived").reply, PeerReply::Accepted);
 }
+
+/// Replies to each request with its own id, after the delay that the id states, and counts how
+/// often each id arrived and how often its caller left.
+#[derive(Default)]
+struct Echo {
+    seen: Mutex<HashMap<String, usize>>,
+    left: Mutex<HashMap<String, Instant>>,
+    outcomes: Mutex<usize>,
+}
+
+impl Echo {
+    fn record(&self, id: &str) {
+        let mut seen = self.seen.lock().unwrap();
+        *seen.entry(id.to_owned()).or_default() += 1;
+    }
+}
+
+impl PeerHandler for Echo {
+    fn handle(&self, request: PeerRequest, recipient: &Recipient) -> PeerReply {
+        let id = match request {
+            PeerRequest::Dispatch { request, .. } => request.id,
+            PeerRequest::FetchOutcome { id, .. } => {
+                *self.outcomes.lock().unwrap() += 1;
+                id
+            }
+            _ => return PeerReply::Accepted,
+        };
+        self.record(&id);
+        let delay = id.split('-').nth(1).map_or(0, |d| d.parse().unwrap());
+        let until = Instant::now() + Duration::from_millis(delay);
+        while Instant::now() < until {
+            if recipient.has_disconnected() {
+                self.left.lock().unwrap().insert(id, Instant::now());
+                return PeerReply::NotServing("left".to_owned());
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        PeerReply::NotServing(id)
+    }
+
+    fn refuse(&self, _request: &PeerRequest) -> PeerReply {
+        PeerReply::NotServing("too many".to_owned())
+    }
+
+    fn count_malformed_frame(&self) {}
+}
+
+fn echo_server(reactor: &Arc<Reactor>) -> (Arc<Echo>, PeerServer, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+    let to = listener.local_addr().expect("no local address");
+    let echo = Arc::new(Echo::default());
+    let handler = Arc::clone(&echo) as Arc<dyn PeerHandler>;
+    let server = PeerServer::start(reactor, listener, handler).expect("no server");
+    (echo, server, to)
+}
+
+fn call(pool: &PeerPool, to: SocketAddr, id: &str, body: usize) -> Result<PeerReply, PeerError> {
+    let (request, limit) = (dispatch(id, body), Duration::from_secs(3));
+    let called = pool.call(to, &request, limit, &Recipient::none(), || false);
+    called.map(|r| r.reply)
+}
+
+/// Returns the number of threads of this process whose name is `name`.
+fn threads_named(name: &str) -> usize {
+    let tasks = std::fs::read_dir("/proc/self/task").expect("no list of threads");
+    let names = tasks.filter_map(|t| std::fs::read_to_string(t.ok()?.path().join("comm")).ok());
+    names.filter(|n| n.trim() == name).count()
+}
+
+#[test]
+fn calls_share_a_link_and_each_gets_its_own_reply() {
+    let reactor = Reactor::start().expect("no reactor");
+    let (echo, _server, to) = echo_server(&reactor);
+    let pool = pool(&reactor);
+    thread::scope(|scope| {
+        for n in 0..24 {
+            let pool = &pool;
+            // Later calls are answered first, and every fourth carries a large body.
+            let id = format!("{n}-{}", 150 - 5 * n);
+            let body = if n % 4 == 0 { 60_000 } else { 100 };
+            scope.spawn(move || {
+                let reply = call(pool, to, &id, body).expect("no reply");
+                assert_eq!(reply, PeerReply::NotServing(id));
+            });
+        }
+    });
+    let seen = echo.seen.lock().unwrap();
+    assert_eq!(seen.len(), 24);
+    assert!(seen.values().all(|&n| n == 1), "a call ran twice: {seen:?}");
+    // One link for small requests and one for large ones.
+    assert_eq!(pool.open_links(), 2);
+}
+
+#[test]
+fn a_link_without_calls_occupies_no_thread() {
+    let reactor = Reactor::start().expect("no reactor");
+    let pool = pool(&reactor);
+    let servers: Vec<_> = (0..40).map(|_| echo_server(&reactor)).collect();
+    for (_, _, to) in &servers {
+        call(&pool, *to, "a", 10).expect("no reply");
+    }
+    assert_eq!(pool.open_links(), 40);
+    // Each server's pool keeps its thread for three seconds after the call.
+    let until = Instant::now() + Duration::from_secs(8);
+    while threads_named("peer") > 0 && Instant::now() < until {
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(threads_named("peer"), 0);
+}
+
+#[test]
+fn work_whose_caller_left_is_cancelled_at_once_at_the_far_end() {
+    // Guards against work for callers that left (seen on karite-sud-large, quiet-1: GONE).
+    let reactor = Reactor::start().expect("no reactor");
+    let (echo, _server, to) = echo_server(&reactor);
+    let pool = pool(&reactor);
+    let recipient = Recipient::connected();
+    let left = recipient.clone();
+    let leaving = thread::spawn(move || {
+        thread::sleep(Duration::from_millis(60));
+        left.disconnect();
+        Instant::now()
+    });
+    let (request, limit) = (dispatch("a-2000", 100), Duration::from_secs(3));
+    let called = pool.call(to, &request, limit, &recipient, || false);
+    let left_at = leaving.join().unwrap();
+    assert!(matches!(called, Err(PeerError::RecipientDisconnected)));
+    assert!(left_at.elapsed() < Duration::from_millis(100));
+    thread::sleep(Duration::from_millis(100));
+    let noticed = echo.left.lock().unwrap()["a-2000"];
+    assert!(noticed < left_at + Duration::from_millis(100));
+    // The link itself stays in use.
+    assert_eq!(
+        call(&pool, to, "b", 1).unwrap(),
+        PeerReply::NotServing("b".to_owned())
+    );
+    assert_eq!(pool.open_links(), 1);
+}
+
+#[test]
+fn a_slow_reply_on_a_link_that_is_alive_needs_no_further_link() {
+    let reactor = Reactor::start().expect("no reactor");
+    let (echo, _server, to) = echo_server(&reactor);
+    let pool = pool(&reactor);
+    // Ten times the reply timeout.
+    assert_eq!(
+        call(&pool, to, "a-1000", 100).unwrap(),
+        PeerReply::NotServing("a-1000".to_owned())
+    );
+    assert_eq!(echo.seen.lock().unwrap()["a-1000"], 1);
+    assert_eq!(*echo.outcomes.lock().unwrap(), 0);
+}
+
+#[test]
+fn a_silent_link_is_replaced_and_only_the_outcome_is_fetched() {
+    // The first connection is accepted and read, but nothing ever comes back on it; the further
+    // ones are passed on.
+    let reactor = Reactor::start().expect("no reactor");
+    let (echo, _server, behind) = echo_server(&reactor);
+    let front = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+    let to = front.local_addr().expect("no local address");
+    let relay = thread::spawn(move || {
+        let (mut silent, _) = front.accept().expect("no connection");
+        let mut bytes = vec![0; 4096];
+        let count = silent.read(&mut bytes).expect("nothing was sent");
+        // The request reaches the other daemon all the same.
+        let mut onward = TcpStream::connect(behind).expect("no way onward");
+        onward.write_all(&bytes[..count]).expect("not written");
+        let (further, _) = front.accept().expect("no second connection");
+        let second = TcpStream::connect(behind).expect("no way onward");
+        let (mut a, mut b) = (further.try_clone().unwrap(), second.try_clone().unwrap());
+        let upward = thread::spawn(move || std::io::copy(&mut a, &mut b));
+        let (mut a, mut b) = (second, further);
+        let _ = std::io::copy(&mut a, &mut b);
+        let _ = upward.join();
+        (silent, onward)
+    });
+    let pool = pool(&reactor);
+    let (request, limit) = (dispatch("a-300", 100), Duration::from_secs(3));
+    let called = pool.call(to, &request, limit, &Recipient::none(), || false);
+    let called = called.expect("no reply");
+    assert!(called.resent);
+    assert_eq!(called.reply, PeerReply::NotServing("a-300".to_owned()));
+    assert_eq!(*echo.outcomes.lock().unwrap(), 1);
+    pool.close();
+    drop(pool);
+    reactor.stop();
+    relay.join().expect("the relay panicked");
+}
+
+#[test]
+fn a_broken_link_cancels_its_calls_unless_their_caller_asks_again() {
+    let reactor = Reactor::start().expect("no reactor");
+    let (echo, _server, to) = echo_server(&reactor);
+    let mut stream = TcpStream::connect(to).expect("no connection");
+    let request = dispatch("a-2000", 10);
+    let frame = PeerFrame::Call {
+        number: 1,
+        request: Cow::Borrowed(&request),
+    };
+    frame::write(&mut stream, &frame).expect("not written");
+    thread::sleep(Duration::from_millis(50));
+    drop(stream);
+    let closed_at = Instant::now();
+    thread::sleep(Duration::from_millis(450));
+    let noticed = echo.left.lock().unwrap()["a-2000"];
+    assert!(noticed < closed_at + Duration::from_millis(400));
+}
