Count what a daemon sends by kind, and log it

Change: each daemon counts its messages to other daemons and its calls to the store by kind, and logs the counts every ten seconds and at its stop. Nothing else changes.

--- a/src/connection/calling_link.rs
+++ b/src/connection/calling_link.rs
@@ -13,6 +13,7 @@
 use crate::connection::peer_link::{LinkHandler, PeerLink};
 use crate::connection::peer_message::PeerRequest;
 use crate::connection::reactor::Reactor;
+use crate::connection::traffic::Traffic;
 use crate::process::sync;
 
 /// How long a link without calls stays open.
@@ -35,7 +36,10 @@
 }
 
 /// Handles the frames of the called daemon.
-struct ReplyHandler(Arc<Mutex<Calls>>);
+struct ReplyHandler {
+    calls: Arc<Mutex<Calls>>,
+    traffic: Arc<Traffic>,
+}
 
 /// The end of a link that makes calls.
 pub struct CallingLink {
@@ -49,14 +53,21 @@
     /// # Errors
     ///
     /// Returns an error if the reactor can't watch the socket.
-    pub fn start(reactor: &Arc<Reactor>, conn: BufferedConnection) -> io::Result<Arc<Self>> {
+    pub fn start(
+        reactor: &Arc<Reactor>,
+        conn: BufferedConnection,
+        traffic: &Arc<Traffic>,
+    ) -> io::Result<Arc<Self>> {
         let calls = Arc::new(Mutex::new(Calls {
             waiting: HashMap::new(),
             last_number: 0,
             idle_since: Instant::now(),
             closed: false,
         }));
-        let handler = Box::new(ReplyHandler(Arc::clone(&calls)));
+        let handler = Box::new(ReplyHandler {
+            calls: Arc::clone(&calls),
+            traffic: Arc::clone(traffic),
+        });
         let link = PeerLink::start(reactor, conn, handler)?;
         Ok(Arc::new(Self { link, calls }))
     }
@@ -135,7 +146,7 @@
         let PeerFrame::Reply { number, reply } = frame else {
             return;
         };
-        let mut calls = sync::lock(&self.0);
+        let mut calls = sync::lock(&self.calls);
         if let Some(attempt) = calls.waiting.remove(&number) {
             calls.idle_since = Instant::now();
             drop(calls);
@@ -149,7 +160,7 @@
     }
 
     fn handle_close(&self, _link: &PeerLink) {
-        let mut calls = sync::lock(&self.0);
+        let mut calls = sync::lock(&self.calls);
         calls.closed = true;
         let waiting = std::mem::take(&mut calls.waiting);
         drop(calls);
@@ -159,8 +170,12 @@
         }
     }
 
+    fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     fn sweep(&self, link: &PeerLink, now: Instant) {
-        let mut calls = sync::lock(&self.0);
+        let mut calls = sync::lock(&self.calls);
         let idle = now.saturating_duration_since(calls.idle_since);
         if calls.waiting.is_empty() && idle >= IDLE_TIMEOUT {
             // From now on no call can start on the link.
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -30,6 +30,7 @@
 pub mod protocol;
 pub mod reactor;
 pub mod recipient;
+pub mod traffic;
 pub mod upstream_client;
 pub mod upstream_error;
 pub mod upstream_pool;
--- a/src/connection/peer_frame.rs
+++ b/src/connection/peer_frame.rs
@@ -36,3 +36,16 @@
     /// The response to [`PeerFrame::Ping`].
     Pong,
 }
+
+impl PeerFrame<'_> {
+    /// Returns the kind of the message, for counts.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            PeerFrame::Call { request, .. } => request.kind(),
+            PeerFrame::Reply { reply, .. } => reply.kind(),
+            PeerFrame::Cancel { .. } => "cancel",
+            PeerFrame::Ping => "ping",
+            PeerFrame::Pong => "pong",
+        }
+    }
+}
--- a/src/connection/peer_link.rs
+++ b/src/connection/peer_link.rs
@@ -11,6 +11,7 @@
 use crate::connection::frame::{self, FrameError};
 use crate::connection::peer_frame::PeerFrame;
 use crate::connection::reactor::{Reactor, Readiness, Source, SourceNumber};
+use crate::connection::traffic::Traffic;
 use crate::process::sync;
 
 /// The most unsent bytes; a peer that lets more accumulate is presumed dead.
@@ -27,6 +28,9 @@
     /// Handles the close of the link; called once.
     fn handle_close(&self, link: &PeerLink);
 
+    /// Returns the counts of what is sent.
+    fn traffic(&self) -> &Traffic;
+
     /// Acts on timeouts that have passed at `now`.
     fn sweep(&self, link: &PeerLink, now: Instant);
 }
@@ -101,6 +105,7 @@
     /// closes it.
     pub fn send(&self, frame: &PeerFrame<'_>) -> Result<(), FrameError> {
         let bytes = frame::encode(frame)?;
+        self.handler.traffic().record(frame.kind(), bytes.len());
         let sent = self.send_bytes(&bytes);
         if sent.is_err() {
             self.close();
--- a/src/connection/peer_message.rs
+++ b/src/connection/peer_message.rs
@@ -73,6 +73,21 @@
 }
 
 impl PeerRequest {
+    /// Returns the kind of the request, for counts.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            PeerRequest::Forward(_) => "forward",
+            PeerRequest::DispatchShared { .. } => "dispatch-shared",
+            PeerRequest::FetchTable => "fetch-table",
+            PeerRequest::FetchConfiguration => "fetch-configuration",
+            PeerRequest::TransferRecords(_) => "transfer-records",
+            PeerRequest::Dispatch { .. } => "dispatch",
+            PeerRequest::FetchOutcome { .. } => "fetch-outcome",
+            PeerRequest::FetchRoutingConfig => "fetch-routing",
+            PeerRequest::TransferKeys(_) => "transfer-keys",
+        }
+    }
+
     /// Returns whether the reply usually takes as long as the work of an upstream.
     pub fn waits_for_upstream(&self) -> bool {
         matches!(
@@ -185,3 +200,19 @@
     /// The request whose outcome is fetched was never received.
     UnknownRequest,
 }
+
+impl PeerReply {
+    /// Returns the kind of the reply, for counts.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            PeerReply::Response(_) => "response",
+            PeerReply::NotServing(_) => "not-serving",
+            PeerReply::Table(_) => "table",
+            PeerReply::Configuration(_) => "configuration",
+            PeerReply::Accepted => "accepted",
+            PeerReply::Completed { .. } => "completed",
+            PeerReply::RoutingConfig(_) => "routing",
+            PeerReply::UnknownRequest => "unknown-request",
+        }
+    }
+}
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -21,6 +21,7 @@
 use crate::connection::peer_message::{PeerReply, PeerRequest};
 use crate::connection::reactor::Reactor;
 use crate::connection::recipient::Recipient;
+use crate::connection::traffic::Traffic;
 use crate::process::sync;
 use crate::request::envelope::Envelope;
 use crate::request::upstream_load::UpstreamLoad;
@@ -155,6 +156,7 @@
     source: IpAddr,
     timeouts: PeerTimeouts,
     links: Mutex<HashMap<(SocketAddr, LinkKind), Arc<CallingLink>>>,
+    traffic: Arc<Traffic>,
 }
 
 impl PeerPool {
@@ -165,9 +167,15 @@
             source,
             timeouts,
             links: Mutex::default(),
+            traffic: Arc::default(),
         }
     }
 
+    /// Returns the counts of what this daemon sends.
+    pub fn traffic(&self) -> &Arc<Traffic> {
+        &self.traffic
+    }
+
     /// Returns the number of open links.
     pub fn open_links(&self) -> usize {
         let links = sync::lock(&self.links);
@@ -356,7 +364,7 @@
         }
         let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let conn = BufferedConnection::connect(to, Some(self.source), connect_deadline)?;
-        let link = CallingLink::start(&self.reactor, conn)?;
+        let link = CallingLink::start(&self.reactor, conn, &self.traffic)?;
         let mut links = sync::lock(&self.links);
         links.retain(|_, l| !l.is_closed());
         // Another thread may have connected meanwhile; this link then ends once it is idle.
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -16,6 +16,7 @@
 use crate::connection::peer_message::{PeerReply, PeerRequest};
 use crate::connection::reactor::{Reactor, Readiness, Source, SourceNumber};
 use crate::connection::recipient::Recipient;
+use crate::connection::traffic::Traffic;
 use crate::process::sync;
 use crate::process::thread_pool::ThreadPool;
 
@@ -51,6 +52,7 @@
     control: ThreadPool,
     /// The recipients of calls whose link broke, with the time of that.
     cut_off: Mutex<Vec<(Instant, Recipient)>>,
+    traffic: Arc<Traffic>,
 }
 
 /// The listening socket.
@@ -73,7 +75,7 @@
 }
 
 impl PeerServer {
-    /// Starts accepting links on `listener`.
+    /// Starts accepting links on `listener`; `traffic` counts the replies.
     ///
     /// # Errors
     ///
@@ -82,6 +84,7 @@
         reactor: &Arc<Reactor>,
         listener: TcpListener,
         handler: Arc<dyn PeerHandler>,
+        traffic: &Arc<Traffic>,
     ) -> io::Result<Self> {
         listener.set_nonblocking(true)?;
         let shared = Arc::new(Shared {
@@ -92,6 +95,7 @@
             requests: ThreadPool::with_stack("peer", REQUESTS_MAX, STACK_BYTES),
             control: ThreadPool::with_stack("control", CONTROL_THREADS_MAX, STACK_BYTES),
             cut_off: Mutex::default(),
+            traffic: Arc::clone(traffic),
         });
         let acceptor = Arc::new(Acceptor {
             listener,
@@ -246,6 +250,10 @@
         sync::lock(&self.shared.cut_off).extend(cut);
     }
 
+    fn traffic(&self) -> &Traffic {
+        &self.shared.traffic
+    }
+
     fn sweep(&self, _link: &PeerLink, _now: Instant) {}
 }
 
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -102,6 +102,7 @@
             settings.peer.ip(),
             PeerTimeouts::default(),
         ));
+        let traffic = Arc::clone(pool.traffic());
         let (event_tx, event_rx) = mpsc::channel();
         let ownership = ownership(&settings, &*clock, instance);
         let membership = Arc::new(Membership::new(
@@ -148,11 +149,8 @@
             settings,
         });
         let (configuration_thread, threads) = start_threads(&node, event_rx, instance)?;
-        let peer_server = PeerServer::start(
-            &reactor,
-            peer_listener,
-            Arc::clone(&node) as Arc<dyn PeerHandler>,
-        )?;
+        let peer_handler = Arc::clone(&node) as Arc<dyn PeerHandler>;
+        let peer_server = PeerServer::start(&reactor, peer_listener, peer_handler, &traffic)?;
         let caller_handler = CallerHttpHandler::new(Arc::clone(&node) as Arc<dyn CallerHandler>);
         let caller_handler: Arc<dyn HttpHandler> = Arc::new(caller_handler);
         let workers = node.settings.workers;
--- a/src/process/datagram.rs
+++ b/src/process/datagram.rs
@@ -76,6 +76,23 @@
     Cleared(Fingerprint),
 }
 
+impl Message {
+    /// Returns the kind of the message, for counts.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Message::Renew { .. } => "renew",
+            Message::Grant { .. } => "grant",
+            Message::Facts(facts) if facts.is_empty() => "versions",
+            Message::Facts(_) => "facts",
+            Message::QueryAdopted => "query-adopted",
+            Message::Join(_) => "join",
+            Message::Load(_) => "load",
+            Message::Suspects(_) => "suspects",
+            Message::Cleared(_) => "cleared",
+        }
+    }
+}
+
 impl Datagram {
     /// Encodes the datagram.
     ///
--- a/src/process/host/metered_store.rs
+++ b/src/process/host/metered_store.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::connection::traffic::Traffic;
 use crate::process::metrics::Metrics;
 use crate::process::platform::Revision;
 use crate::process::store::{
@@ -13,12 +14,17 @@
 pub struct MeteredStore {
     store: Arc<dyn Store>,
     metrics: Arc<Metrics>,
+    traffic: Arc<Traffic>,
 }
 
 impl MeteredStore {
     /// Wraps `store`.
-    pub fn new(store: Arc<dyn Store>, metrics: Arc<Metrics>) -> Self {
-        Self { store, metrics }
+    pub fn new(store: Arc<dyn Store>, metrics: Arc<Metrics>, traffic: Arc<Traffic>) -> Self {
+        Self {
+            store,
+            metrics,
+            traffic,
+        }
     }
 
     fn timed<T>(
@@ -37,6 +43,7 @@
 
 impl Store for MeteredStore {
     fn range(&self, prefix: &str) -> Result<RangeResponse, StoreError> {
+        self.traffic.record("store-range", 0);
         self.timed("range", || self.store.range(prefix))
     }
 
@@ -46,6 +53,7 @@
         after: Revision,
         wait: Duration,
     ) -> Result<WatchResponse, StoreError> {
+        self.traffic.record("store-watch", 0);
         let result = self.store.watch(prefix, after, wait);
         self.metrics
             .record_store_call("watch", result.is_ok(), None);
@@ -53,6 +61,7 @@
     }
 
     fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, StoreError> {
+        self.traffic.record("store-commit", 0);
         self.timed("commit", || self.store.commit(transaction))
     }
 
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -44,6 +44,8 @@
 const PERIODIC_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval of the load reports to the planner.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval of the log lines on what the daemon has sent.
+const TRAFFIC_INTERVAL: Duration = Duration::from_secs(10);
 /// Interval at which the event thread checks whether to stop while there are no events.
 const EVENT_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// How long callers may still connect after the process reported that it is not ready.
@@ -109,7 +111,7 @@
         )?;
         let threads = start_threads(&context, &platform, event_rx)?;
         let peer_handler = Arc::clone(&context) as Arc<dyn PeerHandler>;
-        let peers = PeerServer::start(&reactor, peer_listener, peer_handler)?;
+        let peers = PeerServer::start(&reactor, peer_listener, peer_handler, pool.traffic())?;
         let router = Arc::clone(&context.router);
         let callers = HttpListener::start(&reactor, caller_listener, router)?;
         let ready = HttpListener::start(
@@ -172,6 +174,7 @@
             tracing::warn!(event = "stopped-with-keys");
         }
         thread::sleep(STOP_POLL_INTERVAL);
+        log_traffic(&self.context);
         self.context.stop.set();
         self.store.close();
         self.callers.stop();
@@ -310,7 +313,8 @@
     event_rx: Receiver<MembershipEvent>,
 ) -> Result<Vec<JoinHandle<()>>, DaemonError> {
     let metrics = Arc::clone(&context.metrics);
-    let store = MeteredStore::new(Arc::clone(&platform.store), metrics);
+    let traffic = Arc::clone(context.membership.traffic());
+    let store = MeteredStore::new(Arc::clone(&platform.store), metrics, traffic);
     let store_sync = Arc::new(StoreSync::new(
         Arc::new(store),
         Arc::clone(&platform.operator_protocol),
@@ -383,7 +387,7 @@
 fn run_periodic_tasks(context: &HostContext) {
     let started = Instant::now();
     let times = context.settings.lease_times();
-    let mut reported_at = started;
+    let (mut reported_at, mut traffic_at) = (started, started);
     while !context.stop.wait(PERIODIC_INTERVAL) {
         context.grant_manager.release_former_sessions();
         context.grant_manager.reconcile();
@@ -398,9 +402,19 @@
             report_load(context, reported_at.elapsed());
             reported_at = Instant::now();
         }
+        if traffic_at.elapsed() >= TRAFFIC_INTERVAL {
+            log_traffic(context);
+            traffic_at = Instant::now();
+        }
     }
 }
 
+/// Logs what this daemon has sent to other daemons and asked of the store since it started.
+fn log_traffic(context: &HostContext) {
+    let sent = context.membership.traffic().summary();
+    tracing::info!(event = "traffic", sent);
+}
+
 /// Reports the load of the last `period` to the planner.
 fn report_load(context: &HostContext, period: Duration) {
     let load = context.dispatcher.load();
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -11,6 +11,7 @@
 use crate::connection::peer_message::{PeerReply, PeerRequest};
 use crate::connection::peer_pool::{PeerCallReply, PeerPool};
 use crate::connection::recipient::Recipient;
+use crate::connection::traffic::Traffic;
 use crate::process::clock::Clock;
 use crate::process::datagram::{DATAGRAM_BYTES_MAX, Datagram, Message};
 use crate::process::join_requests::JoinRequests;
@@ -149,6 +150,11 @@
         self.platform_read.load(Ordering::SeqCst)
     }
 
+    /// Returns the counts of what this daemon sends.
+    pub fn traffic(&self) -> &Arc<Traffic> {
+        self.pool.traffic()
+    }
+
     /// Returns the metrics of the process.
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
@@ -415,7 +421,10 @@
             }
         };
         match self.socket.send_to(&bytes, to) {
-            Ok(length) => self.metrics.record_datagram_sent(length),
+            Ok(length) => {
+                self.metrics.record_datagram_sent(length);
+                self.traffic().record(datagram.message.kind(), length);
+            }
             Err(e) => tracing::debug!(%to, error = %e, "datagram not sent"),
         }
     }
--- a/tests/testsuite/http_listener.rs
+++ b/tests/testsuite/http_listener.rs
@@ -50,7 +50,10 @@
         let until = Instant::now() + Duration::from_millis(delay);
         while Instant::now() < until {
             if recipient.has_disconnected() {
-                self.left.lock().unwrap().push((path.clone(), Instant::now()));
+                self.left
+                    .lock()
+                    .unwrap()
+                    .push((path.clone(), Instant::now()));
                 break;
             }
             thread::sleep(Duration::from_millis(5));
--- a/tests/testsuite/peer_pool.rs
+++ b/tests/testsuite/peer_pool.rs
@@ -138,7 +138,7 @@
     let to = listener.local_addr().expect("no local address");
     let echo = Arc::new(Echo::default());
     let handler = Arc::clone(&echo) as Arc<dyn PeerHandler>;
-    let server = PeerServer::start(reactor, listener, handler).expect("no server");
+    let server = PeerServer::start(reactor, listener, handler, &Arc::default()).expect("no server");
     (echo, server, to)
 }
 
