Send what changed in a table, join requests to the likely planners, and watch the routing from a few hosts

Change: `TableDelta` with a digest of its result; a daemon names the epoch it has, and gets the whole table only if that is not among the last six or the digest differs. Join requests go to the first five of the planning order, to all only each third time, or where a former process at the address shows a member to be gone. A resignation is told to all by whoever states it, and forwarded to two. Two daemons of each failure domain watch the routing, others while they have none or no lease; the rest fetch it from them.

Ruled out: fetching from a member of the same failure domain (the datagrams that tell of a version come from any member; the deltas are small).

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -5,9 +5,9 @@
 //! use foxtaildrift::connection::peer_message::PeerRequest;
 //!
 //! let mut bytes = Vec::new();
-//! frame::write(&mut bytes, &PeerRequest::FetchTable)?;
+//! frame::write(&mut bytes, &PeerRequest::FetchRoutingConfig)?;
 //! let request: PeerRequest = frame::read(&mut bytes.as_slice())?;
-//! assert_eq!(request, PeerRequest::FetchTable);
+//! assert_eq!(request, PeerRequest::FetchRoutingConfig);
 //! # Ok::<(), frame::FrameError>(())
 //! ```
 
--- a/src/connection/peer_message.rs
+++ b/src/connection/peer_message.rs
@@ -1,5 +1,6 @@
 //! The requests and replies that daemons exchange over TCP.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -20,6 +21,7 @@
 use crate::version::service_name::ServiceName;
 use crate::version::slice_id::SliceId;
 use crate::version::table::Table;
+use crate::version::table_delta::TableDelta;
 
 /// A request from one daemon to another.
 ///
@@ -41,7 +43,11 @@
         envelope: Envelope,
     },
     /// Fetches the assignment table.
-    FetchTable,
+    FetchTable {
+        /// The epoch of the sender's table, so that only what changed since need be sent; zero to
+        /// fetch the whole table.
+        known: Epoch,
+    },
     /// Fetches the configuration.
     FetchConfiguration,
     /// Transfers the request records of slices to their next owner.
@@ -78,7 +84,7 @@
         match self {
             PeerRequest::Forward(_) => "forward",
             PeerRequest::DispatchShared { .. } => "dispatch-shared",
-            PeerRequest::FetchTable => "fetch-table",
+            PeerRequest::FetchTable { .. } => "fetch-table",
             PeerRequest::FetchConfiguration => "fetch-configuration",
             PeerRequest::TransferRecords(_) => "transfer-records",
             PeerRequest::Dispatch { .. } => "dispatch",
@@ -101,7 +107,7 @@
     pub fn is_control(&self) -> bool {
         matches!(
             self,
-            PeerRequest::FetchTable
+            PeerRequest::FetchTable { .. }
                 | PeerRequest::FetchConfiguration
                 | PeerRequest::FetchRoutingConfig
                 | PeerRequest::TransferRecords(_)
@@ -183,7 +189,9 @@
     /// The daemon does not serve the request now, and did not run it; gives the reason.
     NotServing(String),
     /// The assignment table, if there is one.
-    Table(Option<Box<Table>>),
+    Table(Option<Arc<Table>>),
+    /// What changed since the sender's table.
+    TableDelta(Arc<TableDelta>),
     /// The configuration, if there is one.
     Configuration(Option<Box<Configuration>>),
     /// The transferred records or keys were accepted.
@@ -208,6 +216,7 @@
             PeerReply::Response(_) => "response",
             PeerReply::NotServing(_) => "not-serving",
             PeerReply::Table(_) => "table",
+            PeerReply::TableDelta(_) => "table-delta",
             PeerReply::Configuration(_) => "configuration",
             PeerReply::Accepted => "accepted",
             PeerReply::Completed { .. } => "completed",
--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -229,11 +229,7 @@
                 attempt,
                 remaining,
             } => self.fetch_outcome(instance, &id, attempt, remaining),
-            PeerRequest::FetchTable => {
-                let table = self.membership.table();
-                let is_known = table.epoch > Epoch::default();
-                PeerReply::Table(is_known.then(|| Box::new((*table).clone())))
-            }
+            PeerRequest::FetchTable { known } => self.membership.table_update(known),
             PeerRequest::FetchRoutingConfig => {
                 let active = self.membership.active_configuration();
                 PeerReply::RoutingConfig(
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -13,7 +13,6 @@
 //! | [`key_grants`] | which grants the local upstream has, and when a release is complete |
 //! | [`owned_range`] | arithmetic on key ranges, and the fencing tokens of grants |
 //! | [`load_meter`] | load that each key range puts on the local upstream |
-//! | `planner_priority` | order in which daemons take over planning |
 //! | [`store_sync`] | routing and table in force, and writes of the next table |
 //! | `store_health` | log lines when the store fails and when it works again |
 //! | [`recent_requests`] | duplicates of requests from other daemons |
@@ -36,7 +35,6 @@
 pub mod local_upstream;
 pub mod metered_store;
 pub mod owned_range;
-mod planner_priority;
 pub mod recent_requests;
 mod request_progress;
 pub mod retry_budget_share;
--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -9,10 +9,10 @@
 use std::time::{Duration, Instant};
 
 use crate::connection::protocol::OperatorProtocol;
-use crate::process::host::planner_priority::PlannerPriority;
 use crate::process::host::store_health::StoreHealth;
 use crate::process::membership::Membership;
 use crate::process::planner::{self, PlanInput};
+use crate::process::planner_priority::PlannerPriority;
 use crate::process::platform::Revision;
 use crate::process::stop_flag::StopFlag;
 use crate::process::store::{
@@ -33,7 +33,9 @@
 /// the other daemons get newer routing from them, and a connection may have failed silently.
 const ROUTING_WATCH_TIMEOUT: Duration = Duration::from_secs(3);
 /// Number of daemons that watch the routing with the short timeout.
-const ROUTING_WATCHERS: u32 = 2;
+const SHORT_ROUTING_WATCHERS: u32 = 2;
+/// Number of daemons in each failure domain that watch the routing; the others get it from them.
+const DOMAIN_ROUTING_WATCHERS: usize = 2;
 /// Delay before the next call after the store failed.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Interval at which a daemon checks whether a new table is needed.
@@ -47,9 +49,13 @@
 const FIRST_TABLE_DELAY: Duration = Duration::from_millis(1500);
 /// Number of daemons that watch the table; the others get it from them.
 const TABLE_WATCHERS: u32 = 3;
-/// Pause of a daemon that is not a member after each change: many daemons may write join requests
-/// at once.
-const NON_MEMBER_PAUSE: Duration = Duration::from_millis(300);
+/// Pause of a daemon that is not a member, and is among the first to plan, after each change: many
+/// daemons may write join requests at once.
+const FIRST_PLANNERS_PAUSE: Duration = Duration::from_millis(300);
+/// Pause of any other daemon that is not a member. The planner tells it when it is admitted.
+const NON_MEMBER_PAUSE: Duration = Duration::from_millis(1500);
+/// Number of daemons that are among the first to plan.
+const FIRST_PLANNERS: u32 = 4;
 /// Interval at which a daemon that does not watch checks whether it should.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a daemon waits for the members to admit it before it writes a join request to the
@@ -108,9 +114,9 @@
             stop,
             "routing",
             &prefix,
-            || match self.planner_position() < ROUTING_WATCHERS {
+            || match self.planner_position() < SHORT_ROUTING_WATCHERS {
                 true => Some(ROUTING_WATCH_TIMEOUT),
-                false => Some(WATCH_TIMEOUT),
+                false => self.must_watch_routing().then_some(WATCH_TIMEOUT),
             },
             |range| self.replace_routing(range),
             |changes, _| self.apply_routing_changes(changes),
@@ -131,7 +137,10 @@
             |changes, _| {
                 self.apply_table_and_join_changes(changes);
                 if !self.is_member() {
-                    stop.wait(NON_MEMBER_PAUSE);
+                    stop.wait(match self.planner_position() < FIRST_PLANNERS {
+                        true => FIRST_PLANNERS_PAUSE,
+                        false => NON_MEMBER_PAUSE,
+                    });
                 }
             },
         );
@@ -368,6 +377,24 @@
         }
     }
 
+    /// Returns whether this daemon must watch the routing itself: it has none, its witnesses don't
+    /// reach it, so others might not either, or it is among the first of its failure domain.
+    fn must_watch_routing(&self) -> bool {
+        if self
+            .membership
+            .active_configuration()
+            .routing_config
+            .is_none()
+        {
+            return true;
+        }
+        self.membership.with_ownership(|o, now| {
+            o.live_until(now).is_none()
+                || o.domain_position()
+                    .is_none_or(|p| p < DOMAIN_ROUTING_WATCHERS)
+        })
+    }
+
     fn is_member(&self) -> bool {
         self.membership
             .with_ownership(|o, _| o.table().members.contains_key(&o.info().session))
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -22,6 +22,7 @@
 use crate::process::ownership_action::OwnershipAction;
 use crate::process::stop_flag::StopFlag;
 use crate::process::sync;
+use crate::process::table_history::{TableHistory, TableUpdate};
 use crate::request::fingerprint::Fingerprint;
 use crate::request::quarantine::CrashSuspect;
 use crate::version::configuration::Configuration;
@@ -96,6 +97,7 @@
     load_reports: Mutex<BTreeMap<SessionId, LoadReport>>,
     events: Sender<MembershipEvent>,
     platform_read: AtomicBool,
+    table_history: Mutex<TableHistory>,
 }
 
 impl Membership {
@@ -124,6 +126,7 @@
             load_reports: Mutex::default(),
             events,
             platform_read: AtomicBool::new(false),
+            table_history: Mutex::default(),
         })
     }
 
@@ -279,26 +282,55 @@
         });
     }
 
-    /// Fetches the table of the daemon at `from` and adopts it.
+    /// Returns the reply to a daemon with the table of epoch `known` that fetches the newest one.
+    pub fn table_update(&self, known: Epoch) -> PeerReply {
+        match sync::lock(&self.table_history).update_since(known) {
+            TableUpdate::None => PeerReply::Table(None),
+            TableUpdate::Whole(table) => PeerReply::Table(Some(table)),
+            TableUpdate::Delta(delta) => PeerReply::TableDelta(delta),
+        }
+    }
+
+    /// Fetches what changed in the table of the daemon at `from` and adopts it.
     pub fn fetch_table(&self, from: SocketAddr) {
-        match self.pool.call(
-            from,
-            &PeerRequest::FetchTable,
-            FETCH_TIMEOUT,
-            &Recipient::none(),
-            || false,
-        ) {
-            Ok(PeerCallReply {
-                reply: PeerReply::Table(Some(table)),
-                ..
-            }) => {
-                self.with_ownership(|o, now| o.adopt_table(now, table.into()));
+        let table = self.table();
+        let delta = match self.fetch_table_since(from, table.epoch) {
+            Some(PeerReply::TableDelta(delta)) => delta,
+            Some(PeerReply::Table(Some(table))) => return self.adopt_table(table),
+            _ => return,
+        };
+        match Arc::unwrap_or_clone(delta).apply(&table) {
+            Ok(table) => self.adopt_table(table.into()),
+            Err(e) => {
+                tracing::warn!(event = "table-delta-refused", %from, error = %e);
+                let whole = self.fetch_table_since(from, Epoch::default());
+                if let Some(PeerReply::Table(Some(table))) = whole {
+                    self.adopt_table(table);
+                }
             }
-            Ok(_) => {}
-            Err(e) => tracing::debug!(%from, error = %e, "table not fetched"),
         }
     }
 
+    /// Fetches the table of the daemon at `from`, or what changed since the epoch `known`.
+    fn fetch_table_since(&self, from: SocketAddr, known: Epoch) -> Option<PeerReply> {
+        let request = PeerRequest::FetchTable { known };
+        let recipient = Recipient::none();
+        match self
+            .pool
+            .call(from, &request, FETCH_TIMEOUT, &recipient, || false)
+        {
+            Ok(called) => Some(called.reply),
+            Err(e) => {
+                tracing::debug!(%from, error = %e, "table not fetched");
+                None
+            }
+        }
+    }
+
+    fn adopt_table(&self, table: Arc<Table>) {
+        self.with_ownership(|o, now| o.adopt_table(now, table));
+    }
+
     /// Fetches the configuration of the daemon at `from` and adopts it.
     pub fn fetch_configuration(&self, from: SocketAddr) {
         match self.pool.call(
@@ -394,6 +426,8 @@
             }
             OwnershipAction::TableAdopted(epoch) => {
                 tracing::info!(event = "table-adopted", %epoch);
+                let table = self.table();
+                sync::lock(&self.table_history).record(&table);
                 self.emit(MembershipEvent::TableAdopted(epoch));
             }
             OwnershipAction::LeaseLapsed => {
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -23,7 +23,6 @@
 use crate::request::outcome::Outcome;
 use crate::request::refusal::Refusal;
 use crate::request::service_response::ServiceResponse;
-use crate::version::epoch::Epoch;
 use crate::version::service::Service;
 use crate::version::service_name::ServiceName;
 use crate::version::upstream::Upstream;
@@ -229,11 +228,7 @@
                 until,
                 envelope,
             } => self.router.run_locally(instance, until, envelope),
-            PeerRequest::FetchTable => {
-                let table = self.membership.table();
-                let has_table = table.epoch > Epoch::default();
-                PeerReply::Table(has_table.then(|| Box::new((*table).clone())))
-            }
+            PeerRequest::FetchTable { known } => self.membership.table_update(known),
             PeerRequest::FetchConfiguration => {
                 let active = self.membership.active_configuration();
                 PeerReply::Configuration(active.configuration.clone().map(Box::new))
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -19,6 +19,7 @@
 use crate::process::not_serving::NotServing;
 use crate::process::own_session::OwnSession;
 use crate::process::ownership_action::OwnershipAction;
+use crate::process::planner_priority::PlannerPriority;
 use crate::process::serve_permit::ServePermit;
 use crate::process::session_facts::SessionFacts;
 use crate::process::witness::Witness;
@@ -43,6 +44,14 @@
 const QUERY_INTERVAL: Duration = Duration::from_millis(100);
 /// How often a daemon repeats its join request.
 const JOIN_INTERVAL: Duration = Duration::from_millis(500);
+/// A join request goes to all members each time this number of attempts has failed; the others go
+/// to the likely planners.
+const JOIN_BROADCAST_EVERY: u32 = 3;
+/// How many members at the front of the planning order get each join request.
+const LIKELY_PLANNERS: usize = 5;
+/// How many members a daemon forwards another's resignation to. The resigning daemon tells all, so
+/// this only makes up for lost datagrams.
+const FORWARD_PEERS: usize = 2;
 /// A longer gap between two ticks or datagrams shows that the process was paused.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(300);
 
@@ -68,6 +77,8 @@
     renew_at: Moment,
     gossip_at: Moment,
     join_at: Moment,
+    /// Join requests sent since the table last listed this daemon's member info.
+    join_attempts: u32,
     query_at: Moment,
     lapsed_since: Moment,
     last_active: Moment,
@@ -100,6 +111,7 @@
             renew_at: now,
             gossip_at: now,
             join_at: now,
+            join_attempts: 0,
             query_at: now,
             lapsed_since: now,
             last_active: now,
@@ -154,6 +166,7 @@
     /// planner.
     pub fn update_info(&mut self, now: Moment, change: impl FnOnce(&mut MemberInfo)) {
         change(&mut self.info);
+        self.join_attempts = 0;
         self.info.session = self.session.id;
         self.join_at = now;
     }
@@ -223,7 +236,7 @@
             } => {
                 self.handle_grant(now, datagram.from, session, sent, epoch);
             }
-            Message::Facts(facts) => self.merge_facts(now, facts),
+            Message::Facts(facts) => self.merge_received_facts(now, facts),
             Message::QueryAdopted => self.send_adopted_epoch(datagram.peer),
             Message::Join(_) | Message::Load(_) | Message::Suspects(_) | Message::Cleared(_) => {}
         }
@@ -677,7 +690,7 @@
         }
     }
 
-    /// Merges facts, sends the new ones of this daemon, and updates the end certificates.
+    /// Merges facts that this daemon states, sends them, and updates the end certificates.
     fn merge_facts(&mut self, now: Moment, facts: SessionFacts) {
         if facts.is_empty() {
             return;
@@ -686,17 +699,40 @@
         self.update_end_certificates(now);
     }
 
-    /// Merges facts and sends the new ones of this daemon: its adopted and confirmed epochs to the
-    /// peers that wait for them, end statements and resignations to all members.
-    fn merge_and_broadcast(&mut self, facts: SessionFacts) {
+    /// Merges facts of another daemon, forwards new resignations to a few members, and updates the
+    /// end certificates.
+    fn merge_received_facts(&mut self, now: Moment, facts: SessionFacts) {
+        if facts.is_empty() {
+            return;
+        }
+        let resignations = SessionFacts {
+            resigned: self.merge_known(facts).resigned,
+            ..SessionFacts::default()
+        };
+        if !resignations.is_empty() {
+            let peers = self.other_peers().into_iter();
+            for peer in peers.sample(&mut self.rng, FORWARD_PEERS) {
+                self.send(peer, Message::Facts(resignations.clone()));
+            }
+        }
+        self.update_end_certificates(now);
+    }
+
+    /// Merges facts about members; returns the new ones.
+    fn merge_known(&mut self, facts: SessionFacts) -> SessionFacts {
         let members = &self.table.members;
-        let me = self.info.session.instance;
         // Before the first table no member is known; facts about any session are kept then, as they
         // are not sent again soon.
         let accept_all = self.table.epoch == Epoch::default();
-        let new_facts = self
-            .facts
-            .merge(facts, |s| accept_all || members.contains_key(&s));
+        self.facts
+            .merge(facts, |s| accept_all || members.contains_key(&s))
+    }
+
+    /// Merges facts that this daemon states and sends the new ones: its adopted and confirmed epochs
+    /// to the peers that wait for them, end statements and resignations to all members.
+    fn merge_and_broadcast(&mut self, facts: SessionFacts) {
+        let me = self.info.session.instance;
+        let new_facts = self.merge_known(facts);
         let progress = SessionFacts {
             adopted: facts_of_instance(new_facts.adopted, me),
             confirmed: facts_of_instance(new_facts.confirmed, me),
@@ -784,13 +820,52 @@
     fn send_join_request(&mut self) {
         let listed = self.table.members.get(&self.session.id);
         if listed.is_some_and(|m| m.info == self.info) {
+            self.join_attempts = 0;
             return;
         }
-        for peer in self.other_peers() {
+        // That a former process at this address is gone may change who plans, so all must know.
+        let is_successor = self.join_attempts == 0 && !self.former_sessions().is_empty();
+        self.join_attempts += 1;
+        let peers = match is_successor || self.join_attempts.is_multiple_of(JOIN_BROADCAST_EVERY) {
+            true => self.other_peers(),
+            false => self.likely_planners(),
+        };
+        for peer in peers {
             self.send(peer, Message::Join(Box::new(self.info.clone())));
         }
     }
 
+    /// Returns the addresses of the members that come first in the planning order.
+    fn likely_planners(&self) -> Vec<SocketAddr> {
+        let members = self.table.members.iter();
+        let live = members.filter(|(s, _)| !self.end_certificates.contains_key(s));
+        let mut order: Vec<_> = live
+            .map(|(_, m)| {
+                (
+                    PlannerPriority::new(&self.table, &m.info, false),
+                    m.info.peer,
+                )
+            })
+            .filter(|(_, peer)| *peer != self.info.peer)
+            .collect();
+        order.sort_unstable();
+        order.truncate(LIKELY_PLANNERS);
+        order.into_iter().map(|(_, peer)| peer).collect()
+    }
+
+    /// Returns how many live members of this daemon's failure domain come before it in the planning
+    /// order, or `None` if it is no member.
+    pub fn domain_position(&self) -> Option<usize> {
+        let own = self.table.members.get(&self.session.id)?;
+        let own_priority = PlannerPriority::new(&self.table, &own.info, false);
+        let others = self.table.members.iter().filter(|(s, m)| {
+            m.info.domain == own.info.domain && !self.end_certificates.contains_key(s)
+        });
+        let before = others
+            .filter(|(_, m)| PlannerPriority::new(&self.table, &m.info, false) < own_priority);
+        Some(before.count())
+    }
+
     /// Queries the adopted epoch of the former candidates whose release this daemon waits for.
     fn query_former_candidates(&mut self, now: Moment) {
         let mut waited_for = BTreeSet::new();
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -32,5 +32,6 @@
 pub mod session_id;
 pub mod slice_id;
 pub mod table;
+pub mod table_delta;
 pub mod upstream;
 pub mod witness_set;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,4 +21,5 @@
 mod records;
 mod settings;
 mod store;
+mod table_delta;
 mod upstream_client;
