Bound interim responses and trailers of an upstream, and check the deadline while bytes keep coming

Each head and each line was bounded, their sum was not; and a wait that never has to wait never looked at its deadline.

Change: interim responses count towards the size of the head; trailers are bounded by 16 KiB; each read checks the deadline.

Test: `upstream_pool::bytes_without_end_are_cut_at_a_bound_of_bytes_and_time` (13 kinds, fast and slow) failed first with "interim responses: took bytes". Beside it stand, green from the start: answers that break off at every byte, a reset of a body without a length, a second copy of an answer that arrives with, just after or long after the first. Ruled out by these: bytes in a chunk's size or extension, in one header line, in a body past the limit.

With it: tests of how many messages a joining or resigning daemon sends among 200 members.

--- a/src/connection/buffered_connection.rs
+++ b/src/connection/buffered_connection.rs
@@ -153,6 +153,10 @@
         deadline: Instant,
         recipient: &Recipient,
     ) -> Result<usize, ConnectionError> {
+        // A peer that sends without end never makes the connection wait.
+        if Instant::now() >= deadline {
+            return Err(ConnectionError::TimedOut);
+        }
         if std::mem::take(&mut self.awaiting_response) {
             self.wait(PollFlags::IN, deadline, recipient)?;
         }
--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -9,10 +9,12 @@
 
 /// The most headers in a message.
 const HEADERS_MAX: usize = 100;
-/// The largest head of a response, in bytes.
+/// The largest head of a response together with the interim responses before it, in bytes.
 pub const RESPONSE_HEAD_BYTES_MAX: usize = 64 * 1024;
 /// The longest chunk size line or trailer line, in bytes.
 const CHUNK_LINE_BYTES_MAX: usize = 1024;
+/// The largest trailer section, in bytes.
+const TRAILER_BYTES_MAX: usize = 16 * 1024;
 
 /// The head of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -158,15 +160,17 @@
     deadline: Instant,
     recipient: &Recipient,
 ) -> Result<ResponseHead, ConnectionError> {
+    let mut interim_bytes = 0;
     loop {
         if let Some((head, used)) = parse_response(conn.buffered())? {
             conn.consume(used);
             if head.status >= 200 {
                 return Ok(head);
             }
+            interim_bytes += used;
             continue;
         }
-        if conn.buffered().len() > RESPONSE_HEAD_BYTES_MAX {
+        if interim_bytes + conn.buffered().len() > RESPONSE_HEAD_BYTES_MAX {
             return Err(ConnectionError::TooLarge("head"));
         }
         conn.fill(deadline, recipient)?;
@@ -312,6 +316,7 @@
     deadline: Instant,
     recipient: &Recipient,
 ) -> Result<(), ConnectionError> {
+    let mut skipped_bytes = 0;
     loop {
         let buffered = conn.buffered();
         if let Some(end) = buffered.windows(2).position(|w| w == b"\r\n") {
@@ -319,9 +324,10 @@
             if end == 0 {
                 return Ok(());
             }
+            skipped_bytes += end + 2;
             continue;
         }
-        if buffered.len() > CHUNK_LINE_BYTES_MAX {
+        if buffered.len() > CHUNK_LINE_BYTES_MAX || skipped_bytes > TRAILER_BYTES_MAX {
             return Err(ConnectionError::Malformed("the trailers"));
         }
         conn.fill(deadline, recipient)?;
--- /dev/null
+++ b/tests/testsuite/ownership_messages.rs
@@ -0,0 +1,186 @@
+//! How many messages a daemon sends in a large cell when it joins, or when a session ends.
+//!
+//! Pattern: hundreds of daemons start or stop at about the same time. If each tells all others, or
+//! forwards to all what it hears, messages grow with the square of the cell.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use foxtaildrift::process::datagram::{Datagram, Message};
+use foxtaildrift::process::lease_times::LeaseTimes;
+use foxtaildrift::process::moment::Moment;
+use foxtaildrift::process::ownership::Ownership;
+use foxtaildrift::process::ownership_action::OwnershipAction;
+use foxtaildrift::process::session_facts::SessionFacts;
+use foxtaildrift::version::document_version::DocumentVersion;
+use foxtaildrift::version::epoch::Epoch;
+use foxtaildrift::version::instance_id::InstanceId;
+use foxtaildrift::version::member::{Member, MemberInfo};
+use foxtaildrift::version::session_id::SessionId;
+use foxtaildrift::version::table::Table;
+
+const CELL_HASH: u64 = 1;
+const MEMBERS: u64 = 200;
+
+fn session(n: u64) -> SessionId {
+    SessionId {
+        instance: InstanceId(n),
+        tenure: 1,
+    }
+}
+
+fn peer(n: u64) -> SocketAddr {
+    let octets = [
+        10,
+        1,
+        u8::try_from(n / 250).unwrap(),
+        u8::try_from(n % 250).unwrap(),
+    ];
+    (octets, 7380).into()
+}
+
+fn info(n: u64, address: u64) -> MemberInfo {
+    MemberInfo {
+        session: session(n),
+        peer: peer(address),
+        entry: peer(address),
+        domain: format!("domain-{}", n % 4).parse().unwrap(),
+        upstream: None,
+        leaving: false,
+        weight: 1000,
+        // Every tenth host is a strong one.
+        cpu_share: if n.is_multiple_of(10) { 500 } else { 100 },
+    }
+}
+
+/// Returns a table with the members `numbers`, written by the member 20.
+fn table(epoch: u64, numbers: impl Iterator<Item = u64>) -> Arc<Table> {
+    let members = numbers.map(|n| {
+        let member = Member {
+            info: info(n, n),
+            witnesses: Vec::new(),
+            witnesses_since: Epoch(1),
+            witnesses_confirming: false,
+        };
+        (session(n), member)
+    });
+    Arc::new(Table {
+        epoch: Epoch(epoch),
+        planner: InstanceId(20),
+        members: members.collect(),
+        ..Table::default()
+    })
+}
+
+fn daemon(n: u64, address: u64) -> Ownership {
+    let times = LeaseTimes::default();
+    Ownership::new(CELL_HASH, times, info(n, address), Moment::default(), 7)
+}
+
+/// Returns the receivers of the messages of `kind` that the daemon sends now.
+fn receivers(ownership: &mut Ownership, kind: &str) -> Vec<SocketAddr> {
+    let sent = ownership.take_actions().into_iter();
+    let receivers = sent.filter_map(|action| match action {
+        OwnershipAction::Send { to, datagram } => (datagram.message.kind() == kind).then_some(to),
+        _ => None,
+    });
+    receivers.collect()
+}
+
+fn facts_from(n: u64, facts: SessionFacts) -> Datagram {
+    Datagram {
+        cell_hash: CELL_HASH,
+        from: InstanceId(n),
+        peer: peer(n),
+        epoch: Epoch(1),
+        document_version: DocumentVersion::default(),
+        message: Message::Facts(facts),
+    }
+}
+
+fn resignation(n: u64) -> SessionFacts {
+    SessionFacts {
+        resigned: BTreeMap::from([(session(n), Epoch(1))]),
+        ..SessionFacts::default()
+    }
+}
+
+#[test]
+fn a_joining_daemon_asks_the_likely_planners_and_now_and_then_all() {
+    let mut joining = daemon(MEMBERS + 5, MEMBERS + 5);
+    let mut now = Moment::default() + Duration::from_secs(1);
+    joining.adopt_table(now, table(1, 0..MEMBERS));
+    joining.take_actions();
+    let mut counts = Vec::new();
+    for _ in 0..6 {
+        now = now + Duration::from_millis(600);
+        joining.tick(now);
+        let asked = receivers(&mut joining, "join");
+        // The planner, and the strong hosts that would plan in its place.
+        assert!(asked.contains(&peer(20)));
+        assert!(asked.contains(&peer(0)) && asked.contains(&peer(10)));
+        counts.push(asked.len());
+    }
+    let all = usize::try_from(MEMBERS).unwrap();
+    assert_eq!(counts, [5, 5, all, 5, 5, all]);
+}
+
+#[test]
+fn a_daemon_that_replaces_a_member_tells_all_at_once() {
+    // It is the proof that the member is gone, which may be the planner.
+    let mut successor = daemon(MEMBERS + 5, 20);
+    let now = Moment::default() + Duration::from_secs(1);
+    successor.adopt_table(now, table(1, 0..MEMBERS));
+    successor.take_actions();
+    successor.tick(now + Duration::from_millis(600));
+    let asked = receivers(&mut successor, "join").len();
+    assert_eq!(asked, usize::try_from(MEMBERS).unwrap());
+}
+
+#[test]
+fn a_resignation_is_told_to_all_once_and_forwarded_to_few() {
+    let now = Moment::default() + Duration::from_secs(1);
+    let mut resigning = daemon(3, 3);
+    resigning.adopt_table(now, table(1, 0..MEMBERS));
+    resigning.take_actions();
+    resigning.resign(now);
+    let told = receivers(&mut resigning, "facts").len();
+    assert_eq!(told, usize::try_from(MEMBERS - 1).unwrap());
+
+    let mut other = daemon(4, 4);
+    other.adopt_table(now, table(1, 0..MEMBERS));
+    other.take_actions();
+    other.receive(now, facts_from(3, resignation(3)));
+    assert!(other.has_ended(session(3)));
+    assert_eq!(receivers(&mut other, "facts").len(), 2);
+    // What is known already is not forwarded again.
+    other.receive(now, facts_from(9, resignation(3)));
+    assert_eq!(receivers(&mut other, "facts").len(), 0);
+}
+
+#[test]
+fn the_first_two_of_each_failure_domain_are_known_to_all() {
+    let now = Moment::default() + Duration::from_secs(1);
+    let mut positions: BTreeMap<String, Vec<usize>> = BTreeMap::new();
+    for n in 0..MEMBERS {
+        let mut member = daemon(n, n);
+        member.adopt_table(now, table(1, 0..MEMBERS));
+        let position = member.domain_position().expect("it is a member");
+        let domain = member.info().domain.to_string();
+        positions.entry(domain).or_default().push(position);
+    }
+    assert_eq!(positions.len(), 4);
+    for (domain, mut found) in positions {
+        found.sort_unstable();
+        let expected: Vec<usize> = (0..found.len()).collect();
+        assert_eq!(found, expected, "{domain}");
+    }
+    // When one has ended, the next takes its place.
+    let mut third = daemon(8, 8);
+    third.adopt_table(now, table(1, [0, 4, 8].into_iter()));
+    assert_eq!(third.domain_position(), Some(2));
+    third.receive(now, facts_from(0, resignation(0)));
+    assert_eq!(third.domain_position(), Some(1));
+}
--- /dev/null
+++ b/tests/testsuite/upstream_pool.rs
@@ -0,0 +1,281 @@
+//! Upstreams that send bytes without end, answers to other requests, and answers that break off.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use foxtaildrift::connection::http1::ResponseHead;
+use foxtaildrift::connection::protocol::{
+    Grant, KeyRange, OutgoingRequest, ResponseMetadata, UpstreamProtocol,
+};
+use foxtaildrift::connection::recipient::Recipient;
+use foxtaildrift::connection::upstream_pool::{
+    ReceivedResponse, UpstreamPool, UpstreamRequestFailure,
+};
+use foxtaildrift::request::body::Body;
+use foxtaildrift::request::headers::Headers;
+use foxtaildrift::request::upstream_request::UpstreamRequest;
+
+/// The timeout of each request.
+const TIMEOUT: Duration = Duration::from_millis(500);
+/// How much later than its timeout a request may end.
+const SLACK: Duration = Duration::from_millis(300);
+/// The most bytes that the daemon may take from an upstream that never ends its answer: a body of
+/// the maximum size, and what the sockets hold.
+const TAKEN_BYTES_MAX: usize = 24 * 1024 * 1024;
+
+/// The request id and the signature are headers.
+struct PlainProtocol;
+
+impl UpstreamProtocol for PlainProtocol {
+    fn request_headers(&self, request: &UpstreamRequest, _: &str, _: Duration) -> Headers {
+        let mut headers = Headers::default();
+        headers.push("Id", request.id.as_str());
+        headers
+    }
+
+    fn parse_head(&self, head: &ResponseHead) -> ResponseMetadata {
+        ResponseMetadata {
+            request_id: head.headers.get_str("id").map(str::to_owned),
+            signed: head.headers.get("signature").is_some(),
+            ..ResponseMetadata::default()
+        }
+    }
+
+    fn grant_request(&self, _: &Grant) -> OutgoingRequest {
+        unimplemented!("no keys are granted")
+    }
+
+    fn release_request(&self, _: KeyRange, _: u64) -> OutgoingRequest {
+        unimplemented!("no keys are released")
+    }
+}
+
+fn request(id: &str) -> UpstreamRequest {
+    UpstreamRequest {
+        id: id.to_owned(),
+        service: "desk".parse().unwrap(),
+        origin: "desk".parse().unwrap(),
+        method: "GET".to_owned(),
+        target: "/stock/".to_owned(),
+        headers: Headers::default(),
+        key: None,
+        repeatable: true,
+        priority: 1,
+        remaining: TIMEOUT,
+        objective: TIMEOUT,
+        attempt: 1,
+        body: Body(Vec::new()),
+    }
+}
+
+fn send(pool: &UpstreamPool, id: &str) -> Result<ReceivedResponse, UpstreamRequestFailure> {
+    pool.send_request(&request(id), "i-1", TIMEOUT, &Recipient::none())
+}
+
+fn pool(to: SocketAddr) -> UpstreamPool {
+    UpstreamPool::new(to, None, Arc::new(PlainProtocol))
+}
+
+/// Reads the head of a request.
+fn read_request(stream: &mut TcpStream) {
+    let mut bytes = Vec::new();
+    let mut byte = [0; 1];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => bytes.push(byte[0]),
+            _ => return,
+        }
+    }
+}
+
+/// Starts an upstream that responds to one request with `start`, then with `repeated` for as long as
+/// the connection is open, pausing after each; the thread returns how many bytes it wrote.
+fn endless(start: String, repeated: String, pause: Duration) -> (SocketAddr, JoinHandle<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+    let to = listener.local_addr().expect("no local address");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("no connection");
+        read_request(&mut stream);
+        let mut written = 0;
+        let mut next = start.into_bytes();
+        while stream.write_all(&next).is_ok() {
+            written += next.len();
+            next = repeated.clone().into_bytes();
+            thread::sleep(pause);
+        }
+        written
+    });
+    (to, server)
+}
+
+/// Checks that a request ends in time and as "may have run", and that the connection is closed.
+fn check_endless(what: &str, start: &str, repeated: &str, pause: Duration) {
+    let (to, server) = endless(start.to_owned(), repeated.to_owned(), pause);
+    let pool = pool(to);
+    let started = Instant::now();
+    let result = send(&pool, "a");
+    let elapsed = started.elapsed();
+    assert!(elapsed < TIMEOUT + SLACK, "{what}: ended after {elapsed:?}");
+    let judged = matches!(
+        result,
+        Err(UpstreamRequestFailure::MaybeRun(_) | UpstreamRequestFailure::TimedOut)
+    );
+    assert!(judged, "{what}: {result:?}");
+    let written = server.join().expect("the upstream panicked");
+    assert!(written < TAKEN_BYTES_MAX, "{what}: took {written} bytes");
+}
+
+#[test]
+fn bytes_without_end_are_cut_at_a_bound_of_bytes_and_time() {
+    let head = "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\n";
+    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+    let extension = format!("{chunked}5;x=");
+    let trailers = format!("{chunked}0\r\n");
+    let length = format!("{head}Content-Length: 99999999\r\n\r\n");
+    let plain = format!("{head}\r\n");
+    let stray = "HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 2\r\n\r\nok";
+    let cases = [
+        ("a head without lines", "", "xxxxxxxx"),
+        ("a status line", "HTTP/1.1 200 ", "yyyyyyyy"),
+        ("header lines", head, "X: yyyyyyyy\r\n"),
+        ("interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+        (
+            "interim responses with headers",
+            "",
+            "HTTP/1.1 103 Early\r\nX: y\r\n\r\n",
+        ),
+        ("a chunk size", chunked.as_str(), "00000000"),
+        ("a chunk extension", extension.as_str(), "yyyyyyyy"),
+        ("trailers", trailers.as_str(), "X: yyyyyyyy\r\n"),
+        ("one trailer", trailers.as_str(), "yyyyyyyy"),
+        ("chunks", chunked.as_str(), "8\r\nyyyyyyyy\r\n"),
+        ("a body without a length", plain.as_str(), "yyyyyyyy"),
+        ("a body past the limit", length.as_str(), "yyyyyyyy"),
+        ("answers to other requests", "", stray),
+    ];
+    for (what, start, repeated) in cases {
+        check_endless(what, start, &repeated.repeat(512), Duration::ZERO);
+        // Slowly, so that it is the time that bounds it.
+        check_endless(what, start, repeated, Duration::from_millis(3));
+    }
+}
+
+#[test]
+fn an_answer_that_breaks_off_at_any_byte_is_no_success() {
+    let head = "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\n";
+    let answers = [
+        format!("{head}Content-Length: 4\r\n\r\nbody"),
+        format!("{head}Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+        format!("{head}Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX: y\r\n\r\n"),
+    ];
+    for answer in answers {
+        for length in 0..=answer.len() {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+            let to = listener.local_addr().expect("no local address");
+            let part = answer.as_bytes()[..length].to_vec();
+            let server = thread::spawn(move || {
+                let (mut stream, _) = listener.accept().expect("no connection");
+                read_request(&mut stream);
+                stream.write_all(&part).expect("not written");
+                let _ = stream.shutdown(Shutdown::Write);
+            });
+            let result = send(&pool(to), "a");
+            server.join().expect("the upstream panicked");
+            let complete = length == answer.len();
+            assert_eq!(
+                result.is_ok(),
+                complete,
+                "{length} bytes of {answer:?}: {result:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_body_without_a_length_that_is_reset_is_no_success() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+    let to = listener.local_addr().expect("no local address");
+    let server = thread::spawn(move || {
+        for resets in [false, true] {
+            let (mut stream, _) = listener.accept().expect("no connection");
+            if !resets {
+                read_request(&mut stream);
+            }
+            stream
+                .write_all(b"HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\n\r\nbody")
+                .expect("not written");
+            // A close with unread bytes resets the connection.
+            thread::sleep(Duration::from_millis(50));
+        }
+    });
+    let pool = pool(to);
+    let whole = send(&pool, "a").expect("the orderly close is the end of the body");
+    assert_eq!(whole.response.body.0, b"body");
+    let reset = send(&pool, "a");
+    assert!(
+        matches!(reset, Err(UpstreamRequestFailure::MaybeRun(_))),
+        "{reset:?}"
+    );
+    server.join().expect("the upstream panicked");
+}
+
+#[test]
+fn a_second_copy_of_an_answer_never_reaches_the_next_request() {
+    // The copy arrives with, just after, or long after the first one, with the same id, without an
+    // id, or with that of another request.
+    let answer = |id: &str, body: &str| {
+        format!(
+            "HTTP/1.1 200 OK\r\n{id}Signature: s\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    };
+    for copy_id in ["Id: a\r\n", "", "Id: z\r\n"] {
+        for delay in [0, 1, 30] {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+            let to = listener.local_addr().expect("no local address");
+            let first = answer("Id: a\r\n", "first");
+            let copy = answer(copy_id, "first");
+            let second = answer("Id: b\r\n", "second");
+            let server = thread::spawn(move || {
+                let (mut stream, _) = listener.accept().expect("no connection");
+                read_request(&mut stream);
+                stream.write_all(first.as_bytes()).expect("not written");
+                thread::sleep(Duration::from_millis(delay));
+                // Fails if the daemon has closed the connection already.
+                let _ = stream.write_all(copy.as_bytes());
+                // The next request comes on this connection, or on a further one.
+                listener.set_nonblocking(true).expect("still blocking");
+                stream
+                    .set_read_timeout(Some(Duration::from_millis(5)))
+                    .expect("no timeout");
+                let until = Instant::now() + Duration::from_secs(2);
+                while Instant::now() < until {
+                    if let Ok((mut further, _)) = listener.accept() {
+                        further.set_nonblocking(false).expect("not blocking");
+                        read_request(&mut further);
+                        further.write_all(second.as_bytes()).expect("not written");
+                        return;
+                    }
+                    if matches!(stream.read(&mut [0; 512]), Ok(n) if n > 0) {
+                        let _ = stream.write_all(second.as_bytes());
+                        return;
+                    }
+                }
+            });
+            let pool = pool(to);
+            let first = send(&pool, "a").expect("the first answer is whole");
+            assert_eq!(first.response.body.0, b"first");
+            thread::sleep(Duration::from_millis(10));
+            match send(&pool, "b") {
+                Ok(second) => assert_eq!(second.response.body.0, b"second"),
+                // An answer without an id can't be told apart, so the connection is given up.
+                Err(UpstreamRequestFailure::MaybeRun(_)) => {}
+                other => panic!("{copy_id:?} after {delay} ms: {other:?}"),
+            }
+            server.join().expect("the upstream panicked");
+        }
+    }
+}
