Let moves of ranges follow the pace of their releases, and wait for a moving key at its next owner

The planner moved further ranges from an upstream that had not released the ones before (up to 173 a second), and a release was announced only when none of a later table was in progress, so with a table every 0.2 s it was put off again and again. Half of all requests were refused as "not owner", after up to 23 calls each from the receiving daemon. Grants wait for a slot of a busy upstream; at 150 ms each, one after the other, three in a row took the upstream for lost, and its keys moved too.

Change: no range leaves a session that has not released all it lost before. `ReleaseTracker` announces each epoch as soon as no earlier release is in progress; `explore` uses it too. A request waits at the next owner until the grant arrives (half of its objective, as before) instead of asking every 25 ms. Due grants are sent eight at a time and may take 400 ms. Refusals for a drain, an evacuation or a stop are waited for like a move. A request whose caller left is checked once more before it is sent. Non-members watch the table only if they are among the first to plan, or were not admitted within 4 s.

Ruled out: a longer time until an upstream counts as lost (900 ms stays; the check for it stays).

Tests: ranges (a busy upstream that still releases), key_grants (overlapping releases), grant_wait; explore holds, and misses no rule that is taken out.

--- a/crates/bench/src/explore/invariant_checker.rs
+++ b/crates/bench/src/explore/invariant_checker.rs
@@ -39,7 +39,7 @@
                     continue;
                 };
                 let permit = ownership.permit_for_slice(now, service, slice).ok();
-                node.unfinished_work.retain(|_, until| *until > now);
+                node.unfinished_work.retain(|_, (_, until)| *until > now);
                 if permit.is_none() && !node.unfinished_work.contains_key(&slice) {
                     continue;
                 }
--- a/crates/bench/src/explore/node.rs
+++ b/crates/bench/src/explore/node.rs
@@ -9,6 +9,7 @@
 use foxtaildrift::process::moment::Moment;
 use foxtaildrift::process::ownership::Ownership;
 use foxtaildrift::process::platform::Revision;
+use foxtaildrift::process::release_tracker::ReleaseTracker;
 use foxtaildrift::version::document_version::DocumentVersion;
 use foxtaildrift::version::epoch::Epoch;
 use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, MemberInfo, WEIGHT_FULL};
@@ -62,10 +63,11 @@
     pub join_requests: JoinRequests,
     /// The platform's revision at the last read of the table, the base of the next write.
     pub base_revision: Option<Revision>,
-    /// Unfinished work on slices that the process no longer serves, and until when it may continue.
-    pub unfinished_work: BTreeMap<SliceId, Moment>,
-    /// The epoch whose release is announced as soon as the unfinished work is done.
-    pub releasing_epoch: Option<Epoch>,
+    /// Unfinished work on slices that the process no longer serves: the epoch that took the slice
+    /// away, and until when the work may continue.
+    pub unfinished_work: BTreeMap<SliceId, (Epoch, Moment)>,
+    /// The releases in progress.
+    pub releases: ReleaseTracker,
     /// The last adopted table epoch and document version, which must not fall.
     pub last_versions: (Epoch, DocumentVersion),
 }
@@ -86,7 +88,7 @@
             join_requests: JoinRequests::default(),
             base_revision: None,
             unfinished_work: BTreeMap::new(),
-            releasing_epoch: None,
+            releases: ReleaseTracker::default(),
             last_versions: (Epoch::default(), DocumentVersion::default()),
         }
     }
@@ -125,7 +127,7 @@
         self.join_requests = JoinRequests::default();
         self.base_revision = None;
         self.unfinished_work.clear();
-        self.releasing_epoch = None;
+        self.releases = ReleaseTracker::default();
         self.last_versions = (Epoch::default(), DocumentVersion::default());
     }
 
--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -41,9 +41,11 @@
 /// Shortest grant that is worth a call.
 const GRANT_DURATION_MIN: Duration = Duration::from_millis(150);
 /// Timeout of a grant call.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Number of failed grants after which a reconciliation stops.
-const FAILURES_MAX: u32 = 3;
+///
+/// An upstream whose slots are all busy answers once one is free.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Number of grants that are sent beside each other; if one fails, a reconciliation stops.
+const GRANTS_AT_ONCE: usize = 8;
 /// How long the planner may take to move the keys of an upstream that announced its stop.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Timeout of a release call: the upstream finishes the requests for its keys first.
@@ -57,6 +59,16 @@
 /// HTTP status of an upstream that has seen a higher fencing token.
 const STATUS_FENCED: u16 = 409;
 
+/// A grant that was sent to the upstream.
+struct GrantAttempt {
+    range: OwnedRange,
+    grant: Grant,
+    sent_at: Moment,
+    ended_at: Moment,
+    /// HTTP status of the response.
+    result: Result<u16, UpstreamRequestFailure>,
+}
+
 /// Reconciles the upstream's grants with the keys that the daemon may serve.
 pub struct GrantManager {
     clock: Arc<dyn Clock>,
@@ -238,14 +250,18 @@
             }
             return;
         }
-        let mut failures = 0;
-        'ranges: for range in &served {
-            for (part, handover) in grants.due_grants(now, &process.service, range) {
-                failures +=
-                    u32::from(!self.send_grant(&mut grants, &process, part, handover, live_until));
-                if failures >= FAILURES_MAX {
-                    break 'ranges;
-                }
+        let due: Vec<_> = served
+            .iter()
+            .flat_map(|range| grants.due_grants(now, &process.service, range))
+            .collect();
+        for batch in due.chunks(GRANTS_AT_ONCE) {
+            let attempts = self.send_grants(batch, live_until);
+            let mut all_accepted = true;
+            for attempt in attempts {
+                all_accepted &= self.record_attempt(&mut grants, &process, attempt);
+            }
+            if !all_accepted {
+                break;
             }
         }
         let granted = grants.granted_ranges(&served);
@@ -254,12 +270,12 @@
     }
 
     /// Releases the keys that the table of `epoch` assigns to others and sends their handovers.
-    /// Announces the release once no other release is in progress.
+    /// Announces the release once no release for an earlier table is in progress.
     pub fn release_lost_keys(&self, epoch: Epoch) {
         let lost = self.remove_lost(epoch);
         self.release_and_hand_over(lost);
         let mut grants = sync::lock(&self.grants);
-        let released_epoch = grants.end_release();
+        let released_epoch = grants.end_release(epoch);
         drop(grants);
         if let Some(epoch) = released_epoch {
             self.membership
@@ -441,47 +457,77 @@
         }
     }
 
-    /// Sends a grant; returns whether the upstream accepted it, or whether its duration would be
-    /// too short to send it.
+    /// Sends grants beside each other; leaves out those whose duration would be too short.
+    fn send_grants(
+        &self,
+        due: &[(OwnedRange, Option<String>)],
+        live_until: Moment,
+    ) -> Vec<GrantAttempt> {
+        let send = |(range, handover): &(OwnedRange, Option<String>)| {
+            self.send_grant(*range, handover.clone(), live_until)
+        };
+        if let [only] = due {
+            return send(only).into_iter().collect();
+        }
+        thread::scope(|scope| {
+            let threads: Vec<_> = due.iter().map(|d| scope.spawn(move || send(d))).collect();
+            let attempts = threads.into_iter().filter_map(|t| t.join().ok().flatten());
+            attempts.collect()
+        })
+    }
+
+    /// Sends a grant, unless its duration would be too short.
     fn send_grant(
         &self,
-        grants: &mut KeyGrants,
-        process: &UpstreamProcess,
         range: OwnedRange,
         handover: Option<String>,
         live_until: Moment,
-    ) -> bool {
+    ) -> Option<GrantAttempt> {
         let sent_at = self.clock.now();
         let max_duration = live_until
             .since(sent_at + GRANT_MARGIN)
             .mul_f64(1.0 / (1.0 + CLOCK_DRIFT));
         let duration = max_duration.min(self.grant_max);
         if duration < GRANT_DURATION_MIN {
-            return true;
+            return None;
         }
         let grant = Grant {
             keys: range.keys(),
             fencing_token: owned_range::pack_fencing_token(range.token),
             duration,
-            handover: handover.clone(),
+            handover,
         };
-        let result = self
-            .dispatcher
-            .pool()
-            .send_control_request(&self.protocol.grant_request(&grant), GRANT_TIMEOUT);
-        let now = self.clock.now();
-        let possible_until = now + duration.mul_f64(1.0 + CLOCK_DRIFT);
-        let status = match result {
-            Ok((head, _)) => Ok(head.status),
+        let request = self.protocol.grant_request(&grant);
+        let pool = self.dispatcher.pool();
+        let result = pool.send_control_request(&request, GRANT_TIMEOUT);
+        Some(GrantAttempt {
+            range,
+            grant,
+            sent_at,
+            ended_at: self.clock.now(),
+            result: result.map(|(head, _)| head.status),
+        })
+    }
+
+    /// Records a grant that was sent; returns whether the upstream accepted it.
+    fn record_attempt(
+        &self,
+        grants: &mut KeyGrants,
+        process: &UpstreamProcess,
+        attempt: GrantAttempt,
+    ) -> bool {
+        let GrantAttempt { range, grant, .. } = attempt;
+        let possible_until = attempt.ended_at + grant.duration.mul_f64(1.0 + CLOCK_DRIFT);
+        let status = match attempt.result {
             Err(UpstreamRequestFailure::Refused) => {
                 self.dispatcher.handle_upstream_loss("connection refused");
                 return false;
             }
-            Err(e) => Err(e),
+            status => status,
         };
         let certain_until = match status {
-            Ok(200..300) => sent_at + duration.mul_f64(1.0 - CLOCK_DRIFT),
-            _ => sent_at,
+            Ok(200..300) => attempt.sent_at + grant.duration.mul_f64(1.0 - CLOCK_DRIFT),
+            _ => attempt.sent_at,
         };
         let unanswered_until = match status {
             Err(_) => possible_until,
@@ -496,7 +542,7 @@
         );
         if matches!(status, Ok(200..300)) {
             grants.record_success();
-            if let Some(handover) = &handover {
+            if let Some(handover) = &grant.handover {
                 grants.consume_handover(handover, &range);
             }
             if is_new {
@@ -505,8 +551,8 @@
                     first = grant.keys.first.0,
                     last = grant.keys.last.0,
                     fence = grant.fencing_token,
-                    hold_ms = duration.as_millis() as u64,
-                    warm = handover.is_some()
+                    hold_ms = grant.duration.as_millis() as u64,
+                    warm = grant.handover.is_some()
                 );
             }
             return true;
@@ -514,7 +560,7 @@
         if status == Ok(STATUS_FENCED) {
             self.membership.with_ownership(|o, _| o.raise_incarnation());
         }
-        grants.record_failure(sent_at);
+        grants.record_failure(attempt.sent_at);
         let reason = failure_reason(status);
         tracing::warn!(
             event = "grant-failed",
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::mpsc::{self, RecvTimeoutError, SyncSender};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
 use crate::connection::protocol::StatusReport;
@@ -11,6 +11,7 @@
 use crate::process::clock::Clock;
 use crate::process::datagram::Message;
 use crate::process::host::admission::{Admission, Decision, Ticket};
+use crate::process::host::grant_wait::GrantWait;
 use crate::process::host::local_upstream::{LocalUpstream, ReportEffect, UpstreamProcess};
 use crate::process::host::owned_range::OwnedRange;
 use crate::process::membership::Membership;
@@ -74,6 +75,8 @@
     pool: UpstreamPool,
     drain_timeout: Duration,
     state: Mutex<State>,
+    /// Notified when the granted ranges change.
+    granted_changed: Condvar,
 }
 
 impl HostDispatcher {
@@ -91,6 +94,7 @@
             pool,
             drain_timeout,
             state: Mutex::default(),
+            granted_changed: Condvar::new(),
         }
     }
 
@@ -172,6 +176,7 @@
     /// Sets the ranges that are certainly granted to the upstream, each with the end of its grant.
     pub fn set_granted(&self, granted: Vec<(OwnedRange, Moment)>) {
         sync::lock(&self.state).granted = granted;
+        self.granted_changed.notify_all();
     }
 
     /// Records requests that other daemons suspect of crashing an upstream.
@@ -220,7 +225,7 @@
         let now = self.clock.now();
         let deadline = now + request.remaining;
         let objective = now + request.objective;
-        if let Err(refusal) = self.check_allowed(request) {
+        if let Err(refusal) = self.await_grant(request, recipient) {
             return refusal;
         }
         let fingerprint = Fingerprint::of_upstream_request(request);
@@ -237,6 +242,10 @@
                 return refusal;
             }
         };
+        if recipient.has_disconnected() {
+            self.end_dispatch(Some(dispatch), None, None);
+            return UpstreamOutcome::not_run(NotRunCause::CallerLeft, MOVE_RETRY_AFTER);
+        }
         let sent_at = self.clock.now();
         times.waited = sent_at.since(now);
         let time_left = deadline.since(sent_at);
@@ -309,6 +318,46 @@
         }
     }
 
+    /// Returns an error unless the request may be sent to the upstream; waits a while for a key that
+    /// is moving here.
+    fn await_grant(
+        &self,
+        request: &UpstreamRequest,
+        recipient: &Recipient,
+    ) -> Result<(), UpstreamOutcome> {
+        let wait = GrantWait::new(self.clock.now(), request.objective);
+        loop {
+            let Err(refusal) = self.check_allowed(request) else {
+                return Ok(());
+            };
+            let is_next_owner = self.is_next_owner(request);
+            let Some(pause) = wait.next(self.clock.now(), &refusal, is_next_owner) else {
+                return Err(refusal);
+            };
+            if recipient.has_disconnected() {
+                return Err(UpstreamOutcome::not_run(
+                    NotRunCause::CallerLeft,
+                    MOVE_RETRY_AFTER,
+                ));
+            }
+            let state = sync::lock(&self.state);
+            // A grant that arrives just before the wait is found by the next check.
+            drop(self.granted_changed.wait_timeout(state, pause));
+        }
+    }
+
+    /// Returns whether this daemon owns the request's key next, as far as it knows.
+    fn is_next_owner(&self, request: &UpstreamRequest) -> bool {
+        let Some(key) = request.key else {
+            return false;
+        };
+        let hash = KeyHash(key.0.into());
+        self.membership.with_ownership(|o, _| {
+            let owner = o.likely_owner(&request.service, hash);
+            owner.is_some_and(|m| m.info.session == o.info().session)
+        })
+    }
+
     /// Returns an error unless the request may be sent to the upstream now.
     fn check_allowed(&self, request: &UpstreamRequest) -> Result<(), UpstreamOutcome> {
         let now = self.clock.now();
--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -153,7 +153,10 @@
             let retry = match &outcome {
                 UpstreamOutcome::NotRun { cause, .. } => {
                     let deadline = match cause {
-                        NotRunCause::NotOwner => progress.move_deadline,
+                        NotRunCause::NotOwner
+                        | NotRunCause::Evacuated
+                        | NotRunCause::Draining
+                        | NotRunCause::Stopping => progress.move_deadline,
                         _ => progress.no_owner_deadline,
                     };
                     self.should_wait(*cause, request, progress)
@@ -175,7 +178,13 @@
         progress: &RequestProgress,
     ) -> bool {
         match cause {
-            NotRunCause::NotOwner | NotRunCause::Unreachable | NotRunCause::Down => true,
+            // The planner moves the key away from an upstream or a daemon that takes no more work.
+            NotRunCause::NotOwner
+            | NotRunCause::Evacuated
+            | NotRunCause::Draining
+            | NotRunCause::Stopping
+            | NotRunCause::Unreachable
+            | NotRunCause::Down => true,
             NotRunCause::Shed => progress.may_send_again() && self.withdraw_retry(request),
             _ => false,
         }
--- a/src/process/host/key_grants.rs
+++ b/src/process/host/key_grants.rs
@@ -6,6 +6,7 @@
 use crate::connection::peer_message::KeyHandover;
 use crate::process::host::owned_range::OwnedRange;
 use crate::process::moment::Moment;
+use crate::process::release_tracker::ReleaseTracker;
 use crate::version::epoch::Epoch;
 use crate::version::service_name::ServiceName;
 use crate::version::upstream::UpstreamBoot;
@@ -52,12 +53,9 @@
     handovers: Vec<(KeyHandover, Moment)>,
     /// Time at which the first grant since the last accepted one failed.
     failing_since: Option<Moment>,
-    /// Number of releases in progress.
-    pending_releases: usize,
+    releases: ReleaseTracker,
     /// Whether all keys are being released.
     releasing_all: bool,
-    /// Newest epoch whose lost keys were removed from the grants.
-    released_epoch: Epoch,
 }
 
 impl KeyGrants {
@@ -119,15 +117,13 @@
 
     /// Begins the release of the keys that the table of `epoch` assigns to others.
     pub fn begin_release(&mut self, epoch: Epoch) {
-        self.pending_releases += 1;
-        self.released_epoch = self.released_epoch.max(epoch);
+        self.releases.begin(epoch);
     }
 
-    /// Ends one release; returns the epoch to announce as released if no other release is in
-    /// progress.
-    pub fn end_release(&mut self) -> Option<Epoch> {
-        self.pending_releases -= 1;
-        (self.pending_releases == 0).then_some(self.released_epoch)
+    /// Ends the release for the table of `epoch`; returns the epoch to announce as released, if no
+    /// release for an earlier one is in progress.
+    pub fn end_release(&mut self, epoch: Epoch) -> Option<Epoch> {
+        self.releases.end(epoch)
     }
 
     /// Removes and returns the granted ranges that are not in `served`.
@@ -154,20 +150,19 @@
     /// early.
     pub fn begin_release_all(&mut self) -> Vec<KeyGrant> {
         self.releasing_all = true;
-        self.pending_releases += 1;
+        self.releases.begin_all();
         std::mem::take(&mut self.grants)
     }
 
-    /// Ends the release of all keys; returns the epoch to announce as released if no other release
-    /// is in progress.
+    /// Ends the release of all keys; returns the epoch to announce as released, if there is one.
     pub fn end_release_all(&mut self) -> Option<Epoch> {
         self.releasing_all = false;
-        self.end_release()
+        self.releases.end_all()
     }
 
     /// Returns the number of releases in progress.
     pub fn pending_releases(&self) -> usize {
-        self.pending_releases
+        self.releases.in_progress()
     }
 
     /// Returns whether all keys are being released.
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -15,6 +15,7 @@
 //! | [`load_meter`] | load that each key range puts on the local upstream |
 //! | [`store_sync`] | routing and table in force, and writes of the next table |
 //! | `store_health` | log lines when the store fails and when it works again |
+//! | [`grant_wait`] | how long a request waits for a moving key |
 //! | [`recent_requests`] | duplicates of requests from other daemons |
 //! | [`retry_budget_share`] | how many retries this daemon may send |
 //! | [`metered_store`] | metrics of store calls |
@@ -26,6 +27,7 @@
 pub mod admission;
 pub mod endpoints;
 pub mod grant_manager;
+pub mod grant_wait;
 pub mod host_context;
 pub mod host_dispatcher;
 pub mod host_router;
--- a/src/process/host/request_progress.rs
+++ b/src/process/host/request_progress.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use crate::process::host::grant_wait::MOVE_WAIT_DIVISOR;
 use crate::process::moment::Moment;
 use crate::request::upstream_load::UpstreamLoad;
 use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
@@ -11,8 +12,6 @@
 
 /// A request waits its objective divided by this for a key without an owner.
 const NO_OWNER_WAIT_DIVISOR: u32 = 6;
-/// A request waits its objective divided by this for a key that is moving to another owner.
-const MOVE_WAIT_DIVISOR: u32 = 2;
 /// First pause before another attempt at a key without an owner or a moving key.
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(4);
 /// Least time left at which an attempt is worthwhile.
--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -52,8 +52,13 @@
 /// Pause of a daemon that is not a member, and is among the first to plan, after each change: many
 /// daemons may write join requests at once.
 const FIRST_PLANNERS_PAUSE: Duration = Duration::from_millis(300);
-/// Pause of any other daemon that is not a member. The planner tells it when it is admitted.
+/// Pause of any other daemon that is not a member.
 const NON_MEMBER_PAUSE: Duration = Duration::from_millis(1500);
+/// How long after its start a process waits for the join requests of others.
+const JOIN_SETTLE_TIME: Duration = Duration::from_millis(500);
+/// How long after its start a process waits for the planner to admit it before it watches the store
+/// itself.
+const ADMISSION_TIME: Duration = Duration::from_secs(4);
 /// Number of daemons that are among the first to plan.
 const FIRST_PLANNERS: u32 = 4;
 /// Interval at which a daemon that does not watch checks whether it should.
@@ -87,6 +92,7 @@
     protocol: Arc<dyn OperatorProtocol>,
     membership: Arc<Membership>,
     instance: InstanceId,
+    started: Instant,
     state: Mutex<State>,
 }
 
@@ -103,6 +109,7 @@
             protocol,
             membership,
             instance,
+            started: Instant::now(),
             state: Mutex::default(),
         }
     }
@@ -129,10 +136,7 @@
             stop,
             "table",
             KEY_PREFIX,
-            || {
-                (self.planner_position() < TABLE_WATCHERS || !self.is_member())
-                    .then_some(WATCH_TIMEOUT)
-            },
+            || self.must_watch_table().then_some(WATCH_TIMEOUT),
             |range| self.replace_table_and_joins(range),
             |changes, _| {
                 self.apply_table_and_join_changes(changes);
@@ -380,19 +384,36 @@
     /// Returns whether this daemon must watch the routing itself: it has none, its witnesses don't
     /// reach it, so others might not either, or it is among the first of its failure domain.
     fn must_watch_routing(&self) -> bool {
-        if self
-            .membership
-            .active_configuration()
-            .routing_config
-            .is_none()
-        {
+        let active = self.membership.active_configuration();
+        if active.routing_config.is_none() {
             return true;
         }
-        self.membership.with_ownership(|o, now| {
-            o.live_until(now).is_none()
-                || o.domain_position()
-                    .is_none_or(|p| p < DOMAIN_ROUTING_WATCHERS)
-        })
+        let (is_live, domain_position) = self
+            .membership
+            .with_ownership(|o, now| (o.live_until(now).is_some(), o.domain_position()));
+        match is_live {
+            true => domain_position.is_none_or(|p| p < DOMAIN_ROUTING_WATCHERS),
+            false => !self.is_expecting_admission(),
+        }
+    }
+
+    /// Returns whether this daemon must watch the table and the join requests: it is among the first
+    /// to plan, or the members have not admitted it in time.
+    fn must_watch_table(&self) -> bool {
+        let position = self.planner_position();
+        if self.is_member() {
+            return position < TABLE_WATCHERS;
+        }
+        // Until then most join requests of a cell that starts are not written yet, so each process
+        // would take itself for the first.
+        let is_position_known = self.started.elapsed() >= JOIN_SETTLE_TIME;
+        is_position_known && (position < FIRST_PLANNERS || !self.is_expecting_admission())
+    }
+
+    /// Returns whether this process has started so recently that the planner probably admits it
+    /// soon, and tells it.
+    fn is_expecting_admission(&self) -> bool {
+        self.started.elapsed() < ADMISSION_TIME
     }
 
     fn is_member(&self) -> bool {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -45,6 +45,7 @@
 pub mod platform;
 pub mod platform_sync;
 pub mod recent_shared_requests;
+pub mod release_tracker;
 pub mod router;
 pub mod serve_permit;
 pub mod session_facts;
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -263,10 +263,10 @@
         self.renew_unconfirmed(now);
     }
 
-    /// Announces that all work on the slices that `epoch` took from this daemon is finished or
-    /// cancelled; does nothing if `epoch` is not the present one.
+    /// Announces that all work on the slices that `epoch` and earlier ones took from this daemon is
+    /// finished or cancelled; does nothing if this daemon has not adopted `epoch`.
     pub fn announce_release(&mut self, now: Moment, epoch: Epoch) {
-        if epoch != self.table.epoch {
+        if epoch > self.table.epoch {
             return;
         }
         let mut new_facts = SessionFacts::default();
--- a/src/process/planner/ranges.rs
+++ b/src/process/planner/ranges.rs
@@ -274,7 +274,7 @@
     let mut load_by_owner = measured_loads(input, slices, loads, owners, range_owners);
     let total: u32 = load_by_owner.values().sum();
     let mean = total / u32::try_from(load_by_owner.len().max(1)).unwrap_or(u32::MAX);
-    let mut immovable: BTreeSet<SessionId> = BTreeSet::new();
+    let mut immovable = releasing_sessions(input, slices);
     for _ in 0..MOVES_MAX.max(owners.len() / OWNERS_PER_MOVE) {
         let movable = load_by_owner.iter().filter(|(s, _)| !immovable.contains(s));
         let busiest = movable.max_by_key(|(_, load)| **load);
@@ -304,6 +304,17 @@
     }
 }
 
+/// Returns the sessions that have not yet released all ranges that they lost. No further ranges
+/// leave them: their new owners could not serve these any sooner, and the load that the sessions
+/// report still includes the ranges before.
+fn releasing_sessions(input: &PlanInput<'_>, slices: &ServiceSlices) -> BTreeSet<SessionId> {
+    let former = slices.slices.iter().flat_map(|a| &a.former_candidates);
+    let unreleased = former.filter(|(s, former)| {
+        !input.has_ended(**s) && input.facts.adopted(**s) < former.release_epoch
+    });
+    unreleased.map(|(&s, _)| s).collect()
+}
+
 /// Returns the load of each owner's ranges, in per mille of its upstream's slots; leaves out owners
 /// without a report measured since their newest range was assigned.
 fn measured_loads(
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod give_up;
+mod grant_wait;
 mod key_grants;
 mod load_meter;
 mod local_upstream;
