Take no lock of a recipient while a call holds its own

`PeerCall::wait` asked its recipient under its own lock, while the recipient's disconnect wakes the call under the recipient's lock: with both at once, the reactor stood still, and with it the daemon.

Change: the waker marks the call as abandoned; the wait asks nobody. The rule stands at `on_disconnect`.

--- a/src/connection/peer_call.rs
+++ b/src/connection/peer_call.rs
@@ -5,7 +5,6 @@
 use std::time::Instant;
 
 use crate::connection::peer_message::PeerReply;
-use crate::connection::recipient::Recipient;
 use crate::process::sync;
 
 /// What happened to one attempt of a call.
@@ -17,40 +16,46 @@
     LinkClosed(usize),
 }
 
+#[derive(Debug, Default)]
+struct State {
+    events: VecDeque<CallEvent>,
+    /// Whether the reply is not wanted any more.
+    abandoned: bool,
+}
+
 /// A call, each attempt of which is sent on another link; the first reply counts.
 #[derive(Debug, Default)]
 pub struct PeerCall {
-    events: Mutex<VecDeque<CallEvent>>,
+    state: Mutex<State>,
     changed: Condvar,
 }
 
 impl PeerCall {
     /// Records an event and wakes the waiting thread.
     pub fn record(&self, event: CallEvent) {
-        sync::lock(&self.events).push_back(event);
+        sync::lock(&self.state).events.push_back(event);
         self.changed.notify_all();
     }
 
-    /// Wakes the waiting thread, so that it checks whether its recipient disconnected.
-    pub fn wake(&self) {
-        // The lock makes sure that the thread either waits already or has not checked yet.
-        let _events = sync::lock(&self.events);
+    /// Ends the wait, and each later one, because the reply is not wanted any more.
+    pub fn abandon(&self) {
+        sync::lock(&self.state).abandoned = true;
         self.changed.notify_all();
     }
 
-    /// Waits until `until` for the next event; returns `None` earlier if `recipient` disconnects.
-    pub fn wait(&self, until: Instant, recipient: &Recipient) -> Option<CallEvent> {
-        let mut events = sync::lock(&self.events);
+    /// Waits until `until` for the next event; returns `None` earlier if the call is abandoned.
+    pub fn wait(&self, until: Instant) -> Option<CallEvent> {
+        let mut state = sync::lock(&self.state);
         loop {
-            if let Some(event) = events.pop_front() {
+            if let Some(event) = state.events.pop_front() {
                 return Some(event);
             }
             let remaining = until.saturating_duration_since(Instant::now());
-            if remaining.is_zero() || recipient.has_disconnected() {
+            if remaining.is_zero() || state.abandoned {
                 return None;
             }
-            let waited = self.changed.wait_timeout(events, remaining);
-            events = waited.unwrap_or_else(PoisonError::into_inner).0;
+            let waited = self.changed.wait_timeout(state, remaining);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
     }
 }
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -210,7 +210,7 @@
         let kind = LinkKind::of(request);
         let call = Arc::new(PeerCall::default());
         let for_waker = Arc::clone(&call);
-        let _watch = recipient.on_disconnect(move || for_waker.wake());
+        let _watch = recipient.on_disconnect(move || for_waker.abandon());
         let mut attempts = Attempts {
             call,
             sent: Vec::new(),
@@ -289,10 +289,7 @@
         let mut pinged = false;
         let mut since = Instant::now();
         loop {
-            match attempts
-                .call
-                .wait(deadline.min(since + patience), recipient)
-            {
+            match attempts.call.wait(deadline.min(since + patience)) {
                 Some(CallEvent::Replied(reply)) => return Ok(reply),
                 Some(CallEvent::LinkClosed(index)) if index == last => {
                     return Err(Failure::LinkClosed);
@@ -329,7 +326,7 @@
     ) -> Result<PeerCallReply, PeerError> {
         loop {
             let until = deadline.min(Instant::now() + self.timeouts.reply);
-            match attempts.call.wait(until, recipient) {
+            match attempts.call.wait(until) {
                 Some(CallEvent::Replied(reply)) => {
                     return Ok(PeerCallReply {
                         reply,
--- a/src/connection/recipient.rs
+++ b/src/connection/recipient.rs
@@ -91,7 +91,8 @@
     }
 
     /// Calls `waker` when the recipient disconnects, or at once if it has, until the returned value
-    /// is dropped. The waker must not call the recipient and must not block.
+    /// is dropped. The waker must not block, and must take no lock under which any thread calls the
+    /// recipient.
     pub fn on_disconnect(&self, waker: impl Fn() + Send + 'static) -> DisconnectWatch {
         let Some(state) = &self.state else {
             return DisconnectWatch { registered: None };
--- a/tests/testsuite/peer_pool.rs
+++ b/tests/testsuite/peer_pool.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Barrier, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -294,3 +294,45 @@
     let noticed = echo.left.lock().unwrap()["a-2000"];
     assert!(noticed < closed_at + Duration::from_millis(400));
 }
+
+#[test]
+fn callers_that_leave_while_their_replies_arrive_never_block_the_reactor() {
+    // Found by a hunt on kowhai-glide (scale-2 850483969105, CONFIG): the reactor told a call that
+    // its caller had left, holding the recipient's lock, while the call asked the recipient, holding
+    // its own. The daemon then handled nothing any more.
+    let reactor = Reactor::start().expect("no reactor");
+    let (_echo, _server, to) = echo_server(&reactor);
+    let pool = pool(&reactor);
+    thread::scope(|scope| {
+        for n in 0..8 {
+            let pool = &pool;
+            scope.spawn(move || {
+                for round in 0..1500u32 {
+                    let recipient = Recipient::connected();
+                    let left = recipient.clone();
+                    let barrier = Arc::new(Barrier::new(2));
+                    let at_start = Arc::clone(&barrier);
+                    let leaving = thread::spawn(move || {
+                        at_start.wait();
+                        let until = Instant::now() + Duration::from_micros((round % 80).into());
+                        while Instant::now() < until {}
+                        left.disconnect();
+                    });
+                    let (request, limit) = (
+                        dispatch(&format!("{n}r{round}"), 10),
+                        Duration::from_secs(5),
+                    );
+                    barrier.wait();
+                    let started = Instant::now();
+                    let _ = pool.call(to, &request, limit, &recipient, || false);
+                    leaving.join().expect("the caller panicked");
+                    assert!(
+                        started.elapsed() < Duration::from_secs(2),
+                        "the call is stuck"
+                    );
+                }
+            });
+        }
+    });
+    assert!(call(&pool, to, "last", 10).is_ok());
+}
