Send a large body only to a host whose link has room for it

What was on its way took seconds, so each upload was too late when it arrived, and so was each internal stock call behind it on the same link: not one was answered.

Change: before a body of 16 KiB or more a daemon asks the host for room. It grants a tenth of a second's worth of its link at a time (setting `link_mbps`, rendered from the platform's limits), one body at least, and refuses at once otherwise; the router then asks another upstream, and in the end refuses with when to return.

Tests: body_reservations (twice what a slow link carries, fast links, a body that never comes).

--- a/src/connection/peer_message.rs
+++ b/src/connection/peer_message.rs
@@ -23,6 +23,9 @@
 use crate::version::table::Table;
 use crate::version::table_delta::TableDelta;
 
+/// The size from which a body is large, in bytes.
+pub const LARGE_BODY_BYTES: usize = 16 * 1024;
+
 /// A request from one daemon to another.
 ///
 /// Postcard encodes the variants by their position, so their order is part of the wire format.
@@ -76,6 +79,17 @@
     FetchRoutingConfig,
     /// Transfers what upstreams handed over with ranges of keys.
     TransferKeys(Vec<KeyHandover>),
+    /// Asks whether the receiver has room for the large body of a [`PeerRequest::Dispatch`].
+    ReserveBody {
+        /// The daemon process that is addressed.
+        instance: InstanceId,
+        /// The id of the upstream request.
+        id: String,
+        /// The attempt number of the upstream request.
+        attempt: u32,
+        /// The size of the body, in bytes.
+        bytes: usize,
+    },
 }
 
 impl PeerRequest {
@@ -91,6 +105,7 @@
             PeerRequest::FetchOutcome { .. } => "fetch-outcome",
             PeerRequest::FetchRoutingConfig => "fetch-routing",
             PeerRequest::TransferKeys(_) => "transfer-keys",
+            PeerRequest::ReserveBody { .. } => "reserve-body",
         }
     }
 
@@ -102,8 +117,8 @@
         )
     }
 
-    /// Returns whether the request concerns ownership or versions. Such requests are handled by
-    /// threads of their own, so that load does not delay them.
+    /// Returns whether the request concerns ownership, versions or room. Such requests are answered
+    /// at once by threads of their own, so that load does not delay them.
     pub fn is_control(&self) -> bool {
         matches!(
             self,
@@ -112,11 +127,17 @@
                 | PeerRequest::FetchRoutingConfig
                 | PeerRequest::TransferRecords(_)
                 | PeerRequest::TransferKeys(_)
+                | PeerRequest::ReserveBody { .. }
         )
     }
 
+    /// Returns whether the request carries a body so large that it would delay other requests.
+    pub fn has_large_body(&self) -> bool {
+        self.body_bytes() >= LARGE_BODY_BYTES
+    }
+
     /// Returns the size of the caller's body that the request carries, in bytes.
-    pub fn body_bytes(&self) -> usize {
+    fn body_bytes(&self) -> usize {
         match self {
             PeerRequest::Forward(envelope) | PeerRequest::DispatchShared { envelope, .. } => {
                 envelope.body.0.len()
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -29,8 +29,6 @@
 
 /// The timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// The size of a body, in bytes, from which a request is sent on the link for large ones.
-const LARGE_BODY_BYTES: usize = 16 * 1024;
 /// The retry delay that a caller receives if a later process has replaced the addressed one.
 const REPLACED_PROCESS_RETRY: Duration = Duration::from_millis(300);
 
@@ -65,7 +63,7 @@
 
 impl LinkKind {
     fn of(request: &PeerRequest) -> Self {
-        match request.body_bytes() >= LARGE_BODY_BYTES {
+        match request.has_large_body() {
             true => Self::Large,
             false => Self::Small,
         }
--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -1,7 +1,7 @@
 //! State that all threads of the daemon share, and the handling of requests from other daemons.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use crate::connection::peer_message::{PeerReply, PeerRequest};
@@ -9,6 +9,7 @@
 use crate::connection::protocol::{StatusReport, UpstreamReport};
 use crate::connection::recipient::Recipient;
 use crate::process::clock::Clock;
+use crate::process::host::body_reservations::BodyReservations;
 use crate::process::host::grant_manager::GrantManager;
 use crate::process::host::host_dispatcher::HostDispatcher;
 use crate::process::host::host_router::HostRouter;
@@ -18,6 +19,7 @@
 use crate::process::membership::Membership;
 use crate::process::metrics::Metrics;
 use crate::process::stop_flag::StopFlag;
+use crate::process::sync;
 use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 use crate::request::upstream_request::UpstreamRequest;
 use crate::version::epoch::Epoch;
@@ -37,6 +39,7 @@
     pub(super) grant_manager: Arc<GrantManager>,
     pub(super) router: Arc<HostRouter>,
     pub(super) recent_requests: RecentRequests,
+    pub(super) body_reservations: Mutex<BodyReservations>,
     pub(super) metrics: Arc<Metrics>,
     /// Set when the process has been asked to stop.
     pub(super) stopping: Arc<StopFlag>,
@@ -160,6 +163,7 @@
             return PeerReply::NotServing("another process than the one meant".to_owned());
         }
         let now = self.clock.now();
+        sync::lock(&self.body_reservations).release(&request.id, request.attempt);
         let execution = match self
             .recent_requests
             .begin(now, &request.id, request.attempt)
@@ -179,6 +183,28 @@
         reply
     }
 
+    /// Reserves room for the body of a request that another daemon is about to send.
+    fn reserve_body(
+        &self,
+        instance: InstanceId,
+        id: &str,
+        attempt: u32,
+        bytes: usize,
+    ) -> PeerReply {
+        if instance != self.instance {
+            return PeerReply::NotServing("another process than the one meant".to_owned());
+        }
+        let now = self.clock.now();
+        let reserved = sync::lock(&self.body_reservations).reserve(now, id, attempt, bytes);
+        match reserved {
+            Ok(()) => PeerReply::Accepted,
+            Err(retry_after) => self.completed(UpstreamOutcome::not_run(
+                NotRunCause::Overloaded,
+                retry_after,
+            )),
+        }
+    }
+
     /// Returns the outcome of a request that was received before.
     fn fetch_outcome(
         &self,
@@ -229,6 +255,12 @@
                 attempt,
                 remaining,
             } => self.fetch_outcome(instance, &id, attempt, remaining),
+            PeerRequest::ReserveBody {
+                instance,
+                id,
+                attempt,
+                bytes,
+            } => self.reserve_body(instance, &id, attempt, bytes),
             PeerRequest::FetchTable { known } => self.membership.table_update(known),
             PeerRequest::FetchRoutingConfig => {
                 let active = self.membership.active_configuration();
--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -1,6 +1,7 @@
 //! Routes callers' requests to upstreams, and turns the outcomes into responses.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -11,8 +12,8 @@
 };
 use crate::connection::http1::RequestHead;
 use crate::connection::peer_error::PeerError;
-use crate::connection::peer_message::PeerRequest;
-use crate::connection::peer_pool::PeerPool;
+use crate::connection::peer_message::{PeerReply, PeerRequest};
+use crate::connection::peer_pool::{PeerCallReply, PeerPool};
 use crate::connection::protocol::CallerProtocol;
 use crate::connection::recipient::Recipient;
 use crate::process::clock::Clock;
@@ -47,6 +48,8 @@
 const ROUTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry delay returned while too many requests are in progress on this host.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Timeout of the question whether another daemon has room for a large body.
+const RESERVATION_TIMEOUT: Duration = Duration::from_millis(400);
 /// How much longer than the request's time left this daemon waits for another daemon, which reports
 /// a timeout when the request's time runs out there.
 const OUTCOME_GRACE: Duration = Duration::from_millis(60);
@@ -303,6 +306,11 @@
             request: Box::new(request.clone()),
         };
         let address = member.info.peer;
+        if message.has_large_body()
+            && let Err(refusal) = self.reserve_body(address, session.instance, request, recipient)
+        {
+            return refusal;
+        }
         let timeout = request.remaining + OUTCOME_GRACE;
         let has_ended = || {
             self.deps
@@ -330,6 +338,49 @@
         (outcome, None)
     }
 
+    /// Asks the daemon at `address` whether it has room for the request's large body.
+    ///
+    /// # Errors
+    ///
+    /// Returns the outcome if the body must not be sent now.
+    fn reserve_body(
+        &self,
+        address: SocketAddr,
+        instance: InstanceId,
+        request: &UpstreamRequest,
+        recipient: &Recipient,
+    ) -> Result<(), (UpstreamOutcome, Option<UpstreamLoad>)> {
+        let reservation = PeerRequest::ReserveBody {
+            instance,
+            id: request.id.clone(),
+            attempt: request.attempt,
+            bytes: request.body.0.len(),
+        };
+        let timeout = request.remaining.min(RESERVATION_TIMEOUT);
+        let called = self
+            .deps
+            .peers
+            .call(address, &reservation, timeout, recipient, || false);
+        match called {
+            Ok(called) if called.reply == PeerReply::Accepted => Ok(()),
+            // No copy of the request itself was sent.
+            Ok(called) => Err(PeerCallReply {
+                resent: false,
+                ..called
+            }
+            .into_outcome()),
+            Err(PeerError::RecipientDisconnected) => Err((
+                UpstreamOutcome::not_run(NotRunCause::CallerLeft, OWNER_RETRY_AFTER),
+                None,
+            )),
+            Err(e) => {
+                tracing::info!(event = "hop-failed", request = %request.id, to = %address, sent = false, error = %e);
+                let outcome = UpstreamOutcome::not_run(NotRunCause::Unreachable, OWNER_RETRY_AFTER);
+                Err((outcome, None))
+            }
+        }
+    }
+
     /// Sleeps before another attempt; returns `false` at once if none is worthwhile.
     fn pause(
         &self,
--- a/src/process/host/host_settings.rs
+++ b/src/process/host/host_settings.rs
@@ -69,6 +69,8 @@
     /// Processor share of the host, in cores; the daemons on hosts with the largest share come
     /// first in the planning order.
     pub cpu_share: f64,
+    /// Speed of the host's network link, in megabits per second.
+    pub link_mbps: f64,
     /// Least severe level that is logged: error, warn, info, debug or trace.
     pub log_level: String,
 }
@@ -97,6 +99,7 @@
             retry_slack: 50.0,
             retry_window_s: 10.0,
             cpu_share: 1.0,
+            link_mbps: 1000.0,
             log_level: "info".to_owned(),
         }
     }
@@ -200,6 +203,9 @@
         if !(0.001..=1024.0).contains(&self.cpu_share) {
             return out_of_range("cpu_share", self.cpu_share as u64, "0.001 to 1024");
         }
+        if !(0.1..=1_000_000.0).contains(&self.link_mbps) {
+            return out_of_range("link_mbps", self.link_mbps as u64, "0.1 to 1000000");
+        }
         let levels = ["error", "warn", "info", "debug", "trace"];
         if !levels.contains(&self.log_level.as_str()) {
             return Err(SettingsError::LogLevel(self.log_level.clone()));
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -15,6 +15,7 @@
 //! | [`load_meter`] | load that each key range puts on the local upstream |
 //! | [`store_sync`] | routing and table in force, and writes of the next table |
 //! | `store_health` | log lines when the store fails and when it works again |
+//! | [`body_reservations`] | how many large bodies may be on their way to this host |
 //! | [`grant_wait`] | how long a request waits for a moving key |
 //! | [`recent_requests`] | duplicates of requests from other daemons |
 //! | [`retry_budget_share`] | how many retries this daemon may send |
@@ -25,6 +26,7 @@
 //! | [`service`] | startup, threads and graceful shutdown |
 
 pub mod admission;
+pub mod body_reservations;
 pub mod endpoints;
 pub mod grant_manager;
 pub mod grant_wait;
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -2,7 +2,7 @@
 
 use std::net::UdpSocket;
 use std::sync::mpsc::{self, Receiver};
-use std::sync::{Arc, atomic::AtomicBool};
+use std::sync::{Arc, Mutex, atomic::AtomicBool};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -14,6 +14,7 @@
 use crate::connection::upstream_pool::UpstreamPool;
 use crate::process::clock::{Clock, SystemClock};
 use crate::process::daemon::{self, DaemonError};
+use crate::process::host::body_reservations::BodyReservations;
 use crate::process::host::endpoints::{ReadinessHandler, ReportHandler};
 use crate::process::host::grant_manager::GrantManager;
 use crate::process::host::host_context::HostContext;
@@ -265,6 +266,7 @@
         retry_budget: settings.retry_budget(),
         stop: Arc::clone(&stopping),
     }));
+    let body_reservations = Mutex::new(BodyReservations::new(settings.link_mbps));
     Ok(Arc::new(HostContext {
         settings,
         clock,
@@ -274,6 +276,7 @@
         grant_manager,
         router,
         recent_requests: RecentRequests::default(),
+        body_reservations,
         metrics,
         stopping,
         stop: Arc::default(),
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -240,7 +240,8 @@
             PeerRequest::Dispatch { .. }
             | PeerRequest::FetchOutcome { .. }
             | PeerRequest::FetchRoutingConfig
-            | PeerRequest::TransferKeys(_) => {
+            | PeerRequest::TransferKeys(_)
+            | PeerRequest::ReserveBody { .. } => {
                 PeerReply::NotServing("this daemon takes no such call".to_owned())
             }
         }
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision logic of the host daemon.
 
 mod admission;
+mod body_reservations;
 mod give_up;
 mod grant_wait;
 mod key_grants;
