--- a/src/connection/http_listener.rs
+++ b/src/connection/http_listener.rs
@@ -6,15 +6,15 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::{AsFd, BorrowedFd};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, Weak};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
+use crate::connection::acceptor::{Acceptor, ConnectionHandler};
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::caller_connection::CallerConnection;
 use crate::connection::http1::RequestHead;
-use crate::connection::reactor::{Reactor, Readiness, Source, SourceNumber};
+use crate::connection::reactor::Reactor;
 use crate::connection::recipient::Recipient;
 use crate::process::sync;
 use crate::process::thread_pool::ThreadPool;
@@ -109,7 +109,17 @@
     pub(super) reactor: Weak<Reactor>,
     pub(super) threads: ThreadPool,
     pub(super) stopping: AtomicBool,
-    connections: Mutex<HashMap<u64, Arc<CallerConnection>>>,
+    connections: Mutex<Connections>,
+    /// Itself, for its connections.
+    this: Weak<ListenerShared>,
+}
+
+/// The open connections of a listener.
+#[derive(Default)]
+struct Connections {
+    /// By connection number.
+    open: HashMap<u64, Arc<CallerConnection>>,
+    last_number: u64,
 }
 
 impl ListenerShared {
@@ -125,26 +135,20 @@
 
     /// Removes a connection that is closed.
     pub(super) fn forget(&self, connection: u64) {
-        sync::lock(&self.connections).remove(&connection);
+        sync::lock(&self.connections).open.remove(&connection);
     }
 
     fn all_connections(&self) -> Vec<Arc<CallerConnection>> {
-        sync::lock(&self.connections).values().cloned().collect()
+        let connections = sync::lock(&self.connections);
+        connections.open.values().cloned().collect()
     }
 }
 
-/// The listening socket.
-struct Acceptor {
-    listener: TcpListener,
-    shared: Arc<ListenerShared>,
-    last_connection: Mutex<u64>,
-}
-
 /// A running listener; [`HttpListener::stop`] joins its threads.
 pub struct HttpListener {
     shared: Arc<ListenerShared>,
     address: SocketAddr,
-    acceptor: Option<(Arc<Acceptor>, SourceNumber)>,
+    acceptor: Option<Acceptor>,
 }
 
 impl HttpListener {
@@ -158,32 +162,21 @@
         listener: TcpListener,
         handler: Arc<dyn ListenerHandler>,
     ) -> io::Result<Self> {
-        let address = listener.local_addr()?;
-        listener.set_nonblocking(true)?;
         let threads = REQUESTS_MAX + REFUSING_THREADS_MAX;
-        let shared = Arc::new(ListenerShared {
+        let shared = Arc::new_cyclic(|this| ListenerShared {
             handler,
             reactor: Arc::downgrade(reactor),
             threads: ThreadPool::with_stack("caller", threads, STACK_BYTES),
             stopping: AtomicBool::new(false),
             connections: Mutex::default(),
+            this: Weak::clone(this),
         });
-        let acceptor = Arc::new(Acceptor {
-            listener,
-            shared: Arc::clone(&shared),
-            last_connection: Mutex::default(),
-        });
-        let number = OnceLock::new();
-        let source = Arc::clone(&acceptor) as Arc<dyn Source>;
-        reactor.add(source, Readiness::READ, |n| {
-            // The listener is added once.
-            let _ = number.set(n);
-        })?;
-        let number = number.into_inner().ok_or(io::ErrorKind::NotFound)?;
+        let handler = Arc::clone(&shared) as Arc<dyn ConnectionHandler>;
+        let acceptor = Acceptor::start(reactor, listener, handler)?;
         Ok(Self {
             shared,
-            address,
-            acceptor: Some((acceptor, number)),
+            address: acceptor.address(),
+            acceptor: Some(acceptor),
         })
     }
 
@@ -202,11 +195,8 @@
     /// Stops accepting connections and closes the idle ones. Connections that callers have
     /// established already are still served, and so are requests in progress.
     pub fn stop_accepting(&mut self) {
-        if let Some((acceptor, number)) = self.acceptor.take() {
-            acceptor.accept_all();
-            if let Some(reactor) = self.shared.reactor.upgrade() {
-                reactor.remove(number);
-            }
+        if let Some(acceptor) = self.acceptor.take() {
+            acceptor.stop();
         }
         self.shared.stopping.store(true, Ordering::SeqCst);
         for connection in self.shared.all_connections() {
@@ -230,35 +220,24 @@
     }
 }
 
-impl Acceptor {
-    /// Accepts all connections that callers have established.
-    fn accept_all(&self) {
-        loop {
-            match self.listener.accept() {
-                Ok((stream, _)) => self.serve(stream),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e) => {
-                    tracing::warn!(event = "accept-failed", error = %e);
-                    return;
-                }
-            }
-        }
-    }
-
+impl ConnectionHandler for ListenerShared {
     /// Watches an accepted connection, unless there are too many.
-    fn serve(&self, stream: TcpStream) {
-        let mut connections = sync::lock(&self.shared.connections);
-        if connections.len() >= CONNECTIONS_MAX {
-            tracing::warn!(event = "connection-refused", open = connections.len());
+    fn handle_connection(&self, stream: TcpStream) {
+        let Some(shared) = self.this.upgrade() else {
+            return;
+        };
+        let mut connections = sync::lock(&self.connections);
+        if connections.open.len() >= CONNECTIONS_MAX {
+            tracing::warn!(event = "connection-refused", open = connections.open.len());
             return;
         }
-        let mut last = sync::lock(&self.last_connection);
-        *last += 1;
+        connections.last_number += 1;
+        let number = connections.last_number;
         let started = BufferedConnection::from_accepted(stream)
-            .and_then(|conn| CallerConnection::new(&self.shared, *last, conn));
+            .and_then(|conn| CallerConnection::new(&shared, number, conn));
         match started {
             Ok(connection) => {
-                connections.insert(*last, Arc::clone(&connection));
+                connections.open.insert(number, Arc::clone(&connection));
                 drop(connections);
                 connection.watch_first();
             }
@@ -266,15 +245,3 @@
         }
     }
 }
-
-impl Source for Acceptor {
-    fn fd(&self) -> BorrowedFd<'_> {
-        self.listener.as_fd()
-    }
-
-    fn handle(&self, _ready: Readiness) {
-        self.accept_all();
-    }
-
-    fn sweep(&self, _now: Instant) {}
-}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -11,6 +11,7 @@
 //! # Ok::<(), frame::FrameError>(())
 //! ```
 
+pub mod acceptor;
 pub mod buffered_connection;
 pub mod caller_connection;
 pub mod caller_http;
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -4,17 +4,17 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::{TcpListener, TcpStream};
-use std::os::fd::{AsFd, BorrowedFd};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, Weak};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
+use crate::connection::acceptor::{Acceptor, ConnectionHandler};
 use crate::connection::buffered_connection::BufferedConnection;
 use crate::connection::frame::FrameError;
 use crate::connection::peer_frame::PeerFrame;
 use crate::connection::peer_link::{LinkHandler, PeerLink};
 use crate::connection::peer_message::{PeerReply, PeerRequest};
-use crate::connection::reactor::{Reactor, Readiness, Source, SourceNumber};
+use crate::connection::reactor::Reactor;
 use crate::connection::recipient::Recipient;
 use crate::connection::traffic::Traffic;
 use crate::process::sync;
@@ -46,6 +46,8 @@
 struct Shared {
     handler: Arc<dyn PeerHandler>,
     reactor: Weak<Reactor>,
+    /// Itself, for its links.
+    this: Weak<Shared>,
     stopping: AtomicBool,
     links: Mutex<Vec<Weak<PeerLink>>>,
     requests: ThreadPool,
@@ -55,12 +57,6 @@
     traffic: Arc<Traffic>,
 }
 
-/// The listening socket.
-struct Acceptor {
-    listener: TcpListener,
-    shared: Arc<Shared>,
-}
-
 /// Handles the frames of a calling daemon.
 struct CallHandler {
     shared: Arc<Shared>,
@@ -71,7 +67,7 @@
 /// The listener and its links; [`PeerServer::stop`] joins all threads.
 pub struct PeerServer {
     shared: Arc<Shared>,
-    number: SourceNumber,
+    acceptor: Mutex<Option<Acceptor>>,
 }
 
 impl PeerServer {
@@ -86,10 +82,10 @@
         handler: Arc<dyn PeerHandler>,
         traffic: &Arc<Traffic>,
     ) -> io::Result<Self> {
-        listener.set_nonblocking(true)?;
-        let shared = Arc::new(Shared {
+        let shared = Arc::new_cyclic(|this| Shared {
             handler,
             reactor: Arc::downgrade(reactor),
+            this: Weak::clone(this),
             stopping: AtomicBool::new(false),
             links: Mutex::default(),
             requests: ThreadPool::with_stack("peer", REQUESTS_MAX, STACK_BYTES),
@@ -97,24 +93,19 @@
             cut_off: Mutex::default(),
             traffic: Arc::clone(traffic),
         });
-        let acceptor = Arc::new(Acceptor {
-            listener,
-            shared: Arc::clone(&shared),
-        });
-        let number = OnceLock::new();
-        reactor.add(acceptor, Readiness::READ, |n| {
-            // The listener is added once.
-            let _ = number.set(n);
-        })?;
-        let number = number.into_inner().ok_or(io::ErrorKind::NotFound)?;
-        Ok(Self { shared, number })
+        let for_links = Arc::clone(&shared) as Arc<dyn ConnectionHandler>;
+        let acceptor = Acceptor::start(reactor, listener, for_links)?;
+        Ok(Self {
+            shared,
+            acceptor: Mutex::new(Some(acceptor)),
+        })
     }
 
     /// Closes the listener and all links, cancels the calls in progress and joins all threads.
     pub fn stop(&self) {
         self.shared.stopping.store(true, Ordering::SeqCst);
-        if let Some(reactor) = self.shared.reactor.upgrade() {
-            reactor.remove(self.number);
+        if let Some(acceptor) = sync::lock(&self.acceptor).take() {
+            acceptor.stop();
         }
         let links = std::mem::take(&mut *sync::lock(&self.shared.links));
         for link in links.iter().filter_map(Weak::upgrade) {
@@ -134,8 +125,8 @@
 
 impl Shared {
     /// Starts a link on an accepted connection, unless there are too many.
-    fn accept(self: &Arc<Self>, stream: TcpStream) -> io::Result<()> {
-        let Some(reactor) = self.reactor.upgrade() else {
+    fn accept(&self, stream: TcpStream) -> io::Result<()> {
+        let (Some(reactor), Some(this)) = (self.reactor.upgrade(), self.this.upgrade()) else {
             return Ok(());
         };
         let mut links = sync::lock(&self.links);
@@ -145,7 +136,7 @@
         }
         let conn = BufferedConnection::from_accepted(stream)?;
         let handler = Box::new(CallHandler {
-            shared: Arc::clone(self),
+            shared: this,
             running: Arc::default(),
         });
         let link = PeerLink::start(&reactor, conn, handler)?;
@@ -171,30 +162,15 @@
     }
 }
 
-impl Source for Acceptor {
-    fn fd(&self) -> BorrowedFd<'_> {
-        self.listener.as_fd()
-    }
-
-    fn handle(&self, _ready: Readiness) {
-        loop {
-            match self.listener.accept() {
-                Ok((stream, _)) => {
-                    if let Err(e) = self.shared.accept(stream) {
-                        tracing::warn!(event = "link-not-started", error = %e);
-                    }
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e) => {
-                    tracing::warn!(event = "accept-failed", error = %e);
-                    return;
-                }
-            }
+impl ConnectionHandler for Shared {
+    fn handle_connection(&self, stream: TcpStream) {
+        if let Err(e) = self.accept(stream) {
+            tracing::warn!(event = "link-not-started", error = %e);
         }
     }
 
     fn sweep(&self, now: Instant) {
-        self.shared.cancel_cut_off(Some(now));
+        self.cancel_cut_off(Some(now));
     }
 }
 
