Send grants one after the other again

What the threads waited for was not seen. Change: no threads for grants; each may take 400 ms, the first that fails ends the round.

Ruled out: the reactor (it went on), the lock of a recipient (mended before; another fault).

--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -44,8 +44,6 @@
 ///
 /// An upstream whose slots are all busy answers once one is free.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Number of grants that are sent beside each other; if one fails, a reconciliation stops.
-const GRANTS_AT_ONCE: usize = 8;
 /// How long the planner may take to move the keys of an upstream that announced its stop.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Timeout of a release call: the upstream finishes the requests for its keys first.
@@ -254,13 +252,10 @@
             .iter()
             .flat_map(|range| grants.due_grants(now, &process.service, range))
             .collect();
-        for batch in due.chunks(GRANTS_AT_ONCE) {
-            let attempts = self.send_grants(batch, live_until);
-            let mut all_accepted = true;
-            for attempt in attempts {
-                all_accepted &= self.record_attempt(&mut grants, &process, attempt);
-            }
-            if !all_accepted {
+        for (range, handover) in due {
+            let attempt = self.send_grant(range, handover, live_until);
+            let failed = attempt.is_some_and(|a| !self.record_attempt(&mut grants, &process, a));
+            if failed {
                 break;
             }
         }
@@ -457,25 +452,6 @@
         }
     }
 
-    /// Sends grants beside each other; leaves out those whose duration would be too short.
-    fn send_grants(
-        &self,
-        due: &[(OwnedRange, Option<String>)],
-        live_until: Moment,
-    ) -> Vec<GrantAttempt> {
-        let send = |(range, handover): &(OwnedRange, Option<String>)| {
-            self.send_grant(*range, handover.clone(), live_until)
-        };
-        if let [only] = due {
-            return send(only).into_iter().collect();
-        }
-        thread::scope(|scope| {
-            let threads: Vec<_> = due.iter().map(|d| scope.spawn(move || send(d))).collect();
-            let attempts = threads.into_iter().filter_map(|t| t.join().ok().flatten());
-            attempts.collect()
-        })
-    }
-
     /// Sends a grant, unless its duration would be too short.
     fn send_grant(
         &self,
