Don't claim "not run" where a full pool refuses a request that may have been sent before

Cause (found by reading the change once more): with 512 requests of other daemons in progress, a dispatched request was refused as "not run". If it was a copy that was sent again, the first one may be running, so the refusal was not true and the request could have run twice. Change: the server replies that it does not serve the request; the caller's side makes "not run" of it only if it was sent once. The handlers' `refuse` is gone with it. Test in peer_pool.

--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -36,9 +36,6 @@
     /// Returns the reply to a request; `recipient` is the daemon that sent it.
     fn handle(&self, request: PeerRequest, recipient: &Recipient) -> PeerReply;
 
-    /// Returns the reply to a request that is refused because too many are being processed.
-    fn refuse(&self, request: &PeerRequest) -> PeerReply;
-
     /// Counts a frame that could not be decoded.
     fn count_malformed_frame(&self);
 }
@@ -178,8 +175,9 @@
     fn start_call(&self, link: &Arc<PeerLink>, number: u64, request: PeerRequest) {
         let is_control = request.is_control();
         if !is_control && self.shared.requests.jobs() >= REQUESTS_MAX {
-            let reply = self.shared.handler.refuse(&request);
-            send_reply(link, number, reply);
+            // Not "not run": an earlier copy of a request that was sent again may be running.
+            let reason = "too many requests are in progress".to_owned();
+            send_reply(link, number, PeerReply::NotServing(reason));
             return;
         }
         let recipient = Recipient::connected();
--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -26,9 +26,6 @@
 use crate::version::instance_id::InstanceId;
 use crate::version::upstream::Upstream;
 
-/// Retry delay returned while too many requests of other daemons are in progress.
-const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Shared state of the daemon.
 pub struct HostContext {
     pub(super) settings: HostSettings,
@@ -285,18 +282,6 @@
         }
     }
 
-    fn refuse(&self, request: &PeerRequest) -> PeerReply {
-        match request {
-            PeerRequest::Dispatch { .. } => self.completed(UpstreamOutcome::not_run(
-                NotRunCause::Overloaded,
-                OVERLOAD_RETRY_AFTER,
-            )),
-            _ => self.completed(UpstreamOutcome::unknown(
-                "too many requests are in progress",
-            )),
-        }
-    }
-
     fn count_malformed_frame(&self) {
         self.metrics.record_malformed();
     }
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -35,8 +35,7 @@
 use crate::version::member::{MemberInfo, WEIGHT_FULL};
 use crate::version::session_id::SessionId;
 
-/// How long other daemons may take to acknowledge a request, and then to send anything more about
-/// it.
+/// How long other daemons may take to answer a ping, and to reply before a ping is sent.
 const PEER_TIMEOUTS: PeerTimeouts = PeerTimeouts {
     acknowledge: Duration::from_millis(120),
     reply: Duration::from_millis(600),
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -247,10 +247,6 @@
         }
     }
 
-    fn refuse(&self, _request: &PeerRequest) -> PeerReply {
-        PeerReply::NotServing("too many requests are in progress".to_owned())
-    }
-
     fn count_malformed_frame(&self) {
         self.metrics.record_malformed();
     }
--- a/tests/testsuite/peer_pool.rs
+++ b/tests/testsuite/peer_pool.rs
@@ -12,12 +12,13 @@
 use foxtaildrift::connection::peer_error::PeerError;
 use foxtaildrift::connection::peer_frame::PeerFrame;
 use foxtaildrift::connection::peer_message::{PeerReply, PeerRequest};
-use foxtaildrift::connection::peer_pool::{PeerPool, PeerTimeouts};
+use foxtaildrift::connection::peer_pool::{PeerCallReply, PeerPool, PeerTimeouts};
 use foxtaildrift::connection::peer_server::{PeerHandler, PeerServer};
 use foxtaildrift::connection::reactor::Reactor;
 use foxtaildrift::connection::recipient::Recipient;
 use foxtaildrift::request::body::Body;
 use foxtaildrift::request::headers::Headers;
+use foxtaildrift::request::upstream_outcome::UpstreamOutcome;
 use foxtaildrift::request::upstream_request::UpstreamRequest;
 use foxtaildrift::version::instance_id::InstanceId;
 
@@ -126,10 +127,6 @@
         PeerReply::NotServing(id)
     }
 
-    fn refuse(&self, _request: &PeerRequest) -> PeerReply {
-        PeerReply::NotServing("too many".to_owned())
-    }
-
     fn count_malformed_frame(&self) {}
 }
 
@@ -336,3 +333,18 @@
     });
     assert!(call(&pool, to, "last", 10).is_ok());
 }
+
+#[test]
+fn a_refusal_of_a_request_that_was_sent_again_does_not_claim_that_it_did_not_run() {
+    let refused = |resent| PeerCallReply {
+        reply: PeerReply::NotServing("too many requests are in progress".to_owned()),
+        resent,
+    };
+    let (first, _) = refused(false).into_outcome();
+    assert!(matches!(first, UpstreamOutcome::NotRun { .. }), "{first:?}");
+    let (again, _) = refused(true).into_outcome();
+    assert!(
+        matches!(again, UpstreamOutcome::Unknown { .. }),
+        "{again:?}"
+    );
+}
