Log late reactors, slow connects and requests whose recipient left

Today's lines told neither when a process was short of processor time, nor how long a request waited between its head and its handling, nor what the daemon beside the upstream did with a request whose recipient had left. New lines reactor-late, upstream-connect-slow and recipient-left, new field queued_ms of request.

--- a/src/connection/reactor.rs
+++ b/src/connection/reactor.rs
@@ -25,6 +25,8 @@
 const STACK_BYTES: usize = 512 * 1024;
 /// How long to pause after a wait that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(20);
+/// From which delay on a late wake-up or a slow round of handlers is logged.
+const LATE_MIN: Duration = Duration::from_millis(250);
 /// The number of the descriptor that wakes the thread; sources have higher numbers.
 const WAKER_NUMBER: u64 = 0;
 
@@ -246,7 +248,9 @@
     let mut events = Vec::with_capacity(EVENTS_MAX);
     let mut sweep_at = Instant::now() + SWEEP_INTERVAL;
     while !shared.stopping.load(Ordering::SeqCst) {
-        let timeout = Timespec::try_from(sweep_at.saturating_duration_since(Instant::now()));
+        let asleep_at = Instant::now();
+        let sweep_due = sweep_at;
+        let timeout = Timespec::try_from(sweep_at.saturating_duration_since(asleep_at));
         let timeout = timeout.ok();
         let waited = epoll::wait(&shared.epoll, spare_capacity(&mut events), timeout.as_ref());
         match waited {
@@ -256,6 +260,7 @@
                 thread::sleep(FAILURE_PAUSE);
             }
         }
+        let awake_at = Instant::now();
         for event in events.drain(..) {
             let source = sync::lock(&shared.sources).get(&event.data.u64()).cloned();
             if let Some(source) = source {
@@ -270,5 +275,22 @@
                 source.sweep(now);
             }
         }
+        log_delay(sweep_due.max(asleep_at), awake_at);
     }
 }
+
+/// Logs a round of the reactor that took long: `late` tells how long after `due` the thread got to
+/// run, `handling` how long its handlers took. A late thread means that the process is short of
+/// processor time or was paused.
+fn log_delay(due: Instant, awake_at: Instant) {
+    let late = awake_at.saturating_duration_since(due);
+    let handling = awake_at.elapsed();
+    if late.max(handling) < LATE_MIN {
+        return;
+    }
+    tracing::info!(
+        event = "reactor-late",
+        late_ms = late.as_millis() as u64,
+        handling_ms = handling.as_millis() as u64,
+    );
+}
--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -23,6 +23,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// The fraction of the time in the `Keep-Alive` header for which a connection is reused.
 const KEEP_ALIVE_SHARE: f64 = 0.7;
+/// From which time on a connection that took long to establish is logged.
+const CONNECT_SLOW_MIN: Duration = Duration::from_millis(200);
 /// The most idle connections in the pool.
 const IDLE_MAX: usize = 32;
 /// The most response heads that are read on one connection to find the one with the request's id.
@@ -257,11 +259,19 @@
             }
         }
         let connect_deadline = deadline.min(now + CONNECT_TIMEOUT);
-        BufferedConnection::connect(self.to, self.from, connect_deadline).map_err(|e| {
-            match e.kind() {
-                ErrorKind::ConnectionRefused => UpstreamRequestFailure::Refused,
-                _ => UpstreamRequestFailure::NotSent(e.to_string()),
-            }
+        let connected = BufferedConnection::connect(self.to, self.from, connect_deadline);
+        let elapsed = now.elapsed();
+        if elapsed >= CONNECT_SLOW_MIN {
+            let ms = elapsed.as_millis() as u64;
+            tracing::info!(
+                event = "upstream-connect-slow",
+                ms,
+                connected = connected.is_ok()
+            );
+        }
+        connected.map_err(|e| match e.kind() {
+            ErrorKind::ConnectionRefused => UpstreamRequestFailure::Refused,
+            _ => UpstreamRequestFailure::NotSent(e.to_string()),
         })
     }
 
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -203,6 +203,9 @@
     ) -> (UpstreamOutcome, UpstreamLoad) {
         let mut times = RequestTimes::default();
         let outcome = self.dispatch_timed(request, recipient, &mut times);
+        if recipient.has_disconnected() {
+            log_departure(request, &outcome, &times);
+        }
         if !matches!(outcome, UpstreamOutcome::NotRun { .. }) {
             self.membership
                 .metrics()
@@ -601,6 +604,19 @@
     }
 }
 
+/// Logs what became of a request whose recipient disconnected before its end.
+fn log_departure(request: &UpstreamRequest, outcome: &UpstreamOutcome, times: &RequestTimes) {
+    tracing::info!(
+        event = "recipient-left",
+        request = %request.id,
+        attempt = request.attempt,
+        sent = !matches!(outcome, UpstreamOutcome::NotRun { .. }),
+        waited_ms = millis(times.waited),
+        ran_ms = millis(times.ran),
+        remaining_ms = millis(request.remaining),
+    );
+}
+
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -564,11 +564,13 @@
             return response;
         };
         let started = self.deps.clock.now();
+        let queued = http_request.received_at.elapsed();
         let (mut request, rule) = match self.build_request(routing, http_request) {
             Ok(routed) => routed,
             Err(response) => return response,
         };
-        let (outcome, trace) = self.route(routing, &rule, &mut request, recipient);
+        let (outcome, mut trace) = self.route(routing, &rule, &mut request, recipient);
+        trace.queued = queued;
         let duration = self.deps.clock.now().since(started);
         self.record_metrics(&request.service, &outcome, duration);
         log_request(&request, &rule, routing, &outcome, &trace, duration);
@@ -636,6 +638,7 @@
         status,
         tries = trace.attempts,
         upstream,
+        queued_ms = trace.queued.as_millis() as u64,
         waited_ms = trace.load.map(|l| l.waited_ms),
         ran_ms = trace.load.map(|l| l.ran_ms),
         in_flight = trace.load.map(|l| l.in_flight),
--- a/src/process/host/request_progress.rs
+++ b/src/process/host/request_progress.rs
@@ -23,6 +23,8 @@
 
 /// Facts about a request for its log line.
 pub(super) struct RequestTrace {
+    /// Time from the arrival of the head until the request was handled.
+    pub(super) queued: Duration,
     /// Number of attempts, whether or not they reached an upstream.
     pub(super) attempts: u32,
     /// Daemon whose upstream was tried last.
@@ -62,6 +64,7 @@
             sends: 0,
             may_have_run: false,
             trace: RequestTrace {
+                queued: Duration::ZERO,
                 attempts: 0,
                 upstream_daemon: None,
                 load: None,
