--- a/crates/bench/tests/testsuite/host.rs
+++ b/crates/bench/tests/testsuite/host.rs
@@ -2,10 +2,13 @@
 //! processes.
 
 use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::Duration;
 
-use foxtaildrift_bench::host_cluster::HostCluster;
+use foxtaildrift_bench::host_cluster::{HostCluster, HostProcess};
 use foxtaildrift_bench::host_run::HostRun;
+use rustix::process::Signal;
 
 /// How long an environment may take to start.
 const START_TIME: Duration = Duration::from_secs(15);
@@ -219,6 +222,39 @@
         .unwrap();
 }
 
+/// Guards against work for callers that left (GONE on golobnik-mesh): a daemon that had been short
+/// of processor time handled requests whose callers had closed long before.
+#[test]
+fn a_paused_daemon_sends_nothing_for_callers_that_left_meanwhile() {
+    let _lock = crate::daemon::lock_environment();
+    let mut cluster = start_cluster();
+    let entry = 3;
+    cluster
+        .signal(entry, HostProcess::Daemon, Signal::STOP)
+        .unwrap();
+    for key in KEYS {
+        let mut stream = TcpStream::connect(cluster.hosts[entry].caller_address).unwrap();
+        let request = format!(
+            "GET /look/left HTTP/1.1\r\nHost: a.example\r\nRequest-Id: left-{key}\r\n\
+             Deadline-Ms: 1000\r\nShard-Key: {key}\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).unwrap();
+    }
+    std::thread::sleep(Duration::from_millis(600));
+    cluster
+        .signal(entry, HostProcess::Daemon, Signal::CONT)
+        .unwrap();
+    cluster
+        .wait_until("the daemon serves all keys", START_TIME, |c| {
+            serves_all_keys(c, entry)
+        })
+        .unwrap();
+    let journals = (0..cluster.hosts.len()).map(|n| cluster.journal(n));
+    let runs: Vec<_> = journals.flat_map(|j| HostRun::read_all(&j)).collect();
+    let late = runs.iter().filter(|r| r.id.starts_with("left-")).count();
+    assert_eq!(late, 0, "requests of callers that had left were sent");
+}
+
 fn all_keys_are_served_after_all_daemons_are_killed(cluster: &mut HostCluster) {
     // Found by scale-1: the new daemons waited until the leases of the killed ones had expired, and
     // the planner waited for their join requests.
--- a/tests/testsuite/http_listener.rs
+++ b/tests/testsuite/http_listener.rs
@@ -1,7 +1,8 @@
 //! Callers that pipeline requests, leave, or are connected while the listener stops.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::{AsFd, BorrowedFd};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -11,7 +12,7 @@
     HttpListener, HttpRequest, HttpResponse, ListenerHandler, ListenerLimits,
 };
 use foxtaildrift::connection::http1::RequestHead;
-use foxtaildrift::connection::reactor::Reactor;
+use foxtaildrift::connection::reactor::{Reactor, Readiness, Source};
 use foxtaildrift::connection::recipient::Recipient;
 use foxtaildrift::process::stop_flag::StopFlag;
 
@@ -78,20 +79,23 @@
     handler: Arc<Named>,
     listener: HttpListener,
     // Dropped after the listener.
-    _reactor: Arc<Reactor>,
+    reactor: Arc<Reactor>,
 }
 
 impl Fixture {
     fn start() -> Self {
+        Self::start_on(TcpListener::bind("127.0.0.1:0").expect("could not bind a port"))
+    }
+
+    fn start_on(socket: TcpListener) -> Self {
         let reactor = Reactor::start().expect("no reactor");
-        let socket = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
         let handler = Arc::new(Named::default());
         let for_listener = Arc::clone(&handler) as Arc<dyn ListenerHandler>;
         let listener = HttpListener::start(&reactor, socket, for_listener).expect("no listener");
         Self {
             handler,
             listener,
-            _reactor: reactor,
+            reactor,
         }
     }
 
@@ -217,6 +221,73 @@
     }
 }
 
+#[test]
+fn requests_of_callers_that_left_before_they_were_read_are_not_handled() {
+    // Guards against work for callers that left (GONE on golobnik-mesh): a daemon that was short of
+    // processor time read the requests late and handled them, although their callers had closed.
+    for requests in [
+        get("/a/0"),
+        [get("/a/0"), get("/b/0"), get("/c/0")].concat(),
+        post("/a/0", "x"),
+    ] {
+        let socket = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+        let to = socket.local_addr().expect("no local address");
+        for _ in 0..20 {
+            let mut stream = connect(to);
+            stream.write_all(requests.as_bytes()).unwrap();
+        }
+        thread::sleep(Duration::from_millis(50));
+        let fixture = Fixture::start_on(socket);
+        let mut stays = fixture.connect();
+        stays.write_all(get("/stays/0").as_bytes()).unwrap();
+        assert_eq!(read_response(&mut stays).expect("no response").2, "stays");
+        thread::sleep(Duration::from_millis(200));
+        assert_eq!(fixture.started(), ["/stays/0"]);
+    }
+}
+
+/// A source that keeps the thread of its reactor busy while its socket is readable.
+struct Busy {
+    socket: UdpSocket,
+    duration: Duration,
+}
+
+impl Source for Busy {
+    fn fd(&self) -> BorrowedFd<'_> {
+        self.socket.as_fd()
+    }
+
+    fn handle(&self, _ready: Readiness) {
+        thread::sleep(self.duration);
+    }
+
+    fn sweep(&self, _now: Instant) {}
+}
+
+#[test]
+fn a_caller_that_leaves_is_noticed_while_the_reactor_is_held_up() {
+    // Guards against work for callers that left (GONE on golobnik-mesh): whether a caller has left
+    // was known only once the reactor had handled the close.
+    let fixture = Fixture::start();
+    let mut stream = fixture.connect();
+    stream.write_all(get("/a/2000").as_bytes()).unwrap();
+    thread::sleep(Duration::from_millis(60));
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("could not bind a port");
+    let to = socket.local_addr().expect("no local address");
+    socket.send_to(b"x", to).expect("not sent");
+    let duration = Duration::from_millis(1500);
+    let busy = Arc::new(Busy { socket, duration });
+    let added = fixture.reactor.add_once(busy, Readiness::READ, |_| {});
+    added.expect("not watched");
+    thread::sleep(Duration::from_millis(60));
+    drop(stream);
+    let closed_at = Instant::now();
+    thread::sleep(Duration::from_millis(500));
+    let left = fixture.handler.left.lock().unwrap().clone();
+    assert_eq!(left.len(), 1, "the close was not noticed");
+    assert!(left[0].1 < closed_at + Duration::from_millis(250));
+}
+
 #[test]
 fn the_last_response_arrives_whole_although_requests_stand_behind_it() {
     // Guards against a reset by the close, which destroyed the response on its way.
--- a/tests/testsuite/peer_pool.rs
+++ b/tests/testsuite/peer_pool.rs
@@ -222,6 +222,44 @@
     assert_eq!(pool.open_links(), 1);
 }
 
+#[test]
+fn a_call_that_ends_without_its_reply_is_cancelled_at_the_far_end() {
+    // Guards against work for callers that left (found by reading, incident GONE on golobnik-mesh):
+    // a call that ended at its deadline, or because waiting was pointless, sent no cancel.
+    for (what, limit, is_pointless) in [
+        ("the deadline passed", Duration::from_millis(300), false),
+        ("waiting was pointless", Duration::from_secs(3), true),
+    ] {
+        let reactor = Reactor::start().expect("no reactor");
+        let (to, onward, relay) = one_way_relay(&reactor);
+        let pool = pool(&reactor);
+        let request = dispatch("a-2500", 100);
+        let called = pool.call(to, &request, limit, &Recipient::none(), || is_pointless);
+        assert!(called.is_err(), "{what}: {called:?}");
+        let ended_at = Instant::now();
+        thread::sleep(Duration::from_millis(200));
+        let noticed = onward.left.lock().unwrap().get("a-2500").copied();
+        let noticed = noticed.unwrap_or_else(|| panic!("{what}: the work went on"));
+        assert!(noticed < ended_at + Duration::from_millis(150), "{what}");
+        pool.close();
+        relay.join().expect("the relay panicked");
+    }
+}
+
+/// Starts a server behind a relay that passes on what is sent to it, but nothing that it replies.
+fn one_way_relay(reactor: &Arc<Reactor>) -> (SocketAddr, Arc<Echo>, thread::JoinHandle<()>) {
+    let (echo, server, behind) = echo_server(reactor);
+    let front = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+    let to = front.local_addr().expect("no local address");
+    let relay = thread::spawn(move || {
+        let (mut from, _) = front.accept().expect("no connection");
+        let mut onward = TcpStream::connect(behind).expect("no way onward");
+        let _ = std::io::copy(&mut from, &mut onward);
+        drop(server);
+    });
+    (to, echo, relay)
+}
+
 #[test]
 fn a_slow_reply_on_a_link_that_is_alive_needs_no_further_link() {
     let reactor = Reactor::start().expect("no reactor");
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -128,6 +128,24 @@
     assert!(written < TAKEN_BYTES_MAX, "{what}: took {written} bytes");
 }
 
+#[test]
+fn a_request_whose_caller_left_before_the_connection_was_established_is_not_sent() {
+    // Guards against work for callers that left (found by reading, incident GONE on golobnik-mesh):
+    // connecting may take a second, and the request was written without another look.
+    let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+    let pool = pool(listener.local_addr().expect("no local address"));
+    let recipient = Recipient::connected();
+    recipient.disconnect();
+    let result = pool.send_request(&request("a"), "i-1", TIMEOUT, &recipient);
+    assert!(result.is_err(), "{result:?}");
+    drop(pool);
+    let (mut stream, _) = listener.accept().expect("no connection");
+    let mut arrived = Vec::new();
+    // A reset leaves nothing to read either.
+    let _ = stream.read_to_end(&mut arrived);
+    assert_eq!(String::from_utf8_lossy(&arrived), "");
+}
+
 #[test]
 fn bytes_without_end_are_cut_at_a_bound_of_bytes_and_time() {
     let head = "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\n";
