Look at the caller's connection before working for it

Callers saw (GONE): requests were sent on to upstreams after their callers had left. Cause: whether a caller had left was known only once the reactor had handled the close. Change: a recipient on a connection asks the connection too; the listener handles no request whose caller has closed. So each check before a send holds, however late the reactor is.

--- a/src/connection/caller_connection.rs
+++ b/src/connection/caller_connection.rs
@@ -231,7 +231,7 @@
     ) -> Option<(u64, HttpRequest, Recipient)> {
         let is_safe = matches!(request.head.method.as_str(), "GET" | "HEAD");
         let keeps_alive = request.head.keeps_alive();
-        let recipient = Recipient::connected();
+        let recipient = Recipient::on_connection(&self.stream);
         state.last_number += 1;
         let number = state.last_number;
         state.exchanges.push_back(Exchange {
@@ -271,7 +271,12 @@
         }
     }
 
+    /// Handles a request, unless its caller has left already.
     fn handle_request(&self, number: u64, recipient: &Recipient, request: HttpRequest) {
+        if recipient.has_disconnected() {
+            self.close();
+            return;
+        }
         let handler = &self.shared.handler;
         let response = match self.shared.is_overloaded() {
             true => handler.overload_response(&request),
--- a/src/connection/recipient.rs
+++ b/src/connection/recipient.rs
@@ -1,8 +1,11 @@
 //! The caller or daemon that waits for a result, and what its disconnect cancels.
 
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+
 use crate::process::sync;
 
 /// Called when a recipient disconnects.
@@ -39,6 +42,8 @@
 pub struct Recipient {
     /// `None` for a recipient that never disconnects.
     state: Option<Arc<Mutex<State>>>,
+    /// The connection whose close by the peer is the disconnect, if there is one.
+    stream: Option<Arc<TcpStream>>,
 }
 
 impl Recipient {
@@ -51,6 +56,15 @@
     pub fn connected() -> Self {
         Self {
             state: Some(Arc::default()),
+            stream: None,
+        }
+    }
+
+    /// Creates a recipient that waits for the result on `stream`.
+    pub fn on_connection(stream: &Arc<TcpStream>) -> Self {
+        Self {
+            state: Some(Arc::default()),
+            stream: Some(Arc::clone(stream)),
         }
     }
 
@@ -62,9 +76,13 @@
     }
 
     /// Returns whether the recipient has disconnected.
+    ///
+    /// The connection itself is asked too: in a process that is short of processor time, its close
+    /// may not have been handled yet.
     pub fn has_disconnected(&self) -> bool {
         let state = self.state.as_ref();
         state.is_some_and(|s| sync::lock(s).disconnected)
+            || self.stream.as_ref().is_some_and(|s| is_hung_up(s))
     }
 
     /// Records that the recipient no longer wants the result, and cancels the work for it.
@@ -110,6 +128,14 @@
     }
 }
 
+/// Returns whether the peer of `stream` has closed it, or the connection failed.
+fn is_hung_up(stream: &TcpStream) -> bool {
+    let hung_up = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut fds = [PollFd::new(stream, PollFlags::RDHUP)];
+    let polled = poll(&mut fds, Some(&Timespec::default()));
+    polled.is_ok() && fds[0].revents().intersects(hung_up)
+}
+
 /// A registered waker of a [`Recipient`]; dropping it removes the waker.
 #[must_use = "the waker is removed when this is dropped"]
 pub struct DisconnectWatch {
