Send nothing for a recipient that left while the connection was established

Callers saw (GONE): a request may reach the upstream after its caller left. Cause: UpstreamPool wrote the request as soon as the connection stood, up to a second after the last look at the recipient, with the time left as it was before. Change: after connecting the recipient is looked at again, and the upstream is told the time that is left then. The failure says whether the request was sent: "not run" is true where it was not. Ruled out as the only cause: a queue of new connections that is full delays a connection by 1 s on Linux, and the pool gives up at 1 s.

--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -50,7 +50,10 @@
     /// The request may have run; no response arrived in time.
     TimedOut,
     /// The recipient of the response disconnected.
-    RecipientDisconnected,
+    RecipientDisconnected {
+        /// Whether the upstream may have received the request.
+        sent: bool,
+    },
 }
 
 /// A response of the upstream with the metadata in its headers.
@@ -107,16 +110,21 @@
         recipient: &Recipient,
     ) -> Result<ReceivedResponse, UpstreamRequestFailure> {
         let deadline = Instant::now() + timeout;
-        let headers = self.protocol.request_headers(request, instance, timeout);
+        let mut conn = self.checkout(deadline)?;
+        // Connecting may have taken long.
+        if recipient.has_disconnected() {
+            return Err(UpstreamRequestFailure::RecipientDisconnected { sent: false });
+        }
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        let headers = self.protocol.request_headers(request, instance, time_left);
         let body = &request.body.0;
         let mut bytes =
             http1::encode_request(&request.method, &request.target, &headers, body.len());
         bytes.extend_from_slice(body);
-        let mut conn = self.checkout(deadline)?;
         let written = match conn.write(&bytes, true, deadline, recipient) {
             Ok(written) => written,
             Err(ConnectionError::RecipientDisconnected) => {
-                return Err(UpstreamRequestFailure::RecipientDisconnected);
+                return Err(UpstreamRequestFailure::RecipientDisconnected { sent: true });
             }
             Err(e) => {
                 return Err(UpstreamRequestFailure::MaybeRun(format!(
@@ -306,7 +314,9 @@
 fn sent_failure(e: ConnectionError) -> UpstreamRequestFailure {
     match e {
         ConnectionError::TimedOut => UpstreamRequestFailure::TimedOut,
-        ConnectionError::RecipientDisconnected => UpstreamRequestFailure::RecipientDisconnected,
+        ConnectionError::RecipientDisconnected => {
+            UpstreamRequestFailure::RecipientDisconnected { sent: true }
+        }
         e => UpstreamRequestFailure::MaybeRun(e.to_string()),
     }
 }
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -314,9 +314,12 @@
                 self.end_dispatch(Some(dispatch), Some(duration), None);
                 UpstreamOutcome::timed_out("the upstream did not answer in time")
             }
-            Err(UpstreamRequestFailure::RecipientDisconnected) => {
+            Err(UpstreamRequestFailure::RecipientDisconnected { sent }) => {
                 self.end_dispatch(Some(dispatch), None, None);
-                UpstreamOutcome::unknown("the caller left")
+                match sent {
+                    true => UpstreamOutcome::unknown("the caller left"),
+                    false => UpstreamOutcome::not_run(NotRunCause::CallerLeft, MOVE_RETRY_AFTER),
+                }
             }
         }
     }
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -137,7 +137,8 @@
     let recipient = Recipient::connected();
     recipient.disconnect();
     let result = pool.send_request(&request("a"), "i-1", TIMEOUT, &recipient);
-    assert!(result.is_err(), "{result:?}");
+    let unsent = UpstreamRequestFailure::RecipientDisconnected { sent: false };
+    assert_eq!(result, Err(unsent));
     drop(pool);
     let (mut stream, _) = listener.accept().expect("no connection");
     let mut arrived = Vec::new();
