Cancel each call to another daemon that ends without its reply

Callers saw (GONE): the daemon beside the upstream may work on for a caller that has left. Cause: PeerPool::call sent a cancel only when it noticed a disconnect itself; at its deadline, or where waiting was pointless, it forgot its attempts. It also sent requests of recipients that had left. Change: dropping the attempts cancels those without a reply; a recipient is looked at before each send.

--- a/src/connection/calling_link.rs
+++ b/src/connection/calling_link.rs
@@ -103,20 +103,23 @@
         }
     }
 
-    /// Asks the other daemon to cancel a call whose reply is not wanted any more.
-    pub fn cancel(&self, number: u64) {
-        if sync::lock(&self.calls).waiting.contains_key(&number) {
+    /// Discards the reply to a call and, if it has not arrived yet, asks the other daemon to cancel
+    /// the call.
+    pub fn abandon(&self, number: u64) {
+        if self.forget(number) {
             // If the link fails, the other daemon cancels its calls.
             let _ = self.link.send(&PeerFrame::Cancel { number });
         }
     }
 
-    /// Discards the reply to a call, should it still arrive.
-    pub fn forget(&self, number: u64) {
+    /// Discards the reply to a call, should it still arrive; returns whether it was awaited.
+    fn forget(&self, number: u64) -> bool {
         let mut calls = sync::lock(&self.calls);
-        if calls.waiting.remove(&number).is_some() {
+        let was_waiting = calls.waiting.remove(&number).is_some();
+        if was_waiting {
             calls.idle_since = Instant::now();
         }
+        was_waiting
     }
 
     /// Asks the other daemon for a sign of life.
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -112,7 +112,7 @@
     LinkClosed,
 }
 
-/// The attempts of a call, each on its own link; dropping it forgets them.
+/// The attempts of a call, each on its own link; dropping it cancels those without a reply.
 struct Attempts {
     call: Arc<PeerCall>,
     sent: Vec<(Arc<CallingLink>, u64)>,
@@ -127,13 +127,6 @@
         Ok(())
     }
 
-    /// Asks the other daemon to cancel the call.
-    fn cancel(&self) {
-        for (link, number) in &self.sent {
-            link.cancel(*number);
-        }
-    }
-
     /// Returns whether the reply may still arrive.
     fn any_open(&self) -> bool {
         self.sent.iter().any(|(link, _)| !link.is_closed())
@@ -143,7 +136,7 @@
 impl Drop for Attempts {
     fn drop(&mut self) {
         for (link, number) in &self.sent {
-            link.forget(*number);
+            link.abandon(*number);
         }
     }
 }
@@ -191,7 +184,8 @@
     /// Sends a request to the daemon at `to` and waits for its reply.
     ///
     /// The wait ends after `timeout`, when `recipient` disconnects, or when `is_pointless` returns
-    /// true, which is called after each timeout on a link.
+    /// true, which is called after each timeout on a link. A call that ends without its reply is
+    /// cancelled at the other daemon.
     ///
     /// # Errors
     ///
@@ -216,6 +210,9 @@
         let mut message = Cow::Borrowed(request);
         let mut acknowledge = self.timeouts.acknowledge;
         loop {
+            if recipient.has_disconnected() {
+                return Err(PeerError::RecipientDisconnected);
+            }
             let resent = !attempts.sent.is_empty();
             let (link, is_reused) = match self.link(to, kind, deadline) {
                 Ok(link) => link,
@@ -248,7 +245,6 @@
                 Err(e) => return Err(e.into()),
             };
             if recipient.has_disconnected() {
-                attempts.cancel();
                 return Err(PeerError::RecipientDisconnected);
             }
             let expired = Instant::now() >= deadline;
@@ -338,7 +334,6 @@
                 None => {}
             }
             if recipient.has_disconnected() {
-                attempts.cancel();
                 return Err(PeerError::RecipientDisconnected);
             }
             if Instant::now() >= deadline || is_pointless() {
