Reset the connection of a request that ends without its response

Callers saw (GONE): requests reached upstreams a second after they were sent, although their callers had left. An orderly close delivers what the network holds up; only a reset discards it. The same holds for a request whose time ran out, and for grants and releases, which may then be carried out late. Change: UpstreamPool resets the connection of each exchange that ends without its response. Evidence: the new test of the upstream pool failed before (10,054 of 10,054 bytes arrived after the caller had left) and holds.

--- a/src/connection/buffered_connection.rs
+++ b/src/connection/buffered_connection.rs
@@ -110,6 +110,13 @@
         Self::new(socket.into())
     }
 
+    /// Closes the connection with a reset: what was written and not delivered yet is discarded, where
+    /// an orderly close would still deliver it.
+    pub fn reset(self) {
+        // Fails only on a socket that is closed already.
+        let _ = socket2::SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
+    }
+
     /// Returns the underlying socket.
     pub fn stream(&self) -> &Arc<TcpStream> {
         &self.stream
--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -65,6 +65,49 @@
     pub metadata: ResponseMetadata,
 }
 
+/// A request that was written and the response that was read to it.
+struct Exchange {
+    head: ResponseHead,
+    metadata: ResponseMetadata,
+    body: Vec<u8>,
+    /// Whether the response states that the request did not run.
+    not_run: bool,
+    /// Whether the connection can carry another request.
+    is_reusable: bool,
+}
+
+impl Exchange {
+    /// Returns the response if it is valid.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the upstream did not run the request, or its response can't be trusted.
+    fn into_result(self) -> Result<ReceivedResponse, UpstreamRequestFailure> {
+        let (head, metadata) = (self.head, self.metadata);
+        if self.not_run {
+            let status = head.status;
+            return Err(UpstreamRequestFailure::NotRun { status, metadata });
+        }
+        let success = (200..300).contains(&head.status);
+        if success && !metadata.signed {
+            return Err(UpstreamRequestFailure::MaybeRun(
+                "an answer without signature".to_owned(),
+            ));
+        }
+        if success && head.headers.get("content-encoding").is_some() {
+            return Err(UpstreamRequestFailure::MaybeRun(
+                "an encoded answer".to_owned(),
+            ));
+        }
+        let response = UpstreamResponse {
+            status: head.status,
+            headers: head.headers.end_to_end(),
+            body: Body(self.body),
+        };
+        Ok(ReceivedResponse { response, metadata })
+    }
+}
+
 /// A connection without a request in progress.
 struct IdleConnection {
     conn: BufferedConnection,
@@ -121,7 +164,29 @@
         let mut bytes =
             http1::encode_request(&request.method, &request.target, &headers, body.len());
         bytes.extend_from_slice(body);
-        let written = match conn.write(&bytes, true, deadline, recipient) {
+        let exchange = match self.exchange(&mut conn, request, &bytes, deadline, recipient) {
+            Ok(exchange) => exchange,
+            Err(e) => {
+                conn.reset();
+                return Err(e);
+            }
+        };
+        if exchange.is_reusable {
+            self.check_in(conn, &exchange.head);
+        }
+        exchange.into_result()
+    }
+
+    /// Writes the bytes of `request` and reads the response to it.
+    fn exchange(
+        &self,
+        conn: &mut BufferedConnection,
+        request: &UpstreamRequest,
+        bytes: &[u8],
+        deadline: Instant,
+        recipient: &Recipient,
+    ) -> Result<Exchange, UpstreamRequestFailure> {
+        let written = match conn.write(bytes, true, deadline, recipient) {
             Ok(written) => written,
             Err(ConnectionError::RecipientDisconnected) => {
                 return Err(UpstreamRequestFailure::RecipientDisconnected { sent: true });
@@ -132,39 +197,23 @@
                 )));
             }
         };
-        let (head, metadata) = self.read_head(&mut conn, request, deadline, recipient)?;
+        let (head, metadata) = self.read_head(conn, request, deadline, recipient)?;
         let framing = http1::response_framing(&head, &request.method).map_err(sent_failure)?;
-        let body = http1::read_body(&mut conn, framing, BODY_BYTES_MAX, deadline, recipient);
+        let body = http1::read_body(conn, framing, BODY_BYTES_MAX, deadline, recipient);
         let not_run = metadata.not_run || head.status == 421;
+        let is_reusable = body.is_ok() && written == bytes.len() && framing != Framing::UntilClose;
         let body = match body {
             Ok(body) => body,
             Err(_) if not_run => Vec::new(),
             Err(e) => return Err(sent_failure(e)),
         };
-        if written == bytes.len() && framing != Framing::UntilClose {
-            self.check_in(conn, &head);
-        }
-        if not_run {
-            let status = head.status;
-            return Err(UpstreamRequestFailure::NotRun { status, metadata });
-        }
-        let success = (200..300).contains(&head.status);
-        if success && !metadata.signed {
-            return Err(UpstreamRequestFailure::MaybeRun(
-                "an answer without signature".to_owned(),
-            ));
-        }
-        if success && head.headers.get("content-encoding").is_some() {
-            return Err(UpstreamRequestFailure::MaybeRun(
-                "an encoded answer".to_owned(),
-            ));
-        }
-        let response = UpstreamResponse {
-            status: head.status,
-            headers: head.headers.end_to_end(),
-            body: Body(body),
-        };
-        Ok(ReceivedResponse { response, metadata })
+        Ok(Exchange {
+            head,
+            metadata,
+            body,
+            not_run,
+            is_reusable,
+        })
     }
 
     /// Reads the head of the response to `request`, and skips responses to other requests.
@@ -217,15 +266,15 @@
             request.body.len(),
         );
         bytes.extend_from_slice(&request.body);
-        let recipient = Recipient::none();
         let mut conn = self.checkout(deadline)?;
-        conn.write(&bytes, false, deadline, &recipient)
-            .map_err(sent_failure)?;
-        let head =
-            http1::read_response_head(&mut conn, deadline, &recipient).map_err(sent_failure)?;
-        let framing = http1::response_framing(&head, request.method).map_err(sent_failure)?;
-        http1::read_body(&mut conn, framing, BODY_BYTES_MAX, deadline, &recipient)
-            .map_err(sent_failure)?;
+        let exchanged = control_exchange(&mut conn, request.method, &bytes, deadline);
+        let (head, framing) = match exchanged {
+            Ok(exchanged) => exchanged,
+            Err(e) => {
+                conn.reset();
+                return Err(sent_failure(e));
+            }
+        };
         let metadata = self.protocol.parse_head(&head);
         // A response with a request id belongs to a caller's request, so the responses on this
         // connection can't be matched to requests any more.
@@ -303,6 +352,21 @@
     }
 }
 
+/// Writes the bytes of a request of the daemon itself and reads the response to it.
+fn control_exchange(
+    conn: &mut BufferedConnection,
+    method: &str,
+    bytes: &[u8],
+    deadline: Instant,
+) -> Result<(ResponseHead, Framing), ConnectionError> {
+    let recipient = Recipient::none();
+    conn.write(bytes, false, deadline, &recipient)?;
+    let head = http1::read_response_head(conn, deadline, &recipient)?;
+    let framing = http1::response_framing(&head, method)?;
+    http1::read_body(conn, framing, BODY_BYTES_MAX, deadline, &recipient)?;
+    Ok((head, framing))
+}
+
 /// Parses the timeout of a `Keep-Alive` header.
 fn keep_alive_timeout(text: &str) -> Option<Duration> {
     let mut parts = text.split(',');
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -6,6 +6,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use socket2::{Domain, Socket, Type};
+
 use foxtaildrift::connection::http1::ResponseHead;
 use foxtaildrift::connection::protocol::{
     Grant, KeyRange, OutgoingRequest, ResponseMetadata, UpstreamProtocol,
@@ -147,6 +149,56 @@
     assert_eq!(String::from_utf8_lossy(&arrived), "");
 }
 
+/// Starts an upstream that reads nothing for `delay` and has room for little; the thread returns
+/// how many bytes it received, and whether the connection was reset.
+fn slow_to_read(delay: Duration) -> (SocketAddr, JoinHandle<(usize, bool)>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("no socket");
+    socket.set_recv_buffer_size(2048).expect("no buffer size");
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    socket.bind(&any.into()).expect("could not bind a port");
+    socket.listen(8).expect("could not listen");
+    let listener: TcpListener = socket.into();
+    let to = listener.local_addr().expect("no local address");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("no connection");
+        thread::sleep(delay);
+        let mut bytes = Vec::new();
+        let ended = stream.read_to_end(&mut bytes);
+        (bytes.len(), ended.is_err())
+    });
+    (to, server)
+}
+
+#[test]
+fn what_the_network_holds_up_of_a_request_is_not_delivered_after_its_end() {
+    // Guards against work for callers that left (GONE on golobnik-mesh): a request was written, the
+    // network held it up for a second, its caller left, and it was still delivered and run.
+    const BODY_BYTES: usize = 10_000;
+    for (what, timeout, leaves) in [
+        ("the caller left", Duration::from_secs(2), true),
+        ("the time ran out", Duration::from_millis(100), false),
+    ] {
+        let (to, server) = slow_to_read(Duration::from_millis(400));
+        let pool = pool(to);
+        let recipient = Recipient::connected();
+        let left = recipient.clone();
+        let leaving = thread::spawn(move || {
+            thread::sleep(Duration::from_millis(100));
+            if leaves {
+                left.disconnect();
+            }
+        });
+        let mut request = request("a");
+        request.body = Body(vec![b'x'; BODY_BYTES]);
+        let result = pool.send_request(&request, "i-1", timeout, &recipient);
+        assert!(result.is_err(), "{what}: {result:?}");
+        leaving.join().expect("the caller panicked");
+        let (received, was_reset) = server.join().expect("the upstream panicked");
+        assert!(received < BODY_BYTES, "{what}: {received} bytes arrived");
+        assert!(was_reset, "{what}: the connection seemed complete");
+    }
+}
+
 #[test]
 fn bytes_without_end_are_cut_at_a_bound_of_bytes_and_time() {
     let head = "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\n";
