Cancel the work of a request when nobody waits for it on any connection

Cause: a fetch raised a count that was never lowered, and took no notice of its own recipient; a broken first link then never cancelled the request. Change: Waiters counts the recipients of one execution; a cancel from any of them cancels it, a broken link or the end of a wait only if nobody else waits. Evidence: the new test goes through eight courses; of these the last four cancels could not happen before, as await_execution did not take the recipient (read, not run: the former types can't express the test).

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -35,3 +35,4 @@
 pub mod upstream_client;
 pub mod upstream_error;
 pub mod upstream_pool;
+pub mod waiters;
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -152,7 +152,7 @@
         drop(cut_off);
         for (_, recipient) in due {
             match now {
-                Some(_) => recipient.disconnect_unless_reconnected(),
+                Some(_) => recipient.cut_off(),
                 None => recipient.disconnect(),
             }
         }
--- a/src/connection/recipient.rs
+++ b/src/connection/recipient.rs
@@ -1,37 +1,21 @@
 //! The caller or daemon that waits for a result, and what its disconnect cancels.
 
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
+use crate::connection::waiters::Waiters;
 use crate::process::sync;
 
 /// Called when a recipient disconnects.
 type Waker = Box<dyn Fn() + Send>;
 
-/// Counts the further connections on which a recipient waits for the same result.
-#[derive(Debug, Default)]
-pub struct Reconnects {
-    count: AtomicUsize,
-}
-
-impl Reconnects {
-    /// Records that the recipient waits for the result on one more connection.
-    pub fn record(&self) {
-        self.count.fetch_add(1, Ordering::SeqCst);
-    }
-
-    fn is_zero(&self) -> bool {
-        self.count.load(Ordering::SeqCst) == 0
-    }
-}
-
 #[derive(Default)]
 struct State {
     disconnected: bool,
-    reconnects: Option<Arc<Reconnects>>,
+    /// Those that wait for the same work, while this recipient is one of them.
+    waiters: Option<Arc<Waiters>>,
     /// The registered wakers, by number.
     wakers: Vec<(u64, Waker)>,
     last_waker: u64,
@@ -68,10 +52,25 @@
         }
     }
 
-    /// Lets `reconnects` count the further connections on which the recipient waits.
-    pub fn set_reconnects(&self, reconnects: &Arc<Reconnects>) {
-        if let Some(state) = &self.state {
-            sync::lock(state).reconnects = Some(Arc::clone(reconnects));
+    /// Lets the recipient wait for the work of `waiters`.
+    pub fn join(&self, waiters: &Arc<Waiters>) {
+        waiters.add();
+        let Some(state) = &self.state else {
+            return;
+        };
+        let mut state = sync::lock(state);
+        if state.disconnected {
+            drop(state);
+            waiters.remove();
+            return;
+        }
+        state.waiters = Some(Arc::clone(waiters));
+    }
+
+    /// Ends the wait for the work that the recipient has joined.
+    pub fn leave(&self) {
+        if let Some(waiters) = self.take_waiters() {
+            waiters.remove();
         }
     }
 
@@ -87,6 +86,21 @@
 
     /// Records that the recipient no longer wants the result, and cancels the work for it.
     pub fn disconnect(&self) {
+        self.wake_all();
+        if let Some(waiters) = self.take_waiters() {
+            waiters.cancel();
+        }
+    }
+
+    /// Records that the recipient's connection broke, and cancels the work for it unless others wait
+    /// for the same work: the recipient may have asked for it again on another connection.
+    pub fn cut_off(&self) {
+        self.wake_all();
+        self.leave();
+    }
+
+    /// Sets the recipient to disconnected and calls its wakers.
+    fn wake_all(&self) {
         let Some(state) = &self.state else {
             return;
         };
@@ -97,15 +111,9 @@
         }
     }
 
-    /// Does the same as [`Recipient::disconnect`], unless the recipient waits on another connection.
-    pub fn disconnect_unless_reconnected(&self) {
-        let Some(state) = &self.state else {
-            return;
-        };
-        let reconnects = sync::lock(state).reconnects.clone();
-        if reconnects.is_none_or(|r| r.is_zero()) {
-            self.disconnect();
-        }
+    fn take_waiters(&self) -> Option<Arc<Waiters>> {
+        let state = self.state.as_ref()?;
+        sync::lock(state).waiters.take()
     }
 
     /// Calls `waker` when the recipient disconnects, or at once if it has, until the returned value
--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -166,10 +166,10 @@
             .begin(now, &request.id, request.attempt)
         {
             RequestStatus::New(execution) => execution,
-            status => return self.await_execution(&status, request.remaining),
+            status => return self.await_execution(&status, request.remaining, recipient),
         };
-        recipient.set_reconnects(&execution.reconnects);
-        let (outcome, load) = self.dispatcher.dispatch(request, recipient);
+        recipient.join(&execution.waiters);
+        let (outcome, load) = self.dispatcher.dispatch(request, execution.waiters.work());
         let reply = PeerReply::Completed {
             outcome: Box::new(outcome),
             load,
@@ -209,21 +209,30 @@
         id: &str,
         attempt: u32,
         timeout: Duration,
+        recipient: &Recipient,
     ) -> PeerReply {
         if instance != self.instance {
             return PeerReply::UnknownRequest;
         }
         match self.recent_requests.status(id, attempt) {
-            Some(status) => self.await_execution(&status, timeout),
+            Some(status) => self.await_execution(&status, timeout, recipient),
             None => PeerReply::UnknownRequest,
         }
     }
 
-    /// Waits for the outcome of a request that was received before.
-    fn await_execution(&self, status: &RequestStatus, timeout: Duration) -> PeerReply {
+    /// Waits for the outcome of a request that was received before. While `recipient` waits, the
+    /// request goes on although its first connection breaks.
+    fn await_execution(
+        &self,
+        status: &RequestStatus,
+        timeout: Duration,
+        recipient: &Recipient,
+    ) -> PeerReply {
         match status {
             RequestStatus::New(execution) | RequestStatus::Duplicate(execution) => {
+                recipient.join(&execution.waiters);
                 let reply = execution.wait(timeout);
+                recipient.leave();
                 reply.unwrap_or_else(|| {
                     self.completed(UpstreamOutcome::timed_out("no outcome in time"))
                 })
@@ -251,7 +260,7 @@
                 id,
                 attempt,
                 remaining,
-            } => self.fetch_outcome(instance, &id, attempt, remaining),
+            } => self.fetch_outcome(instance, &id, attempt, remaining, recipient),
             PeerRequest::ReserveBody {
                 instance,
                 id,
--- a/src/process/host/recent_requests.rs
+++ b/src/process/host/recent_requests.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::connection::peer_message::PeerReply;
-use crate::connection::recipient::Reconnects;
+use crate::connection::waiters::Waiters;
 use crate::process::moment::Moment;
 use crate::process::sync;
 
@@ -18,12 +18,12 @@
 const IDS_MAX: usize = 50_000;
 
 /// Execution of a request attempt, in progress or finished.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Execution {
     reply: Mutex<Option<PeerReply>>,
     done: Condvar,
-    /// Further connections on which its outcome is awaited.
-    pub reconnects: Arc<Reconnects>,
+    /// Those that wait for its outcome.
+    pub waiters: Arc<Waiters>,
 }
 
 impl Execution {
@@ -72,7 +72,6 @@
         let mut state = sync::lock(&self.state);
         state.expire(now);
         if let Some(execution) = state.executions.get(&id) {
-            execution.reconnects.record();
             return RequestStatus::Duplicate(Arc::clone(execution));
         }
         if state.first_seen.contains_key(&id) {
@@ -89,7 +88,6 @@
         let id = (id.to_owned(), attempt);
         let state = sync::lock(&self.state);
         if let Some(execution) = state.executions.get(&id) {
-            execution.reconnects.record();
             return Some(RequestStatus::Duplicate(Arc::clone(execution)));
         }
         state
--- a/tests/testsuite/host/recent_requests.rs
+++ b/tests/testsuite/host/recent_requests.rs
@@ -4,6 +4,7 @@
 
 use foxtaildrift::connection::peer_message::PeerReply;
 use foxtaildrift::connection::peer_pool::PeerCallReply;
+use foxtaildrift::connection::recipient::Recipient;
 use foxtaildrift::process::host::recent_requests::{RecentRequests, RequestStatus};
 use foxtaildrift::process::moment::Moment;
 use foxtaildrift::request::upstream_outcome::UpstreamOutcome;
@@ -85,3 +86,66 @@
     assert!(matches!(outcome(false), UpstreamOutcome::NotRun { .. }));
     assert!(matches!(outcome(true), UpstreamOutcome::Unknown { .. }));
 }
+
+/// What happens to a connection on which a result is awaited.
+enum Event {
+    Cancelled,
+    CutOff,
+    Left,
+}
+
+#[test]
+fn work_is_cancelled_once_nobody_waits_for_it_on_any_connection() {
+    // Guards against work for callers that left (incident GONE on golobnik-mesh, found by reading):
+    // after an outcome had been fetched, nothing cancelled the work any more.
+    use Event::{Cancelled, CutOff, Left};
+    for (what, first, fetch, is_cancelled) in [
+        ("all wait", None, None, false),
+        ("the caller left", Some(Cancelled), None, true),
+        (
+            "the caller left during a fetch",
+            None,
+            Some(Cancelled),
+            true,
+        ),
+        (
+            "the first link broke, a fetch waits",
+            Some(CutOff),
+            None,
+            false,
+        ),
+        ("the link of the fetch broke", None, Some(CutOff), false),
+        ("both links broke", Some(CutOff), Some(CutOff), true),
+        (
+            "the caller left after a broken link",
+            Some(CutOff),
+            Some(Cancelled),
+            true,
+        ),
+        (
+            "the fetch ended, then the link broke",
+            Some(CutOff),
+            Some(Left),
+            true,
+        ),
+    ] {
+        let recent = RecentRequests::default();
+        let RequestStatus::New(execution) = recent.begin(at(0), "a", 1) else {
+            panic!("it must be new");
+        };
+        let recipients = [Recipient::connected(), Recipient::connected()];
+        for recipient in &recipients {
+            recipient.join(&execution.waiters);
+        }
+        for (recipient, event) in recipients.iter().zip([first, fetch]).rev() {
+            match event {
+                Some(Cancelled) => recipient.disconnect(),
+                Some(CutOff) => recipient.cut_off(),
+                Some(Left) => recipient.leave(),
+                None => {}
+            }
+        }
+        let work = execution.waiters.work();
+        assert_eq!(work.has_disconnected(), is_cancelled, "{what}");
+    }
+}
