Subtract the time that a request waits for a thread at the far end

Callers saw (GONE, BUDGET): the far end counted a request's time from when a thread took it up, so it could be sent after its caller's deadline. Cause: remaining times are relative, and the wait in the pool of PeerServer was not subtracted. Change: the wait is subtracted before the request is handled. What it waits unread in the socket can't be known there; the cancel behind it in the same stream ends it.

--- a/src/connection/peer_message.rs
+++ b/src/connection/peer_message.rs
@@ -147,6 +147,22 @@
         }
     }
 
+    /// Returns the request with the times that are left after it has waited for `waited`.
+    #[must_use]
+    pub fn after_waiting(mut self, waited: Duration) -> Self {
+        match &mut self {
+            PeerRequest::Dispatch { request, .. } => {
+                request.remaining = request.remaining.saturating_sub(waited);
+                request.objective = request.objective.saturating_sub(waited);
+            }
+            PeerRequest::FetchOutcome { remaining, .. } => {
+                *remaining = remaining.saturating_sub(waited);
+            }
+            _ => {}
+        }
+        self
+    }
+
     /// Returns the request that fetches the outcome of this one, or `None` if this kind has
     /// none.
     ///
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -184,11 +184,13 @@
         sync::lock(&self.running).insert(number, recipient.clone());
         let handler = Arc::clone(&self.shared.handler);
         let (link, running) = (Arc::clone(link), Arc::clone(&self.running));
+        let arrived_at = Instant::now();
         let pool = match is_control {
             true => &self.shared.control,
             false => &self.shared.requests,
         };
         pool.submit(move || {
+            let request = request.after_waiting(arrived_at.elapsed());
             let reply = handler.handle(request, &recipient);
             sync::lock(&running).remove(&number);
             send_reply(&link, number, reply);
--- a/tests/testsuite/peer_pool.rs
+++ b/tests/testsuite/peer_pool.rs
@@ -386,3 +386,17 @@
         "{again:?}"
     );
 }
+
+#[test]
+fn the_time_that_a_request_waits_at_the_far_end_counts() {
+    // Guards against requests sent after their callers' deadlines (found by reading, incident GONE
+    // on golobnik-mesh): the time left counted from when a thread took the request up.
+    for (waited_ms, left_ms) in [(0, 2000), (300, 1700), (2500, 0)] {
+        let waited = Duration::from_millis(waited_ms);
+        let PeerRequest::Dispatch { request, .. } = dispatch("a", 10).after_waiting(waited) else {
+            panic!("another request");
+        };
+        assert_eq!(request.remaining, Duration::from_millis(left_ms));
+        assert!(request.objective <= Duration::from_millis(left_ms));
+    }
+}
