Refuse requests that come late in a stop and may outlast it

Cause: a stopping daemon took each request on a connection that was still open, whatever time was left. Change: StopSchedule has the times of a stop; from half of the grace period on the router refuses at once, with Retry-After 0, what may not end before it. Other daemons can serve it.

--- a/crates/bench/tests/testsuite/host.rs
+++ b/crates/bench/tests/testsuite/host.rs
@@ -2,7 +2,7 @@
 //! processes.
 
 use std::collections::BTreeMap;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::Duration;
 
@@ -255,6 +255,50 @@
     assert_eq!(late, 0, "requests of callers that had left were sent");
 }
 
+/// Guards against requests that are taken late in a stop and cut off at its end (seen at another
+/// operator's system: LOST).
+#[test]
+fn a_request_that_comes_late_in_a_stop_is_refused_rather_than_cut_off() {
+    let _lock = crate::daemon::lock_environment();
+    let mut cluster = start_cluster();
+    let rule = r#",{"Name":"long","Kind":"non_idempotent","Match":{"PathPrefix":"/long/"},"Action":{"Service":"office","TimeoutMs":8000}}"#;
+    cluster
+        .control_store("put/op/config", &config(2, rule))
+        .unwrap();
+    let is_applied = |c: &HostCluster| {
+        let response = c.request(0, "POST", "/long/a", None);
+        response.is_ok_and(|r| r.status == 200)
+    };
+    cluster
+        .wait_until("the new route is served", APPLY_TIME_MAX, is_applied)
+        .unwrap();
+    // No upstream of the service answers any more.
+    for number in [4, 5] {
+        let upstream = HostProcess::Upstream;
+        cluster.signal(number, upstream, Signal::STOP).unwrap();
+    }
+    let entry = 0;
+    let connect = || TcpStream::connect(cluster.hosts[entry].caller_address).unwrap();
+    let (mut early, mut late) = (connect(), connect());
+    late.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let request = |id: &str| {
+        format!(
+            "POST /long/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {id}\r\n\
+             Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n"
+        )
+    };
+    early.write_all(request("early").as_bytes()).unwrap();
+    cluster
+        .signal(entry, HostProcess::Daemon, Signal::TERM)
+        .unwrap();
+    std::thread::sleep(Duration::from_millis(3100));
+    late.write_all(request("late").as_bytes()).unwrap();
+    let mut response = String::new();
+    late.read_to_string(&mut response).unwrap();
+    assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
+    assert!(response.contains("Connection: close"), "{response:?}");
+}
+
 fn all_keys_are_served_after_all_daemons_are_killed(cluster: &mut HostCluster) {
     // Found by scale-1: the new daemons waited until the leases of the killed ones had expired, and
     // the planner waited for their join requests.
--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -1,7 +1,7 @@
 //! State that all threads of the daemon share, and the handling of requests from other daemons.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use crate::connection::peer_message::{PeerReply, PeerRequest};
@@ -16,6 +16,7 @@
 use crate::process::host::host_settings::HostSettings;
 use crate::process::host::local_upstream::ReportEffect;
 use crate::process::host::recent_requests::{RecentRequests, RequestStatus};
+use crate::process::host::stop_schedule::StopSchedule;
 use crate::process::membership::Membership;
 use crate::process::metrics::Metrics;
 use crate::process::stop_flag::StopFlag;
@@ -40,6 +41,8 @@
     pub(super) metrics: Arc<Metrics>,
     /// Set when the process has been asked to stop.
     pub(super) stopping: Arc<StopFlag>,
+    /// The times of the stop, once it has started.
+    pub(super) stop_schedule: Arc<OnceLock<StopSchedule>>,
     /// Set when all threads must end.
     pub(super) stop: Arc<StopFlag>,
     /// Whether the process has ever been ready.
--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use crate::process::host::host_dispatcher::HostDispatcher;
 use crate::process::host::request_progress::{OWNER_RETRY_AFTER, RequestProgress, RequestTrace};
 use crate::process::host::retry_budget_share::{RetryBudgetConfig, RetryBudgetShare};
+use crate::process::host::stop_schedule::StopSchedule;
 use crate::process::host::upstream_selector::{AttemptOutcome, UpstreamSelector};
 use crate::process::membership::Membership;
 use crate::process::metrics::Metrics;
@@ -48,6 +49,8 @@
 const ROUTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry delay returned while too many requests are in progress on this host.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry delay returned while this process stops: other daemons can serve the request at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::ZERO;
 /// Timeout of the question whether another daemon has room for a large body.
 const RESERVATION_TIMEOUT: Duration = Duration::from_millis(400);
 /// How much longer than the request's time left this daemon waits for another daemon, which reports
@@ -78,6 +81,8 @@
     pub retry_budget: RetryBudgetConfig,
     /// Set when the process starts to stop.
     pub stop: Arc<StopFlag>,
+    /// The times of the stop, once it has started.
+    pub stop_schedule: Arc<OnceLock<StopSchedule>>,
 }
 
 /// Router of the callers' requests on one host.
@@ -119,6 +124,10 @@
             share.record_request(now, config)
         });
         let mut progress = RequestProgress::new(now, request, rule.attempts);
+        if self.stops_before(now + request.remaining) {
+            let refusal = UpstreamOutcome::not_run(NotRunCause::Stopping, STOPPING_RETRY_AFTER);
+            return (refusal, progress.trace);
+        }
         let settings = routing.services.get(&request.service);
         let is_sharded = settings.is_some_and(|s| s.sharded);
         let outcome = match (is_sharded, request.key) {
@@ -135,6 +144,14 @@
         )
     }
 
+    /// Returns whether this process stops so soon that a request with the given deadline must not be
+    /// taken any more.
+    fn stops_before(&self, deadline: Moment) -> bool {
+        let now = self.deps.clock.now();
+        let schedule = self.deps.stop_schedule.get();
+        schedule.is_some_and(|s| !s.admits(now, deadline.since(now)))
+    }
+
     /// Sends a request to the owner of its key, and retries until the request's deadlines pass.
     fn route_by_key(
         &self,
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -24,6 +24,7 @@
 //! | [`host_context`] | state that the threads share, and requests of other daemons |
 //! | [`host_settings`] | settings file |
 //! | [`service`] | startup, threads and graceful shutdown |
+//! | [`stop_schedule`] | times of a graceful stop |
 
 pub mod admission;
 pub mod body_reservations;
@@ -43,6 +44,7 @@
 mod request_progress;
 pub mod retry_budget_share;
 pub mod service;
+pub mod stop_schedule;
 mod store_health;
 pub mod store_sync;
 pub mod upstream_selector;
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -2,7 +2,7 @@
 
 use std::net::UdpSocket;
 use std::sync::mpsc::{self, Receiver};
-use std::sync::{Arc, Mutex, atomic::AtomicBool};
+use std::sync::{Arc, Mutex, OnceLock, atomic::AtomicBool};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -23,6 +23,7 @@
 use crate::process::host::host_settings::HostSettings;
 use crate::process::host::metered_store::MeteredStore;
 use crate::process::host::recent_requests::RecentRequests;
+use crate::process::host::stop_schedule::StopSchedule;
 use crate::process::host::store_sync::StoreSync;
 use crate::process::membership::{Membership, MembershipEvent};
 use crate::process::metrics::Metrics;
@@ -52,10 +53,6 @@
 const NOT_READY_TIME: Duration = Duration::from_millis(2600);
 /// How long a graceful stop waits for the planner to move the keys.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Fraction of the grace period after which no new connections are accepted.
-const CLOSE_FRACTION: f64 = 0.55;
-/// Part of the grace period that is left when the last connections are closed.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which a stopping process checks whether it is done.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -143,13 +140,14 @@
     pub fn stop(mut self) {
         tracing::info!(event = "stop");
         let started = Instant::now();
+        let clock = Arc::clone(&self.context.clock);
         let grace = Duration::from_secs_f64(self.context.settings.grace_s);
-        let deadline = started + grace.saturating_sub(STOP_MARGIN);
+        let schedule = StopSchedule::new(clock.now(), grace);
+        let schedule = *self.context.stop_schedule.get_or_init(|| schedule);
         self.context.stopping.set();
         self.context.set_leaving(true);
-        let close_at = started + grace.mul_f64(CLOSE_FRACTION);
         let mut released_all = false;
-        while Instant::now() < close_at {
+        while clock.now() < schedule.close_at() {
             if !released_all && started.elapsed() >= LEAVE_TIMEOUT && !self.has_moved_all_keys() {
                 released_all = true;
                 self.context.grant_manager.release_all_and_resign(
@@ -163,7 +161,7 @@
         }
         self.callers.stop_accepting();
         self.context.dispatcher.close();
-        while Instant::now() < deadline && !(self.is_idle() && self.has_moved_all_keys()) {
+        while clock.now() < schedule.deadline() && !(self.is_idle() && self.has_moved_all_keys()) {
             thread::sleep(STOP_POLL_INTERVAL);
         }
         if self.has_moved_all_keys() {
@@ -252,6 +250,7 @@
         Duration::from_millis(settings.hold_max_ms),
     ));
     let stopping = Arc::new(StopFlag::default());
+    let stop_schedule = Arc::new(OnceLock::new());
     let router = Arc::new(HostRouter::new(HostRouterDeps {
         clock: Arc::clone(&clock),
         membership: Arc::clone(&membership),
@@ -264,6 +263,7 @@
         origin: settings.service.clone(),
         retry_budget: settings.retry_budget(),
         stop: Arc::clone(&stopping),
+        stop_schedule: Arc::clone(&stop_schedule),
     }));
     let body_reservations = Mutex::new(BodyReservations::new(settings.link_mbps));
     Ok(Arc::new(HostContext {
@@ -278,6 +278,7 @@
         body_reservations,
         metrics,
         stopping,
+        stop_schedule,
         stop: Arc::default(),
         was_ready: AtomicBool::new(false),
     }))
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -11,4 +11,5 @@
 mod recent_requests;
 mod retry_budget_share;
 mod settings;
+mod stop_schedule;
 mod upstream_selector;
--- /dev/null
+++ b/tests/testsuite/host/stop_schedule.rs
@@ -0,0 +1,29 @@
+//! The times of a graceful stop.
+
+use std::time::Duration;
+
+use foxtaildrift::process::host::stop_schedule::StopSchedule;
+use foxtaildrift::process::moment::Moment;
+
+#[test]
+fn late_in_a_stop_only_requests_are_taken_that_end_before_it() {
+    let at = Moment::from_millis;
+    let schedule = StopSchedule::new(at(1000), Duration::from_secs(6));
+    assert_eq!(schedule.close_at(), at(4300));
+    assert_eq!(schedule.deadline(), at(6700));
+    for (now_ms, remaining_ms, is_admitted) in [
+        (1000, 10_000, true),
+        (3999, 3000, true),
+        (4000, 2700, true),
+        (4000, 2701, false),
+        (6500, 200, true),
+        (6500, 300, false),
+    ] {
+        let remaining = Duration::from_millis(remaining_ms);
+        assert_eq!(
+            schedule.admits(at(now_ms), remaining),
+            is_admitted,
+            "at {now_ms} ms"
+        );
+    }
+}
