--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -28,6 +28,9 @@
 /// the maximum size, and what the sockets hold.
 const TAKEN_BYTES_MAX: usize = 24 * 1024 * 1024;
 
+/// The size of a body that an upstream which reads nothing has no room for, in bytes.
+const HELD_UP_BYTES: usize = 10_000;
+
 /// The request id and the signature are headers.
 struct PlainProtocol;
 
@@ -174,7 +177,6 @@
 fn what_the_network_holds_up_of_a_request_is_not_delivered_after_its_end() {
     // Guards against work for callers that left (GONE on golobnik-mesh): a request was written, the
     // network held it up for a second, its caller left, and it was still delivered and run.
-    const BODY_BYTES: usize = 10_000;
     for (what, timeout, leaves) in [
         ("the caller left", Duration::from_secs(2), true),
         ("the time ran out", Duration::from_millis(100), false),
@@ -190,12 +192,12 @@
             }
         });
         let mut request = request("a");
-        request.body = Body(vec![b'x'; BODY_BYTES]);
+        request.body = Body(vec![b'x'; HELD_UP_BYTES]);
         let result = pool.send_request(&request, "i-1", timeout, &recipient);
         assert!(result.is_err(), "{what}: {result:?}");
         leaving.join().expect("the caller panicked");
         let (received, was_reset) = server.join().expect("the upstream panicked");
-        assert!(received < BODY_BYTES, "{what}: {received} bytes arrived");
+        assert!(received < HELD_UP_BYTES, "{what}: {received} bytes arrived");
         assert!(was_reset, "{what}: the connection seemed complete");
     }
 }
@@ -294,6 +296,24 @@
     server.join().expect("the upstream panicked");
 }
 
+#[test]
+fn what_the_network_holds_up_of_a_grant_is_not_delivered_after_its_end() {
+    // Guards against grants that take effect after their keys went elsewhere (OWNER on
+    // golobnik-mesh beside GONE): as for requests, but the daemon gave the grant up by itself.
+    let (to, server) = slow_to_read(Duration::from_millis(400));
+    let grant = OutgoingRequest {
+        method: "POST",
+        target: "/grant".to_owned(),
+        headers: Headers::default(),
+        body: vec![b'x'; HELD_UP_BYTES],
+    };
+    let result = pool(to).send_control_request(&grant, Duration::from_millis(100));
+    assert_eq!(result.err(), Some(UpstreamRequestFailure::TimedOut));
+    let (received, was_reset) = server.join().expect("the upstream panicked");
+    assert!(received < HELD_UP_BYTES, "{received} bytes arrived");
+    assert!(was_reset, "the connection seemed complete");
+}
+
 #[test]
 fn a_late_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_attempt() {
     // Guards against a false "not run" (seen at another operator's system: REFUSED, TWICE): a faulty
