--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -271,7 +271,9 @@
         self.release_and_hand_over(lost);
         let mut grants = sync::lock(&self.grants);
         let released_epoch = grants.end_release(epoch);
+        let in_progress = grants.pending_releases();
         drop(grants);
+        tracing::info!(event = "release-ended", %epoch, announced = ?released_epoch, in_progress);
         if let Some(epoch) = released_epoch {
             self.membership
                 .with_ownership(|o, now| o.announce_release(now, epoch));
@@ -356,7 +358,10 @@
         let (served, _) = self.served_ranges(&process);
         let lost = grants.remove_lost(&served);
         let granted = grants.granted_ranges(&served);
+        let in_progress = grants.pending_releases();
         drop(grants);
+        let table = self.membership.table().epoch;
+        tracing::info!(event = "release-begun", %epoch, %table, ranges = lost.len(), in_progress);
         self.dispatcher.set_granted(granted);
         let parts = lost
             .iter()
@@ -476,11 +481,21 @@
         let request = self.protocol.grant_request(&grant);
         let pool = self.dispatcher.pool();
         let result = pool.send_control_request(&request, GRANT_TIMEOUT);
+        let ended_at = self.clock.now();
+        let may_outlast_lease = ended_at + duration.mul_f64(1.0 + CLOCK_DRIFT);
+        if may_outlast_lease > live_until {
+            tracing::info!(
+                event = "grant-may-outlast-lease",
+                first = grant.keys.first.0,
+                fence = grant.fencing_token,
+                ms = may_outlast_lease.since(live_until).as_millis() as u64
+            );
+        }
         Some(GrantAttempt {
             range,
             grant,
             sent_at,
-            ended_at: self.clock.now(),
+            ended_at,
             result: result.map(|(head, _)| head.status),
         })
     }
@@ -584,7 +599,8 @@
                 .then_some(own_session)
         });
         if let Some(session) = session {
-            tracing::warn!(event = "session-resigned", %session, reason);
+            let in_progress = sync::lock(&self.grants).pending_releases();
+            tracing::warn!(event = "session-resigned", %session, reason, releases_in_progress = in_progress);
             self.membership.with_ownership(|o, now| o.resign(now));
         }
     }
