--- /dev/null
+++ b/tests/testsuite/host/grants/mod.rs
@@ -0,0 +1,89 @@
+//! What the daemon tells others about keys that its upstream may still use, tested with a real
+//! upstream connection.
+
+mod daemon;
+mod upstream;
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::host::grants::daemon::{Daemon, OTHER, OWN, table};
+use crate::host::grants::upstream::{Answer, ScriptedUpstream};
+use foxtaildrift::version::epoch::Epoch;
+
+/// How long a test waits for something that must happen.
+const PATIENCE: Duration = Duration::from_secs(8);
+/// Interval of the reconciliation in these tests.
+const RECONCILE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Guards against a session that ends while a grant sent under it may still take effect: the next
+/// owner then had the keys, and the late grant took them with a lower fencing token.
+#[test]
+fn a_session_does_not_end_while_an_unanswered_grant_may_take_effect() {
+    let upstream = ScriptedUpstream::start(|_| Answer::Never);
+    let daemon = Daemon::start(&upstream, table(1, &[OWN, OTHER]));
+    daemon.manager.reconcile();
+    assert!(!upstream.calls("grant").is_empty(), "a grant was sent");
+    daemon.adopt(table(2, &[OTHER, OWN]));
+    let manager = Arc::clone(&daemon.manager);
+    let releasing = thread::spawn(move || manager.release_lost_keys(Epoch(2)));
+    let started = Instant::now();
+    while !daemon.has_resigned() && started.elapsed() < PATIENCE {
+        daemon.manager.reconcile();
+        thread::sleep(RECONCILE_INTERVAL);
+    }
+    let ended = Instant::now();
+    releasing.join().unwrap();
+    for grant in upstream.calls("grant") {
+        assert!(
+            ended >= grant.valid_until(),
+            "the session ended {:?} before {grant:?} expired",
+            grant.valid_until() - ended
+        );
+    }
+}
+
+/// Guards against an epoch that is announced as released although keys that its table took away are
+/// still being released, because the release for a later table began first and found them.
+#[test]
+fn an_epoch_is_not_announced_while_a_later_release_still_has_its_keys() {
+    let upstream = ScriptedUpstream::start(|call| match call.name.as_str() {
+        "release" => Answer::After(Duration::from_millis(800)),
+        _ => Answer::After(Duration::ZERO),
+    });
+    let daemon = Daemon::start(&upstream, table(1, &[OWN, OTHER]));
+    daemon.manager.reconcile();
+    daemon.adopt(table(2, &[OTHER, OWN]));
+    daemon.adopt(table(3, &[OTHER, OWN]));
+    let manager = Arc::clone(&daemon.manager);
+    let releasing = thread::spawn(move || manager.release_lost_keys(Epoch(3)));
+    let started = Instant::now();
+    while upstream.calls("release").is_empty() && started.elapsed() < PATIENCE {
+        thread::sleep(Duration::from_millis(5));
+    }
+    daemon.manager.release_lost_keys(Epoch(2));
+    assert_eq!(
+        daemon.announced(),
+        Epoch(0),
+        "the upstream has not answered the release"
+    );
+    releasing.join().unwrap();
+    assert_eq!(daemon.announced(), Epoch(3));
+}
+
+/// Guards against a restarted daemon that releases its own new grants in the name of its former
+/// process, after which its upstream refuses the keys.
+#[test]
+fn a_restarted_daemon_does_not_release_its_own_grants_for_its_former_process() {
+    let upstream = ScriptedUpstream::start(|_| Answer::After(Duration::ZERO));
+    let daemon = Daemon::start(&upstream, table(1, &[OWN, OTHER]).with_former_process());
+    daemon.manager.reconcile();
+    assert_eq!(upstream.calls("grant").len(), 1);
+    daemon.manager.release_former_sessions();
+    assert!(
+        upstream.calls("release").is_empty(),
+        "{:?}",
+        upstream.calls("release")
+    );
+}
--- /dev/null
+++ b/tests/testsuite/host/grants/upstream.rs
@@ -0,0 +1,138 @@
+//! An upstream that answers grants and releases as a test tells it, and records them.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use foxtaildrift::connection::http1::ResponseHead;
+use foxtaildrift::connection::protocol::{
+    Grant, KeyRange, OutgoingRequest, ResponseMetadata, UpstreamProtocol,
+};
+use foxtaildrift::request::headers::Headers;
+use foxtaildrift::request::upstream_request::UpstreamRequest;
+
+/// How the upstream answers a call.
+#[derive(Clone, Copy, Debug)]
+pub enum Answer {
+    /// With success, after a delay.
+    After(Duration),
+    /// Not at all.
+    Never,
+}
+
+/// A call that arrived.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The operation: `grant` or `release`.
+    pub name: String,
+    /// First key.
+    pub first: u16,
+    /// Fencing token.
+    pub fencing_token: u64,
+    /// Duration of a grant.
+    pub duration: Duration,
+    /// Time of arrival.
+    pub at: Instant,
+}
+
+impl Call {
+    /// Returns until when the upstream may have the keys of this grant.
+    pub fn valid_until(&self) -> Instant {
+        self.at + self.duration
+    }
+
+    /// Parses the target of a request: `/NAME/FIRST/TOKEN/MILLISECONDS`.
+    fn parse(target: &str) -> Self {
+        let mut parts = target.split('/').skip(1);
+        let mut next = || parts.next().unwrap();
+        Self {
+            name: next().to_owned(),
+            first: next().parse().unwrap(),
+            fencing_token: next().parse().unwrap(),
+            duration: Duration::from_millis(next().parse().unwrap()),
+            at: Instant::now(),
+        }
+    }
+}
+
+/// The upstream; it accepts connections until the test process ends.
+pub struct ScriptedUpstream {
+    /// Its address.
+    pub address: SocketAddr,
+    calls: Arc<Mutex<Vec<Call>>>,
+}
+
+impl ScriptedUpstream {
+    /// Starts an upstream that answers each call as `script` says.
+    pub fn start(script: impl Fn(&Call) -> Answer + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let calls = Arc::new(Mutex::new(Vec::new()));
+        let (script, recorded) = (Arc::new(script), Arc::clone(&calls));
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (script, recorded) = (Arc::clone(&script), Arc::clone(&recorded));
+                thread::spawn(move || serve(stream, &*script, &recorded));
+            }
+        });
+        Self { address, calls }
+    }
+
+    /// Returns the calls of an operation that have arrived.
+    pub fn calls(&self, name: &str) -> Vec<Call> {
+        let calls = self.calls.lock().unwrap();
+        calls.iter().filter(|c| c.name == name).cloned().collect()
+    }
+}
+
+/// Serves the calls of one connection, which have no body, until it is closed.
+fn serve(mut stream: TcpStream, script: &dyn Fn(&Call) -> Answer, calls: &Mutex<Vec<Call>>) {
+    let mut buf = Vec::new();
+    let mut byte = [0];
+    while matches!(stream.read(&mut byte), Ok(1)) {
+        buf.push(byte[0]);
+        if !buf.ends_with(b"\r\n\r\n") {
+            continue;
+        }
+        let head = String::from_utf8(std::mem::take(&mut buf)).unwrap();
+        let call = Call::parse(head.split(' ').nth(1).unwrap());
+        calls.lock().unwrap().push(call.clone());
+        if let Answer::After(delay) = script(&call) {
+            thread::sleep(delay);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    }
+}
+
+/// The protocol of [`ScriptedUpstream`]: all arguments are in the target.
+pub struct ScriptedProtocol;
+
+impl UpstreamProtocol for ScriptedProtocol {
+    fn request_headers(&self, _: &UpstreamRequest, _: &str, _: Duration) -> Headers {
+        Headers::default()
+    }
+
+    fn parse_head(&self, _: &ResponseHead) -> ResponseMetadata {
+        ResponseMetadata::default()
+    }
+
+    fn grant_request(&self, grant: &Grant) -> OutgoingRequest {
+        call("grant", grant.keys, grant.fencing_token, grant.duration)
+    }
+
+    fn release_request(&self, keys: KeyRange, fencing_token: u64) -> OutgoingRequest {
+        call("release", keys, fencing_token, Duration::ZERO)
+    }
+}
+
+fn call(name: &str, keys: KeyRange, fencing_token: u64, duration: Duration) -> OutgoingRequest {
+    let (first, ms) = (keys.first, duration.as_millis());
+    OutgoingRequest {
+        method: "POST",
+        target: format!("/{name}/{first}/{fencing_token}/{ms}"),
+        headers: Headers::default(),
+        body: Vec::new(),
+    }
+}
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -4,6 +4,7 @@
 mod body_reservations;
 mod give_up;
 mod grant_wait;
+mod grants;
 mod key_grants;
 mod load_meter;
 mod local_upstream;
