--- a/crates/bench/src/explore/simulation.rs
+++ b/crates/bench/src/explore/simulation.rs
@@ -13,6 +13,7 @@
 use foxtaildrift::process::ownership_action::OwnershipAction;
 use foxtaildrift::process::planner::{self, PlanInput};
 use foxtaildrift::process::platform::Revision;
+use foxtaildrift::process::release_tracker::ReleaseId;
 use foxtaildrift::process::session_facts::SessionFacts;
 use foxtaildrift::version::document::Document;
 use foxtaildrift::version::document_version::DocumentVersion;
@@ -91,6 +92,7 @@
         node: usize,
         instance: InstanceId,
         epoch: Epoch,
+        release: ReleaseId,
     },
     InjectFault,
 }
@@ -357,7 +359,8 @@
                 node,
                 instance,
                 epoch,
-            } => self.finish_release(node, instance, epoch),
+                release,
+            } => self.finish_release(node, instance, epoch, release),
             Event::InjectFault => {
                 if self.faults_enabled {
                     let delay = FaultInjector::inject_fault(self);
@@ -444,7 +447,8 @@
         let released: Vec<_> = released.map(|(&s, &until)| (s, (epoch, until))).collect();
         let node = &mut self.nodes[number];
         node.unfinished_work.extend(released);
-        node.releases.begin(epoch);
+        let release = node.releases.begin();
+        node.releases.cover(epoch);
         let Some(ownership) = &node.ownership else {
             return;
         };
@@ -455,13 +459,20 @@
             node: number,
             instance,
             epoch,
+            release,
         };
         self.schedule(if release_early { MILLI } else { delay }, event);
     }
 
     /// Ends the work on the slices that `epoch` took away and announces the release, unless the
     /// process has changed since it was scheduled.
-    fn finish_release(&mut self, number: usize, instance: InstanceId, epoch: Epoch) {
+    fn finish_release(
+        &mut self,
+        number: usize,
+        instance: InstanceId,
+        epoch: Epoch,
+        release: ReleaseId,
+    ) {
         let node = &mut self.nodes[number];
         let same_instance = node
             .ownership
@@ -475,6 +486,7 @@
                 node: number,
                 instance,
                 epoch,
+                release,
             };
             self.schedule(TICK_INTERVAL, event);
             return;
@@ -482,9 +494,9 @@
         if self.tamper != Tamper::EarlyRelease {
             node.unfinished_work.retain(|_, (e, _)| *e != epoch);
         }
-        if let Some(released) = node.releases.end(epoch) {
-            self.with_ownership(number, |o, now| o.announce_release(now, released));
-        }
+        node.releases.end(release);
+        let released = node.releases.released_epoch(node.clock.read(self.now));
+        self.with_ownership(number, |o, now| o.announce_release(now, released));
     }
 
     /// Runs a daemon's periodic work.
--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -2,7 +2,8 @@
 //!
 //! A grant never outlasts the session that allows it. No grant is in progress while the keys to
 //! release are determined, so that a reconciliation that began earlier can't grant a released key
-//! again.
+//! again. For the same reason an announcement (of a released epoch, or of the end of the session) is
+//! made while the grants are locked, and [`KeyGrants`] decides whether it is due.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -17,9 +18,9 @@
 use crate::connection::upstream_pool::UpstreamRequestFailure;
 use crate::process::clock::Clock;
 use crate::process::host::host_dispatcher::HostDispatcher;
-use crate::process::host::key_grants::{KeyGrant, KeyGrants};
+use crate::process::host::key_grants::{KeyGrant, KeyGrants, ReleasingGrant};
 use crate::process::host::load_meter::LoadMeter;
-use crate::process::host::local_upstream::UpstreamProcess;
+use crate::process::host::local_upstream::{UpstreamLoss, UpstreamProcess};
 use crate::process::host::owned_range::{self, OwnedRange};
 use crate::process::load_report::LoadReport;
 use crate::process::membership::Membership;
@@ -30,7 +31,6 @@
 use crate::version::epoch::Epoch;
 use crate::version::fencing_token::FencingToken;
 use crate::version::service_name::ServiceName;
-use crate::version::session_id::SessionId;
 use crate::version::slice_id::SliceId;
 
 /// Largest assumed drift of the upstream's clock while it measures the duration of a grant, as a
@@ -67,6 +67,15 @@
     result: Result<u16, UpstreamRequestFailure>,
 }
 
+/// What the daemon may serve now.
+struct Served {
+    /// Epoch of the table that says so.
+    epoch: Epoch,
+    ranges: Vec<OwnedRange>,
+    /// Until when the session is live, or `None` if it has lapsed.
+    live_until: Option<Moment>,
+}
+
 /// Reconciles the upstream's grants with the keys that the daemon may serve.
 pub struct GrantManager {
     clock: Arc<dyn Clock>,
@@ -206,17 +215,29 @@
         }]);
     }
 
-    /// Sends the grants that are due, and resigns the session if the upstream is gone.
+    /// Sends the grants that are due, and resigns the session if the upstream is gone. Announces what
+    /// was released meanwhile.
     pub fn reconcile(&self) {
+        self.reconcile_grants();
+        self.announce_released();
+    }
+
+    fn reconcile_grants(&self) {
         let mut grants = sync::lock(&self.grants);
         let Some(process) = self.dispatcher.upstream_process() else {
-            grants.clear();
+            grants.abandon(self.dispatcher.upstream_gone_at());
             drop(grants);
-            self.resign_if_candidate("the upstream is gone");
+            if self.is_candidate() {
+                self.end_session("the upstream is gone");
+            }
             return;
         };
         self.update_process(&mut grants, &process);
-        let (served, live_until) = self.served_ranges(&process);
+        let Served {
+            ranges: served,
+            live_until,
+            ..
+        } = self.served(&process);
         let now = self.clock.now();
         if grants.is_releasing_all() {
             return;
@@ -244,7 +265,7 @@
             drop(grants);
             if all_expired {
                 self.dispatcher
-                    .handle_upstream_loss("grants are not answered");
+                    .handle_upstream_loss(UpstreamLoss::GrantsNotAnswered);
             }
             return;
         }
@@ -264,64 +285,71 @@
         self.dispatcher.set_granted(granted);
     }
 
-    /// Releases the keys that the table of `epoch` assigns to others and sends their handovers.
-    /// Announces the release once no release for an earlier table is in progress.
-    pub fn release_lost_keys(&self, epoch: Epoch) {
-        let lost = self.remove_lost(epoch);
+    /// Releases the keys that the present table assigns to others, sends their handovers, and
+    /// announces the release as soon as nothing that the table took away is in use.
+    pub fn release_lost_keys(&self) {
+        let lost = self.begin_release();
         self.release_and_hand_over(lost);
-        let mut grants = sync::lock(&self.grants);
-        let released_epoch = grants.end_release(epoch);
-        let in_progress = grants.pending_releases();
-        drop(grants);
-        tracing::info!(event = "release-ended", %epoch, announced = ?released_epoch, in_progress);
-        if let Some(epoch) = released_epoch {
-            self.membership
-                .with_ownership(|o, now| o.announce_release(now, epoch));
-        }
+        self.announce_released();
     }
 
     /// Releases all keys to the next candidates and resigns the session. Called when the planner
     /// did not move the keys in time and the upstream or this process is about to stop.
     pub fn release_all_and_resign(&self, reason: &str) {
-        let mut grants = sync::lock(&self.grants);
-        let released = grants.begin_release_all();
-        drop(grants);
+        let split = |grant: &KeyGrant| self.split_by_next_owner(grant);
+        let all = sync::lock(&self.grants).begin_release_all(&split);
         self.dispatcher.set_granted(Vec::new());
-        let parts = released
-            .iter()
-            .flat_map(|g| self.split_by_next_owner(g, g.range));
-        self.release_and_hand_over(parts.collect());
-        self.await_other_releases();
-        self.resign_if_candidate(reason);
-        let released_epoch = sync::lock(&self.grants).end_release_all();
-        if let Some(epoch) = released_epoch {
-            self.membership
-                .with_ownership(|o, now| o.announce_release(now, epoch));
+        self.release_and_hand_over(all);
+        let until = self.clock.now() + RELEASE_TIMEOUT;
+        while !self.end_session(reason) && self.clock.now() < until {
+            thread::sleep(RELEASE_POLL_INTERVAL);
         }
+        sync::lock(&self.grants).end_release_all();
+        self.announce_released();
     }
 
-    /// Waits until no other release is in progress, at most for the timeout of a release.
-    fn await_other_releases(&self) {
-        let until = self.clock.now() + RELEASE_TIMEOUT;
-        while sync::lock(&self.grants).pending_releases() > 1 && self.clock.now() < until {
-            thread::sleep(RELEASE_POLL_INTERVAL);
+    /// Resigns the session, so that others may serve its keys at once, unless the upstream may still
+    /// use some of them; returns whether it did.
+    pub fn end_session(&self, reason: &str) -> bool {
+        let mut grants = sync::lock(&self.grants);
+        if !grants.is_idle(self.clock.now()) {
+            return false;
         }
+        self.membership.with_ownership(|o, now| {
+            tracing::warn!(event = "session-resigned", session = %o.info().session, reason);
+            o.resign(now);
+        });
+        true
     }
 
-    fn release_and_hand_over(&self, lost: Vec<(KeyGrant, Option<SocketAddr>)>) {
+    /// Announces the newest epoch whose table took no keys away that the upstream may still use.
+    fn announce_released(&self) {
+        let mut grants = sync::lock(&self.grants);
+        let now = self.clock.now();
+        let epoch = grants.released_epoch(now);
+        let in_progress = grants.releases_in_progress(now);
+        self.membership.with_ownership(|o, now| {
+            let session = o.info().session;
+            if o.facts().adopted(session) < epoch && epoch <= o.table().epoch {
+                tracing::info!(event = "epoch-released", %epoch, in_progress);
+                o.announce_release(now, epoch);
+            }
+        });
+    }
+
+    fn release_and_hand_over(&self, releasing: Vec<ReleasingGrant>) {
         let released: Vec<_> = thread::scope(|scope| {
-            let spawn_release =
-                |(grant, next)| scope.spawn(move || (self.release_range(&grant), grant, next));
-            let threads: Vec<_> = lost.into_iter().map(spawn_release).collect();
+            let spawn_release = |r| scope.spawn(move || (self.release_range(&r), r));
+            let threads: Vec<_> = releasing.into_iter().map(spawn_release).collect();
             threads.into_iter().filter_map(|t| t.join().ok()).collect()
         });
         let mut by_next_owner: BTreeMap<SocketAddr, Vec<KeyHandover>> = BTreeMap::new();
-        for (handover, grant, next) in released {
-            let keys = grant.range.keys();
+        for (handover, releasing) in released {
+            let keys = releasing.grant.range.keys();
             let rates = sync::lock(&self.load_meter).remove_rates(keys);
-            if let Some(next) = next {
+            if let Some(next) = releasing.next_owner {
                 by_next_owner.entry(next).or_default().push(KeyHandover {
-                    service: grant.service,
+                    service: releasing.grant.service,
                     keys,
                     handover,
                     rates,
@@ -347,34 +375,36 @@
         }
     }
 
-    /// Removes the grants of keys that this daemon does not serve under the table of `epoch`, and
-    /// returns them with the peer address of each next owner.
-    fn remove_lost(&self, epoch: Epoch) -> Vec<(KeyGrant, Option<SocketAddr>)> {
+    /// Begins the release of the keys that this daemon does not serve under the present table.
+    fn begin_release(&self) -> Vec<ReleasingGrant> {
         let mut grants = sync::lock(&self.grants);
-        grants.begin_release(epoch);
-        let Some(process) = self.dispatcher.upstream_process() else {
-            return Vec::new();
+        let served = match self.dispatcher.upstream_process() {
+            Some(process) => self.served(&process),
+            None => {
+                grants.abandon(self.dispatcher.upstream_gone_at());
+                Served {
+                    epoch: self.membership.table().epoch,
+                    ranges: Vec::new(),
+                    live_until: None,
+                }
+            }
         };
-        let (served, _) = self.served_ranges(&process);
-        let lost = grants.remove_lost(&served);
-        let granted = grants.granted_ranges(&served);
-        let in_progress = grants.pending_releases();
-        drop(grants);
-        let table = self.membership.table().epoch;
-        tracing::info!(event = "release-begun", %epoch, %table, ranges = lost.len(), in_progress);
+        let split = |grant: &KeyGrant| self.split_by_next_owner(grant);
+        let releasing = grants.begin_release(&served.ranges, served.epoch, &split);
+        let granted = grants.granted_ranges(&served.ranges);
+        let in_progress = grants.releases_in_progress(self.clock.now());
         self.dispatcher.set_granted(granted);
-        let parts = lost
-            .iter()
-            .flat_map(|g| self.split_by_next_owner(g, g.range));
-        parts.collect()
+        drop(grants);
+        if !releasing.is_empty() {
+            let (epoch, ranges) = (served.epoch, releasing.len());
+            tracing::info!(event = "release-begun", %epoch, ranges, in_progress);
+        }
+        releasing
     }
 
-    /// Splits a range by the next owner of its keys.
-    fn split_by_next_owner(
-        &self,
-        grant: &KeyGrant,
-        range: OwnedRange,
-    ) -> Vec<(KeyGrant, Option<SocketAddr>)> {
+    /// Splits a grant by the next owner of its keys.
+    fn split_by_next_owner(&self, grant: &KeyGrant) -> Vec<(KeyGrant, Option<SocketAddr>)> {
+        let range = grant.range;
         let table = self.membership.table();
         let mut parts: Vec<(KeyGrant, Option<SocketAddr>)> = Vec::new();
         let Some(slices) = table.services.get(&grant.service) else {
@@ -413,18 +443,20 @@
     }
 
     /// Releases a range at the upstream; returns the upstream's handover.
-    fn release_range(&self, grant: &KeyGrant) -> Option<String> {
+    fn release_range(&self, releasing: &ReleasingGrant) -> Option<String> {
+        let grant = &releasing.grant;
         let keys = grant.range.keys();
         let fencing_token = owned_range::pack_fencing_token(grant.range.token);
         let request = self.protocol.release_request(keys, fencing_token);
         let started = self.clock.now();
-        match self
+        let result = self
             .dispatcher
             .pool()
-            .send_control_request(&request, RELEASE_TIMEOUT)
-        {
+            .send_control_request(&request, RELEASE_TIMEOUT);
+        let now = self.clock.now();
+        let (over_at, handover) = match result {
             Ok((head, metadata)) if head.status < 300 => {
-                let ms = self.clock.now().since(started).as_millis();
+                let ms = now.since(started).as_millis();
                 tracing::info!(
                     event = "keys-released",
                     first = keys.first.0,
@@ -433,12 +465,12 @@
                     ms
                 );
                 // An unanswered grant may still take effect after the release.
-                thread::sleep(grant.unanswered_until.since(self.clock.now()));
-                metadata.handover
+                (grant.unanswered_until, metadata.handover)
             }
             Err(UpstreamRequestFailure::Refused) => {
-                self.dispatcher.handle_upstream_loss("connection refused");
-                None
+                self.dispatcher
+                    .handle_upstream_loss(UpstreamLoss::Refused { at: started });
+                (now, None)
             }
             other => {
                 let reason = failure_reason(other.map(|(head, _)| head.status));
@@ -449,12 +481,11 @@
                     fence = fencing_token,
                     reason
                 );
-                // No other daemon may serve the keys before the grant has expired.
-                let remaining = grant.possible_until.since(self.clock.now());
-                thread::sleep(remaining);
-                None
+                (grant.possible_until, None)
             }
-        }
+        };
+        sync::lock(&self.grants).end_release(releasing.id, over_at);
+        handover
     }
 
     /// Sends a grant, unless its duration would be too short.
@@ -511,7 +542,9 @@
         let possible_until = attempt.ended_at + grant.duration.mul_f64(1.0 + CLOCK_DRIFT);
         let status = match attempt.result {
             Err(UpstreamRequestFailure::Refused) => {
-                self.dispatcher.handle_upstream_loss("connection refused");
+                self.dispatcher.handle_upstream_loss(UpstreamLoss::Refused {
+                    at: attempt.sent_at,
+                });
                 return false;
             }
             status => status,
@@ -524,13 +557,14 @@
             Err(_) => possible_until,
             Ok(_) => Moment::default(),
         };
-        let is_new = grants.record_grant(
-            &process.service,
+        let is_new = grants.record_grant(KeyGrant {
+            service: process.service.clone(),
             range,
             certain_until,
             possible_until,
             unanswered_until,
-        );
+            called_until: attempt.ended_at,
+        });
         if matches!(status, Ok(200..300)) {
             grants.record_success();
             if let Some(handover) = &grant.handover {
@@ -563,19 +597,22 @@
         false
     }
 
-    /// Returns the ranges that may be served now, and until when the session is live.
-    fn served_ranges(&self, process: &UpstreamProcess) -> (Vec<OwnedRange>, Option<Moment>) {
+    /// Returns what may be served now by the upstream `process`.
+    fn served(&self, process: &UpstreamProcess) -> Served {
         self.membership.with_ownership(|o, now| {
-            let Some(slices) = o.table().services.get(&process.service) else {
-                return (Vec::new(), o.live_until(now));
-            };
+            let slices = o.table().services.get(&process.service);
             let served = o.served_slices(now).into_iter();
             let own = served.filter(|((service, _), _)| *service == process.service);
             let ranges = own.filter_map(|((_, slice), token)| {
+                let slices = slices?;
                 let (first, last) = slices.key_range_at(slices.index_of(slice)?)?;
                 Some(OwnedRange { first, last, token })
             });
-            (owned_range::merge_adjacent(ranges), o.live_until(now))
+            Served {
+                epoch: o.table().epoch,
+                ranges: owned_range::merge_adjacent(ranges),
+                live_until: o.live_until(now),
+            }
         })
     }
 
@@ -583,26 +620,18 @@
     /// tokens.
     fn update_process(&self, grants: &mut KeyGrants, process: &UpstreamProcess) {
         let boot = process.boot();
-        if grants.set_process(boot) {
+        if grants.set_process(boot, self.dispatcher.upstream_gone_at()) {
             self.membership.with_ownership(|o, _| o.raise_incarnation());
         }
     }
 
-    /// Resigns the session if it is a candidate for any slice, so that others may serve its keys at
-    /// once.
-    fn resign_if_candidate(&self, reason: &str) {
-        let session: Option<SessionId> = self.membership.with_ownership(|o, _| {
+    /// Returns whether this daemon's session is a candidate of any slice.
+    fn is_candidate(&self) -> bool {
+        self.membership.with_ownership(|o, _| {
             let own_session = o.info().session;
             let mut assignments = o.table().assignments();
-            assignments
-                .any(|(_, _, a)| a.rank(own_session).is_some())
-                .then_some(own_session)
-        });
-        if let Some(session) = session {
-            let in_progress = sync::lock(&self.grants).pending_releases();
-            tracing::warn!(event = "session-resigned", %session, reason, releases_in_progress = in_progress);
-            self.membership.with_ownership(|o, now| o.resign(now));
-        }
+            assignments.any(|(_, _, a)| a.rank(own_session).is_some())
+        })
     }
 }
 
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -12,7 +12,9 @@
 use crate::process::datagram::Message;
 use crate::process::host::admission::{Admission, Decision, Ticket};
 use crate::process::host::grant_wait::GrantWait;
-use crate::process::host::local_upstream::{LocalUpstream, ReportEffect, UpstreamProcess};
+use crate::process::host::local_upstream::{
+    LocalUpstream, ReportEffect, UpstreamLoss, UpstreamProcess,
+};
 use crate::process::host::owned_range::OwnedRange;
 use crate::process::membership::Membership;
 use crate::process::moment::Moment;
@@ -108,6 +110,11 @@
         sync::lock(&self.state).upstream.running().cloned()
     }
 
+    /// Returns the latest time at which a process of the upstream was known to be gone.
+    pub fn upstream_gone_at(&self) -> Option<Moment> {
+        sync::lock(&self.state).upstream.gone_at()
+    }
+
     /// Applies a report of the upstream and returns what it changed.
     pub fn apply_report(&self, report: &StatusReport) -> ReportEffect {
         let now = self.clock.now();
@@ -143,11 +150,11 @@
 
     /// Marks the upstream as down, clears its grants and connections, and broadcasts its requests
     /// in flight as crash suspects; returns whether it was up.
-    pub fn mark_upstream_down(&self) -> bool {
+    fn mark_upstream_down(&self, loss: UpstreamLoss) -> bool {
         let now = self.clock.now();
         let mut state = sync::lock(&self.state);
         let boot = state.upstream.running().map(UpstreamProcess::boot);
-        let changed = state.upstream.mark_down();
+        let changed = state.upstream.mark_down(loss);
         state.granted.clear();
         let suspects = boot.map(|boot| state.suspect_in_flight(now, boot));
         drop(state);
@@ -296,7 +303,8 @@
                 // Ended before the upstream is marked as down: no byte was sent, so this request
                 // is not a crash suspect.
                 self.end_dispatch(Some(dispatch), None, None);
-                self.handle_upstream_loss("connection refused");
+                let at = self.clock.now() - duration;
+                self.handle_upstream_loss(UpstreamLoss::Refused { at });
                 UpstreamOutcome::not_run(NotRunCause::Down, DOWN_RETRY_AFTER)
             }
             Err(UpstreamRequestFailure::NotSent(reason)) => {
@@ -550,8 +558,11 @@
 
     /// Probes whether the upstream's process crashed while it had the request of `suspect`.
     fn probe_after_failure(&self, suspect: CrashSuspect) {
+        let at = self.clock.now();
         match self.pool.probe() {
-            Err(UpstreamRequestFailure::Refused) => self.handle_upstream_loss("connection refused"),
+            Err(UpstreamRequestFailure::Refused) => {
+                self.handle_upstream_loss(UpstreamLoss::Refused { at });
+            }
             probed => {
                 // A new process may already be listening; its report will show that.
                 let now = self.clock.now();
@@ -565,9 +576,9 @@
 
     /// Handles the loss of the upstream: marks it as down, logs that, and removes it from this
     /// daemon's member info, which the planner reads.
-    pub fn handle_upstream_loss(&self, reason: &str) {
-        if self.mark_upstream_down() {
-            tracing::warn!(event = "upstream-lost", reason);
+    pub fn handle_upstream_loss(&self, loss: UpstreamLoss) {
+        if self.mark_upstream_down(loss) {
+            tracing::warn!(event = "upstream-lost", reason = %loss);
             self.membership
                 .with_ownership(|o, now| o.update_info(now, |info| info.upstream = None));
         }
--- a/src/process/host/key_grants.rs
+++ b/src/process/host/key_grants.rs
@@ -1,12 +1,16 @@
 //! Grants of key ranges to the local upstream, and releases in progress. Performs no I/O: callers
 //! pass in the time and the results of calls.
+//!
+//! A grant leaves this state only when the upstream can't use it any more. Until then it is either
+//! in force or being released, so nothing is announced too early.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::connection::peer_message::KeyHandover;
 use crate::process::host::owned_range::OwnedRange;
 use crate::process::moment::Moment;
-use crate::process::release_tracker::ReleaseTracker;
+use crate::process::release_tracker::{ReleaseId, ReleaseTracker};
 use crate::version::epoch::Epoch;
 use crate::version::service_name::ServiceName;
 use crate::version::upstream::UpstreamBoot;
@@ -31,9 +35,18 @@
     pub possible_until: Moment,
     /// Until when an unanswered grant call may still take effect.
     pub unanswered_until: Moment,
+    /// When the last call that granted it ended.
+    pub called_until: Moment,
 }
 
 impl KeyGrant {
+    /// Extends the times until which the keys may be in use by those of `other`.
+    fn extend_effects(&mut self, other: &KeyGrant) {
+        self.possible_until = self.possible_until.max(other.possible_until);
+        self.unanswered_until = self.unanswered_until.max(other.unanswered_until);
+        self.called_until = self.called_until.max(other.called_until);
+    }
+
     /// Returns the same grant for another range.
     pub fn with_range(&self, range: OwnedRange) -> Self {
         Self {
@@ -43,6 +56,20 @@
     }
 }
 
+/// A grant that is being released.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReleasingGrant {
+    /// The release.
+    pub id: ReleaseId,
+    /// What was granted.
+    pub grant: KeyGrant,
+    /// Peer address of the daemon that owns the keys next, if there is one.
+    pub next_owner: Option<SocketAddr>,
+}
+
+/// Splits a grant into parts that have the same next owner each, and names that owner's address.
+pub type SplitByNextOwner<'s> = &'s dyn Fn(&KeyGrant) -> Vec<(KeyGrant, Option<SocketAddr>)>;
+
 /// Grants to the local upstream.
 #[derive(Debug, Default)]
 pub struct KeyGrants {
@@ -54,7 +81,9 @@
     /// Time at which the first grant since the last accepted one failed.
     failing_since: Option<Moment>,
     releases: ReleaseTracker,
-    /// Whether all keys are being released.
+    /// Grants whose release call is in progress.
+    releasing: Vec<ReleasingGrant>,
+    /// Whether nothing is granted because all keys are being released.
     releasing_all: bool,
 }
 
@@ -64,9 +93,22 @@
         self.grants.is_empty()
     }
 
-    /// Removes all grants, because the upstream's process is gone.
-    pub fn clear(&mut self) {
-        self.grants.clear();
+    /// Returns whether the upstream can use no keys: it has no grants, and no release is in progress.
+    pub fn is_idle(&mut self, now: Moment) -> bool {
+        self.grants.is_empty() && self.releases.in_progress(now) == 0
+    }
+
+    /// Removes the grants because there is no upstream to release them at. `gone_at` is when its
+    /// process was known to be gone: what was granted before that is void. The rest may be in use
+    /// until it has expired.
+    pub fn abandon(&mut self, gone_at: Option<Moment>) {
+        let is_void = |g: &KeyGrant| gone_at.is_some_and(|at| g.called_until <= at);
+        for grant in std::mem::take(&mut self.grants) {
+            if !is_void(&grant) {
+                let id = self.releases.begin();
+                self.releases.end_at(id, grant.possible_until);
+            }
+        }
     }
 
     /// Removes the grants that have certainly expired.
@@ -74,14 +116,15 @@
         self.grants.retain(|g| g.possible_until > now);
     }
 
-    /// Sets the current upstream process; a new process has no grants. Returns whether it replaced
-    /// another.
-    pub fn set_process(&mut self, boot: UpstreamBoot) -> bool {
+    /// Sets the current upstream process; a new one has no grants. Returns whether it replaced
+    /// another. `gone_at` is when a former process was known to be gone: the calls after that may
+    /// have reached the new one.
+    pub fn set_process(&mut self, boot: UpstreamBoot, gone_at: Option<Moment>) -> bool {
         if self.boot == Some(boot) {
             return false;
         }
         let replaced = self.boot.replace(boot).is_some();
-        self.grants.clear();
+        self.abandon(gone_at);
         self.failing_since = None;
         replaced
     }
@@ -115,19 +158,14 @@
         self.handovers.extend(usable.map(|h| (h, now)));
     }
 
-    /// Begins the release of the keys that the table of `epoch` assigns to others.
-    pub fn begin_release(&mut self, epoch: Epoch) {
-        self.releases.begin(epoch);
-    }
-
-    /// Ends the release for the table of `epoch`; returns the epoch to announce as released, if no
-    /// release for an earlier one is in progress.
-    pub fn end_release(&mut self, epoch: Epoch) -> Option<Epoch> {
-        self.releases.end(epoch)
-    }
-
-    /// Removes and returns the granted ranges that are not in `served`.
-    pub fn remove_lost(&mut self, served: &[OwnedRange]) -> Vec<KeyGrant> {
+    /// Begins the release of the granted ranges that are not in `served`, the ranges that this daemon
+    /// serves under the table of `epoch`.
+    pub fn begin_release(
+        &mut self,
+        served: &[OwnedRange],
+        epoch: Epoch,
+        split: SplitByNextOwner<'_>,
+    ) -> Vec<ReleasingGrant> {
         let mut kept = Vec::new();
         let mut lost = Vec::new();
         for grant in std::mem::take(&mut self.grants) {
@@ -142,27 +180,54 @@
             lost.extend(unserved.into_iter().map(|range| grant.with_range(range)));
         }
         self.grants = kept;
-        lost
+        let releasing = self.begin_releases(&lost, split);
+        self.releases.cover(epoch);
+        releasing
     }
 
-    /// Removes and returns all grants; nothing is granted until [`KeyGrants::end_release_all`]. It
-    /// counts as a release, so that a table that arrives meanwhile is not announced as released too
-    /// early.
-    pub fn begin_release_all(&mut self) -> Vec<KeyGrant> {
+    /// Begins the release of all grants; nothing is granted until [`KeyGrants::end_release_all`].
+    pub fn begin_release_all(&mut self, split: SplitByNextOwner<'_>) -> Vec<ReleasingGrant> {
         self.releasing_all = true;
-        self.releases.begin_all();
-        std::mem::take(&mut self.grants)
+        let all = std::mem::take(&mut self.grants);
+        self.begin_releases(&all, split)
+    }
+
+    fn begin_releases(
+        &mut self,
+        grants: &[KeyGrant],
+        split: SplitByNextOwner<'_>,
+    ) -> Vec<ReleasingGrant> {
+        let parts = grants.iter().flat_map(split);
+        let begun: Vec<ReleasingGrant> = parts
+            .map(|(grant, next_owner)| ReleasingGrant {
+                id: self.releases.begin(),
+                grant,
+                next_owner,
+            })
+            .collect();
+        self.releasing.extend(begun.iter().cloned());
+        begun
     }
 
-    /// Ends the release of all keys; returns the epoch to announce as released, if there is one.
-    pub fn end_release_all(&mut self) -> Option<Epoch> {
+    /// Ends the call of a release; the upstream may use the keys until `over_at`.
+    pub fn end_release(&mut self, id: ReleaseId, over_at: Moment) {
+        self.releasing.retain(|r| r.id != id);
+        self.releases.end_at(id, over_at);
+    }
+
+    /// Allows grants again after the release of all keys.
+    pub fn end_release_all(&mut self) {
         self.releasing_all = false;
-        self.releases.end_all()
+    }
+
+    /// Returns the newest epoch that may be announced as released.
+    pub fn released_epoch(&mut self, now: Moment) -> Epoch {
+        self.releases.released_epoch(now)
     }
 
     /// Returns the number of releases in progress.
-    pub fn pending_releases(&self) -> usize {
-        self.releases.in_progress()
+    pub fn releases_in_progress(&mut self, now: Moment) -> usize {
+        self.releases.in_progress(now)
     }
 
     /// Returns whether all keys are being released.
@@ -170,7 +235,8 @@
         self.releasing_all
     }
 
-    /// Returns the parts of `range` whose grants are due, with the handover for each.
+    /// Returns the parts of `range` whose grants are due, with the handover for each. Keys whose
+    /// release call is in progress are left out: it would end the new grant too.
     pub fn due_grants(
         &self,
         now: Moment,
@@ -184,8 +250,18 @@
             .filter(|g| g.certain_until <= now + RENEW_BEFORE);
         let due = due.filter_map(|g| g.range.intersection(range));
         let mut parts: Vec<(OwnedRange, Option<String>)> = due.map(|part| (part, None)).collect();
-        let granted: Vec<OwnedRange> = own_grants.iter().map(|g| g.range).collect();
-        for ungranted in range.subtract_all(&granted) {
+        let releasing = self
+            .releasing
+            .iter()
+            .map(|r| &r.grant)
+            .filter(|g| g.service == *service);
+        let unavailable: Vec<OwnedRange> = own_grants
+            .iter()
+            .copied()
+            .chain(releasing)
+            .map(|g| g.range)
+            .collect();
+        for ungranted in range.subtract_all(&unavailable) {
             let mut handed_over = Vec::new();
             for (handover, _) in self.handovers.iter().filter(|(h, _)| h.service == *service) {
                 let handover_range = OwnedRange {
@@ -237,50 +313,25 @@
     }
 
     /// Records a grant; returns whether its range was not granted under the same token before.
-    pub fn record_grant(
-        &mut self,
-        service: &ServiceName,
-        range: OwnedRange,
-        certain_until: Moment,
-        possible_until: Moment,
-        unanswered_until: Moment,
-    ) -> bool {
-        let is_same = |g: &&mut KeyGrant| g.service == *service && g.range == range;
+    pub fn record_grant(&mut self, mut new: KeyGrant) -> bool {
+        let is_same = |g: &&mut KeyGrant| g.service == new.service && g.range == new.range;
         if let Some(grant) = self.grants.iter_mut().find(is_same) {
-            grant.certain_until = grant.certain_until.max(certain_until);
-            grant.possible_until = grant.possible_until.max(possible_until);
-            grant.unanswered_until = grant.unanswered_until.max(unanswered_until);
+            grant.certain_until = grant.certain_until.max(new.certain_until);
+            grant.extend_effects(&new);
             return false;
         }
-        let overlaps =
-            |g: &&KeyGrant| g.service == *service && g.range.intersection(&range).is_some();
-        let unanswered = self
-            .grants
-            .iter()
-            .filter(overlaps)
-            .map(|g| g.unanswered_until);
-        let unanswered_until = unanswered.fold(unanswered_until, Moment::max);
         let mut remaining = Vec::new();
         for grant in std::mem::take(&mut self.grants) {
-            match grant.service == *service {
-                true => remaining.extend(
-                    grant
-                        .range
-                        .subtract_all(&[range])
-                        .into_iter()
-                        .map(|r| grant.with_range(r)),
-                ),
-                false => remaining.push(grant),
+            if grant.service != new.service || grant.range.intersection(&new.range).is_none() {
+                remaining.push(grant);
+                continue;
             }
+            new.extend_effects(&grant);
+            let rest = grant.range.subtract_all(&[new.range]).into_iter();
+            remaining.extend(rest.map(|r| grant.with_range(r)));
         }
         self.grants = remaining;
-        self.grants.push(KeyGrant {
-            service: service.clone(),
-            range,
-            certain_until,
-            possible_until,
-            unanswered_until,
-        });
+        self.grants.push(new);
         true
     }
 
--- a/src/process/host/local_upstream.rs
+++ b/src/process/host/local_upstream.rs
@@ -1,5 +1,6 @@
 //! Tracks the current process of the local upstream and its state, from the upstream's reports.
 
+use std::fmt;
 use std::time::Duration;
 
 use crate::connection::protocol::StatusReport;
@@ -43,6 +44,27 @@
     }
 }
 
+/// Why the upstream is taken as lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamLoss {
+    /// A connection was refused, so its process is gone.
+    Refused {
+        /// A time at which the process was certainly gone, or a moment earlier.
+        at: Moment,
+    },
+    /// It has answered no grant for a while; its process may still run.
+    GrantsNotAnswered,
+}
+
+impl fmt::Display for UpstreamLoss {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Refused { .. } => "connection refused",
+            Self::GrantsNotAnswered => "grants are not answered",
+        })
+    }
+}
+
 /// What a report changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportEffect {
@@ -61,6 +83,8 @@
 pub struct LocalUpstream {
     process: Option<UpstreamProcess>,
     is_down: bool,
+    /// When a process of it was last known to be gone.
+    gone_at: Option<Moment>,
 }
 
 impl LocalUpstream {
@@ -107,8 +131,16 @@
         false
     }
 
-    /// Records that the upstream's process is gone; returns whether it was up.
-    pub fn mark_down(&mut self) -> bool {
+    /// Returns the latest time at which a process of the upstream was known to be gone.
+    pub fn gone_at(&self) -> Option<Moment> {
+        self.gone_at
+    }
+
+    /// Records that the upstream is lost; returns whether it was up.
+    pub fn mark_down(&mut self, loss: UpstreamLoss) -> bool {
+        if let UpstreamLoss::Refused { at } = loss {
+            self.gone_at = self.gone_at.max(Some(at));
+        }
         let changed = self.process.is_some() && !self.is_down;
         self.is_down = true;
         changed
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -164,11 +164,8 @@
         while clock.now() < schedule.deadline() && !(self.is_idle() && self.has_moved_all_keys()) {
             thread::sleep(STOP_POLL_INTERVAL);
         }
-        if self.has_moved_all_keys() {
-            self.context
-                .membership
-                .with_ownership(|o, now| o.resign(now));
-        } else {
+        let grant_manager = &self.context.grant_manager;
+        if !(self.has_moved_all_keys() && grant_manager.end_session("the process stops")) {
             tracing::warn!(event = "stopped-with-keys");
         }
         thread::sleep(STOP_POLL_INTERVAL);
@@ -361,7 +358,7 @@
                 let version = context.membership.active_configuration().version;
                 context.metrics.record_versions(epoch.0, version.0);
                 context.router.forget_former_members();
-                releasers.submit(move || context.grant_manager.release_lost_keys(epoch));
+                releasers.submit(move || context.grant_manager.release_lost_keys());
             }
             MembershipEvent::LeaseLapsed | MembershipEvent::SessionEnded(_) => {
                 context.grant_manager.reconcile()
--- a/src/process/release_tracker.rs
+++ b/src/process/release_tracker.rs
@@ -1,64 +1,86 @@
-//! Which epochs a daemon may announce as released while releases overlap.
+//! What a daemon may still use although it no longer serves it, and what it may therefore announce:
+//! the newest released epoch, and the end of its session.
+//!
+//! Releases overlap, and need not begin in the order of the tables that caused them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
+use crate::process::moment::Moment;
 use crate::version::epoch::Epoch;
 
-/// Tracks the releases in progress. A release for an epoch ends the work on all slices that this
-/// epoch or an earlier one took away, unless an earlier release still does.
+/// Identifies a release in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReleaseId(u64);
+
+/// A release in progress.
+#[derive(Debug)]
+struct Release {
+    /// The first epoch whose table may have taken the released slices away.
+    lost_at: Epoch,
+    /// When the release is over without an acknowledgement, if that is known.
+    over_at: Option<Moment>,
+}
+
+/// Tracks the releases in progress.
 #[derive(Debug, Default)]
 pub struct ReleaseTracker {
-    /// The number of releases in progress for each epoch.
-    pending: BTreeMap<Epoch, usize>,
-    /// The epochs whose releases have ended, but which wait for earlier ones.
-    ended: BTreeSet<Epoch>,
-    /// The number of releases of all slices in progress, which hold up each announcement.
-    of_all: usize,
+    /// The newest epoch of which all lost slices were released, or are being released.
+    covered: Epoch,
+    releases: BTreeMap<ReleaseId, Release>,
+    last_id: u64,
 }
 
 impl ReleaseTracker {
-    /// Begins the release of the slices that the table of `epoch` assigns to others.
-    pub fn begin(&mut self, epoch: Epoch) {
-        *self.pending.entry(epoch).or_default() += 1;
+    /// Begins the release of slices that the daemon no longer serves. Any table that is newer than
+    /// the last one covered may have taken them away.
+    pub fn begin(&mut self) -> ReleaseId {
+        self.last_id += 1;
+        let id = ReleaseId(self.last_id);
+        let release = Release {
+            lost_at: self.covered.next(),
+            over_at: None,
+        };
+        self.releases.insert(id, release);
+        id
     }
 
-    /// Ends a release; returns the epoch to announce, if there is one.
-    pub fn end(&mut self, epoch: Epoch) -> Option<Epoch> {
-        if let Some(count) = self.pending.get_mut(&epoch) {
-            *count -= 1;
-            if *count == 0 {
-                self.pending.remove(&epoch);
-            }
-        }
-        self.ended.insert(epoch);
-        self.take_announceable()
+    /// Records that the release of all slices which the tables up to `epoch` took away has begun.
+    pub fn cover(&mut self, epoch: Epoch) {
+        self.covered = self.covered.max(epoch);
     }
 
-    /// Begins the release of all slices.
-    pub fn begin_all(&mut self) {
-        self.of_all += 1;
+    /// Ends a release: the slices can't be used under the released grant any more.
+    pub fn end(&mut self, id: ReleaseId) {
+        self.releases.remove(&id);
     }
 
-    /// Ends the release of all slices; returns the epoch to announce, if there is one.
-    pub fn end_all(&mut self) -> Option<Epoch> {
-        self.of_all -= 1;
-        self.take_announceable()
+    /// Ends a release at `moment`, until which the slices may still be used.
+    pub fn end_at(&mut self, id: ReleaseId, moment: Moment) {
+        if let Some(release) = self.releases.get_mut(&id) {
+            release.over_at = Some(moment);
+        }
     }
 
     /// Returns the number of releases in progress.
-    pub fn in_progress(&self) -> usize {
-        self.pending.values().sum::<usize>() + self.of_all
+    pub fn in_progress(&mut self, now: Moment) -> usize {
+        self.releases
+            .retain(|_, r| r.over_at.is_none_or(|over| over > now));
+        self.releases.len()
     }
 
-    /// Removes and returns the newest epoch before which no release is in progress.
-    fn take_announceable(&mut self) -> Option<Epoch> {
-        if self.of_all > 0 {
-            return None;
+    /// Returns the newest epoch that may be announced as released: all slices that its table or an
+    /// earlier one took away are.
+    pub fn released_epoch(&mut self, now: Moment) -> Epoch {
+        match self.in_progress(now) {
+            0 => self.covered,
+            _ => self.before_first_lost(),
         }
-        let first_pending = self.pending.keys().next().copied();
-        let is_complete = |e: &Epoch| first_pending.is_none_or(|p| *e < p);
-        let announceable = self.ended.iter().copied().filter(is_complete).max()?;
-        self.ended.retain(|e| *e > announceable);
-        Some(announceable)
+    }
+
+    /// Returns the epoch before the first one that may have taken away a slice still in use.
+    fn before_first_lost(&self) -> Epoch {
+        let lost_at = self.releases.values().map(|r| r.lost_at);
+        let first = lost_at.min().unwrap_or_default();
+        Epoch(first.0.saturating_sub(1)).min(self.covered)
     }
 }
--- a/tests/testsuite/host/grants/mod.rs
+++ b/tests/testsuite/host/grants/mod.rs
@@ -27,7 +27,7 @@
     assert!(!upstream.calls("grant").is_empty(), "a grant was sent");
     daemon.adopt(table(2, &[OTHER, OWN]));
     let manager = Arc::clone(&daemon.manager);
-    let releasing = thread::spawn(move || manager.release_lost_keys(Epoch(2)));
+    let releasing = thread::spawn(move || manager.release_lost_keys());
     let started = Instant::now();
     while !daemon.has_resigned() && started.elapsed() < PATIENCE {
         daemon.manager.reconcile();
@@ -57,12 +57,12 @@
     daemon.adopt(table(2, &[OTHER, OWN]));
     daemon.adopt(table(3, &[OTHER, OWN]));
     let manager = Arc::clone(&daemon.manager);
-    let releasing = thread::spawn(move || manager.release_lost_keys(Epoch(3)));
+    let releasing = thread::spawn(move || manager.release_lost_keys());
     let started = Instant::now();
     while upstream.calls("release").is_empty() && started.elapsed() < PATIENCE {
         thread::sleep(Duration::from_millis(5));
     }
-    daemon.manager.release_lost_keys(Epoch(2));
+    daemon.manager.release_lost_keys();
     assert_eq!(
         daemon.announced(),
         Epoch(0),
--- a/tests/testsuite/host/grants/upstream.rs
+++ b/tests/testsuite/host/grants/upstream.rs
@@ -27,10 +27,6 @@
 pub struct Call {
     /// The operation: `grant` or `release`.
     pub name: String,
-    /// First key.
-    pub first: u16,
-    /// Fencing token.
-    pub fencing_token: u64,
     /// Duration of a grant.
     pub duration: Duration,
     /// Time of arrival.
@@ -43,14 +39,12 @@
         self.at + self.duration
     }
 
-    /// Parses the target of a request: `/NAME/FIRST/TOKEN/MILLISECONDS`.
+    /// Parses the target of a request: `/NAME/MILLISECONDS/FIRST/TOKEN`.
     fn parse(target: &str) -> Self {
         let mut parts = target.split('/').skip(1);
         let mut next = || parts.next().unwrap();
         Self {
             name: next().to_owned(),
-            first: next().parse().unwrap(),
-            fencing_token: next().parse().unwrap(),
             duration: Duration::from_millis(next().parse().unwrap()),
             at: Instant::now(),
         }
@@ -131,7 +125,7 @@
     let (first, ms) = (keys.first, duration.as_millis());
     OutgoingRequest {
         method: "POST",
-        target: format!("/{name}/{first}/{fencing_token}/{ms}"),
+        target: format!("/{name}/{ms}/{first}/{fencing_token}"),
         headers: Headers::default(),
         body: Vec::new(),
     }
--- a/tests/testsuite/host/key_grants.rs
+++ b/tests/testsuite/host/key_grants.rs
@@ -1,8 +1,10 @@
 //! Which grants the upstream has, and when a release is complete.
 
+use std::net::SocketAddr;
+
 use foxtaildrift::connection::peer_message::KeyHandover;
 use foxtaildrift::connection::protocol::KeyRange;
-use foxtaildrift::process::host::key_grants::KeyGrants;
+use foxtaildrift::process::host::key_grants::{KeyGrant, KeyGrants, ReleasingGrant};
 use foxtaildrift::process::host::owned_range::{self, OwnedRange};
 use foxtaildrift::process::moment::Moment;
 use foxtaildrift::request::shard_key::ShardKey;
@@ -34,7 +36,43 @@
 
 /// Records an accepted grant that expires at `until`.
 fn granted(grants: &mut KeyGrants, range: OwnedRange, until: u64) {
-    grants.record_grant(&service(), range, at(until), at(until + 40), at(0));
+    grants.record_grant(KeyGrant {
+        service: service(),
+        range,
+        certain_until: at(until),
+        possible_until: at(until + 40),
+        unanswered_until: at(0),
+        called_until: at(0),
+    });
+}
+
+/// Records a grant without an answer, whose call ended at `called` and which may last until `until`.
+fn unanswered(grants: &mut KeyGrants, range: OwnedRange, called: u64, until: u64) {
+    grants.record_grant(KeyGrant {
+        service: service(),
+        range,
+        certain_until: at(called),
+        possible_until: at(until),
+        unanswered_until: at(until),
+        called_until: at(called),
+    });
+}
+
+/// Begins the release of what is not in `served` under the table of `epoch`.
+fn lose(grants: &mut KeyGrants, served: &[OwnedRange], epoch: u64) -> Vec<ReleasingGrant> {
+    grants.begin_release(served, Epoch(epoch), &whole)
+}
+
+/// Leaves a grant whole.
+fn whole(grant: &KeyGrant) -> Vec<(KeyGrant, Option<SocketAddr>)> {
+    vec![(grant.clone(), None)]
+}
+
+/// Ends all releases of `releasing`, each acknowledged with nothing unanswered.
+fn end_all(grants: &mut KeyGrants, releasing: &[ReleasingGrant]) {
+    for release in releasing {
+        grants.end_release(release.id, at(0));
+    }
 }
 
 #[test]
@@ -43,16 +81,17 @@
     // announced while the first was still in progress.
     let mut grants = KeyGrants::default();
     granted(&mut grants, range(0, 127, 1), 2000);
-    grants.begin_release(Epoch(5));
-    assert_eq!(grants.remove_lost(&[]).len(), 1);
-    grants.begin_release(Epoch(6));
-    assert!(grants.remove_lost(&[]).is_empty());
+    lose(&mut grants, &[range(0, 127, 1)], 4);
+    let first = lose(&mut grants, &[], 5);
+    assert_eq!(first.len(), 1);
+    assert!(lose(&mut grants, &[], 6).is_empty());
     assert_eq!(
-        grants.end_release(Epoch(6)),
-        None,
+        grants.released_epoch(at(10)),
+        Epoch(4),
         "the first is still in progress"
     );
-    assert_eq!(grants.end_release(Epoch(5)), Some(Epoch(6)));
+    end_all(&mut grants, &first);
+    assert_eq!(grants.released_epoch(at(10)), Epoch(6));
 }
 
 #[test]
@@ -63,15 +102,75 @@
     let mut grants = KeyGrants::default();
     granted(&mut grants, range(0, 127, 1), 2000);
     granted(&mut grants, range(200, 255, 1), 2000);
-    grants.begin_release(Epoch(5));
-    assert_eq!(grants.remove_lost(&[range(200, 255, 1)]).len(), 1);
-    grants.begin_release(Epoch(6));
-    assert_eq!(grants.remove_lost(&[]).len(), 1);
-    assert_eq!(grants.end_release(Epoch(5)), Some(Epoch(5)));
-    grants.begin_release(Epoch(7));
-    assert_eq!(grants.end_release(Epoch(7)), None, "6 is still in progress");
-    assert_eq!(grants.end_release(Epoch(6)), Some(Epoch(7)));
-    assert_eq!(grants.pending_releases(), 0);
+    let first = lose(&mut grants, &[range(200, 255, 1)], 5);
+    assert_eq!(first.len(), 1);
+    let second = lose(&mut grants, &[], 6);
+    assert_eq!(second.len(), 1);
+    end_all(&mut grants, &first);
+    assert_eq!(grants.released_epoch(at(10)), Epoch(5));
+    assert!(lose(&mut grants, &[], 7).is_empty());
+    assert_eq!(grants.released_epoch(at(10)), Epoch(5), "6 is in progress");
+    end_all(&mut grants, &second);
+    assert_eq!(grants.released_epoch(at(10)), Epoch(7));
+    assert_eq!(grants.releases_in_progress(at(10)), 0);
+}
+
+#[test]
+fn a_release_that_skips_tables_holds_up_each_of_them() {
+    // Pattern: two tables arrive while a grant call is in progress, and the release for the later
+    // one finds what the earlier one took away. The next owner waits for the earlier one only.
+    let mut grants = KeyGrants::default();
+    granted(&mut grants, range(24576, 24831, 104), 2000);
+    lose(&mut grants, &[range(24576, 24831, 104)], 105);
+    let lost = lose(&mut grants, &[], 107);
+    assert_eq!(lost.len(), 1);
+    assert!(lose(&mut grants, &[], 107).is_empty());
+    assert_eq!(grants.released_epoch(at(10)), Epoch(105));
+    end_all(&mut grants, &lost);
+    assert_eq!(grants.released_epoch(at(10)), Epoch(107));
+}
+
+#[test]
+fn a_release_without_acknowledgement_is_over_when_its_grant_has_expired() {
+    let mut grants = KeyGrants::default();
+    unanswered(&mut grants, range(0, 99, 1), 400, 2400);
+    let lost = lose(&mut grants, &[], 2);
+    let possible_until = lost[0].grant.possible_until;
+    grants.end_release(lost[0].id, possible_until);
+    assert_eq!(grants.released_epoch(at(2399)), Epoch(0));
+    assert!(!grants.is_idle(at(2399)), "the session must not end");
+    assert_eq!(grants.released_epoch(at(2400)), Epoch(2));
+    assert!(grants.is_idle(at(2400)));
+}
+
+#[test]
+fn grants_to_a_lost_upstream_are_void_only_if_they_were_sent_before_it_was_gone() {
+    // Pattern: an upstream crashes and starts again within a moment. A grant that was sent in
+    // between may have reached the new process.
+    let mut grants = KeyGrants::default();
+    unanswered(&mut grants, range(0, 99, 1), 400, 2400);
+    unanswered(&mut grants, range(100, 199, 1), 600, 2600);
+    grants.abandon(Some(at(500)));
+    assert!(grants.is_empty() && !grants.is_idle(at(2599)));
+    assert!(grants.is_idle(at(2600)));
+    unanswered(&mut grants, range(0, 99, 2), 3000, 5000);
+    grants.abandon(None);
+    assert!(!grants.is_idle(at(4999)), "its process may still run");
+    assert!(grants.is_idle(at(5000)));
+}
+
+#[test]
+fn keys_are_not_granted_again_while_their_release_call_is_in_progress() {
+    let mut grants = KeyGrants::default();
+    granted(&mut grants, range(0, 99, 1), 2000);
+    let lost = lose(&mut grants, &[range(0, 49, 1)], 2);
+    let due = grants.due_grants(at(10), &service(), &range(0, 199, 3));
+    let due: Vec<_> = due.iter().map(|(r, _)| (r.first, r.last)).collect();
+    assert_eq!(due, [(0, 49), (100, 199)]);
+    end_all(&mut grants, &lost);
+    let due = grants.due_grants(at(10), &service(), &range(0, 199, 3));
+    let due: Vec<_> = due.iter().map(|(r, _)| (r.first, r.last)).collect();
+    assert_eq!(due, [(0, 199)]);
 }
 
 #[test]
@@ -80,8 +179,9 @@
     let mut grants = KeyGrants::default();
     granted(&mut grants, range(0, 22527, 102), 2000);
     grants.remove_expired(at(1000));
-    let lost = grants.remove_lost(&[]);
+    let lost = lose(&mut grants, &[], 103);
     assert_eq!(lost.len(), 1, "it must still be released");
+    end_all(&mut grants, &lost);
     granted(&mut grants, range(0, 22527, 103), 4000);
     grants.remove_expired(at(4041));
     assert!(grants.is_empty());
@@ -93,23 +193,31 @@
     // released.
     let mut grants = KeyGrants::default();
     granted(&mut grants, range(0, 99, 7), 2000);
-    grants.record_grant(&service(), range(50, 60, 8), at(500), at(2500), at(2500));
-    let lost = grants.remove_lost(&[]);
-    let of = |key: u16| lost.iter().find(|g| g.range.contains(key)).unwrap();
+    unanswered(&mut grants, range(50, 60, 8), 500, 2500);
+    let lost = lose(&mut grants, &[], 9);
+    let of = |key: u16| {
+        &lost
+            .iter()
+            .find(|r| r.grant.range.contains(key))
+            .unwrap()
+            .grant
+    };
     assert_eq!(of(55).unanswered_until, at(2500));
     assert_eq!(of(10).unanswered_until, at(0));
     // An answered grant of the same keys does not shorten that time.
-    grants.record_grant(&service(), range(50, 60, 8), at(500), at(2500), at(2500));
+    unanswered(&mut grants, range(50, 60, 8), 500, 2500);
     granted(&mut grants, range(0, 99, 9), 3000);
-    assert_eq!(grants.remove_lost(&[])[0].unanswered_until, at(2500));
+    let lost = lose(&mut grants, &[], 10);
+    assert_eq!(lost[0].grant.unanswered_until, at(2500));
 }
 
 #[test]
 fn grants_of_keys_that_are_still_served_are_kept() {
     let mut grants = KeyGrants::default();
     granted(&mut grants, range(0, 999, 3), 2000);
-    let lost = grants.remove_lost(&[range(0, 99, 3), range(500, 999, 4)]);
-    let lost: Vec<_> = lost.iter().map(|g| (g.range.first, g.range.last)).collect();
+    let lost = lose(&mut grants, &[range(0, 99, 3), range(500, 999, 4)], 4);
+    let lost: Vec<_> = lost.iter().map(|r| r.grant.range).collect();
+    let lost: Vec<_> = lost.iter().map(|r| (r.first, r.last)).collect();
     assert_eq!(lost, [(100, 499)]);
     let kept = grants.granted_ranges(&[range(0, 99, 3), range(500, 999, 4)]);
     assert_eq!(
@@ -167,12 +275,17 @@
 fn a_new_upstream_process_has_no_grants() {
     let mut grants = KeyGrants::default();
     assert!(
-        !grants.set_process(UpstreamBoot(1)),
+        !grants.set_process(UpstreamBoot(1), None),
         "the first process replaces none"
     );
     granted(&mut grants, range(0, 9, 2), 2000);
-    assert!(grants.set_process(UpstreamBoot(2)));
+    assert!(grants.set_process(UpstreamBoot(2), None));
     assert!(grants.is_empty());
+    assert!(
+        !grants.is_idle(at(2039)),
+        "the last call may have reached it"
+    );
+    assert!(grants.is_idle(at(2040)));
 }
 
 #[test]
@@ -222,14 +335,17 @@
     // requests still ran.
     let mut grants = KeyGrants::default();
     granted(&mut grants, range(11018, 11263, 38), 2000);
-    assert_eq!(grants.begin_release_all().len(), 1);
-    grants.begin_release(Epoch(70));
-    assert!(grants.remove_lost(&[]).is_empty());
+    lose(&mut grants, &[range(11018, 11263, 38)], 69);
+    let all = grants.begin_release_all(&whole);
+    assert_eq!(all.len(), 1);
+    assert!(lose(&mut grants, &[], 70).is_empty());
     assert_eq!(
-        grants.end_release(Epoch(70)),
-        None,
+        grants.released_epoch(at(10)),
+        Epoch(69),
         "the keys are still being released"
     );
-    assert_eq!(grants.end_release_all(), Some(Epoch(70)));
+    end_all(&mut grants, &all);
+    grants.end_release_all();
+    assert_eq!(grants.released_epoch(at(10)), Epoch(70));
     assert!(!grants.is_releasing_all());
 }
--- a/tests/testsuite/host/local_upstream.rs
+++ b/tests/testsuite/host/local_upstream.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use foxtaildrift::connection::protocol::StatusReport;
-use foxtaildrift::process::host::local_upstream::{LocalUpstream, ReportEffect};
+use foxtaildrift::process::host::local_upstream::{LocalUpstream, ReportEffect, UpstreamLoss};
 use foxtaildrift::process::moment::Moment;
 
 fn at(millis: u64) -> Moment {
@@ -87,8 +87,11 @@
 fn a_lost_process_is_up_again_only_with_its_next_report() {
     let mut upstream = LocalUpstream::default();
     upstream.apply_report(at(0), &report("a", 10, 5));
-    assert!(upstream.mark_down());
-    assert!(!upstream.mark_down(), "it was down already");
+    assert!(upstream.mark_down(UpstreamLoss::GrantsNotAnswered));
+    assert_eq!(upstream.gone_at(), None, "its process may still run");
+    let loss = UpstreamLoss::Refused { at: at(7) };
+    assert!(!upstream.mark_down(loss), "it was down already");
+    assert_eq!(upstream.gone_at(), Some(at(7)));
     assert!(upstream.running().is_none());
     assert_eq!(
         upstream.apply_report(at(1), &report("a", 10, 5)),
