Release for a former process only while this one has no keys of its own

Cause: the release in the name of the former process is for all keys, with a token above all of this epoch. It was retried for as long as the former session had not ended, also after the table had made this process a candidate and its own keys were granted: it then ended its own grants, and the upstream refused their tokens until the table changed.

Fix: it is made only while this process is no candidate, and nothing is granted during its call. Once it is acknowledged the former sessions end, also if the table changed meanwhile: the former process can't have adopted that one. If it isn't acknowledged they end when their leases have expired, as before.

--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -138,16 +138,30 @@
     /// Releases the grants of a former daemon process on this host, and announces the end of its
     /// sessions. That process can't grant any more, so other daemons need not wait for its lease to
     /// expire.
+    ///
+    /// The release is for all keys, so it is made only while this process has none itself. Afterwards
+    /// the former sessions end when their leases have expired.
     pub fn release_former_sessions(&self) {
-        if !self.membership.has_read_platform() {
+        if !self.membership.has_read_platform() || self.is_candidate() {
             return;
         }
         let former = self.membership.with_ownership(|o, _| o.former_sessions());
         if former.is_empty() {
             return;
         }
+        let split = |grant: &KeyGrant| self.split_by_next_owner(grant);
+        let own = sync::lock(&self.grants).begin_release_all(&split);
+        self.release_and_hand_over(own);
+        self.release_former_grants(former.len());
+        sync::lock(&self.grants).end_release_all();
+    }
+
+    /// Releases all keys in the name of the former process of this daemon, whose `sessions` have not
+    /// ended, and ends them.
+    fn release_former_grants(&self, sessions: usize) {
         let epoch = self.membership.table().epoch;
-        // At least as high as any fencing token of the former process, and below all later ones.
+        // At least as high as any fencing token of the former process, and below all later ones. The
+        // upstream refuses a grant of the former process that takes effect after this.
         let fencing_token = owned_range::pack_fencing_token(FencingToken {
             since: epoch,
             rank: u32::MAX,
@@ -166,7 +180,7 @@
             Ok((head, metadata)) if head.status < 300 => {
                 tracing::info!(
                     event = "former-released",
-                    sessions = former.len(),
+                    sessions,
                     warm = metadata.handover.is_some()
                 );
                 self.keep_handover(all_keys, metadata.handover);
@@ -174,32 +188,25 @@
             Ok((head, _)) if head.status == STATUS_NOT_SHARDED => {
                 tracing::info!(
                     event = "former-released",
-                    sessions = former.len(),
+                    sessions,
                     reason = "the service of the upstream is not sharded"
                 );
             }
             Err(UpstreamRequestFailure::Refused) => {
                 tracing::info!(
                     event = "former-released",
-                    sessions = former.len(),
+                    sessions,
                     reason = "the upstream is gone"
                 );
             }
             other => {
                 let reason = failure_reason(other.map(|(head, _)| head.status));
-                tracing::warn!(
-                    event = "former-not-released",
-                    sessions = former.len(),
-                    reason
-                );
+                tracing::warn!(event = "former-not-released", sessions, reason);
                 return;
             }
         }
-        self.membership.with_ownership(|o, now| {
-            if o.table().epoch == epoch {
-                o.end_former_sessions(now);
-            }
-        });
+        self.membership
+            .with_ownership(|o, now| o.end_former_sessions(now));
     }
 
     /// Keeps the upstream's handover in case its keys are assigned to this daemon again.
