Keep an upstream that leaves some grants unanswered and answers everything else

The same cycle on each host: grants are not answered, upstream-lost, session-resigned, next owner, again.

Cause: an upstream counted as lost once no grant was accepted for 0.9 s, whatever else it answered; then nothing was sent until all its grants had expired. One grant without an answer held up all others for 0.4 s, each range was renewed by a call of its own, and the first failure ended the round.

Fix: an upstream that answers requests or reports its state is given up only after 3 s without any accepted grant (0.9 s if it is silent, as before). Up to 8 grants are sent at the same time; adjacent parts are renewed by one call; parts that failed come last. A renewal without an answer leaves the accepted grant in force, and a handover is kept until a grant with it is accepted.

A grant that was never sent, because there was no connection, is no longer taken for an unanswered one.

--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -262,17 +262,23 @@
         ))
     }
 
-    /// Sends a request of the daemon itself and waits up to `timeout` for its response.
+    /// Sends a request of the daemon itself and waits up to `timeout` for its response. `build` is
+    /// called once a connection stands, and returns `None` if the request must not be sent any more.
     ///
     /// # Errors
     ///
     /// Returns an error if no complete response arrives.
     pub fn send_control_request(
         &self,
-        request: &OutgoingRequest,
+        build: impl FnOnce() -> Option<OutgoingRequest>,
         timeout: Duration,
     ) -> Result<(ResponseHead, ResponseMetadata), UpstreamRequestFailure> {
         let deadline = Instant::now() + timeout;
+        let mut connection = self.checkout(None, deadline)?;
+        let Some(request) = build() else {
+            let reason = "it was withdrawn while connecting";
+            return Err(UpstreamRequestFailure::NotSent(reason.to_owned()));
+        };
         let mut bytes = http1::encode_request(
             request.method,
             &request.target,
@@ -280,7 +286,6 @@
             request.body.len(),
         );
         bytes.extend_from_slice(&request.body);
-        let mut connection = self.checkout(None, deadline)?;
         let conn = &mut connection.conn;
         let exchanged = control_exchange(conn, request.method, &bytes, deadline);
         let (head, framing) = match exchanged {
--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -44,6 +44,9 @@
 ///
 /// An upstream whose slots are all busy answers once one is free.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
+/// The most grant calls in progress at the same time: one without an answer must not hold up the
+/// others, and each may need a connection.
+const GRANTS_AT_ONCE_MAX: usize = 8;
 /// How long the planner may take to move the keys of an upstream that announced its stop.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Timeout of a release call: the upstream finishes the requests for its keys first.
@@ -58,11 +61,18 @@
 const STATUS_FENCED: u16 = 409;
 
 /// A grant that was sent to the upstream.
-struct GrantAttempt {
-    range: OwnedRange,
+struct SentGrant {
     grant: Grant,
     sent_at: Moment,
+}
+
+/// An attempt to grant a range.
+struct GrantAttempt {
+    range: OwnedRange,
+    began_at: Moment,
     ended_at: Moment,
+    /// What was sent; `None` if there was no connection in time.
+    sent: Option<SentGrant>,
     /// HTTP status of the response.
     result: Result<u16, UpstreamRequestFailure>,
 }
@@ -175,7 +185,7 @@
         match self
             .dispatcher
             .pool()
-            .send_control_request(&request, RELEASE_TIMEOUT)
+            .send_control_request(|| Some(request), RELEASE_TIMEOUT)
         {
             Ok((head, metadata)) if head.status < 300 => {
                 tracing::info!(
@@ -267,7 +277,7 @@
             self.dispatcher.set_granted(Vec::new());
             return;
         };
-        if grants.is_failing_too_long(now) {
+        if grants.is_failing_too_long(now, self.dispatcher.upstream_seen_at()) {
             let all_expired = grants.is_empty();
             drop(grants);
             if all_expired {
@@ -280,10 +290,10 @@
             .iter()
             .flat_map(|range| grants.due_grants(now, &process.service, range))
             .collect();
-        for (range, handover) in due {
-            let attempt = self.send_grant(range, handover, live_until);
-            let failed = attempt.is_some_and(|a| !self.record_attempt(&mut grants, &process, a));
-            if failed {
+        for part in due.chunks(GRANTS_AT_ONCE_MAX) {
+            let attempts = self.send_grants(part, live_until).into_iter();
+            let accepted = attempts.map(|a| self.record_attempt(&mut grants, &process, a));
+            if accepted.filter(|accepted| *accepted).count() < part.len() {
                 break;
             }
         }
@@ -459,7 +469,7 @@
         let result = self
             .dispatcher
             .pool()
-            .send_control_request(&request, RELEASE_TIMEOUT);
+            .send_control_request(|| Some(request), RELEASE_TIMEOUT);
         let now = self.clock.now();
         let (over_at, handover) = match result {
             Ok((head, metadata)) if head.status < 300 => {
@@ -495,111 +505,104 @@
         handover
     }
 
-    /// Sends a grant, unless its duration would be too short.
+    /// Sends grants at the same time, each unless its duration would be too short.
+    fn send_grants(
+        &self,
+        due: &[(OwnedRange, Option<String>)],
+        live_until: Moment,
+    ) -> Vec<GrantAttempt> {
+        let send = |(range, handover): &(OwnedRange, Option<String>)| {
+            self.send_grant(*range, handover.clone(), live_until)
+        };
+        if let [only] = due {
+            return send(only).into_iter().collect();
+        }
+        thread::scope(|scope| {
+            let threads: Vec<_> = due.iter().map(|d| scope.spawn(move || send(d))).collect();
+            let attempts = threads.into_iter().filter_map(|t| t.join().ok());
+            attempts.flatten().collect()
+        })
+    }
+
+    /// Sends a grant, unless its duration would be too short. The duration counts from the arrival
+    /// of the call, so it is determined when the connection stands.
     fn send_grant(
         &self,
         range: OwnedRange,
         handover: Option<String>,
         live_until: Moment,
     ) -> Option<GrantAttempt> {
-        let sent_at = self.clock.now();
-        let max_duration = live_until
-            .since(sent_at + GRANT_MARGIN)
-            .mul_f64(1.0 / (1.0 + CLOCK_DRIFT));
-        let duration = max_duration.min(self.grant_max);
-        if duration < GRANT_DURATION_MIN {
-            return None;
-        }
-        let grant = Grant {
-            keys: range.keys(),
-            fencing_token: owned_range::pack_fencing_token(range.token),
-            duration,
-            handover,
+        let began_at = self.clock.now();
+        self.grant_duration(began_at, live_until)?;
+        let mut sent = None;
+        let build_request = || {
+            let sent_at = self.clock.now();
+            let grant = Grant {
+                keys: range.keys(),
+                fencing_token: owned_range::pack_fencing_token(range.token),
+                duration: self.grant_duration(sent_at, live_until)?,
+                handover,
+            };
+            let request = self.protocol.grant_request(&grant);
+            sent = Some(SentGrant { grant, sent_at });
+            Some(request)
         };
-        let request = self.protocol.grant_request(&grant);
         let pool = self.dispatcher.pool();
-        let result = pool.send_control_request(&request, GRANT_TIMEOUT);
-        let ended_at = self.clock.now();
-        let may_outlast_lease = ended_at + duration.mul_f64(1.0 + CLOCK_DRIFT);
-        if may_outlast_lease > live_until {
-            tracing::info!(
-                event = "grant-may-outlast-lease",
-                first = grant.keys.first.0,
-                fence = grant.fencing_token,
-                ms = may_outlast_lease.since(live_until).as_millis() as u64
-            );
-        }
-        Some(GrantAttempt {
+        let result = pool.send_control_request(build_request, GRANT_TIMEOUT);
+        let attempt = GrantAttempt {
             range,
-            grant,
-            sent_at,
-            ended_at,
+            began_at,
+            ended_at: self.clock.now(),
+            sent,
             result: result.map(|(head, _)| head.status),
-        })
+        };
+        attempt.log_if_outlasts(live_until);
+        Some(attempt)
     }
 
-    /// Records a grant that was sent; returns whether the upstream accepted it.
+    /// Returns how long a grant sent at `sent_at` may last, or `None` if that is too short.
+    fn grant_duration(&self, sent_at: Moment, live_until: Moment) -> Option<Duration> {
+        let max_duration = live_until
+            .since(sent_at + GRANT_MARGIN)
+            .mul_f64(1.0 / (1.0 + CLOCK_DRIFT));
+        let duration = max_duration.min(self.grant_max);
+        (duration >= GRANT_DURATION_MIN).then_some(duration)
+    }
+
+    /// Records an attempt to grant a range; returns whether the upstream accepted it.
     fn record_attempt(
         &self,
         grants: &mut KeyGrants,
         process: &UpstreamProcess,
         attempt: GrantAttempt,
     ) -> bool {
-        let GrantAttempt { range, grant, .. } = attempt;
-        let possible_until = attempt.ended_at + grant.duration.mul_f64(1.0 + CLOCK_DRIFT);
-        let status = match attempt.result {
-            Err(UpstreamRequestFailure::Refused) => {
-                self.dispatcher.handle_upstream_loss(UpstreamLoss::Refused {
-                    at: attempt.sent_at,
-                });
-                return false;
-            }
-            status => status,
-        };
-        let certain_until = match status {
-            Ok(200..300) => attempt.sent_at + grant.duration.mul_f64(1.0 - CLOCK_DRIFT),
-            _ => attempt.sent_at,
-        };
-        let unanswered_until = match status {
-            Err(_) => possible_until,
-            Ok(_) => Moment::default(),
-        };
-        let is_new = grants.record_grant(KeyGrant {
-            service: process.service.clone(),
-            range,
-            certain_until,
-            possible_until,
-            unanswered_until,
-            called_until: attempt.ended_at,
-        });
-        if matches!(status, Ok(200..300)) {
-            grants.record_success();
-            if let Some(handover) = &grant.handover {
-                grants.consume_handover(handover, &range);
-            }
-            if is_new {
-                tracing::info!(
-                    event = "keys-granted",
-                    first = grant.keys.first.0,
-                    last = grant.keys.last.0,
-                    fence = grant.fencing_token,
-                    hold_ms = grant.duration.as_millis() as u64,
-                    warm = grant.handover.is_some()
-                );
+        if attempt.result == Err(UpstreamRequestFailure::Refused) {
+            let at = attempt.began_at;
+            self.dispatcher
+                .handle_upstream_loss(UpstreamLoss::Refused { at });
+            return false;
+        }
+        let accepted = matches!(attempt.result, Ok(200..300));
+        if let Some(sent) = &attempt.sent {
+            let key_grant = attempt.key_grant(&process.service, sent);
+            match accepted {
+                true => record_accepted(grants, key_grant, sent),
+                false => grants.record_not_accepted(&key_grant),
             }
+        }
+        if accepted {
             return true;
         }
-        if status == Ok(STATUS_FENCED) {
+        if attempt.result == Ok(STATUS_FENCED) {
             self.membership.with_ownership(|o, _| o.raise_incarnation());
         }
-        grants.record_failure(attempt.sent_at);
-        let reason = failure_reason(status);
+        grants.record_failure(attempt.began_at);
         tracing::warn!(
             event = "grant-failed",
-            first = grant.keys.first.0,
-            last = grant.keys.last.0,
-            fence = grant.fencing_token,
-            reason
+            first = attempt.range.first,
+            last = attempt.range.last,
+            fence = owned_range::pack_fencing_token(attempt.range.token),
+            reason = failure_reason(attempt.result)
         );
         false
     }
@@ -642,6 +645,65 @@
     }
 }
 
+impl GrantAttempt {
+    /// Returns what the upstream may have because of this attempt, which sent `sent`.
+    fn key_grant(&self, service: &ServiceName, sent: &SentGrant) -> KeyGrant {
+        let duration = sent.grant.duration;
+        let possible_until = self.ended_at + duration.mul_f64(1.0 + CLOCK_DRIFT);
+        KeyGrant {
+            service: service.clone(),
+            range: self.range,
+            certain_until: match self.result {
+                Ok(200..300) => sent.sent_at + duration.mul_f64(1.0 - CLOCK_DRIFT),
+                _ => sent.sent_at,
+            },
+            possible_until,
+            unanswered_until: match self.result {
+                Err(_) => possible_until,
+                Ok(_) => Moment::default(),
+            },
+            called_until: self.ended_at,
+        }
+    }
+
+    /// Logs that the grant may last longer than the lease, which was live until `live_until`, because
+    /// its call took long.
+    fn log_if_outlasts(&self, live_until: Moment) {
+        let Some(sent) = &self.sent else {
+            return;
+        };
+        let possible_until = self.ended_at + sent.grant.duration.mul_f64(1.0 + CLOCK_DRIFT);
+        if possible_until > live_until {
+            tracing::info!(
+                event = "grant-may-outlast-lease",
+                first = sent.grant.keys.first.0,
+                fence = sent.grant.fencing_token,
+                ms = possible_until.since(live_until).as_millis() as u64
+            );
+        }
+    }
+}
+
+/// Records an accepted grant, and logs it unless it was a renewal.
+fn record_accepted(grants: &mut KeyGrants, key_grant: KeyGrant, sent: &SentGrant) {
+    let grant = &sent.grant;
+    let range = key_grant.range;
+    grants.record_success();
+    if let Some(handover) = &grant.handover {
+        grants.consume_handover(handover, &range);
+    }
+    if grants.record_accepted(key_grant) {
+        tracing::info!(
+            event = "keys-granted",
+            first = grant.keys.first.0,
+            last = grant.keys.last.0,
+            fence = grant.fencing_token,
+            hold_ms = grant.duration.as_millis() as u64,
+            warm = grant.handover.is_some()
+        );
+    }
+}
+
 fn failure_reason(result: Result<u16, UpstreamRequestFailure>) -> String {
     match result {
         Ok(status) => format!("status {status}"),
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -115,6 +115,11 @@
         sync::lock(&self.state).upstream.gone_at()
     }
 
+    /// Returns when the upstream last showed that it runs.
+    pub fn upstream_seen_at(&self) -> Moment {
+        sync::lock(&self.state).upstream.seen_at()
+    }
+
     /// Applies a report of the upstream and returns what it changed.
     pub fn apply_report(&self, report: &StatusReport) -> ReportEffect {
         let now = self.clock.now();
@@ -283,6 +288,8 @@
     ) -> UpstreamOutcome {
         match result {
             Ok(received) => {
+                let now = self.clock.now();
+                sync::lock(&self.state).upstream.record_answer(now);
                 self.end_dispatch(Some(dispatch), Some(duration), Some(fingerprint));
                 UpstreamOutcome::Ran(received.response)
             }
--- a/src/process/host/key_grants.rs
+++ b/src/process/host/key_grants.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::connection::peer_message::KeyHandover;
-use crate::process::host::owned_range::OwnedRange;
+use crate::process::host::owned_range::{self, OwnedRange};
 use crate::process::moment::Moment;
 use crate::process::release_tracker::{ReleaseId, ReleaseTracker};
 use crate::version::epoch::Epoch;
@@ -17,8 +17,12 @@
 
 /// Remaining certain duration of a grant at which it is renewed.
 const RENEW_BEFORE: Duration = Duration::from_millis(1000);
-/// How long grants may fail before no more are sent.
+/// How long grants to a silent upstream may fail before no more are sent.
 const FAILING_TIME_MAX: Duration = Duration::from_millis(900);
+/// How long grants may fail if the upstream still answers requests or reports its state.
+const FAILING_TIME_ALIVE_MAX: Duration = Duration::from_millis(3000);
+/// How long an upstream that reports about once a second may be silent.
+const SILENCE_MAX: Duration = Duration::from_millis(1500);
 /// How long a handover is kept while the table that assigns its keys has not arrived.
 const HANDOVER_RETENTION: Duration = Duration::from_secs(8);
 
@@ -140,10 +144,15 @@
     }
 
     /// Returns whether grants have failed for so long that no more are sent until all grants have
-    /// expired.
-    pub fn is_failing_too_long(&mut self, now: Moment) -> bool {
+    /// expired. `seen_at` is when the upstream last showed that it runs.
+    pub fn is_failing_too_long(&mut self, now: Moment, seen_at: Moment) -> bool {
+        let is_silent = now.since(seen_at) > SILENCE_MAX;
+        let failing_time_max = match is_silent {
+            true => FAILING_TIME_MAX,
+            false => FAILING_TIME_ALIVE_MAX,
+        };
         let since = self.failing_since;
-        let too_long = since.is_some_and(|since| now.since(since) > FAILING_TIME_MAX);
+        let too_long = since.is_some_and(|since| now.since(since) > failing_time_max);
         if too_long && self.grants.is_empty() {
             self.failing_since = None;
         }
@@ -235,8 +244,9 @@
         self.releasing_all
     }
 
-    /// Returns the parts of `range` whose grants are due, with the handover for each. Keys whose
-    /// release call is in progress are left out: it would end the new grant too.
+    /// Returns the parts of `range` whose grants are due, with the handover for each; those of which
+    /// an earlier grant was not accepted come last. Keys whose release call is in progress are left out: it would
+    /// end the new grant too.
     pub fn due_grants(
         &self,
         now: Moment,
@@ -244,43 +254,51 @@
         range: &OwnedRange,
     ) -> Vec<(OwnedRange, Option<String>)> {
         let is_own = |g: &&KeyGrant| g.service == *service && g.range.token == range.token;
-        let own_grants: Vec<&KeyGrant> = self.grants.iter().filter(is_own).collect();
-        let due = own_grants
+        let (in_force, unconfirmed): (Vec<&KeyGrant>, Vec<&KeyGrant>) = self
+            .grants
             .iter()
-            .filter(|g| g.certain_until <= now + RENEW_BEFORE);
-        let due = due.filter_map(|g| g.range.intersection(range));
-        let mut parts: Vec<(OwnedRange, Option<String>)> = due.map(|part| (part, None)).collect();
-        let releasing = self
-            .releasing
-            .iter()
-            .map(|r| &r.grant)
-            .filter(|g| g.service == *service);
-        let unavailable: Vec<OwnedRange> = own_grants
-            .iter()
-            .copied()
-            .chain(releasing)
-            .map(|g| g.range)
-            .collect();
+            .filter(is_own)
+            .partition(|g| g.certain_until > now);
+        let releasing = self.releasing.iter().map(|r| &r.grant);
+        let releasing = releasing.filter(|g| g.service == *service);
+        let unavailable = in_force.iter().copied().chain(releasing);
+        let unavailable: Vec<OwnedRange> = unavailable.map(|g| g.range).collect();
+        let mut handed_over = Vec::new();
+        let mut without_handover = due_renewals(now, &in_force, range);
         for ungranted in range.subtract_all(&unavailable) {
-            let mut handed_over = Vec::new();
-            for (handover, _) in self.handovers.iter().filter(|(h, _)| h.service == *service) {
-                let handover_range = OwnedRange {
-                    first: handover.keys.first.0,
-                    last: handover.keys.last.0,
-                    token: range.token,
-                };
-                let common = handover_range.intersection(&ungranted);
-                let parts_with_handover: Vec<OwnedRange> = common
-                    .iter()
-                    .flat_map(|r| r.subtract_all(&handed_over))
-                    .collect();
-                for part in parts_with_handover {
-                    handed_over.push(part);
-                    parts.push((part, handover.handover.clone()));
-                }
-            }
-            let rest = ungranted.subtract_all(&handed_over).into_iter();
-            parts.extend(rest.map(|part| (part, None)));
+            let warm = self.handed_over_parts(service, &ungranted);
+            let warm_ranges: Vec<OwnedRange> = warm.iter().map(|(r, _)| *r).collect();
+            without_handover.extend(ungranted.subtract_all(&warm_ranges));
+            handed_over.extend(warm.into_iter().map(|(r, h)| (r, Some(h))));
+        }
+        without_handover.sort_unstable_by_key(|r| r.first);
+        let merged = owned_range::merge_adjacent(without_handover);
+        let mut due: Vec<_> = merged.into_iter().map(|r| (r, None)).collect();
+        due.extend(handed_over);
+        due.sort_by_key(|(range, _)| unconfirmed.iter().any(|g| g.range.overlaps(range)));
+        due
+    }
+
+    /// Returns the parts of `ungranted` for which there are handovers, with these.
+    fn handed_over_parts(
+        &self,
+        service: &ServiceName,
+        ungranted: &OwnedRange,
+    ) -> Vec<(OwnedRange, String)> {
+        let mut parts: Vec<(OwnedRange, String)> = Vec::new();
+        for (entry, _) in self.handovers.iter().filter(|(h, _)| h.service == *service) {
+            let Some(handover) = &entry.handover else {
+                continue;
+            };
+            let handover_range = OwnedRange {
+                first: entry.keys.first.0,
+                last: entry.keys.last.0,
+                token: ungranted.token,
+            };
+            let taken: Vec<OwnedRange> = parts.iter().map(|(r, _)| *r).collect();
+            let common = handover_range.intersection(ungranted);
+            let new = common.iter().flat_map(|r| r.subtract_all(&taken));
+            parts.extend(new.map(|r| (r, handover.clone())));
         }
         parts
     }
@@ -312,17 +330,18 @@
         self.handovers = remaining;
     }
 
-    /// Records a grant; returns whether its range was not granted under the same token before.
-    pub fn record_grant(&mut self, mut new: KeyGrant) -> bool {
-        let is_same = |g: &&mut KeyGrant| g.service == new.service && g.range == new.range;
-        if let Some(grant) = self.grants.iter_mut().find(is_same) {
-            grant.certain_until = grant.certain_until.max(new.certain_until);
-            grant.extend_effects(&new);
-            return false;
-        }
+    /// Records a grant that the upstream accepted, which replaces all others of its keys; returns
+    /// whether some of them were not granted under the same token before.
+    pub fn record_accepted(&mut self, mut new: KeyGrant) -> bool {
+        let same_token = self.grants.iter().filter(|g| {
+            let is_same = g.service == new.service && g.range.token == new.range.token;
+            is_same && g.certain_until > g.called_until
+        });
+        let before: Vec<OwnedRange> = same_token.map(|g| g.range).collect();
+        let is_new = !new.range.subtract_all(&before).is_empty();
         let mut remaining = Vec::new();
         for grant in std::mem::take(&mut self.grants) {
-            if grant.service != new.service || grant.range.intersection(&new.range).is_none() {
+            if grant.service != new.service || !grant.range.overlaps(&new.range) {
                 remaining.push(grant);
                 continue;
             }
@@ -332,7 +351,38 @@
         }
         self.grants = remaining;
         self.grants.push(new);
-        true
+        is_new
+    }
+
+    /// Records a grant that the upstream did not accept, as far as is known. What it accepted before
+    /// stays in force.
+    pub fn record_not_accepted(&mut self, new: &KeyGrant) {
+        let mut grants = Vec::new();
+        let mut covered = Vec::new();
+        for grant in std::mem::take(&mut self.grants) {
+            let common = grant.range.intersection(&new.range);
+            let Some(common) = common.filter(|_| grant.service == new.service) else {
+                grants.push(grant);
+                continue;
+            };
+            let rest = grant.range.subtract_all(&[common]).into_iter();
+            grants.extend(rest.map(|r| grant.with_range(r)));
+            let mut extended = match grant.range.token == new.range.token {
+                true => grant.with_range(common),
+                // A release needs the higher token.
+                false => new.with_range(OwnedRange {
+                    token: new.range.token.max(common.token),
+                    ..common
+                }),
+            };
+            extended.extend_effects(&grant);
+            extended.extend_effects(new);
+            covered.push(common);
+            grants.push(extended);
+        }
+        let uncovered = new.range.subtract_all(&covered).into_iter();
+        grants.extend(uncovered.map(|r| new.with_range(r)));
+        self.grants = grants;
     }
 
     /// Returns the parts of `served` that are granted to the upstream, each with the time until
@@ -349,3 +399,18 @@
         granted
     }
 }
+
+/// Returns the parts of `range` to renew: all that is in force, once some of it is due. One call then
+/// renews adjacent parts.
+fn due_renewals(now: Moment, in_force: &[&KeyGrant], range: &OwnedRange) -> Vec<OwnedRange> {
+    let in_range = in_force.iter().filter(|g| g.range.overlaps(range));
+    let is_due = in_range
+        .clone()
+        .any(|g| g.certain_until <= now + RENEW_BEFORE);
+    match is_due {
+        true => in_range
+            .filter_map(|g| g.range.intersection(range))
+            .collect(),
+        false => Vec::new(),
+    }
+}
--- a/src/process/host/local_upstream.rs
+++ b/src/process/host/local_upstream.rs
@@ -85,6 +85,8 @@
     is_down: bool,
     /// When a process of it was last known to be gone.
     gone_at: Option<Moment>,
+    /// When it last showed that it runs, by a report or an answer.
+    seen_at: Moment,
 }
 
 impl LocalUpstream {
@@ -103,6 +105,7 @@
             if report.sequence <= process.sequence {
                 return ReportEffect::Outdated;
             }
+            self.seen_at = now;
             return refresh(process, now, report);
         }
         let silent = self.is_down || now.since(process.last_report_at) >= OLDER_PROCESS_SILENCE;
@@ -136,6 +139,16 @@
         self.gone_at
     }
 
+    /// Returns when the upstream last showed that it runs.
+    pub fn seen_at(&self) -> Moment {
+        self.seen_at
+    }
+
+    /// Records that the upstream answered a request.
+    pub fn record_answer(&mut self, now: Moment) {
+        self.seen_at = now;
+    }
+
     /// Records that the upstream is lost; returns whether it was up.
     pub fn mark_down(&mut self, loss: UpstreamLoss) -> bool {
         if let UpstreamLoss::Refused { at } = loss {
@@ -155,6 +168,7 @@
 
     fn start_process(&mut self, now: Moment, report: &StatusReport) -> ReportEffect {
         self.is_down = false;
+        self.seen_at = now;
         self.process = Some(UpstreamProcess {
             instance: report.instance.clone(),
             started_ms: report.started_ms,
--- a/src/process/host/owned_range.rs
+++ b/src/process/host/owned_range.rs
@@ -47,6 +47,11 @@
         self.first <= key && key <= self.last
     }
 
+    /// Returns whether the ranges have keys in common.
+    pub fn overlaps(&self, other: &OwnedRange) -> bool {
+        self.first <= other.last && other.first <= self.last
+    }
+
     /// Returns the keys that both ranges contain, under this range's token.
     pub fn intersection(&self, other: &OwnedRange) -> Option<OwnedRange> {
         let first = self.first.max(other.first);
