Choose the addresses of both test environments in one module

Cluster and HostCluster each computed the second octet of their loopback addresses from the process id by a formula of their own, and the ports of HostCluster were literals. AddressBlock does it for both, still by arithmetic only: whether the block is free is not checked yet. No other change of behaviour.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
 use std::io::Write;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -20,6 +20,7 @@
 use foxtaildrift::version::configuration::Configuration;
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::address_block::AddressBlock;
 use crate::args::BenchError;
 use crate::fault_proxy::{self, Network};
 
@@ -37,8 +38,12 @@
 const ADMIN_PORT: u16 = 9400;
 /// The port of an upstream.
 const UPSTREAM_PORT: u16 = 9000;
-/// Added to the third octet of a daemon's address to get its address behind the proxy.
-const PROXY_OCTET_OFFSET: u8 = 100;
+/// The port of the platform's stand-in.
+const PLATFORM_PORT: u16 = 8500;
+/// Added to the subnet of a daemon to get the subnet of its address at the proxy.
+const PROXY_SUBNET_OFFSET: u8 = 100;
+/// The subnet of the platform's stand-in.
+const PLATFORM_SUBNET: u8 = 200;
 
 /// The number of environments that this process has started.
 static STARTED_CLUSTERS: AtomicU32 = AtomicU32::new(0);
@@ -127,6 +132,7 @@
     program: PathBuf,
     platform_address: SocketAddr,
     platform: Option<Child>,
+    block: AddressBlock,
 }
 
 impl Cluster {
@@ -188,15 +194,13 @@
     /// Creates the folder and the hosts with their addresses, and sets the network delays.
     fn prepare(program: &Path, spec: &ClusterSpec) -> Result<Self, BenchError> {
         let network = Arc::new(Network::default());
-        // Each environment uses loopback addresses of its own, so that several can run at the same
-        // time.
         let process_id = std::process::id();
         let number = STARTED_CLUSTERS.fetch_add(1, Ordering::SeqCst);
-        let net = 2 + u8::try_from((process_id + number * 97) % 250).unwrap_or(0);
+        let block = AddressBlock::choose();
         let folder = std::env::temp_dir().join(format!("foxtaildrift-{process_id}-{number}"));
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).map_err(BenchError::with_context("can't create the folder"))?;
-        let platform_address = SocketAddr::from(([127, net, 200, 1], 8500));
+        let platform_address = block.address(PLATFORM_SUBNET, 1, PLATFORM_PORT);
         let mut cluster = Self {
             hosts: Vec::new(),
             network,
@@ -204,6 +208,7 @@
             program: program.to_owned(),
             platform_address,
             platform: None,
+            block,
         };
         let mut hosts_in_domain = vec![0u8; spec.domains.len()];
         let upstreams = spec
@@ -214,16 +219,10 @@
         for (number, service) in upstreams {
             let domain = number % spec.domains.len();
             hosts_in_domain[domain] += 1;
-            let domain_octet = u8::try_from(domain).unwrap_or(0);
-            let ip = [127, net, domain_octet, hosts_in_domain[domain]];
-            let proxy_ip = [
-                127,
-                net,
-                domain_octet + PROXY_OCTET_OFFSET,
-                hosts_in_domain[domain],
-            ];
-            let host =
-                cluster.create_host(spec, spec.domains[domain], service, ip, proxy_ip, number)?;
+            let subnet = u8::try_from(domain).unwrap_or(0);
+            let octet = hosts_in_domain[domain];
+            let domain = spec.domains[domain];
+            let host = cluster.create_host(spec, domain, service, (subnet, octet), number)?;
             cluster.hosts.push(host);
         }
         cluster.set_delays(spec.delay);
@@ -236,12 +235,12 @@
         spec: &ClusterSpec,
         domain: &'static str,
         service: &ServiceSpec,
-        ip: [u8; 4],
-        proxy_ip: [u8; 4],
+        (subnet, octet): (u8, u8),
         number: usize,
     ) -> Result<Host, BenchError> {
-        let at = |port| SocketAddr::from((ip, port));
-        let advertise = SocketAddr::from((proxy_ip, PEER_PORT));
+        let at = |port| self.block.address(subnet, octet, port);
+        let proxy_subnet = subnet + PROXY_SUBNET_OFFSET;
+        let advertise = self.block.address(proxy_subnet, octet, PEER_PORT);
         fault_proxy::start(&self.network, advertise, at(PEER_PORT))
             .map_err(BenchError::with_context("can't start the proxy"))?;
         let settings = self.folder.join(format!("{number}.yaml"));
@@ -259,7 +258,7 @@
         Ok(Host {
             domain,
             service: service.name,
-            ip: IpAddr::V4(Ipv4Addr::from(ip)),
+            ip: at(PEER_PORT).ip(),
             entry: at(ENTRY_PORT),
             admin: at(ADMIN_PORT),
             upstream: at(UPSTREAM_PORT),
--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -15,6 +15,7 @@
 use foxtaildrift::request::headers::Headers;
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::address_block::AddressBlock;
 use crate::args::BenchError;
 use crate::fault_proxy::{self, Network};
 
@@ -22,6 +23,26 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// How often a condition is checked while waiting for it.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// The port on which a daemon accepts callers' requests.
+const CALLER_PORT: u16 = 8080;
+/// The port on which a daemon accepts connections and datagrams of other daemons.
+const PEER_PORT: u16 = 7400;
+/// The port on which a daemon reports whether it is ready.
+const READY_PORT: u16 = 9400;
+/// The port on which a daemon accepts the reports of its upstream.
+const REPORT_PORT: u16 = 9401;
+/// The port of an upstream.
+const UPSTREAM_PORT: u16 = 9000;
+/// The port of the store.
+const STORE_PORT: u16 = 8500;
+/// The subnet of the hosts.
+const HOST_SUBNET: u8 = 1;
+/// The subnet of the daemons' addresses at the proxy.
+const PEER_PROXY_SUBNET: u8 = 2;
+/// The subnet of the store's addresses at the proxy, one for each host.
+const STORE_PROXY_SUBNET: u8 = 3;
+/// The subnet of the store.
+const STORE_SUBNET: u8 = 250;
 
 /// The number of environments that this process has started.
 static STARTED_CLUSTERS: AtomicU32 = AtomicU32::new(0);
@@ -72,6 +93,7 @@
     network: Option<Arc<Network>>,
     sharded_services: Vec<String>,
     next_id: AtomicU32,
+    block: AddressBlock,
 }
 
 impl HostCluster {
@@ -105,11 +127,11 @@
     ) -> Result<Self, BenchError> {
         let process_id = std::process::id();
         let number = STARTED_CLUSTERS.fetch_add(1, Ordering::SeqCst);
-        let net = 2 + u8::try_from((process_id * 7 + number * 31) % 250).unwrap_or(0);
+        let block = AddressBlock::choose();
         let folder = std::env::temp_dir().join(format!("foxtaildrift-host-{process_id}-{number}"));
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).map_err(BenchError::with_context("folder"))?;
-        let store_address = SocketAddr::from(([127, net, 250, 1], 8500));
+        let store_address = block.address(STORE_SUBNET, 1, STORE_PORT);
         let mut cluster = Self {
             hosts: Vec::new(),
             folder,
@@ -120,11 +142,12 @@
             network,
             sharded_services: sharded.iter().map(|&s| s.to_owned()).collect(),
             next_id: AtomicU32::new(0),
+            block,
         };
         let listen = store_address.to_string();
         cluster.store_process = Some(cluster.spawn("store", &["store", "--listen", &listen])?);
         for (number, service) in services.iter().enumerate() {
-            let host = cluster.create_host(net, number, service)?;
+            let host = cluster.create_host(number, service)?;
             cluster.hosts.push(host);
             cluster.start_daemon(number)?;
             cluster.start_upstream(number)?;
@@ -133,38 +156,33 @@
     }
 
     /// Writes the settings of a host's daemon and starts its proxies, but no process.
-    fn create_host(
-        &self,
-        net: u8,
-        number: usize,
-        service: &'static str,
-    ) -> Result<Host, BenchError> {
+    fn create_host(&self, number: usize, service: &'static str) -> Result<Host, BenchError> {
         let domain = number % 3;
         let octet = u8::try_from(number + 1).unwrap_or(1);
-        let at = |port| SocketAddr::from(([127, net, 1, octet], port));
-        let (mut peers, mut store) = (at(7400), self.store_address);
+        let at = |port| self.block.address(HOST_SUBNET, octet, port);
+        let (mut peers, mut store) = (at(PEER_PORT), self.store_address);
         if let Some(network) = &self.network {
-            peers = SocketAddr::from(([127, net, 2, octet], 7400));
-            store = SocketAddr::from(([127, net, 3, octet], 8500));
+            peers = self.block.address(PEER_PROXY_SUBNET, octet, PEER_PORT);
+            store = self.block.address(STORE_PROXY_SUBNET, octet, STORE_PORT);
             let with_context = BenchError::with_context("proxy");
-            fault_proxy::start(network, peers, at(7400)).map_err(&with_context)?;
+            fault_proxy::start(network, peers, at(PEER_PORT)).map_err(&with_context)?;
             fault_proxy::start(network, store, self.store_address).map_err(&with_context)?;
         }
         let settings = self.folder.join(format!("{number}.yaml"));
         let text = format!(
             "node: host-{number}\ndomain: domain-{domain}\ncallers: {}\npeers: {peers}\npeers_bind: {}\n\
              ready: {}\nreports: {}\nupstream: {}\nservice: {service}\nstore: {store}\n",
-            at(8080),
-            at(7400),
-            at(9400),
-            at(9401),
-            at(9000),
+            at(CALLER_PORT),
+            at(PEER_PORT),
+            at(READY_PORT),
+            at(REPORT_PORT),
+            at(UPSTREAM_PORT),
         );
         fs::write(&settings, text).map_err(BenchError::with_context("settings"))?;
         Ok(Host {
-            caller_address: at(8080),
+            caller_address: at(CALLER_PORT),
             service,
-            ready_address: at(9400),
+            ready_address: at(READY_PORT),
             settings,
             daemon: None,
             upstream: None,
@@ -195,7 +213,7 @@
         let at = |port| SocketAddr::new(host.caller_address.ip(), port).to_string();
         let journal = self.journal(number).display().to_string();
         let domain = format!("domain-{}", number % 3);
-        let (listen, reports) = (at(9000), at(9401));
+        let (listen, reports) = (at(UPSTREAM_PORT), at(REPORT_PORT));
         let mut args = vec![
             "ranged-upstream",
             "--listen",
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Test tools of foxtaildrift: stand-ins for the external systems, a fault proxy, a load generator
 //! and experiments. They are not part of a release.
 
+pub mod address_block;
 pub mod args;
 pub mod cluster;
 pub mod explore;
