Release the fault proxy's addresses when its environment ends

Seen: the threads of the fault proxy blocked in accept and recv for the rest of the process's life, and held their sockets, although Network::close had told them to end.

Cause: the flag was only read between two blocking calls, and nobody joined the threads.

FaultProxy now owns the threads. Dropping it shuts the listening socket down, which ends accept; recv has a timeout; the connections' threads are scoped. The environments drop their proxies after they have killed the processes, so each connection has been closed at one end by then. Network moves to a module of its own, since it has a life of its own.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -22,7 +22,8 @@
 
 use crate::address_block::AddressBlock;
 use crate::args::BenchError;
-use crate::fault_proxy::{self, Network};
+use crate::fault_proxy::FaultProxy;
+use crate::network::Network;
 
 /// The administration token of all daemons.
 const TOKEN: &str = "bench";
@@ -102,6 +103,7 @@
     settings: PathBuf,
     daemon: Option<Child>,
     upstream_process: Option<Child>,
+    _proxy: FaultProxy,
 }
 
 impl Host {
@@ -241,7 +243,7 @@
         let at = |port| self.block.address(subnet, octet, port);
         let proxy_subnet = subnet + PROXY_SUBNET_OFFSET;
         let advertise = self.block.address(proxy_subnet, octet, PEER_PORT);
-        fault_proxy::start(&self.network, advertise, at(PEER_PORT))
+        let proxy = FaultProxy::start(&self.network, advertise, at(PEER_PORT))
             .map_err(BenchError::with_context("can't start the proxy"))?;
         let settings = self.folder.join(format!("{number}.yaml"));
         let text = format!(
@@ -266,6 +268,7 @@
             settings,
             daemon: None,
             upstream_process: None,
+            _proxy: proxy,
         })
     }
 
--- a/crates/bench/src/fault_proxy.rs
+++ b/crates/bench/src/fault_proxy.rs
@@ -1,237 +1,193 @@
-//! A TCP and UDP proxy between daemons that injects network faults: delays, blocked links, lost
-//! datagrams, stalled connections and connections that break in the middle of a message.
+//! A TCP and UDP proxy between daemons that injects the faults of a [`Network`]: delays, blocked
+//! links, lost datagrams, stalled connections and connections that break in the middle of a message.
 //!
 //! Each daemon advertises an address of the proxy. Daemons send from addresses of their own, so the
 //! proxy knows the source and the destination of each link.
 
-use std::collections::{HashMap, HashSet};
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::mpsc::{self, Receiver};
-use std::sync::{Arc, Mutex};
-use std::thread;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use foxtaildrift::process::sync;
+use socket2::SockRef;
 
-/// How often a stalled connection checks whether it may go on or end.
-const STALL_POLL_INTERVAL: Duration = Duration::from_millis(20);
+use crate::network::Network;
+
+/// How often a thread that waits checks whether the proxy has stopped.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The largest chunk that is read and forwarded at once, in bytes.
 const CHUNK_BYTES: usize = 64 * 1024;
 
-/// The current faults of the network between the daemons.
-#[derive(Default)]
-pub struct Network {
-    delays: Mutex<HashMap<(IpAddr, IpAddr), Duration>>,
-    blocked: Mutex<HashSet<(IpAddr, IpAddr)>>,
-    drop_datagram_one_in: AtomicU64,
-    truncate_chunk_one_in: AtomicU64,
-    /// Connections with a lower number are stalled.
-    stalled_before: AtomicU64,
-    /// The number of connections accepted so far; a connection is identified by the count before
-    /// it.
-    connections: AtomicU64,
-    /// The number of datagrams received so far.
-    datagrams: AtomicU64,
-    closed: AtomicBool,
+/// A datagram and when it is forwarded.
+struct DelayedDatagram {
+    due: Instant,
+    bytes: Vec<u8>,
 }
 
-impl Network {
-    /// Sets the one-way delay from `from` to `to`.
-    pub fn set_delay(&self, from: IpAddr, to: IpAddr, delay: Duration) {
-        sync::lock(&self.delays).insert((from, to), delay);
-    }
+/// A running proxy for one target. Dropping it waits until its connections have been closed at one
+/// end, and releases its address.
+pub struct FaultProxy {
+    forwarder: Arc<Forwarder>,
+    threads: Vec<JoinHandle<()>>,
+}
 
-    /// Blocks the link from `from` to `to` in this direction, without an error at either end.
-    pub fn block(&self, from: IpAddr, to: IpAddr) {
-        sync::lock(&self.blocked).insert((from, to));
+impl FaultProxy {
+    /// Forwards connections and datagrams that arrive at `listen_address` to `target`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `listen_address` can't be listened on.
+    pub fn start(
+        network: &Arc<Network>,
+        listen_address: SocketAddr,
+        target: SocketAddr,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen_address)?;
+        let socket = UdpSocket::bind(listen_address)?;
+        socket.set_read_timeout(Some(POLL_INTERVAL))?;
+        let forwarder = Arc::new(Forwarder {
+            network: Arc::clone(network),
+            target,
+            listener,
+            socket,
+            stopped: AtomicBool::new(false),
+        });
+        let (tx, rx) = mpsc::channel();
+        let (acceptor, receiver) = (Arc::clone(&forwarder), Arc::clone(&forwarder));
+        let sender = Arc::clone(&forwarder);
+        let threads = vec![
+            thread::spawn(move || acceptor.accept()),
+            thread::spawn(move || receiver.receive_datagrams(&tx)),
+            thread::spawn(move || sender.send_datagrams(&rx)),
+        ];
+        Ok(Self { forwarder, threads })
     }
+}
 
-    /// Blocks the links between `host` and `others` in both directions.
-    pub fn isolate(&self, host: IpAddr, others: &[IpAddr]) {
-        for &other in others.iter().filter(|&&o| o != host) {
-            self.block(host, other);
-            self.block(other, host);
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        self.forwarder.stop();
+        for thread in self.threads.drain(..) {
+            // A thread that panicked has already reported it.
+            let _ = thread.join();
         }
     }
+}
 
-    /// Unblocks all links.
-    pub fn heal(&self) {
-        sync::lock(&self.blocked).clear();
-    }
-
-    /// Drops one in `one_in` datagrams; with zero none.
-    pub fn drop_datagrams(&self, one_in: u64) {
-        self.drop_datagram_one_in.store(one_in, Ordering::SeqCst);
-    }
-
-    /// Stalls all connections that are open now for good; new ones work.
-    pub fn stall_open_connections(&self) {
-        self.stalled_before
-            .store(self.connections.load(Ordering::SeqCst), Ordering::SeqCst);
-    }
-
-    /// Forwards only half of one in `one_in` chunks and closes the connection; with zero none.
-    pub fn truncate_chunks(&self, one_in: u64) {
-        self.truncate_chunk_one_in.store(one_in, Ordering::SeqCst);
-    }
-
-    /// Signals all threads of the proxy to end.
-    pub fn close(&self) {
-        self.closed.store(true, Ordering::SeqCst);
-    }
-
-    fn delay(&self, from: IpAddr, to: IpAddr) -> Duration {
-        sync::lock(&self.delays)
-            .get(&(from, to))
-            .copied()
-            .unwrap_or_default()
-    }
-
-    fn is_blocked(&self, from: IpAddr, to: IpAddr) -> bool {
-        sync::lock(&self.blocked).contains(&(from, to))
-    }
-
-    fn is_stalled(&self, connection: u64) -> bool {
-        connection < self.stalled_before.load(Ordering::SeqCst)
-    }
-
-    fn is_closed(&self) -> bool {
-        self.closed.load(Ordering::SeqCst)
-    }
-
-    fn drops_datagram(&self) -> bool {
-        let number = self.datagrams.fetch_add(1, Ordering::SeqCst);
-        let one_in = self.drop_datagram_one_in.load(Ordering::SeqCst);
-        one_in > 0 && number.is_multiple_of(one_in)
-    }
+/// The sockets of a proxy, which its threads share.
+struct Forwarder {
+    network: Arc<Network>,
+    target: SocketAddr,
+    listener: TcpListener,
+    socket: UdpSocket,
+    stopped: AtomicBool,
+}
 
-    fn truncates_chunk(&self) -> bool {
-        let one_in = self.truncate_chunk_one_in.load(Ordering::SeqCst);
-        one_in > 0 && rand::random::<u64>().is_multiple_of(one_in)
+impl Forwarder {
+    /// Signals all threads to end.
+    fn stop(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        // This ends a call of `accept`. It fails if the socket no longer listens.
+        let _ = SockRef::from(&self.listener).shutdown(Shutdown::Both);
+    }
+
+    fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::SeqCst) || self.network.is_closed()
+    }
+
+    /// Accepts connections until the proxy stops, and waits until all of them have ended.
+    fn accept(&self) {
+        thread::scope(|scope| {
+            while !self.is_stopped() {
+                let Ok((client, from)) = self.listener.accept() else {
+                    continue;
+                };
+                let connection = self.network.next_connection();
+                scope.spawn(move || {
+                    let _ = self.forward_connection(client, from.ip(), connection);
+                });
+            }
+        });
     }
-}
 
-/// Forwards connections and datagrams that arrive at `listen_address` to `target`.
-///
-/// # Errors
-///
-/// Returns an error if `listen_address` can't be listened on.
-pub fn start(
-    network: &Arc<Network>,
-    listen_address: SocketAddr,
-    target: SocketAddr,
-) -> io::Result<()> {
-    let listener = TcpListener::bind(listen_address)?;
-    let socket = UdpSocket::bind(listen_address)?;
-    let tcp_network = Arc::clone(network);
-    thread::spawn(move || accept(&listener, target, &tcp_network));
-    let (tx, rx) = mpsc::channel();
-    let send_socket = socket.try_clone()?;
-    thread::spawn(move || send_datagrams(&send_socket, target, &rx));
-    let udp_network = Arc::clone(network);
-    thread::spawn(move || {
+    fn receive_datagrams(&self, tx: &Sender<DelayedDatagram>) {
+        let target = self.target.ip();
         let mut buf = vec![0; CHUNK_BYTES];
-        while !udp_network.is_closed() {
-            let Ok((length, from)) = socket.recv_from(&mut buf) else {
+        while !self.is_stopped() {
+            let Ok((length, from)) = self.socket.recv_from(&mut buf) else {
                 continue;
             };
-            if udp_network.is_blocked(from.ip(), target.ip()) || udp_network.drops_datagram() {
+            if self.network.is_blocked(from.ip(), target) || self.network.drops_datagram() {
                 continue;
             }
-            let due = Instant::now() + udp_network.delay(from.ip(), target.ip());
-            if tx.send((due, buf[..length].to_vec())).is_err() {
+            let due = Instant::now() + self.network.delay(from.ip(), target);
+            let bytes = buf[..length].to_vec();
+            if tx.send(DelayedDatagram { due, bytes }).is_err() {
                 return;
             }
         }
-    });
-    Ok(())
-}
-
-fn send_datagrams(socket: &UdpSocket, target: SocketAddr, rx: &Receiver<(Instant, Vec<u8>)>) {
-    while let Ok((due, bytes)) = rx.recv() {
-        thread::sleep(due.saturating_duration_since(Instant::now()));
-        let _ = socket.send_to(&bytes, target);
     }
-}
 
-fn accept(listener: &TcpListener, target: SocketAddr, network: &Arc<Network>) {
-    while !network.is_closed() {
-        let Ok((client, from)) = listener.accept() else {
-            continue;
-        };
-        let connection = network.connections.fetch_add(1, Ordering::SeqCst);
-        let network = Arc::clone(network);
-        thread::spawn(move || {
-            let _ = forward_connection(client, from, target, connection, &network);
-        });
+    fn send_datagrams(&self, rx: &Receiver<DelayedDatagram>) {
+        while let Ok(datagram) = rx.recv() {
+            thread::sleep(datagram.due.saturating_duration_since(Instant::now()));
+            let _ = self.socket.send_to(&datagram.bytes, self.target);
+        }
     }
-}
 
-fn forward_connection(
-    client: TcpStream,
-    from: SocketAddr,
-    target: SocketAddr,
-    connection: u64,
-    network: &Arc<Network>,
-) -> io::Result<()> {
-    // A TCP handshake takes a round trip.
-    thread::sleep(network.delay(from.ip(), target.ip()) * 2);
-    while network.is_blocked(from.ip(), target.ip()) || network.is_blocked(target.ip(), from.ip()) {
-        thread::sleep(STALL_POLL_INTERVAL);
-        if network.is_closed() {
-            return Ok(());
+    fn forward_connection(
+        &self,
+        client: TcpStream,
+        from: IpAddr,
+        connection: u64,
+    ) -> io::Result<()> {
+        let target = self.target.ip();
+        // A TCP handshake takes a round trip.
+        thread::sleep(self.network.delay(from, target) * 2);
+        while self.network.is_blocked(from, target) || self.network.is_blocked(target, from) {
+            thread::sleep(POLL_INTERVAL);
+            if self.is_stopped() {
+                return Ok(());
+            }
         }
+        let server = TcpStream::connect(self.target)?;
+        client.set_nodelay(true)?;
+        server.set_nodelay(true)?;
+        let (client_reader, server_writer) = (client.try_clone()?, server.try_clone()?);
+        thread::scope(|scope| {
+            scope.spawn(|| self.forward(server, client, (target, from), connection));
+            self.forward(client_reader, server_writer, (from, target), connection);
+        });
+        Ok(())
     }
-    let server = TcpStream::connect(target)?;
-    client.set_nodelay(true)?;
-    server.set_nodelay(true)?;
-    let (client_reader, server_writer) = (client.try_clone()?, server.try_clone()?);
-    let return_network = Arc::clone(network);
-    let return_thread = thread::spawn(move || {
-        forward(
-            server,
-            client,
-            (target.ip(), from.ip()),
-            connection,
-            &return_network,
-        );
-    });
-    forward(
-        client_reader,
-        server_writer,
-        (from.ip(), target.ip()),
-        connection,
-        network,
-    );
-    let _ = return_thread.join();
-    Ok(())
-}
 
-/// Forwards one direction of a connection until either end closes it.
-fn forward(
-    mut from: TcpStream,
-    mut to: TcpStream,
-    link: (IpAddr, IpAddr),
-    connection: u64,
-    network: &Network,
-) {
-    let mut buf = vec![0; CHUNK_BYTES];
-    while let Ok(length @ 1..) = from.read(&mut buf) {
-        while network.is_stalled(connection) || network.is_blocked(link.0, link.1) {
-            thread::sleep(STALL_POLL_INTERVAL);
-            if network.is_closed() {
-                return;
+    /// Forwards one direction of a connection until either end closes it.
+    fn forward(
+        &self,
+        mut from: TcpStream,
+        mut to: TcpStream,
+        link: (IpAddr, IpAddr),
+        connection: u64,
+    ) {
+        let mut buf = vec![0; CHUNK_BYTES];
+        while let Ok(length @ 1..) = from.read(&mut buf) {
+            while self.network.is_stalled(connection) || self.network.is_blocked(link.0, link.1) {
+                thread::sleep(POLL_INTERVAL);
+                if self.is_stopped() {
+                    return;
+                }
+            }
+            thread::sleep(self.network.delay(link.0, link.1));
+            let truncated = self.network.truncates_chunk();
+            let length = if truncated { length / 2 } else { length };
+            if to.write_all(&buf[..length]).is_err() || truncated {
+                break;
             }
         }
-        thread::sleep(network.delay(link.0, link.1));
-        let truncated = network.truncates_chunk();
-        let length = if truncated { length / 2 } else { length };
-        if to.write_all(&buf[..length]).is_err() || truncated {
-            break;
-        }
+        let _ = to.shutdown(Shutdown::Both);
+        let _ = from.shutdown(Shutdown::Both);
     }
-    let _ = to.shutdown(Shutdown::Both);
-    let _ = from.shutdown(Shutdown::Both);
 }
--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -17,7 +17,8 @@
 
 use crate::address_block::AddressBlock;
 use crate::args::BenchError;
-use crate::fault_proxy::{self, Network};
+use crate::fault_proxy::FaultProxy;
+use crate::network::Network;
 
 /// The timeout of an HTTP request to a daemon or the store.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
@@ -66,6 +67,7 @@
     settings: PathBuf,
     daemon: Option<Child>,
     upstream: Option<Child>,
+    _proxies: Vec<FaultProxy>,
 }
 
 /// The response that a caller received.
@@ -161,12 +163,15 @@
         let octet = u8::try_from(number + 1).unwrap_or(1);
         let at = |port| self.block.address(HOST_SUBNET, octet, port);
         let (mut peers, mut store) = (at(PEER_PORT), self.store_address);
+        let mut proxies = Vec::new();
         if let Some(network) = &self.network {
             peers = self.block.address(PEER_PROXY_SUBNET, octet, PEER_PORT);
             store = self.block.address(STORE_PROXY_SUBNET, octet, STORE_PORT);
             let with_context = BenchError::with_context("proxy");
-            fault_proxy::start(network, peers, at(PEER_PORT)).map_err(&with_context)?;
-            fault_proxy::start(network, store, self.store_address).map_err(&with_context)?;
+            let peer_proxy = FaultProxy::start(network, peers, at(PEER_PORT));
+            let store_proxy = FaultProxy::start(network, store, self.store_address);
+            proxies.push(peer_proxy.map_err(&with_context)?);
+            proxies.push(store_proxy.map_err(&with_context)?);
         }
         let settings = self.folder.join(format!("{number}.yaml"));
         let text = format!(
@@ -186,6 +191,7 @@
             settings,
             daemon: None,
             upstream: None,
+            _proxies: proxies,
         })
     }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod host_run;
 pub mod journal;
 pub mod load;
+pub mod network;
 pub mod platform_stand_in;
 pub mod ranged_upstream;
 pub mod runs;
--- a/crates/bench/src/soak/faults.rs
+++ b/crates/bench/src/soak/faults.rs
@@ -10,8 +10,8 @@
 use rustix::process::Signal;
 
 use crate::args::BenchError;
-use crate::fault_proxy::Network;
 use crate::host_cluster::{HostCluster, HostProcess};
+use crate::network::Network;
 use crate::soak::newest_route_number;
 
 /// The time between two faults, in milliseconds.
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -24,8 +24,8 @@
 use rand::rngs::SmallRng;
 
 use crate::args::{self, BenchError};
-use crate::fault_proxy::Network;
 use crate::host_cluster::HostCluster;
+use crate::network::Network;
 use crate::soak::callers::Callers;
 use crate::soak::faults::FaultSchedule;
 use crate::soak::verdict::SoakVerdict;
--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 
 mod daemon;
 mod explore;
+mod fault_proxy;
 mod host;
 mod journal;
 mod runs;
