Claim the loopback addresses of a test environment exclusively

Seen: runs::a_late_first_attempt_does_not_run_again ended once with "can't start the proxy: Address already in use" (KNOWN-RED.txt).

Cause: each environment took block 127.N.0.0/16 with N from its process id modulo 250, without a look at whether it was in use. Two processes on the machine whose ids differ by a multiple of 250 chose the same addresses.

AddressBlock::claim binds a UDP socket at one fixed address of the block and takes the next block when that fails. Binding is atomic, so that neither threads nor processes get the same block. Child processes inherit the socket: a block stays claimed while processes that a killed environment left behind may still listen in it. All fixed ports are below the ephemeral range (32768 to 60999 here).

Not covered: a process that claims no block, and one that listens on a port of ours on all addresses.

--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -129,7 +129,7 @@
     ) -> Result<Self, BenchError> {
         let process_id = std::process::id();
         let number = STARTED_CLUSTERS.fetch_add(1, Ordering::SeqCst);
-        let block = AddressBlock::choose();
+        let block = AddressBlock::claim()?;
         let folder = std::env::temp_dir().join(format!("foxtaildrift-host-{process_id}-{number}"));
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).map_err(BenchError::with_context("folder"))?;
--- a/crates/bench/tests/testsuite/fault_proxy.rs
+++ b/crates/bench/tests/testsuite/fault_proxy.rs
@@ -24,7 +24,7 @@
 
 #[test]
 fn a_dropped_proxy_releases_its_address() {
-    let block = AddressBlock::choose();
+    let block = AddressBlock::claim().expect("a block is free");
     let (listen_address, target) = (block.address(2, 1, PORT), block.address(1, 1, PORT));
     let network = Arc::new(Network::default());
     for _ in 0..3 {
--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the system under faults: randomised simulations, and real processes behind the fault
 //! proxy.
 
+mod address_block;
 mod daemon;
 mod explore;
 mod fault_proxy;
