--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load/caller.rs
@@ -1,22 +1,18 @@
-//! Load generator: threads that act as callers, send requests, check the responses and record the
-//! reported outcomes.
+//! A caller: sends requests with retries, checks the responses and records the reported outcomes.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
-use std::thread::{self, JoinHandle};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use foxtaildrift::process::sync;
 use foxtaildrift::request::idempotency_key::IdempotencyKey;
 use foxtaildrift::request::outcome::Outcome;
-use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
-use crate::journal::ReportedOutcomes;
+use crate::load::load_spec::LoadSpec;
+use crate::load::load_stats::LoadStats;
 
 /// How long a caller waits for a response beyond the timeout that it states in the request.
 const RESPONSE_GRACE: Duration = Duration::from_millis(200);
@@ -28,182 +24,13 @@
 const MUTATION_TIMEOUT_MIN: Duration = Duration::from_secs(1);
 /// How many unknown outcomes or missing responses of a task a caller retries.
 const UNKNOWN_RETRIES_MAX: u32 = 2;
-/// How long callers warm up the upstreams: longer than the daemons limit a new upstream as cold.
-const WARM_UP_TIME: Duration = Duration::from_secs(10);
 /// How long a caller avoids a daemon that did not respond.
 const UNRESPONSIVE_TIME: Duration = Duration::from_secs(5);
 /// The least time between two served requests of a key that counts as unavailable time.
 const GAP_MIN: Duration = Duration::from_millis(100);
 
-/// Configuration of the callers.
-#[derive(Clone, Debug)]
-pub struct LoadSpec {
-    /// The name of the service that is called.
-    pub service: &'static str,
-    /// The daemons' addresses for callers.
-    pub entries: Vec<SocketAddr>,
-    /// The number of callers, each a thread.
-    pub callers: usize,
-    /// The number of keys of each caller. With one key, the caller measures its unavailable time.
-    pub keys: usize,
-    /// The share of requests that change state, in percent.
-    pub mutation_percent: u32,
-    /// The pause of a caller between two tasks.
-    pub pause: Duration,
-    /// The timeout that a request states, at least 1 s for one that changes state.
-    pub timeout: Duration,
-    /// Whether a caller retries after a response that says that the request did not run or may have
-    /// run. Without a response it always retries.
-    pub retry_until_run: bool,
-    /// Whether the requests have a key header.
-    pub sends_key: bool,
-    /// Keys to which half of the requests go, if given; they may be changed while callers run.
-    pub hot_keys: Option<Arc<Mutex<Vec<String>>>>,
-    /// The seed of the callers' random choices.
-    pub seed: u64,
-}
-
-/// Statistics of the callers' requests.
-pub struct LoadStats {
-    /// The number of requests sent, with retries.
-    pub attempts: u64,
-    /// Tasks that ended with a response of an upstream.
-    pub ran: u64,
-    /// Attempts by outcome; `none` stands for no response.
-    pub outcomes: BTreeMap<String, u64>,
-    /// Tasks that did not end with a response of an upstream.
-    pub failed: u64,
-    /// Responses that belong to another request than the one sent.
-    pub wrong: u64,
-    /// The latencies of attempts that ran, in microseconds.
-    pub latency: Histogram<u64>,
-    /// The longest unavailable time of each key, in milliseconds.
-    pub unavailable: BTreeMap<String, u64>,
-    /// The total unavailable time of each key, in milliseconds.
-    pub unavailable_total: BTreeMap<String, u64>,
-    /// The reported outcomes of requests with an idempotency key.
-    pub reported: ReportedOutcomes,
-    /// Attempts that did not run, counted by the response body or the error.
-    pub reasons: BTreeMap<String, u64>,
-}
-
-impl Default for LoadStats {
-    fn default() -> Self {
-        Self {
-            attempts: 0,
-            ran: 0,
-            outcomes: BTreeMap::new(),
-            failed: 0,
-            wrong: 0,
-            latency: Histogram::new(3).expect("three significant digits are valid"),
-            unavailable: BTreeMap::new(),
-            unavailable_total: BTreeMap::new(),
-            reported: ReportedOutcomes::default(),
-            reasons: BTreeMap::new(),
-        }
-    }
-}
-
-impl LoadStats {
-    /// Returns the latency at `quantile`, in milliseconds.
-    pub fn latency_ms(&self, quantile: f64) -> f64 {
-        self.latency.value_at_quantile(quantile) as f64 / 1000.0
-    }
-
-    /// Returns the mean latency, in milliseconds.
-    pub fn mean_latency_ms(&self) -> f64 {
-        self.latency.mean() / 1000.0
-    }
-
-    /// Returns the longest unavailable time of any key, in milliseconds.
-    pub fn max_unavailable_ms(&self) -> u64 {
-        self.unavailable.values().copied().max().unwrap_or(0)
-    }
-
-    /// Returns the mean unavailable time of a key, in milliseconds.
-    pub fn mean_unavailable_ms(&self) -> u64 {
-        let sum: u64 = self.unavailable_total.values().sum();
-        sum / u64::try_from(self.unavailable.len().max(1)).unwrap_or(1)
-    }
-
-    /// Returns the number of attempts with the outcome `name`.
-    pub fn outcome_count(&self, name: &str) -> u64 {
-        self.outcomes.get(name).copied().unwrap_or(0)
-    }
-
-    fn merge(&mut self, other: LoadStats) {
-        self.attempts += other.attempts;
-        self.ran += other.ran;
-        self.failed += other.failed;
-        self.wrong += other.wrong;
-        for (name, n) in other.outcomes {
-            *self.outcomes.entry(name).or_default() += n;
-        }
-        for (name, n) in other.reasons {
-            *self.reasons.entry(name).or_default() += n;
-        }
-        // It can't fail: both histograms have the same precision.
-        let _ = self.latency.add(other.latency);
-        self.unavailable.extend(other.unavailable);
-        self.unavailable_total.extend(other.unavailable_total);
-        self.reported.ran.extend(other.reported.ran);
-        self.reported.not_run.extend(other.reported.not_run);
-    }
-}
-
-/// Running callers.
-pub struct Load {
-    stop: Arc<AtomicBool>,
-    stats: Arc<Mutex<LoadStats>>,
-    threads: Vec<JoinHandle<()>>,
-}
-
-impl Load {
-    /// Starts the callers.
-    pub fn start(spec: &LoadSpec) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
-        let stats = Arc::new(Mutex::new(LoadStats::default()));
-        let mut threads = Vec::new();
-        for number in 0..spec.callers {
-            let mut caller = Caller::new(spec.clone(), number);
-            let (stop, stats) = (Arc::clone(&stop), Arc::clone(&stats));
-            threads.push(thread::spawn(move || {
-                while !stop.load(Ordering::SeqCst) {
-                    caller.run_task();
-                    thread::sleep(caller.spec.pause);
-                }
-                caller.record_final_gaps();
-                sync::lock(&stats).merge(caller.stats);
-            }));
-        }
-        Self {
-            stop,
-            stats,
-            threads,
-        }
-    }
-
-    /// Stops the callers after their current tasks, and returns their statistics.
-    pub fn stop(self) -> LoadStats {
-        self.stop.store(true, Ordering::SeqCst);
-        for thread in self.threads {
-            let _ = thread.join();
-        }
-        std::mem::take(&mut *sync::lock(&self.stats))
-    }
-}
-
-/// Runs callers until the upstreams are no longer limited as cold, and discards the statistics.
-pub fn warm_up(specs: &[&LoadSpec]) {
-    let loads: Vec<Load> = specs.iter().map(|spec| Load::start(spec)).collect();
-    thread::sleep(WARM_UP_TIME);
-    for load in loads {
-        load.stop();
-    }
-}
-
 /// A caller with its random choices and statistics.
-struct Caller {
+pub(super) struct Caller {
     spec: LoadSpec,
     number: usize,
     agent: ureq::Agent,
@@ -224,7 +51,8 @@
 }
 
 impl Caller {
-    fn new(spec: LoadSpec, number: usize) -> Self {
+    /// Creates caller `number` of the load.
+    pub(super) fn new(spec: LoadSpec, number: usize) -> Self {
         let mut rng = SmallRng::seed_from_u64(spec.seed ^ (number as u64) << 20);
         let config = ureq::Agent::config_builder()
             .http_status_as_error(false)
@@ -249,7 +77,7 @@
     }
 
     /// Runs one task: a request with its retries.
-    fn run_task(&mut self) {
+    pub(super) fn run_task(&mut self) {
         let key = self.choose_key();
         let changes = self.rng.random_range(0..100) < self.spec.mutation_percent;
         let mut id = changes.then(IdempotencyKey::generate);
@@ -453,7 +281,17 @@
         }
     }
 
-    /// Records the time since each key was last served, at the end of the load.
+    /// Returns the pause between two tasks.
+    pub(super) fn pause(&self) -> Duration {
+        self.spec.pause
+    }
+
+    /// Returns the statistics, with the time since each key was last served, at the end of the load.
+    pub(super) fn finish(mut self) -> LoadStats {
+        self.record_final_gaps();
+        self.stats
+    }
+
     fn record_final_gaps(&mut self) {
         let now = Instant::now();
         for (key, last) in self.last_ran.clone() {
--- a/crates/bench/src/runs/capacity.rs
+++ b/crates/bench/src/runs/capacity.rs
@@ -6,7 +6,9 @@
 use crate::args::BenchError;
 use crate::cluster::Cluster;
 use crate::journal;
-use crate::load::{Load, LoadSpec, LoadStats};
+use crate::load::Load;
+use crate::load::load_spec::LoadSpec;
+use crate::load::load_stats::LoadStats;
 use crate::runs::environment;
 use crate::runs::report::Report;
 
--- a/crates/bench/src/runs/cold.rs
+++ b/crates/bench/src/runs/cold.rs
@@ -5,7 +5,9 @@
 
 use crate::args::BenchError;
 use crate::cluster::Cluster;
-use crate::load::{self, Load, LoadSpec, LoadStats};
+use crate::load::load_spec::LoadSpec;
+use crate::load::load_stats::LoadStats;
+use crate::load::{self, Load};
 use crate::runs::compare;
 use crate::runs::environment;
 use crate::runs::report::Report;
--- a/crates/bench/src/runs/compare.rs
+++ b/crates/bench/src/runs/compare.rs
@@ -2,7 +2,7 @@
 
 use crate::args::BenchError;
 use crate::cluster::{Cluster, ClusterSpec};
-use crate::load::LoadStats;
+use crate::load::load_stats::LoadStats;
 use crate::runs::environment;
 use crate::runs::report::Report;
 
--- a/crates/bench/src/runs/crossed.rs
+++ b/crates/bench/src/runs/crossed.rs
@@ -6,7 +6,8 @@
 
 use crate::args::BenchError;
 use crate::cluster::Cluster;
-use crate::load::{Load, LoadSpec};
+use crate::load::Load;
+use crate::load::load_spec::LoadSpec;
 use crate::runs::environment;
 use crate::runs::report::Report;
 
--- a/crates/bench/src/runs/environment.rs
+++ b/crates/bench/src/runs/environment.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::cluster::{Cluster, ClusterSpec, ServiceSpec};
-use crate::load::LoadSpec;
+use crate::load::load_spec::LoadSpec;
 
 /// The one-way network delay between two failure domains of the co-operative.
 const MEDENINE_DELAY: Duration = Duration::from_micros(1400);
--- a/crates/bench/src/runs/failover.rs
+++ b/crates/bench/src/runs/failover.rs
@@ -8,7 +8,8 @@
 
 use crate::args::BenchError;
 use crate::cluster::Cluster;
-use crate::load::{Load, LoadStats};
+use crate::load::Load;
+use crate::load::load_stats::LoadStats;
 use crate::runs::environment;
 use crate::runs::report::{Report, SERVED_AGAIN_MS_MAX};
 
--- a/crates/bench/src/runs/report.rs
+++ b/crates/bench/src/runs/report.rs
@@ -5,7 +5,7 @@
 use crate::args::BenchError;
 use crate::cluster::Cluster;
 use crate::journal::{self, ReportedOutcomes, Violations};
-use crate::load::LoadStats;
+use crate::load::load_stats::LoadStats;
 
 /// The target: how soon a key must be served again after a loss, in milliseconds.
 pub const SERVED_AGAIN_MS_MAX: u64 = 4000;
