Split cluster.rs, and keep one copy of what starts, signals and ends processes

The functions that start, signal, check and kill a process stood in both test environments; the module child has them once. Cluster still discards its processes' standard output, HostCluster logs it.

--- a/crates/bench/src/cluster/mod.rs
+++ b/crates/bench/src/cluster/mod.rs
@@ -1,12 +1,18 @@
 //! Test environment of real processes on loopback addresses: the platform's stand-in, and on each
 //! host a daemon and an upstream. The daemons reach each other through the fault proxy.
 
+pub mod cluster_spec;
+pub mod host;
+mod http;
+pub mod service_spec;
+pub mod usage;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
 use std::io::Write;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Child;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
@@ -18,10 +24,15 @@
 use foxtaildrift::process::platform::{Platform, PlatformKey};
 use foxtaildrift::process::status::Status;
 use foxtaildrift::version::configuration::Configuration;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 
 use crate::address_block::AddressBlock;
 use crate::args::BenchError;
+use crate::child::{self, Output};
+use crate::cluster::cluster_spec::ClusterSpec;
+use crate::cluster::host::{ADMIN_PORT, ENTRY_PORT, Host, PEER_PORT, UPSTREAM_PORT};
+use crate::cluster::service_spec::ServiceSpec;
+use crate::cluster::usage::Usage;
 use crate::fault_proxy::FaultProxy;
 use crate::network::Network;
 
@@ -31,14 +42,6 @@
 const START_TIME: Duration = Duration::from_secs(20);
 /// How often a condition is checked while waiting for it.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// The port on which a daemon accepts callers' requests.
-const ENTRY_PORT: u16 = 8080;
-/// The port on which a daemon accepts connections and datagrams of other daemons.
-const PEER_PORT: u16 = 7400;
-/// The port of a daemon's administration API.
-const ADMIN_PORT: u16 = 9400;
-/// The port of an upstream.
-const UPSTREAM_PORT: u16 = 9000;
 /// The port of the platform's stand-in.
 const PLATFORM_PORT: u16 = 8500;
 /// Added to the subnet of a daemon to get the subnet of its address at the proxy.
@@ -49,80 +52,6 @@
 /// The number of environments that this process has started.
 static STARTED_CLUSTERS: AtomicU32 = AtomicU32::new(0);
 
-/// The upstreams of one service and how their stand-ins behave.
-#[derive(Clone, Debug)]
-pub struct ServiceSpec {
-    /// The name of the service.
-    pub name: &'static str,
-    /// The number of upstreams.
-    pub upstreams: usize,
-    /// How many requests an upstream runs at once.
-    pub slots: u32,
-    /// How many requests a cold upstream can run at once without slowing down further.
-    pub cold_slots: u32,
-    /// How long an upstream takes for a request, in microseconds.
-    pub service_time_us: u64,
-    /// How many requests an upstream runs until it is warm.
-    pub warmup_requests: u64,
-    /// Whether the upstreams refuse requests whose fencing token is lower than the granted one.
-    pub checks_grants: bool,
-}
-
-/// Configuration of an environment.
-#[derive(Clone, Debug)]
-pub struct ClusterSpec {
-    /// The names of the failure domains.
-    pub domains: Vec<&'static str>,
-    /// The one-way network delay between two failure domains.
-    pub delay: Duration,
-    /// The services; their upstreams are assigned to the failure domains round-robin.
-    pub services: Vec<ServiceSpec>,
-    /// The configuration document that operators promote, as YAML.
-    pub document: String,
-    /// The log level of the daemons.
-    pub log_level: &'static str,
-    /// How many callers' requests a daemon handles at once.
-    pub workers: u32,
-}
-
-/// A host with its daemon and its upstream.
-pub struct Host {
-    /// The failure domain.
-    pub domain: &'static str,
-    /// The service of the upstream.
-    pub service: &'static str,
-    /// The address from which the daemon opens connections and sends datagrams.
-    pub ip: IpAddr,
-    /// The address on which the daemon accepts callers' requests.
-    pub entry: SocketAddr,
-    /// The address of the daemon's administration API.
-    pub admin: SocketAddr,
-    /// The address of the upstream.
-    pub upstream: SocketAddr,
-    spec: ServiceSpec,
-    settings: PathBuf,
-    daemon: Option<Child>,
-    upstream_process: Option<Child>,
-    _proxy: FaultProxy,
-}
-
-impl Host {
-    /// Returns whether the daemon was started and not killed or stopped since.
-    pub fn has_daemon(&self) -> bool {
-        self.daemon.is_some()
-    }
-
-    /// Returns the daemon's own address for other daemons, which bypasses the proxy.
-    pub fn peer_address(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, PEER_PORT)
-    }
-
-    /// Returns whether the upstream was started and has not been found ended since.
-    pub fn has_upstream(&self) -> bool {
-        self.upstream_process.is_some()
-    }
-}
-
 /// A running environment; its processes are killed when it is dropped.
 pub struct Cluster {
     /// The hosts.
@@ -340,19 +269,9 @@
     }
 
     fn spawn(&self, name: &str, args: &[&str]) -> Result<Child, BenchError> {
-        let with_context = BenchError::with_context(name);
-        let mut log = fs::OpenOptions::new();
-        log.create(true).append(true);
-        let log = log
-            .open(self.folder.join(format!("{name}.log")))
-            .map_err(&with_context)?;
-        let mut command = Command::new(&self.program);
-        command
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log);
-        command.spawn().map_err(&with_context)
+        let log = self.folder.join(format!("{name}.log"));
+        child::spawn(&self.program, args, Output::Errors, &log)
+            .map_err(BenchError::with_context(name))
     }
 
     /// Returns the operators' operations on the platform.
@@ -390,7 +309,7 @@
     ///
     /// Returns an error if the stand-in does not respond.
     pub fn control_platform(&self, setting: &str, value: &str) -> Result<String, BenchError> {
-        put(
+        http::put(
             &format!("http://{}/stand-in/{setting}", self.platform_address),
             value,
         )
@@ -407,7 +326,7 @@
         setting: &str,
         value: &str,
     ) -> Result<String, BenchError> {
-        put(
+        http::put(
             &format!("http://{}/stand-in/{setting}", self.hosts[number].upstream),
             value,
         )
@@ -420,7 +339,7 @@
     /// Returns an error if the daemon does not respond.
     pub fn status(&self, number: usize) -> Result<Status, BenchError> {
         let url = format!("http://{}/v1/status", self.hosts[number].admin);
-        let text = get(&url)?;
+        let text = http::get(&url)?;
         serde_json::from_str(&text).map_err(BenchError::with_context("can't parse the status"))
     }
 
@@ -511,34 +430,27 @@
 
     /// Kills the daemon of a host.
     pub fn kill_daemon(&mut self, number: usize) {
-        kill_and_wait(self.hosts[number].daemon.take());
+        child::kill_and_wait(&mut self.hosts[number].daemon);
     }
 
     /// Kills the upstream of a host.
     pub fn kill_upstream(&mut self, number: usize) {
-        kill_and_wait(self.hosts[number].upstream_process.take());
+        child::kill_and_wait(&mut self.hosts[number].upstream_process);
     }
 
     /// Returns whether the upstream of a host has ended by itself, and if so clears its process.
     pub fn upstream_has_ended(&mut self, number: usize) -> bool {
         let process = &mut self.hosts[number].upstream_process;
-        let ended = process
-            .as_mut()
-            .is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))));
-        if ended {
-            *process = None;
-        }
-        ended
+        process.is_some() && !child::is_running(process)
     }
 
     /// Sends a signal to the daemon of a host, and also to its upstream if `both` is set.
     pub fn signal(&self, number: usize, signal: Signal, both: bool) {
         let host = &self.hosts[number];
         let upstream = host.upstream_process.as_ref().filter(|_| both);
-        for child in host.daemon.as_ref().into_iter().chain(upstream) {
-            if let Some(pid) = i32::try_from(child.id()).ok().and_then(Pid::from_raw) {
-                let _ = kill_process(pid, signal);
-            }
+        for process in host.daemon.as_ref().into_iter().chain(upstream) {
+            // It fails if the process has ended by itself.
+            let _ = child::signal(process, signal);
         }
     }
 
@@ -547,16 +459,17 @@
     pub fn stop_daemon(&mut self, number: usize, limit: Duration) -> bool {
         self.signal(number, Signal::TERM, false);
         let deadline = Instant::now() + limit;
-        let Some(mut child) = self.hosts[number].daemon.take() else {
+        let mut daemon = self.hosts[number].daemon.take();
+        let Some(running) = &mut daemon else {
             return false;
         };
         while Instant::now() < deadline {
-            if let Ok(Some(status)) = child.try_wait() {
+            if let Ok(Some(status)) = running.try_wait() {
                 return status.success();
             }
             thread::sleep(POLL_INTERVAL);
         }
-        kill_and_wait(Some(child));
+        child::kill_and_wait(&mut daemon);
         false
     }
 
@@ -564,7 +477,9 @@
     /// running.
     pub fn usage(&self, number: usize) -> Usage {
         let daemon = self.hosts[number].daemon.as_ref();
-        daemon.map(|c| process_usage(c.id())).unwrap_or_default()
+        daemon
+            .map(|c| Usage::of_process(c.id()))
+            .unwrap_or_default()
     }
 
     /// Returns the sum of the samples of a daemon's metrics whose names start with `name` and whose
@@ -574,7 +489,7 @@
     ///
     /// Returns an error if the daemon does not respond.
     pub fn metric(&self, number: usize, name: &str, label: &str) -> Result<f64, BenchError> {
-        let text = get(&format!("http://{}/metrics", self.hosts[number].admin))?;
+        let text = http::get(&format!("http://{}/metrics", self.hosts[number].admin))?;
         let lines = text
             .lines()
             .filter(|l| l.starts_with(name) && l.contains(label));
@@ -613,10 +528,10 @@
     fn drop(&mut self) {
         self.network.close();
         for host in &mut self.hosts {
-            kill_and_wait(host.daemon.take());
-            kill_and_wait(host.upstream_process.take());
+            child::kill_and_wait(&mut host.daemon);
+            child::kill_and_wait(&mut host.upstream_process);
         }
-        kill_and_wait(self.platform.take());
+        child::kill_and_wait(&mut self.platform);
         if std::env::var_os("FOXTAILDRIFT_KEEP").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
         } else {
@@ -624,70 +539,3 @@
         }
     }
 }
-
-/// Resources that a process has used.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Usage {
-    /// Processor time in user and kernel mode, in seconds.
-    pub cpu_seconds: f64,
-    /// Resident memory, in bytes.
-    pub resident_bytes: u64,
-}
-
-fn process_usage(pid: u32) -> Usage {
-    let path = PathBuf::from(format!("/proc/{pid}"));
-    let stat = read_or_empty(&path.join("stat"));
-    // The second field is the program's name in parentheses, which may contain spaces. The fields
-    // after it are counted from zero: 11 is utime, 12 is stime.
-    let fields: Vec<&str> = stat
-        .rsplit(')')
-        .next()
-        .unwrap_or("")
-        .split_whitespace()
-        .collect();
-    let field = |n: usize| {
-        fields
-            .get(n)
-            .and_then(|f| f.parse::<u64>().ok())
-            .unwrap_or(0)
-    };
-    let status = read_or_empty(&path.join("status"));
-    let line = |name: &str| {
-        let line = status.lines().find(|l| l.starts_with(name));
-        line.and_then(|l| l.split_whitespace().nth(1)?.parse::<u64>().ok())
-            .unwrap_or(0)
-    };
-    let ticks = rustix::param::clock_ticks_per_second() as f64;
-    Usage {
-        cpu_seconds: (field(11) + field(12)) as f64 / ticks,
-        resident_bytes: line("VmRSS:") * 1024,
-    }
-}
-
-fn read_or_empty(path: &Path) -> String {
-    fs::read_to_string(path).unwrap_or_default()
-}
-
-fn kill_and_wait(child: Option<Child>) {
-    if let Some(mut child) = child {
-        let _ = child.kill();
-        let _ = child.wait();
-    }
-}
-
-fn http_agent() -> ureq::Agent {
-    let config = ureq::Agent::config_builder().timeout_global(Some(Duration::from_secs(2)));
-    config.proxy(None).build().new_agent()
-}
-
-fn get(url: &str) -> Result<String, BenchError> {
-    let with_context = BenchError::with_context(url);
-    let response = http_agent().get(url).call().map_err(&with_context)?;
-    response.into_body().read_to_string().map_err(&with_context)
-}
-
-fn put(url: &str, value: &str) -> Result<String, BenchError> {
-    let with_context = BenchError::with_context(url);
-    let response = http_agent().put(url).send(value).map_err(&with_context)?;
-    response.into_body().read_to_string().map_err(&with_context)
-}
--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Child;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
@@ -13,10 +13,11 @@
 use foxtaildrift::connection::http_client::HttpClient;
 use foxtaildrift::connection::protocol::OutgoingRequest;
 use foxtaildrift::request::headers::Headers;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 
 use crate::address_block::AddressBlock;
 use crate::args::BenchError;
+use crate::child::{self, Output};
 use crate::fault_proxy::FaultProxy;
 use crate::network::Network;
 
@@ -253,44 +254,28 @@
     }
 
     fn spawn(&self, name: &str, args: &[&str]) -> Result<Child, BenchError> {
-        let with_context = BenchError::with_context(name);
-        let mut log = fs::OpenOptions::new();
-        log.create(true).append(true);
-        let log = log
-            .open(self.folder.join(format!("{name}.log")))
-            .map_err(&with_context)?;
-        let errors = log.try_clone().map_err(&with_context)?;
-        let mut command = Command::new(&self.program);
-        command
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors);
-        command.spawn().map_err(&with_context)
+        let log = self.folder.join(format!("{name}.log"));
+        child::spawn(&self.program, args, Output::All, &log).map_err(BenchError::with_context(name))
     }
 
     /// Kills the daemon of a host.
     pub fn kill_daemon(&mut self, number: usize) {
-        if let Some(mut daemon) = self.hosts[number].daemon.take() {
-            kill_and_wait(&mut daemon);
-        }
+        child::kill_and_wait(&mut self.hosts[number].daemon);
     }
 
     /// Kills the upstream of a host.
     pub fn kill_upstream(&mut self, number: usize) {
-        if let Some(mut upstream) = self.hosts[number].upstream.take() {
-            kill_and_wait(&mut upstream);
-        }
+        child::kill_and_wait(&mut self.hosts[number].upstream);
     }
 
     /// Returns whether the daemon of a host is running, and clears it if it has ended.
     pub fn has_daemon(&mut self, number: usize) -> bool {
-        is_running(&mut self.hosts[number].daemon)
+        child::is_running(&mut self.hosts[number].daemon)
     }
 
     /// Returns whether the upstream of a host is running, and clears it if it has ended.
     pub fn has_upstream(&mut self, number: usize) -> bool {
-        is_running(&mut self.hosts[number].upstream)
+        child::is_running(&mut self.hosts[number].upstream)
     }
 
     /// Sends a signal to the daemon or the upstream of a host, if it is running.
@@ -309,14 +294,13 @@
             HostProcess::Daemon => &mut host.daemon,
             HostProcess::Upstream => &mut host.upstream,
         };
-        if !is_running(process) {
-            return Ok(());
+        child::is_running(process);
+        match process {
+            Some(process) => {
+                child::signal(process, signal).map_err(BenchError::with_context("signal"))
+            }
+            None => Ok(()),
         }
-        let id = process.as_ref().and_then(|c| i32::try_from(c.id()).ok());
-        let Some(pid) = id.and_then(Pid::from_raw) else {
-            return Ok(());
-        };
-        kill_process(pid, signal).map_err(BenchError::with_context("signal"))
     }
 
     /// Returns the address from which a host's daemon connects to other daemons and the store.
@@ -335,15 +319,14 @@
     ///
     /// Returns an error if it does not exit within `limit`; it is then killed.
     pub fn stop_daemon(&mut self, number: usize, limit: Duration) -> Result<Duration, BenchError> {
-        let Some(mut daemon) = self.hosts[number].daemon.take() else {
+        let mut daemon = self.hosts[number].daemon.take();
+        let Some(running) = &mut daemon else {
             return Err(BenchError(format!("host {number} has no daemon")));
         };
         let started = Instant::now();
-        let pid = i32::try_from(daemon.id()).ok().and_then(Pid::from_raw);
-        let pid = pid.ok_or_else(|| BenchError("no process id".to_owned()))?;
-        kill_process(pid, Signal::TERM).map_err(BenchError::with_context("signal"))?;
+        child::signal(running, Signal::TERM).map_err(BenchError::with_context("signal"))?;
         while started.elapsed() < limit {
-            if daemon
+            if running
                 .try_wait()
                 .map_err(BenchError::with_context("wait"))?
                 .is_some()
@@ -352,7 +335,7 @@
             }
             thread::sleep(POLL_INTERVAL);
         }
-        kill_and_wait(&mut daemon);
+        child::kill_and_wait(&mut daemon);
         Err(BenchError(format!(
             "daemon {number} did not stop in {limit:?}"
         )))
@@ -437,15 +420,10 @@
 impl Drop for HostCluster {
     fn drop(&mut self) {
         for host in &mut self.hosts {
-            let processes = [host.daemon.take(), host.upstream.take()];
-            processes
-                .into_iter()
-                .flatten()
-                .for_each(|mut p| kill_and_wait(&mut p));
-        }
-        if let Some(mut store) = self.store_process.take() {
-            kill_and_wait(&mut store);
+            child::kill_and_wait(&mut host.daemon);
+            child::kill_and_wait(&mut host.upstream);
         }
+        child::kill_and_wait(&mut self.store_process);
         if let Some(network) = &self.network {
             network.close();
         }
@@ -455,24 +433,6 @@
     }
 }
 
-/// Returns whether a process is running, and clears it if it has ended.
-fn is_running(process: &mut Option<Child>) -> bool {
-    let ended = process
-        .as_mut()
-        .is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))));
-    if ended {
-        *process = None;
-    }
-    process.is_some()
-}
-
-/// Kills a process of this environment and waits for its exit.
-fn kill_and_wait(process: &mut Child) {
-    // It fails if the process has ended by itself.
-    let _ = process.kill();
-    let _ = process.wait();
-}
-
 fn call(
     to: SocketAddr,
     method: &'static str,
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod address_block;
 pub mod args;
+pub mod child;
 pub mod cluster;
 pub mod explore;
 pub mod fault_proxy;
--- a/crates/bench/src/runs/compare.rs
+++ b/crates/bench/src/runs/compare.rs
@@ -1,7 +1,8 @@
 //! Runs one experiment under the baseline policy and under the adaptive policy, to compare them.
 
 use crate::args::BenchError;
-use crate::cluster::{Cluster, ClusterSpec};
+use crate::cluster::Cluster;
+use crate::cluster::cluster_spec::ClusterSpec;
 use crate::load::load_stats::LoadStats;
 use crate::runs::environment;
 use crate::runs::report::Report;
--- a/crates/bench/src/runs/environment.rs
+++ b/crates/bench/src/runs/environment.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use crate::cluster::{Cluster, ClusterSpec, ServiceSpec};
+use crate::cluster::Cluster;
+use crate::cluster::cluster_spec::ClusterSpec;
+use crate::cluster::service_spec::ServiceSpec;
 use crate::load::load_spec::LoadSpec;
 
 /// The one-way network delay between two failure domains of the co-operative.
