--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Child;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
@@ -13,15 +13,38 @@
 use foxtaildrift::connection::http_client::HttpClient;
 use foxtaildrift::connection::protocol::OutgoingRequest;
 use foxtaildrift::request::headers::Headers;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 
+use crate::address_block::AddressBlock;
 use crate::args::BenchError;
-use crate::fault_proxy::{self, Network};
+use crate::child::{self, Output};
+use crate::fault_proxy::FaultProxy;
+use crate::network::Network;
 
 /// The timeout of an HTTP request to a daemon or the store.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// How often a condition is checked while waiting for it.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// The port on which a daemon accepts callers' requests.
+const CALLER_PORT: u16 = 8080;
+/// The port on which a daemon accepts connections and datagrams of other daemons.
+const PEER_PORT: u16 = 7400;
+/// The port on which a daemon reports whether it is ready.
+const READY_PORT: u16 = 9400;
+/// The port on which a daemon accepts the reports of its upstream.
+const REPORT_PORT: u16 = 9401;
+/// The port of an upstream.
+const UPSTREAM_PORT: u16 = 9000;
+/// The port of the store.
+const STORE_PORT: u16 = 8500;
+/// The subnet of the hosts.
+const HOST_SUBNET: u8 = 1;
+/// The subnet of the daemons' addresses at the proxy.
+const PEER_PROXY_SUBNET: u8 = 2;
+/// The subnet of the store's addresses at the proxy, one for each host.
+const STORE_PROXY_SUBNET: u8 = 3;
+/// The subnet of the store.
+const STORE_SUBNET: u8 = 250;
 
 /// The number of environments that this process has started.
 static STARTED_CLUSTERS: AtomicU32 = AtomicU32::new(0);
@@ -45,6 +68,7 @@
     settings: PathBuf,
     daemon: Option<Child>,
     upstream: Option<Child>,
+    _proxies: Vec<FaultProxy>,
 }
 
 /// The response that a caller received.
@@ -72,6 +96,7 @@
     network: Option<Arc<Network>>,
     sharded_services: Vec<String>,
     next_id: AtomicU32,
+    block: AddressBlock,
 }
 
 impl HostCluster {
@@ -105,11 +130,11 @@
     ) -> Result<Self, BenchError> {
         let process_id = std::process::id();
         let number = STARTED_CLUSTERS.fetch_add(1, Ordering::SeqCst);
-        let net = 2 + u8::try_from((process_id * 7 + number * 31) % 250).unwrap_or(0);
+        let block = AddressBlock::claim()?;
         let folder = std::env::temp_dir().join(format!("foxtaildrift-host-{process_id}-{number}"));
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).map_err(BenchError::with_context("folder"))?;
-        let store_address = SocketAddr::from(([127, net, 250, 1], 8500));
+        let store_address = block.address(STORE_SUBNET, 1, STORE_PORT);
         let mut cluster = Self {
             hosts: Vec::new(),
             folder,
@@ -120,11 +145,12 @@
             network,
             sharded_services: sharded.iter().map(|&s| s.to_owned()).collect(),
             next_id: AtomicU32::new(0),
+            block,
         };
         let listen = store_address.to_string();
         cluster.store_process = Some(cluster.spawn("store", &["store", "--listen", &listen])?);
         for (number, service) in services.iter().enumerate() {
-            let host = cluster.create_host(net, number, service)?;
+            let host = cluster.create_host(number, service)?;
             cluster.hosts.push(host);
             cluster.start_daemon(number)?;
             cluster.start_upstream(number)?;
@@ -133,41 +159,40 @@
     }
 
     /// Writes the settings of a host's daemon and starts its proxies, but no process.
-    fn create_host(
-        &self,
-        net: u8,
-        number: usize,
-        service: &'static str,
-    ) -> Result<Host, BenchError> {
+    fn create_host(&self, number: usize, service: &'static str) -> Result<Host, BenchError> {
         let domain = number % 3;
         let octet = u8::try_from(number + 1).unwrap_or(1);
-        let at = |port| SocketAddr::from(([127, net, 1, octet], port));
-        let (mut peers, mut store) = (at(7400), self.store_address);
+        let at = |port| self.block.address(HOST_SUBNET, octet, port);
+        let (mut peers, mut store) = (at(PEER_PORT), self.store_address);
+        let mut proxies = Vec::new();
         if let Some(network) = &self.network {
-            peers = SocketAddr::from(([127, net, 2, octet], 7400));
-            store = SocketAddr::from(([127, net, 3, octet], 8500));
+            peers = self.block.address(PEER_PROXY_SUBNET, octet, PEER_PORT);
+            store = self.block.address(STORE_PROXY_SUBNET, octet, STORE_PORT);
             let with_context = BenchError::with_context("proxy");
-            fault_proxy::start(network, peers, at(7400)).map_err(&with_context)?;
-            fault_proxy::start(network, store, self.store_address).map_err(&with_context)?;
+            let peer_proxy = FaultProxy::start(network, peers, at(PEER_PORT));
+            let store_proxy = FaultProxy::start(network, store, self.store_address);
+            proxies.push(peer_proxy.map_err(&with_context)?);
+            proxies.push(store_proxy.map_err(&with_context)?);
         }
         let settings = self.folder.join(format!("{number}.yaml"));
         let text = format!(
             "node: host-{number}\ndomain: domain-{domain}\ncallers: {}\npeers: {peers}\npeers_bind: {}\n\
              ready: {}\nreports: {}\nupstream: {}\nservice: {service}\nstore: {store}\n",
-            at(8080),
-            at(7400),
-            at(9400),
-            at(9401),
-            at(9000),
+            at(CALLER_PORT),
+            at(PEER_PORT),
+            at(READY_PORT),
+            at(REPORT_PORT),
+            at(UPSTREAM_PORT),
         );
         fs::write(&settings, text).map_err(BenchError::with_context("settings"))?;
         Ok(Host {
-            caller_address: at(8080),
+            caller_address: at(CALLER_PORT),
             service,
-            ready_address: at(9400),
+            ready_address: at(READY_PORT),
             settings,
             daemon: None,
             upstream: None,
+            _proxies: proxies,
         })
     }
 
@@ -195,7 +220,7 @@
         let at = |port| SocketAddr::new(host.caller_address.ip(), port).to_string();
         let journal = self.journal(number).display().to_string();
         let domain = format!("domain-{}", number % 3);
-        let (listen, reports) = (at(9000), at(9401));
+        let (listen, reports) = (at(UPSTREAM_PORT), at(REPORT_PORT));
         let mut args = vec![
             "ranged-upstream",
             "--listen",
@@ -229,44 +254,28 @@
     }
 
     fn spawn(&self, name: &str, args: &[&str]) -> Result<Child, BenchError> {
-        let with_context = BenchError::with_context(name);
-        let mut log = fs::OpenOptions::new();
-        log.create(true).append(true);
-        let log = log
-            .open(self.folder.join(format!("{name}.log")))
-            .map_err(&with_context)?;
-        let errors = log.try_clone().map_err(&with_context)?;
-        let mut command = Command::new(&self.program);
-        command
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors);
-        command.spawn().map_err(&with_context)
+        let log = self.folder.join(format!("{name}.log"));
+        child::spawn(&self.program, args, Output::All, &log).map_err(BenchError::with_context(name))
     }
 
     /// Kills the daemon of a host.
     pub fn kill_daemon(&mut self, number: usize) {
-        if let Some(mut daemon) = self.hosts[number].daemon.take() {
-            kill_and_wait(&mut daemon);
-        }
+        child::kill_and_wait(&mut self.hosts[number].daemon);
     }
 
     /// Kills the upstream of a host.
     pub fn kill_upstream(&mut self, number: usize) {
-        if let Some(mut upstream) = self.hosts[number].upstream.take() {
-            kill_and_wait(&mut upstream);
-        }
+        child::kill_and_wait(&mut self.hosts[number].upstream);
     }
 
     /// Returns whether the daemon of a host is running, and clears it if it has ended.
     pub fn has_daemon(&mut self, number: usize) -> bool {
-        is_running(&mut self.hosts[number].daemon)
+        child::is_running(&mut self.hosts[number].daemon)
     }
 
     /// Returns whether the upstream of a host is running, and clears it if it has ended.
     pub fn has_upstream(&mut self, number: usize) -> bool {
-        is_running(&mut self.hosts[number].upstream)
+        child::is_running(&mut self.hosts[number].upstream)
     }
 
     /// Sends a signal to the daemon or the upstream of a host, if it is running.
@@ -285,14 +294,13 @@
             HostProcess::Daemon => &mut host.daemon,
             HostProcess::Upstream => &mut host.upstream,
         };
-        if !is_running(process) {
-            return Ok(());
+        child::is_running(process);
+        match process {
+            Some(process) => {
+                child::signal(process, signal).map_err(BenchError::with_context("signal"))
+            }
+            None => Ok(()),
         }
-        let id = process.as_ref().and_then(|c| i32::try_from(c.id()).ok());
-        let Some(pid) = id.and_then(Pid::from_raw) else {
-            return Ok(());
-        };
-        kill_process(pid, signal).map_err(BenchError::with_context("signal"))
     }
 
     /// Returns the address from which a host's daemon connects to other daemons and the store.
@@ -311,15 +319,14 @@
     ///
     /// Returns an error if it does not exit within `limit`; it is then killed.
     pub fn stop_daemon(&mut self, number: usize, limit: Duration) -> Result<Duration, BenchError> {
-        let Some(mut daemon) = self.hosts[number].daemon.take() else {
+        let mut daemon = self.hosts[number].daemon.take();
+        let Some(running) = &mut daemon else {
             return Err(BenchError(format!("host {number} has no daemon")));
         };
         let started = Instant::now();
-        let pid = i32::try_from(daemon.id()).ok().and_then(Pid::from_raw);
-        let pid = pid.ok_or_else(|| BenchError("no process id".to_owned()))?;
-        kill_process(pid, Signal::TERM).map_err(BenchError::with_context("signal"))?;
+        child::signal(running, Signal::TERM).map_err(BenchError::with_context("signal"))?;
         while started.elapsed() < limit {
-            if daemon
+            if running
                 .try_wait()
                 .map_err(BenchError::with_context("wait"))?
                 .is_some()
@@ -328,7 +335,7 @@
             }
             thread::sleep(POLL_INTERVAL);
         }
-        kill_and_wait(&mut daemon);
+        child::kill_and_wait(&mut daemon);
         Err(BenchError(format!(
             "daemon {number} did not stop in {limit:?}"
         )))
@@ -413,15 +420,10 @@
 impl Drop for HostCluster {
     fn drop(&mut self) {
         for host in &mut self.hosts {
-            let processes = [host.daemon.take(), host.upstream.take()];
-            processes
-                .into_iter()
-                .flatten()
-                .for_each(|mut p| kill_and_wait(&mut p));
-        }
-        if let Some(mut store) = self.store_process.take() {
-            kill_and_wait(&mut store);
+            child::kill_and_wait(&mut host.daemon);
+            child::kill_and_wait(&mut host.upstream);
         }
+        child::kill_and_wait(&mut self.store_process);
         if let Some(network) = &self.network {
             network.close();
         }
@@ -431,24 +433,6 @@
     }
 }
 
-/// Returns whether a process is running, and clears it if it has ended.
-fn is_running(process: &mut Option<Child>) -> bool {
-    let ended = process
-        .as_mut()
-        .is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))));
-    if ended {
-        *process = None;
-    }
-    process.is_some()
-}
-
-/// Kills a process of this environment and waits for its exit.
-fn kill_and_wait(process: &mut Child) {
-    // It fails if the process has ended by itself.
-    let _ = process.kill();
-    let _ = process.wait();
-}
-
 fn call(
     to: SocketAddr,
     method: &'static str,
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,7 +1,9 @@
 //! Test tools of foxtaildrift: stand-ins for the external systems, a fault proxy, a load generator
 //! and experiments. They are not part of a release.
 
+pub mod address_block;
 pub mod args;
+pub mod child;
 pub mod cluster;
 pub mod explore;
 pub mod fault_proxy;
@@ -9,6 +11,7 @@
 pub mod host_run;
 pub mod journal;
 pub mod load;
+pub mod network;
 pub mod platform_stand_in;
 pub mod ranged_upstream;
 pub mod runs;
