Give up a lapsed session only after its permits have ended

Callers would see two upstreams work on one key: a change of witnesses to processes that don't respond ends the lease at once, while permits and grants given under the former witnesses stay valid for up to the lease (2 s). The daemon resigned the session 1.2 s later (the host daemon's give_up_ms), and a resignation lets a successor serve at once, up to 0.8 s too early.

Cause: the wait counted from the lapse, and the session kept no record of the latest end of a permit. The session records that end now, before a table can shorten the lease, and is given up only after it and the drift margin, which is what its witnesses would wait.

With the product's defaults (give_up 10 s, lease 2 s) the fault could not act.

--- a/src/process/own_session.rs
+++ b/src/process/own_session.rs
@@ -25,6 +25,9 @@
     pub incarnation: u32,
     grants: BTreeMap<InstanceId, Grant>,
     live: bool,
+    /// The latest end of a lease that was in force at any time. A change of witnesses can end the
+    /// lease earlier, but not the permits that were given before.
+    permitted_until: Moment,
 }
 
 impl OwnSession {
@@ -35,6 +38,7 @@
             incarnation: 0,
             grants: BTreeMap::new(),
             live: false,
+            permitted_until: Moment::default(),
         }
     }
 
@@ -60,6 +64,16 @@
         (sent > Moment::default()).then(|| sent + times.lease)
     }
 
+    /// Records that permits may have been given until `until`.
+    pub fn record_lease_end(&mut self, until: Moment) {
+        self.permitted_until = self.permitted_until.max(until);
+    }
+
+    /// Returns the latest end of the permits given so far.
+    pub fn permitted_until(&self) -> Moment {
+        self.permitted_until
+    }
+
     /// Returns the highest epoch that a majority of each set has granted.
     pub fn confirmed(&self, sets: &[WitnessSet]) -> Epoch {
         self.majority_value(sets, |g| g.epoch).unwrap_or_default()
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -248,6 +248,7 @@
             return;
         }
         let before = self.served_slices(now);
+        self.record_lease_end(now);
         self.table = table;
         let members = &self.table.members;
         self.facts.retain(|s| members.contains_key(&s));
@@ -533,7 +534,21 @@
         self.merge_facts(now, new_facts);
     }
 
+    /// Records when the present lease ends, before it can be shortened.
+    fn record_lease_end(&mut self, now: Moment) {
+        if let Some(until) = self.live_until(now) {
+            self.session.record_lease_end(until);
+        }
+    }
+
+    /// Returns whether work under any permit of the session may still be running: the upstream may
+    /// use a permit until its end, and its clock may be slow by the drift margin.
+    fn may_have_running_work(&self, now: Moment) -> bool {
+        now <= self.session.permitted_until() + self.times.drift_margin
+    }
+
     fn update_lease_state(&mut self, now: Moment) {
+        self.record_lease_end(now);
         let live = self.live_until(now).is_some();
         match self.session.set_live(live) {
             Some(true) => self.actions.push(OwnershipAction::LeaseLive),
@@ -544,7 +559,8 @@
             }
             None => {}
         }
-        if self.joined && !live && now.since(self.lapsed_since) > self.times.give_up_after {
+        let gives_up = !live && now.since(self.lapsed_since) > self.times.give_up_after;
+        if self.joined && gives_up && !self.may_have_running_work(now) {
             self.resign(now);
         }
     }
