Count a request whose connection broke as outstanding until its deadline

Callers would see two upstreams work on one key, and a change run after the next owner had begun: the connection of a request breaks before a response arrives, the upstream goes on with it, and the daemon releases the slice, hands its records over or resigns its session meanwhile.

Cause: the dispatcher of foxtaildriftd removed such a request from those in flight with the error, and wait_idle, which all three wait for, counts only requests in flight. It is kept now until the deadline that was sent with it, which is no later than the lease; earlier only if the upstream confirms a cancellation, or its port refuses a connection, which proves that the process is gone. That the probe for crashes fails is no such proof: an upstream that is frozen fails it too.

--- a/src/connection/upstream_client.rs
+++ b/src/connection/upstream_client.rs
@@ -274,3 +274,10 @@
     let read = stream.read(&mut [0]);
     matches!(read, Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut))
 }
+
+/// Returns whether a connection to `address` is refused, which proves that the upstream's process is
+/// gone.
+pub fn is_refused(address: SocketAddr, timeout: Duration) -> bool {
+    let connected = std::net::TcpStream::connect_timeout(&address, timeout);
+    connected.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
+}
--- a/src/process/upstream_dispatcher.rs
+++ b/src/process/upstream_dispatcher.rs
@@ -67,12 +67,25 @@
     envelope: Arc<Envelope>,
 }
 
+/// A request whose connection broke before a response arrived; the upstream may still run it.
+struct UnansweredRequest {
+    slice: ServiceSlice,
+    envelope: Arc<Envelope>,
+    client: Arc<UpstreamClient>,
+    /// The deadline that was sent to the upstream with the request.
+    until: Moment,
+}
+
+/// A request with the client that sent it.
+type SentRequest = (Arc<UpstreamClient>, Arc<Envelope>);
+
 #[derive(Default)]
 struct State {
     client: Option<Arc<UpstreamClient>>,
     limiter: Limiter,
     queued: HashMap<Ticket, SyncSender<()>>,
     in_flight: HashMap<RequestId, InFlightRequest>,
+    unanswered: Vec<UnansweredRequest>,
     granted_tokens: BTreeMap<SliceId, FencingToken>,
     quarantine: Quarantine,
     running_suspect: Option<RequestId>,
@@ -108,6 +121,64 @@
     broadcast: Box<dyn Fn(Message) + Send + Sync>,
 }
 
+impl State {
+    /// Returns until when a request of a slice selected by `released` is outstanding: the latest
+    /// end of those without an answer, or the end of time if one is in flight; `None` if there is
+    /// none.
+    fn busy_until(&self, now: Moment, released: impl Fn(&ServiceSlice) -> bool) -> Option<Moment> {
+        let in_flight = self.in_flight.values().filter_map(|f| f.slice.as_ref());
+        if in_flight.into_iter().any(&released) {
+            return Some(Moment(u64::MAX));
+        }
+        let unanswered = self.unanswered.iter().filter(|u| u.until > now);
+        let unanswered = unanswered.filter(|u| released(&u.slice));
+        unanswered.map(|u| u.until).max()
+    }
+
+    /// Returns the requests in flight of the slices selected by `released`, with the client for the
+    /// upstream; none if there is no upstream.
+    fn in_flight_of(&self, released: impl Fn(&ServiceSlice) -> bool) -> Vec<SentRequest> {
+        let Some(client) = &self.client else {
+            return Vec::new();
+        };
+        let in_flight = self.in_flight.values();
+        let selected = in_flight.filter(|f| f.slice.as_ref().is_some_and(&released));
+        selected
+            .map(|f| (Arc::clone(client), Arc::clone(&f.envelope)))
+            .collect()
+    }
+
+    /// Returns the unanswered requests of the slices selected by `released`.
+    fn unanswered_of(&self, released: impl Fn(&ServiceSlice) -> bool) -> Vec<SentRequest> {
+        let selected = self.unanswered.iter().filter(|u| released(&u.slice));
+        selected
+            .map(|u| (Arc::clone(&u.client), Arc::clone(&u.envelope)))
+            .collect()
+    }
+
+    /// Records that the upstream of `client` may run the request `id` until `until`.
+    fn record_unanswered(
+        &mut self,
+        now: Moment,
+        client: &Arc<UpstreamClient>,
+        id: RequestId,
+        until: Moment,
+    ) {
+        self.unanswered.retain(|u| u.until > now);
+        let Some(request) = self.in_flight.get(&id) else {
+            return;
+        };
+        if let Some(slice) = request.slice.clone() {
+            self.unanswered.push(UnansweredRequest {
+                slice,
+                envelope: Arc::clone(&request.envelope),
+                client: Arc::clone(client),
+                until,
+            });
+        }
+    }
+}
+
 impl UpstreamDispatcher {
     /// Creates a dispatcher without an upstream; `broadcast` sends a message to all other daemons.
     pub fn new(clock: Arc<dyn Clock>, broadcast: impl Fn(Message) + Send + Sync + 'static) -> Self {
@@ -191,39 +262,46 @@
         sync::lock(&self.state).quarantine.clear(now, fingerprint);
     }
 
-    /// Waits up to `max_wait` until no request of a slice selected by `released` is in flight;
+    /// Waits up to `max_wait` until no request of a slice selected by `released` is outstanding;
     /// returns whether that is the case.
+    ///
+    /// A request is outstanding while it is in flight, and if its connection broke, until its
+    /// deadline, because the upstream may still run it.
     pub fn wait_idle(&self, max_wait: Duration, released: impl Fn(&ServiceSlice) -> bool) -> bool {
-        let state = sync::lock(&self.state);
-        let is_busy = |s: &mut State| {
-            s.in_flight
-                .values()
-                .any(|f| f.slice.as_ref().is_some_and(&released))
-        };
-        let waited = self
-            .in_flight_changed
-            .wait_timeout_while(state, max_wait, is_busy);
-        !waited.unwrap_or_else(PoisonError::into_inner).1.timed_out()
+        let until = self.clock.now() + max_wait;
+        let mut state = sync::lock(&self.state);
+        loop {
+            let now = self.clock.now();
+            let Some(recheck_at) = state.busy_until(now, &released) else {
+                return true;
+            };
+            let wait = until.min(recheck_at).since(now);
+            if wait.is_zero() {
+                return false;
+            }
+            let waited = self.in_flight_changed.wait_timeout(state, wait);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
     }
 
-    /// Asks the upstream to cancel the requests of the slices selected by `released`.
+    /// Asks the upstream to cancel the requests of the slices selected by `released`. Those whose
+    /// connections broke are no longer outstanding if they did not run, or their process is gone.
     pub fn cancel(&self, released: impl Fn(&ServiceSlice) -> bool) {
         let state = sync::lock(&self.state);
-        let Some(client) = state.client.clone() else {
-            return;
-        };
-        let is_released = |f: &&InFlightRequest| f.slice.as_ref().is_some_and(&released);
-        let envelopes: Vec<_> = state
-            .in_flight
-            .values()
-            .filter(is_released)
-            .map(|f| Arc::clone(&f.envelope))
-            .collect();
+        let in_flight = state.in_flight_of(&released);
+        let unanswered = state.unanswered_of(&released);
         drop(state);
-        for envelope in envelopes {
-            let cancelled = client.cancel(&envelope);
-            tracing::info!(request = %envelope.id, ?cancelled, "request cancelled");
+        for (client, envelope) in in_flight {
+            cancel_request(&client, &envelope);
         }
+        for (client, envelope) in unanswered {
+            let is_gone = upstream_client::is_refused(client.upstream().address, PROBE_TIMEOUT);
+            if is_gone || cancel_request(&client, &envelope) {
+                let mut state = sync::lock(&self.state);
+                state.unanswered.retain(|u| u.envelope.id != envelope.id);
+            }
+        }
+        self.in_flight_changed.notify_all();
     }
 
     /// Sends a request to the upstream, within its concurrency limit, and returns its response.
@@ -368,7 +446,7 @@
     /// Sends an admitted request.
     fn send(
         &self,
-        client: &UpstreamClient,
+        client: &Arc<UpstreamClient>,
         envelope: &Envelope,
         fingerprint: Fingerprint,
         permit: Permit,
@@ -402,12 +480,25 @@
             }
             Err(e) => {
                 self.check_for_crash(client, fingerprint);
+                if matches!(e, UpstreamError::MaybeSent(_)) {
+                    self.record_unanswered(client, envelope.id, sent_at + timeout);
+                }
                 self.finish(envelope.id, Completion::Failed, None);
                 response_to_error(&e)
             }
         }
     }
 
+    /// Records that the upstream may run a request until `until` although its connection broke,
+    /// unless its process is gone.
+    fn record_unanswered(&self, client: &Arc<UpstreamClient>, id: RequestId, until: Moment) {
+        if upstream_client::is_refused(client.upstream().address, PROBE_TIMEOUT) {
+            return;
+        }
+        let now = self.clock.now();
+        sync::lock(&self.state).record_unanswered(now, client, id, until);
+    }
+
     /// Grants the slice to the upstream if it checks grants and does not have the token yet.
     fn grant(&self, client: &UpstreamClient, permit: Permit) -> Result<(), UpstreamError> {
         let Some(fence) = permit.fence else {
@@ -496,6 +587,13 @@
     }
 }
 
+/// Asks the upstream to cancel a request; returns whether it confirms that the request did not run.
+fn cancel_request(client: &UpstreamClient, envelope: &Envelope) -> bool {
+    let cancelled = client.cancel(envelope);
+    tracing::info!(request = %envelope.id, ?cancelled, "request cancelled");
+    cancelled.unwrap_or(false)
+}
+
 fn upstream_down() -> Refusal {
     Refusal::UpstreamRefused("the upstream is down".to_owned())
 }
--- a/tests/testsuite/upstream_client.rs
+++ b/tests/testsuite/upstream_client.rs
@@ -37,3 +37,11 @@
     assert!(!upstream_client::is_listening(address, PROBE_TIMEOUT));
     ending.join().expect("the accepting thread panicked");
 }
+
+#[test]
+fn only_a_refused_connection_proves_that_the_process_is_gone() {
+    let (listener, address) = listener();
+    assert!(!upstream_client::is_refused(address, PROBE_TIMEOUT));
+    drop(listener);
+    assert!(upstream_client::is_refused(address, PROBE_TIMEOUT));
+}
