Check that no request is outstanding and resign in one step

Callers would see two upstreams work on one key: a daemon without an upstream, or one that stops, found no request in flight, then a request for an owned key began (the upstream had announced itself again, or callers are still served while the daemon stops), then the daemon resigned its session, and the next owner served at once while the request ran.

Cause: the check and the resignation were two steps. UpstreamDispatcher::run_if_idle does both under the lock that each request needs to be registered; a request that is registered afterwards is refused its permit, since the session has ended.

The stop in node.rs had the same two steps; it uses the same call now, and no test shows that place alone.

--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -126,13 +126,12 @@
         if !handed_off {
             tracing::warn!("the slices were not handed over in time");
         }
-        let mut idle = self.dispatcher.wait_idle(STOP_POLL_INTERVAL, |_| true);
-        while !idle && Instant::now() < until {
-            idle = self.dispatcher.wait_idle(STOP_POLL_INTERVAL, |_| true);
+        let mut resigned = self.resign_if_idle();
+        while !resigned && Instant::now() < until {
+            self.dispatcher.wait_idle(STOP_POLL_INTERVAL, |_| true);
+            resigned = self.resign_if_idle();
         }
-        if idle {
-            self.membership.with_ownership(|o, now| o.resign(now));
-        } else {
+        if !resigned {
             // The witnesses detect the end when the lease expires, which also bounds the deadlines
             // of the requests in flight.
             tracing::warn!("stopped with requests in flight");
@@ -145,6 +144,12 @@
         }
     }
 
+    /// Resigns the session unless a request for an owned key is outstanding; returns whether it did.
+    fn resign_if_idle(&self) -> bool {
+        let resign = || self.membership.with_ownership(|o, now| o.resign(now));
+        self.dispatcher.run_if_idle(resign).is_some()
+    }
+
     /// Returns whether all slices were handed over: the table shows this daemon as leaving and as
     /// first candidate of no slice, and the daemon has announced that it adopted that table.
     fn has_handed_off(&self) -> bool {
--- a/src/process/periodic_tasks.rs
+++ b/src/process/periodic_tasks.rs
@@ -152,15 +152,19 @@
         let since = *state
             .without_upstream_since
             .get_or_insert_with(Instant::now);
+        if since.elapsed() <= RESIGN_AFTER {
+            return;
+        }
         // A frozen upstream may still finish a request. A request ends at the latest when the lease
         // under which it was sent lapses.
-        let is_idle = self.dispatcher.wait_idle(Duration::ZERO, |_| true);
-        if since.elapsed() > RESIGN_AFTER && is_idle {
-            state.without_upstream_since = None;
+        let resigned = self.dispatcher.run_if_idle(|| {
             tracing::warn!(
                 "session resigned: the planner did not move its slices after the upstream was lost"
             );
             self.membership.with_ownership(|o, now| o.resign(now));
+        });
+        if resigned.is_some() {
+            state.without_upstream_since = None;
         }
     }
 
--- a/src/process/upstream_dispatcher.rs
+++ b/src/process/upstream_dispatcher.rs
@@ -284,6 +284,16 @@
         }
     }
 
+    /// Calls `f` and returns its result if no request of any slice is outstanding; no request becomes
+    /// outstanding until `f` returns. `f` must not call this dispatcher.
+    pub fn run_if_idle<R>(&self, f: impl FnOnce() -> R) -> Option<R> {
+        let state = sync::lock(&self.state);
+        let is_idle = state.busy_until(self.clock.now(), |_| true).is_none();
+        let result = is_idle.then(f);
+        drop(state);
+        result
+    }
+
     /// Asks the upstream to cancel the requests of the slices selected by `released`. Those whose
     /// connections broke are no longer outstanding if they did not run, or their process is gone.
     pub fn cancel(&self, released: impl Fn(&ServiceSlice) -> bool) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod ownership_messages;
 mod pages;
 mod peer_pool;
+mod periodic_tasks;
 mod planner;
 mod product_upstream;
 mod quarantine;
