Simulate releases that take time, overlap and begin in another order

The simulation could not find a release or a resignation that is announced while something is still outstanding: a release began with its table, work was looked up by epoch, work on a slice was forgotten if it was lost twice, and a lapse or a resignation ended all work at once.

Work on a lost slice now ends at a drawn time, one in eight only with the permit, as a call without an answer does; a release begins up to 0.4 s after its table, waits for all work that no other release waits for (as the host daemon takes the ranges that it no longer serves), and several overlap. A resignation waits until the work has ended. Each announcement is checked against the work that continues.

With all rules in force releases begin in the order of their tables: the present tracker needs that. Once it doesn't, the order is to be drawn there too.

--- a/crates/bench/src/explore/fault_injector.rs
+++ b/crates/bench/src/explore/fault_injector.rs
@@ -46,7 +46,7 @@
                 simulation.nodes[node].platform_link_up = !simulation.nodes[node].platform_link_up;
                 simulation.lose_platform_replies = simulation.rng.random_ratio(1, 2);
             }
-            15 => simulation.with_ownership(node, |o, now| o.resign(now)),
+            15 => simulation.begin_resignation(node),
             16..=17 => Self::change_document(simulation),
             18 => Self::toggle_upstream(simulation, node),
             _ => simulation.datagram_loss_one_in = [0, 3, 10][simulation.rng.random_range(0..3)],
--- a/crates/bench/src/explore/invariant_checker.rs
+++ b/crates/bench/src/explore/invariant_checker.rs
@@ -39,8 +39,10 @@
                     continue;
                 };
                 let permit = ownership.permit_for_slice(now, service, slice).ok();
-                node.unfinished_work.retain(|_, (_, until)| *until > now);
-                if permit.is_none() && !node.unfinished_work.contains_key(&slice) {
+                let permit = permit.filter(|_| !node.is_resigning);
+                node.unfinished_work.retain(|w| w.ends_at > now);
+                let mut work = node.unfinished_work.iter();
+                if permit.is_none() && !work.any(|w| w.slice == slice) {
                     continue;
                 }
                 if let Some(other) = owner {
--- a/crates/bench/src/explore/mod.rs
+++ b/crates/bench/src/explore/mod.rs
@@ -1,10 +1,12 @@
 //! Randomised simulations of the production ownership code and planner, in virtual time.
 //!
 //! A seeded generator chooses partitions, pauses, lost datagrams, restarts, platform outages, lost
-//! replies of the platform, concurrent planners, slice moves, joins and resignations. After each
-//! event the simulation checks that at most one daemon works on a slice, that a slice's fencing
-//! token only rises, and that adopted epochs and document versions never fall. At the end all
-//! faults are repaired, and every slice must be served.
+//! replies of the platform, concurrent planners, slice moves, joins and resignations. Work on a slice
+//! that a daemon has lost continues for a while, at most until its permits end; releases begin with
+//! a delay, take as long as their work, and overlap. After each event the simulation checks that at
+//! most one daemon works on a slice, that no release is announced while work on its slices continues,
+//! that a slice's fencing token only rises, and that adopted epochs and document versions never fall.
+//! At the end all faults are repaired, and every slice must be served.
 
 pub mod fault_injector;
 pub mod invariant_checker;
--- a/crates/bench/src/explore/node.rs
+++ b/crates/bench/src/explore/node.rs
@@ -41,6 +41,19 @@
     }
 }
 
+/// Work on a slice that the process no longer serves, under permits that it had before.
+#[derive(Clone, Copy, Debug)]
+pub struct UnfinishedWork {
+    /// The slice.
+    pub slice: SliceId,
+    /// The epoch that took the slice away; `None` if the process lost it otherwise.
+    pub taken_by: Option<Epoch>,
+    /// The epoch of the release that waits for the work, if one does.
+    pub released_by: Option<Epoch>,
+    /// When the work ends, by the host's clock.
+    pub ends_at: Moment,
+}
+
 /// A host and the daemon process on it.
 pub struct Node {
     /// The address for datagrams from other daemons.
@@ -63,11 +76,16 @@
     pub join_requests: JoinRequests,
     /// The platform's revision at the last read of the table, the base of the next write.
     pub base_revision: Option<Revision>,
-    /// Unfinished work on slices that the process no longer serves: the epoch that took the slice
-    /// away, and until when the work may continue.
-    pub unfinished_work: BTreeMap<SliceId, (Epoch, Moment)>,
+    /// The latest end of the permits given for each slice that the process serves.
+    pub permits: BTreeMap<SliceId, Moment>,
+    /// Unfinished work on slices that the process no longer serves.
+    pub unfinished_work: Vec<UnfinishedWork>,
     /// The releases in progress.
     pub releases: ReleaseTracker,
+    /// When the last scheduled release begins.
+    pub last_release_begins_at: Time,
+    /// Whether the process serves nothing and resigns its session once its work has ended.
+    pub is_resigning: bool,
     /// The last adopted table epoch and document version, which must not fall.
     pub last_versions: (Epoch, DocumentVersion),
 }
@@ -87,8 +105,11 @@
             platform_link_up: true,
             join_requests: JoinRequests::default(),
             base_revision: None,
-            unfinished_work: BTreeMap::new(),
+            permits: BTreeMap::new(),
+            unfinished_work: Vec::new(),
             releases: ReleaseTracker::default(),
+            last_release_begins_at: 0,
+            is_resigning: false,
             last_versions: (Epoch::default(), DocumentVersion::default()),
         }
     }
@@ -98,7 +119,7 @@
     /// # Panics
     ///
     /// Panics if a constant name is invalid.
-    pub fn start(&mut self, at: Time, session: SessionId, seed: u64) {
+    pub fn start(&mut self, at: Time, session: SessionId, times: LeaseTimes, seed: u64) {
         let upstream = Upstream {
             service: SERVICE.parse().expect("valid name"),
             address: SocketAddr::new(self.peer.ip(), 9000),
@@ -121,16 +142,50 @@
             cpu_share: CPU_SHARE_DEFAULT,
         };
         let now = self.clock.read(at);
-        self.ownership = Some(Ownership::new(1, LeaseTimes::default(), info, now, seed));
+        self.ownership = Some(Ownership::new(1, times, info, now, seed));
         self.started_at = at;
         self.has_read_platform = false;
         self.join_requests = JoinRequests::default();
         self.base_revision = None;
+        self.permits.clear();
         self.unfinished_work.clear();
         self.releases = ReleaseTracker::default();
+        self.last_release_begins_at = at;
+        self.is_resigning = false;
         self.last_versions = (Epoch::default(), DocumentVersion::default());
     }
 
+    /// Returns whether work on a slice that the process no longer serves has not ended.
+    pub fn has_unfinished_work(&self, at: Time) -> bool {
+        let now = self.clock.read(at);
+        self.unfinished_work.iter().any(|w| w.ends_at > now)
+    }
+
+    /// Returns whether the release of `epoch` waits for work that has not ended.
+    pub fn is_release_busy(&self, at: Time, epoch: Epoch) -> bool {
+        let now = self.clock.read(at);
+        let mut work = self.unfinished_work.iter();
+        work.any(|w| w.released_by == Some(epoch) && w.ends_at > now)
+    }
+
+    /// Lets the release of `epoch` wait for all work that no other release waits for.
+    pub fn begin_release(&mut self, epoch: Epoch) {
+        self.releases.begin(epoch);
+        let unreleased = self.unfinished_work.iter_mut();
+        for work in unreleased.filter(|w| w.released_by.is_none()) {
+            work.released_by = Some(epoch);
+        }
+    }
+
+    /// Returns a slice that `epoch` or an earlier one took away, with unfinished work on it.
+    pub fn unreleased_slice(&self, at: Time, epoch: Epoch) -> Option<SliceId> {
+        let now = self.clock.read(at);
+        let mut work = self.unfinished_work.iter();
+        let is_taken = |w: &&UnfinishedWork| w.taken_by.is_some_and(|e| e <= epoch);
+        work.find(|w| is_taken(w) && w.ends_at > now)
+            .map(|w| w.slice)
+    }
+
     /// Returns whether the process exists and is not paused.
     pub fn is_running(&self, at: Time) -> bool {
         self.ownership.is_some() && at >= self.paused_until
--- a/crates/bench/src/explore/simulation.rs
+++ b/crates/bench/src/explore/simulation.rs
@@ -27,7 +27,7 @@
 
 use crate::explore::fault_injector::FaultInjector;
 use crate::explore::invariant_checker::InvariantChecker;
-use crate::explore::node::{HostClock, Node};
+use crate::explore::node::{HostClock, Node, UnfinishedWork};
 use crate::explore::tamper::Tamper;
 
 /// Virtual time, in microseconds.
@@ -51,6 +51,17 @@
 const RECOVERY_TIME: Time = 30_000 * MILLI;
 /// How long after recovery the planner must write no new table.
 const PLANNER_IDLE_TIME: Time = 5_000 * MILLI;
+/// The longest time until a release begins after its table was adopted.
+const RELEASE_DELAY_MAX: Time = 400 * MILLI;
+/// The longest time until the work on a lost slice ends, unless a call goes without an answer.
+const WORK_TIME_MAX: Time = 400 * MILLI;
+/// One in this number of lost slices has a call without an answer, which may be carried out until
+/// its permit ends.
+const UNANSWERED_ONE_IN: u32 = 8;
+/// The interval at which a release checks whether its work has ended.
+const RELEASE_POLL_INTERVAL: Time = 5 * MILLI;
+/// The times after which a lapsed session is ended, one of which applies to all daemons.
+const GIVE_UP_TIMES: [Duration; 2] = [Duration::from_millis(1200), Duration::from_secs(10)];
 /// The largest drift of a clock, in parts per million.
 const DRIFT_PPM_MAX: i64 = 5000;
 
@@ -87,14 +98,20 @@
         to: usize,
         version: DocumentVersion,
     },
-    Release {
-        node: usize,
-        instance: InstanceId,
-        epoch: Epoch,
-    },
+    BeginRelease(Release),
+    EndRelease(Release),
     InjectFault,
 }
 
+/// The release of the slices that a process has lost when it begins.
+#[derive(Clone, Copy, Debug)]
+struct Release {
+    node: usize,
+    instance: InstanceId,
+    /// The epoch of the table whose adoption started the release.
+    epoch: Epoch,
+}
+
 /// A simulated cell: daemons, network and platform.
 pub struct Simulation {
     /// The current virtual time.
@@ -129,6 +146,9 @@
     next_event_id: u64,
     steps: u64,
     checker: InvariantChecker,
+    times: LeaseTimes,
+    /// A release that was announced while work on one of its slices continued.
+    early_announcement: Option<String>,
     node_by_peer: BTreeMap<SocketAddr, usize>,
 }
 
@@ -148,6 +168,11 @@
                 Node::new(number, number % DOMAINS, HostClock { offset, drift_ppm })
             })
             .collect();
+        let give_up_after = GIVE_UP_TIMES[rng.random_range(0..GIVE_UP_TIMES.len())];
+        let times = LeaseTimes {
+            give_up_after,
+            ..LeaseTimes::default()
+        };
         let text = format!("services: {{{SERVICE}: {{slices: {SLICES}}}}}");
         let document = Document::parse(&text).expect("the document is valid");
         let node_by_peer = nodes
@@ -176,6 +201,8 @@
             next_event_id: 0,
             steps: 0,
             checker: InvariantChecker::default(),
+            times,
+            early_announcement: None,
             node_by_peer,
         };
         for node in 0..count {
@@ -234,6 +261,9 @@
             self.now = at;
             self.steps += 1;
             self.process_event(event);
+            if let Some(violation) = self.early_announcement.take() {
+                return Err(violation);
+            }
             self.checker
                 .check(at, &mut self.nodes, &self.service, SLICES)?;
             if at > end {
@@ -277,6 +307,7 @@
                 instance,
                 tenure: 1,
             },
+            self.times,
             seed,
         );
     }
@@ -299,6 +330,7 @@
                 instance,
                 tenure: tenure + 1,
             },
+            self.times,
             seed,
         );
     }
@@ -353,11 +385,8 @@
                     o.broadcast_versions();
                 }
             }),
-            Event::Release {
-                node,
-                instance,
-                epoch,
-            } => self.finish_release(node, instance, epoch),
+            Event::BeginRelease(release) => self.begin_release(release),
+            Event::EndRelease(release) => self.end_release(release),
             Event::InjectFault => {
                 if self.faults_enabled {
                     let delay = FaultInjector::inject_fault(self);
@@ -383,22 +412,26 @@
             return;
         }
         let now = self.nodes[number].clock.read(self.now);
-        let served_before = self.served_until(number);
+        self.record_permits(number);
         let Some(ownership) = &mut self.nodes[number].ownership else {
             return;
         };
+        let epoch_before = ownership.table().epoch;
         f(ownership, now);
         let actions = ownership.take_actions();
+        let epoch = ownership.table().epoch;
+        let taken_by = (epoch > epoch_before).then_some(epoch);
+        self.begin_work_on_lost_slices(number, taken_by);
         for action in actions {
-            self.perform_action(number, action, &served_before);
+            self.perform_action(number, action);
         }
     }
 
-    /// Returns the slices that a daemon may serve, each with the end of its permit.
+    /// Returns the slices that a daemon serves, each with the end of its permit.
     fn served_until(&self, number: usize) -> BTreeMap<SliceId, Moment> {
         let node = &self.nodes[number];
         let now = node.clock.read(self.now);
-        let Some(ownership) = &node.ownership else {
+        let Some(ownership) = node.ownership.as_ref().filter(|_| !node.is_resigning) else {
             return BTreeMap::new();
         };
         let slices = (0..SLICES).map(SliceId);
@@ -409,82 +442,148 @@
         served.collect()
     }
 
-    fn perform_action(
-        &mut self,
-        number: usize,
-        action: OwnershipAction,
-        served_before: &BTreeMap<SliceId, Moment>,
-    ) {
+    /// Records the permits that a daemon may have given out by now. A later permit may end earlier,
+    /// if the witnesses change.
+    fn record_permits(&mut self, number: usize) {
+        for (slice, until) in self.served_until(number) {
+            let permitted_until = self.nodes[number].permits.entry(slice).or_default();
+            *permitted_until = until.max(*permitted_until);
+        }
+    }
+
+    /// Lets the work on the slices that a daemon does not serve any more continue for a while, at
+    /// most until its permits end; `taken_by` is the epoch that took them away, if one did.
+    fn begin_work_on_lost_slices(&mut self, number: usize, taken_by: Option<Epoch>) {
+        let served = self.served_until(number);
+        let now = self.nodes[number].clock.read(self.now);
+        let permits = self.nodes[number]
+            .permits
+            .extract_if(.., |s, _| !served.contains_key(s));
+        let lost: Vec<(SliceId, Moment)> = permits.filter(|(_, until)| *until > now).collect();
+        for (slice, permitted_until) in lost {
+            let unanswered = self.rng.random_ratio(1, UNANSWERED_ONE_IN);
+            let work_time = Duration::from_micros(self.rng.random_range(0..WORK_TIME_MAX));
+            let ends_at = match unanswered {
+                true => permitted_until,
+                false => permitted_until.min(now + work_time),
+            };
+            self.nodes[number].unfinished_work.push(UnfinishedWork {
+                slice,
+                taken_by,
+                released_by: None,
+                ends_at,
+            });
+        }
+    }
+
+    fn perform_action(&mut self, number: usize, action: OwnershipAction) {
         match action {
             OwnershipAction::Send { to, datagram } => self.send(number, to, datagram),
             OwnershipAction::FetchTable { from, .. } => self.fetch_table(number, from),
             OwnershipAction::FetchConfiguration { from, .. } => {
                 self.fetch_document_version(number, from)
             }
-            OwnershipAction::TableAdopted(epoch) => {
-                self.handle_adopted_table(number, epoch, served_before)
-            }
-            OwnershipAction::LeaseLapsed => self.nodes[number].unfinished_work.clear(),
-            OwnershipAction::LeaseLive | OwnershipAction::SessionEnded(_) => {}
+            OwnershipAction::TableAdopted(epoch) => self.schedule_release(number, epoch),
+            OwnershipAction::LeaseLapsed
+            | OwnershipAction::LeaseLive
+            | OwnershipAction::SessionEnded(_) => {}
         }
     }
 
-    /// Schedules the release of slices that the daemon lost with the adopted table; its work on
-    /// them continues until then.
-    fn handle_adopted_table(
-        &mut self,
-        number: usize,
-        epoch: Epoch,
-        served_before: &BTreeMap<SliceId, Moment>,
-    ) {
-        let served_after = self.served_until(number);
-        let released = served_before
-            .iter()
-            .filter(|(s, _)| !served_after.contains_key(s));
-        let released: Vec<_> = released.map(|(&s, &until)| (s, (epoch, until))).collect();
+    /// Schedules the begin of the release of the slices that the daemon lost. Releases begin in the
+    /// order of their tables, and overlap.
+    fn schedule_release(&mut self, number: usize, epoch: Epoch) {
+        let delay = self.rng.random_range(0..RELEASE_DELAY_MAX);
         let node = &mut self.nodes[number];
-        node.unfinished_work.extend(released);
-        node.releases.begin(epoch);
         let Some(ownership) = &node.ownership else {
             return;
         };
-        let instance = ownership.info().session.instance;
-        let delay = self.rng.random_range(MILLI..400 * MILLI);
-        let release_early = self.tamper == Tamper::EarlyRelease;
-        let event = Event::Release {
+        let release = Release {
             node: number,
-            instance,
+            instance: ownership.info().session.instance,
             epoch,
         };
-        self.schedule(if release_early { MILLI } else { delay }, event);
+        let mut begins_at = self.now + delay;
+        if self.tamper != Tamper::UnorderedReleases {
+            begins_at = begins_at.max(node.last_release_begins_at + 1);
+        }
+        node.last_release_begins_at = begins_at;
+        self.schedule(begins_at - self.now, Event::BeginRelease(release));
     }
 
-    /// Ends the work on the slices that `epoch` took away and announces the release, unless the
-    /// process has changed since it was scheduled.
-    fn finish_release(&mut self, number: usize, instance: InstanceId, epoch: Epoch) {
-        let node = &mut self.nodes[number];
-        let same_instance = node
-            .ownership
-            .as_ref()
-            .is_some_and(|o| o.info().session.instance == instance);
-        if !same_instance {
+    /// Returns whether the process that began `release` exists and runs; schedules `event` again if
+    /// it is paused.
+    fn is_releasing(&mut self, release: Release, event: Event) -> bool {
+        let node = &self.nodes[release.node];
+        let ownership = node.ownership.as_ref();
+        let instance = ownership.map(|o| o.info().session.instance);
+        if instance != Some(release.instance) {
+            return false;
+        }
+        let running = node.is_running(self.now);
+        if !running {
+            let wait = node.paused_until - self.now;
+            self.schedule(wait, event);
+        }
+        running
+    }
+
+    /// Begins a release, which waits for the work that no other one waits for.
+    fn begin_release(&mut self, release: Release) {
+        if !self.is_releasing(release, Event::BeginRelease(release)) {
             return;
         }
-        if !node.is_running(self.now) {
-            let event = Event::Release {
-                node: number,
-                instance,
-                epoch,
-            };
-            self.schedule(TICK_INTERVAL, event);
+        self.nodes[release.node].begin_release(release.epoch);
+        self.schedule(MILLI, Event::EndRelease(release));
+    }
+
+    /// Ends a release and announces it, once its work has ended.
+    fn end_release(&mut self, release: Release) {
+        if !self.is_releasing(release, Event::EndRelease(release)) {
+            return;
+        }
+        let node = &mut self.nodes[release.node];
+        let is_early = self.tamper == Tamper::EarlyRelease;
+        if !is_early && node.is_release_busy(self.now, release.epoch) {
+            self.schedule(RELEASE_POLL_INTERVAL, Event::EndRelease(release));
             return;
         }
-        if self.tamper != Tamper::EarlyRelease {
-            node.unfinished_work.retain(|_, (e, _)| *e != epoch);
+        if let Some(released) = node.releases.end(release.epoch) {
+            self.announce_release(release.node, released);
         }
-        if let Some(released) = node.releases.end(epoch) {
-            self.with_ownership(number, |o, now| o.announce_release(now, released));
+    }
+
+    /// Announces a release, and checks that no work on its slices continues.
+    fn announce_release(&mut self, number: usize, epoch: Epoch) {
+        if let Some(slice) = self.nodes[number].unreleased_slice(self.now, epoch) {
+            self.early_announcement = Some(format!(
+                "slice {slice} at {}: node {number} announces {epoch} while its work continues",
+                self.now
+            ));
+        }
+        self.with_ownership(number, |o, now| o.announce_release(now, epoch));
+    }
+
+    /// Lets a daemon serve nothing more, and resign its session once its work has ended.
+    pub fn begin_resignation(&mut self, number: usize) {
+        if !self.nodes[number].is_running(self.now) {
+            return;
+        }
+        self.record_permits(number);
+        self.nodes[number].is_resigning = true;
+        self.begin_work_on_lost_slices(number, None);
+        self.resign_if_idle(number);
+    }
+
+    /// Resigns the session of a daemon that has begun to resign, once its work has ended.
+    fn resign_if_idle(&mut self, number: usize) {
+        let node = &mut self.nodes[number];
+        let is_early = self.tamper == Tamper::EarlyResignation;
+        if !node.is_resigning || (!is_early && node.has_unfinished_work(self.now)) {
+            return;
         }
+        self.with_ownership(number, |o, now| o.resign(now));
+        self.nodes[number].is_resigning = false;
     }
 
     /// Runs a daemon's periodic work.
@@ -493,7 +592,8 @@
             return;
         }
         self.with_ownership(number, |o, now| o.tick(now));
-        let times = LeaseTimes::default();
+        self.resign_if_idle(number);
+        let times = self.times;
         let lease_expiry = times.expiry_delay() + times.renewal_interval;
         let former_lease_time = u64::try_from(lease_expiry.as_micros()).unwrap_or(u64::MAX);
         let node = &self.nodes[number];
--- a/crates/bench/src/explore/tamper.rs
+++ b/crates/bench/src/explore/tamper.rs
@@ -27,10 +27,14 @@
     GrantAfterEnd,
     /// A daemon announces the release of slices while its work on them continues.
     EarlyRelease,
+    /// The releases of a daemon begin in another order than their tables came.
+    UnorderedReleases,
+    /// A daemon resigns its session while work under it continues.
+    EarlyResignation,
 }
 
 /// All values with their names on the command line.
-const NAMES: [(Tamper, &str); 9] = [
+const NAMES: [(Tamper, &str); 11] = [
     (Tamper::None, "none"),
     (Tamper::FirstFormerCandidateOnly, "leaving-first-only"),
     (Tamper::NoFormerCandidates, "leaving-nobody"),
@@ -40,6 +44,8 @@
     (Tamper::ForgetfulWitness, "forgetful-witness"),
     (Tamper::GrantAfterEnd, "grant-after-end"),
     (Tamper::EarlyRelease, "early-let-go"),
+    (Tamper::UnorderedReleases, "unordered-releases"),
+    (Tamper::EarlyResignation, "early-resignation"),
 ];
 
 impl Tamper {
