Record the result of each request before its slice is released

Callers would see: a booking on a shared service, or a request that had just completed, is repeated after its slice moved; each repetition waits until its deadline and gets "unknown", for ten minutes.

Cause: the release waits for the dispatcher of the daemon's own upstream. A request of a shared service runs on the upstream of any daemon, one may be queued for a slot, and each is recorded as completed a moment after the dispatcher is done with it. The records were handed over with these requests as running, and the release announced, while nobody would complete them at the next owner. It did not let a request run twice.

Not measured: how much longer moves take on a busy cell.

--- a/src/process/key_owner.rs
+++ b/src/process/key_owner.rs
@@ -273,6 +273,8 @@
 
     /// Releases the slices that the table of `epoch` took away: waits up to `timeout` for running
     /// requests, cancels the rest, hands the records over, and announces the release.
+    ///
+    /// Records whose requests don't complete within another `timeout` are handed over as running.
     pub fn release_lost_slices(&self, epoch: Epoch, timeout: Duration) {
         let released = |service_slice: &ServiceSlice| {
             self.membership
@@ -283,11 +285,28 @@
             // Each request ends at the latest with the lease under which it was sent.
             while !self.dispatcher.wait_idle(timeout, released) {}
         }
+        self.wait_for_results(timeout, released);
         self.hand_over(released);
         self.membership
             .with_ownership(|o, now| o.announce_release(now, epoch));
     }
 
+    /// Waits up to `timeout` until the result of each request for a released slice is recorded: a
+    /// request of a shared service runs on the upstream of any daemon, and another one is recorded
+    /// a moment after its response has arrived.
+    fn wait_for_results(&self, timeout: Duration, released: impl Fn(&ServiceSlice) -> bool) {
+        let until = self.clock.now() + timeout;
+        let mut record_state = sync::lock(&self.record_state);
+        while has_running_request(&record_state.records, &released) {
+            let remaining = until.since(self.clock.now());
+            if remaining.is_zero() {
+                return;
+            }
+            let waited = self.record_finished.wait_timeout(record_state, remaining);
+            record_state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
     /// Hands the records of released slices to the next owners.
     fn hand_over(&self, released: impl Fn(&ServiceSlice) -> bool) {
         let mut by_owner: BTreeMap<_, Vec<SliceHandover>> = BTreeMap::new();
@@ -374,6 +393,15 @@
     }
 }
 
+/// Returns whether a request for a released slice is recorded as running.
+fn has_running_request(records: &Records, released: impl Fn(&ServiceSlice) -> bool) -> bool {
+    let slices = records.slices();
+    let running = slices
+        .iter()
+        .filter(|(s, slice)| records.has_running(s, *slice));
+    running.into_iter().any(released)
+}
+
 /// Runs keyed requests on the local upstream.
 pub struct LocalRunner {
     /// The dispatcher of the local upstream.
--- a/src/request/records.rs
+++ b/src/request/records.rs
@@ -91,6 +91,12 @@
         self.slices.keys().cloned().collect()
     }
 
+    /// Returns whether a request of the slice is recorded as running.
+    pub fn has_running(&self, service: &ServiceName, slice: SliceId) -> bool {
+        let records = self.slices.get(&(service.clone(), slice));
+        records.is_some_and(SliceRecords::has_running)
+    }
+
     /// Returns the memory that the records use, in bytes.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -206,6 +212,11 @@
 }
 
 impl SliceRecords {
+    /// Returns whether a request is recorded as running.
+    fn has_running(&self) -> bool {
+        self.records.values().any(|r| r.response.is_none())
+    }
+
     /// Removes the completed record with the oldest key if `may_remove` returns true for the key;
     /// returns the size of the record.
     ///
--- a/tests/testsuite/periodic_tasks.rs
+++ b/tests/testsuite/periodic_tasks.rs
@@ -1,36 +1,21 @@
 //! The resignation of a session whose upstream was lost.
 
-use std::collections::BTreeMap;
-use std::net::UdpSocket;
-use std::sync::mpsc;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
-use foxtaildrift::connection::peer_pool::{PeerPool, PeerTimeouts};
-use foxtaildrift::connection::reactor::Reactor;
 use foxtaildrift::process::clock::{Clock, SystemClock};
-use foxtaildrift::process::key_owner::{KeyOwner, LocalRunner, Runner};
+use foxtaildrift::process::key_owner::{LocalRunner, Runner};
 use foxtaildrift::process::lease_times::LeaseTimes;
-use foxtaildrift::process::membership::Membership;
-use foxtaildrift::process::metrics::Metrics;
-use foxtaildrift::process::ownership::Ownership;
 use foxtaildrift::process::periodic_tasks::PeriodicTasks;
 use foxtaildrift::process::stop_flag::StopFlag;
-use foxtaildrift::process::upstream_dispatcher::UpstreamDispatcher;
-use foxtaildrift::version::assignment::Assignment;
-use foxtaildrift::version::epoch::Epoch;
-use foxtaildrift::version::instance_id::InstanceId;
-use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, Member, MemberInfo, WEIGHT_FULL};
 use foxtaildrift::version::service::Service;
-use foxtaildrift::version::session_id::SessionId;
 use foxtaildrift::version::slice_id::SliceId;
-use foxtaildrift::version::table::{ServiceSlices, Table};
-use foxtaildrift::version::witness_set::{WitnessAddress, WitnessSet};
 use tracing::field::{Field, Visit};
 use tracing::span::{Attributes, Id, Record};
 use tracing::{Event, Metadata, Subscriber};
 
+use crate::only_member::OnlyMember;
 use crate::product_upstream::{self, Conduct, StandIn};
 
 /// How long a request may run.
@@ -39,8 +24,6 @@
 const LOG_DELAY: Duration = Duration::from_millis(500);
 /// How long the test waits for an expected event.
 const WAIT_MAX: Duration = Duration::from_secs(20);
-/// Memory for records, in bytes.
-const RECORD_BYTES: usize = 1 << 20;
 
 /// Calls a function at each log line about a resigned session.
 struct ResignationHook(Box<dyn Fn() + Send + Sync>);
@@ -83,105 +66,6 @@
     }
 }
 
-/// A daemon that is the only member, its own witness and the owner of the only slice.
-struct OnlyMember {
-    membership: Arc<Membership>,
-    dispatcher: Arc<UpstreamDispatcher>,
-    owner: Arc<KeyOwner>,
-    metrics: Arc<Metrics>,
-    reactor: Arc<Reactor>,
-}
-
-impl OnlyMember {
-    fn start() -> Self {
-        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-        let socket = UdpSocket::bind("127.0.0.1:0").expect("could not bind a port");
-        let peer = socket.local_addr().expect("no local address");
-        let session = SessionId {
-            instance: InstanceId(1),
-            tenure: 1,
-        };
-        let info = MemberInfo {
-            session,
-            peer,
-            entry: peer,
-            domain: "zarzis".parse().expect("valid name"),
-            upstream: None,
-            leaving: false,
-            weight: WEIGHT_FULL,
-            cpu_share: CPU_SHARE_DEFAULT,
-        };
-        let times = LeaseTimes::default();
-        let ownership = Ownership::new(1, times, info.clone(), clock.now(), 7);
-        let reactor = Reactor::start().expect("no reactor");
-        let pool = PeerPool::new(&reactor, peer.ip(), PeerTimeouts::default());
-        let pool = Arc::new(pool);
-        let metrics = Arc::new(Metrics::new().expect("no metrics"));
-        let (events, _) = mpsc::channel();
-        let membership = Membership::new(
-            Arc::clone(&clock),
-            ownership,
-            socket,
-            Arc::clone(&pool),
-            Arc::clone(&metrics),
-            events,
-        );
-        let membership = Arc::new(membership.expect("no membership"));
-        membership.adopt_platform_table(table(info));
-        let dispatcher = Arc::new(UpstreamDispatcher::new(Arc::clone(&clock), |_| {}));
-        let owner = Arc::new(KeyOwner::new(
-            clock,
-            Arc::clone(&membership),
-            Arc::clone(&dispatcher),
-            pool,
-            RECORD_BYTES,
-            Duration::ZERO,
-        ));
-        Self {
-            membership,
-            dispatcher,
-            owner,
-            metrics,
-            reactor,
-        }
-    }
-
-    fn session(&self) -> SessionId {
-        self.membership.with_ownership(|o, _| o.info().session)
-    }
-}
-
-/// Returns a table whose only member is its own witness and owns the only slice.
-fn table(info: MemberInfo) -> Table {
-    let session = info.session;
-    let witness = WitnessAddress {
-        instance: session.instance,
-        peer: info.peer,
-    };
-    let member = Member {
-        info,
-        witnesses: vec![WitnessSet(vec![witness])],
-        witnesses_since: Epoch(1),
-        witnesses_confirming: false,
-    };
-    let assignment = Assignment {
-        candidates: vec![session],
-        since: Epoch(1),
-        ..Assignment::default()
-    };
-    let slices = ServiceSlices {
-        slices: vec![assignment],
-        range_starts: Vec::new(),
-    };
-    Table {
-        epoch: Epoch(1),
-        planner: session.instance,
-        members: BTreeMap::from([(session, member)]),
-        services: BTreeMap::from([(product_upstream::service(), slices)]),
-        ..Table::default()
-    }
-}
-
 #[test]
 fn no_request_begins_between_the_last_check_and_the_resignation() {
     // The upstream announces itself again, and a request for an owned key arrives, just after the
