--- a/crates/bench/src/explore/tamper.rs
+++ b/crates/bench/src/explore/tamper.rs
@@ -27,10 +27,15 @@
     GrantAfterEnd,
     /// A daemon announces the release of slices while its work on them continues.
     EarlyRelease,
+    /// A daemon announces the epoch for which a release was scheduled when that release ends, although
+    /// another one may have its slices.
+    ReleaseAnnouncedByNumber,
+    /// A daemon resigns its session while work under it continues.
+    EarlyResignation,
 }
 
 /// All values with their names on the command line.
-const NAMES: [(Tamper, &str); 9] = [
+const NAMES: [(Tamper, &str); 11] = [
     (Tamper::None, "none"),
     (Tamper::FirstFormerCandidateOnly, "leaving-first-only"),
     (Tamper::NoFormerCandidates, "leaving-nobody"),
@@ -40,6 +45,8 @@
     (Tamper::ForgetfulWitness, "forgetful-witness"),
     (Tamper::GrantAfterEnd, "grant-after-end"),
     (Tamper::EarlyRelease, "early-let-go"),
+    (Tamper::ReleaseAnnouncedByNumber, "release-by-number"),
+    (Tamper::EarlyResignation, "early-resignation"),
 ];
 
 impl Tamper {
