Bound the time in an upstream's Keep-Alive header

A caller saw its connection close without a response: the thread of its request panicked after the upstream had answered. The dispatch was never ended, so the upstream's slot stayed taken, and after as many such answers as it has slots nothing was sent to it any more.

Cause: the pool added the header's time to an `Instant`, which panics on overflow (`timeout=`). The time is now at most KEEP_ALIVE_MAX, an hour, before it is added.

Test before the fix: upstream_pool::an_odd_keep_alive_timeout_does_not_stop_the_requests: "overflow when adding duration to instant".

--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -23,6 +23,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// The fraction of the time in the `Keep-Alive` header for which a connection is reused.
 const KEEP_ALIVE_SHARE: f64 = 0.7;
+/// The longest time in the `Keep-Alive` header that counts.
+const KEEP_ALIVE_MAX: Duration = Duration::from_secs(3600);
 /// From which time on a connection that took long to establish is logged.
 const CONNECT_SLOW_MIN: Duration = Duration::from_millis(200);
 /// The most idle connections in the pool.
@@ -401,11 +403,12 @@
     Ok((head, framing))
 }
 
-/// Parses the timeout of a `Keep-Alive` header.
+/// Parses the timeout of a `Keep-Alive` header; a longer one than [`KEEP_ALIVE_MAX`] is reduced to it.
 fn keep_alive_timeout(text: &str) -> Option<Duration> {
     let mut parts = text.split(',');
     let seconds = parts.find_map(|p| p.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
+    let timeout = Duration::from_secs(seconds.trim().parse().ok()?);
+    Some(timeout.min(KEEP_ALIVE_MAX))
 }
 
 /// Converts an error that occurred after the request was sent.
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -434,3 +434,34 @@
         }
     }
 }
+
+/// Starts an upstream that responds to `count` requests on one connection, each time with the head
+/// lines `lines`.
+fn responding(lines: &str, count: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+    let to = listener.local_addr().expect("no local address");
+    let response =
+        format!("HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\n{lines}Content-Length: 0\r\n\r\n");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("no connection");
+        for _ in 0..count {
+            read_request(&mut stream);
+            if stream.write_all(response.as_bytes()).is_err() {
+                return;
+            }
+        }
+    });
+    to
+}
+
+#[test]
+fn an_odd_keep_alive_timeout_does_not_stop_the_requests() {
+    // Guards against a header of one upstream that ends the threads which call it.
+    for timeout in ["18446744073709551615", "9223372036854775807", "-1", "1e9"] {
+        let pool = pool(responding(&format!("Keep-Alive: timeout={timeout}\r\n"), 2));
+        for _ in 0..2 {
+            let result = send(&pool, "a");
+            assert!(result.is_ok(), "timeout={timeout}: {result:?}");
+        }
+    }
+}
