Bound the load of a range in the planner's sums

An operator saw no new table any more: the thread "plan" of the planning daemon had ended, and each daemon that took over planning ended the same way with the same report.

Cause: the planner adds the reported loads of ranges as u32; two reports near the largest number overflow, which panics (release builds have overflow checks). A load counts up to RANGE_LOAD_MAX, ten times the upstream's slots, far above all thresholds of the planner; 65,536 such ranges, the most that a decoded service has, sum up to less than a sixth of u32.

Test before the fix: host::ranges::load_reports_with_the_largest_numbers_do_not_stop_the_planner: "attempt to add with overflow".

--- a/src/process/planner/ranges.rs
+++ b/src/process/planner/ranges.rs
@@ -22,6 +22,9 @@
 const RANGES_MAX: usize = 768;
 /// The load above which a range is split, in per mille of an upstream's slots.
 const SPLIT_LOAD: u32 = 120;
+/// The largest load of a range that counts, in per mille of an upstream's slots. It bounds the sums
+/// over all ranges, whatever the daemons report.
+const RANGE_LOAD_MAX: u32 = 10_000;
 /// The weight of a range's width in its cost; its measured load has the remaining weight.
 const WIDTH_WEIGHT: f64 = 0.3;
 /// The multiple of its fair share up to which an owner takes over adjacent ranges without an owner.
@@ -165,7 +168,7 @@
         for start in starts {
             split.range_starts.push(start);
             split.slices.push(assignment.clone());
-            range_loads.push(load.map_or(0, |l| l.utilization) / parts);
+            range_loads.push(load.map_or(0, |l| l.utilization.min(RANGE_LOAD_MAX)) / parts);
         }
     }
     (split, range_loads)
--- a/tests/testsuite/host/ranges.rs
+++ b/tests/testsuite/host/ranges.rs
@@ -355,3 +355,23 @@
     cell.plan();
     assert!(owned(&cell) < after);
 }
+
+#[test]
+fn load_reports_with_the_largest_numbers_do_not_stop_the_planner() {
+    // Guards against an odd report of one daemon that ends the planner's thread on another.
+    let mut cell = Cell::new(6);
+    for n in 1..=6 {
+        let owned = (0..64)
+            .map(|part| part * 1024)
+            .filter(|&key| cell.owner(key) == session(n));
+        let split_keys: Vec<u16> = (0..=u16::MAX).rev().step_by(7).collect();
+        let ranges = owned
+            .map(|key| cell.range(key, u32::MAX, &split_keys))
+            .collect();
+        cell.report_load(n, u32::MAX, ranges);
+    }
+    cell.plan();
+    cell.report_load(6, 0, Vec::new());
+    cell.plan();
+    assert!(!cell.owners().is_empty());
+}
