Add the parts of a reported load as floating-point numbers

A caller saw its connection close without a response: the thread of its request panicked while it chose an upstream, and so did each later request of that service on that daemon until the load was replaced.

Cause: the selector added the reported requests in flight and in the queue as u32. Both are converted before they are added.

Test before the fix: host::upstream_selector::a_reported_load_with_the_largest_numbers_does_not_stop_the_ selection: "attempt to add with overflow" at upstream_selector.rs:161.

--- a/src/process/host/upstream_selector.rs
+++ b/src/process/host/upstream_selector.rs
@@ -158,7 +158,8 @@
             micros => f64::from(micros),
         };
         let age = now.since(self.load_at).as_secs_f64() / LOAD_DECAY.as_secs_f64();
-        let reported = f64::from(self.load.in_flight + self.load.waiting) * (-age).exp();
+        let reported = f64::from(self.load.in_flight) + f64::from(self.load.waiting);
+        let reported = reported * (-age).exp();
         let load = reported.max(f64::from(self.in_flight));
         let excess = (load + 1.0 - f64::from(slots)).max(0.0);
         let work = mean * (1.0 + load / f64::from(slots) * 0.25);
--- a/tests/testsuite/host/upstream_selector.rs
+++ b/tests/testsuite/host/upstream_selector.rs
@@ -95,3 +95,30 @@
         assert_eq!(member.info.session.instance, InstanceId(1));
     }
 }
+
+#[test]
+fn a_reported_load_with_the_largest_numbers_does_not_stop_the_selection() {
+    // Guards against an odd reply of one daemon that ends the requests of all others.
+    let members = members(2);
+    let selector = UpstreamSelector::default();
+    let largest = UpstreamLoad {
+        in_flight: u32::MAX,
+        waiting: u32::MAX,
+        slots: 0,
+        mean_micros: u32::MAX,
+        waited_ms: u32::MAX,
+        ran_ms: u32::MAX,
+    };
+    let busy = InstanceId(0);
+    selector.call_started(busy);
+    let outcome = AttemptOutcome {
+        failed: false,
+        duration: Duration::MAX,
+        load: Some(largest),
+    };
+    selector.call_ended(NOW, busy, outcome);
+    let domain = "domain-0".parse().unwrap();
+    let selected = selector.select(NOW, &members, &[], &domain, usize::MAX);
+    let idle = InstanceId(1);
+    assert_eq!(selected.map(|m| m.info.session.instance), Some(idle));
+}
