Saturate the sum of reserved bodies

Another daemon saw no reply to its request for room, and neither did all others for a second: the handler panicked on each request while a reservation of the largest size was kept.

Cause: the sizes were added as usize. The sums saturate, so that such a body is refused like any that does not fit.

Test before the fix: host::body_reservations::bodies_of_the_largest_size_are_refused_like_others: "attempt to add with overflow" at body_reservations.rs:52.

--- a/src/process/host/body_reservations.rs
+++ b/src/process/host/body_reservations.rs
@@ -48,8 +48,9 @@
         bytes: usize,
     ) -> Result<(), Duration> {
         self.reserved.retain(|_, (expiry, _)| *expiry > now);
-        let total: usize = self.reserved.values().map(|(_, bytes)| bytes).sum();
-        if total > 0 && total + bytes > self.bytes_max {
+        let sizes = self.reserved.values().map(|(_, bytes)| *bytes);
+        let total = sizes.fold(0, usize::saturating_add);
+        if total > 0 && total.saturating_add(bytes) > self.bytes_max {
             return Err(LINK_TIME);
         }
         let expiry = now + RESERVATION_TIMEOUT;
--- a/tests/testsuite/host/body_reservations.rs
+++ b/tests/testsuite/host/body_reservations.rs
@@ -67,3 +67,15 @@
     let later = now + Duration::from_millis(1100);
     assert!(reservations.reserve(later, "c", 1, BODY_BYTES).is_ok());
 }
+
+#[test]
+fn bodies_of_the_largest_size_are_refused_like_others() {
+    // Guards against an odd request of one daemon that makes all later ones fail.
+    let mut reservations = BodyReservations::new(10.0);
+    let now = Moment::from_millis(1000);
+    assert!(reservations.reserve(now, "a", 1, 1).is_ok());
+    assert!(reservations.reserve(now, "b", 1, usize::MAX).is_err());
+    reservations.release("a", 1);
+    assert!(reservations.reserve(now, "b", 1, usize::MAX).is_ok());
+    assert!(reservations.reserve(now, "c", 1, usize::MAX).is_err());
+}
