Ignore rates of a handover that are no numbers

An operator saw a range of keys that was reported as overloaded for ever.

Cause: an infinite rate that arrives with handed-over keys never decays. Rates that are not finite are left out, and others count up to RATE_MAX, which decays below the least rate within a minute.

--- a/src/process/host/load_meter.rs
+++ b/src/process/host/load_meter.rs
@@ -20,6 +20,8 @@
 const NEWEST_WEIGHT: f64 = 0.3;
 /// Rate below which a key is dropped, in requests per second.
 const RATE_MIN: f64 = 0.05;
+/// Largest rate of a key that is taken over from its former owner, in requests per second.
+const RATE_MAX: f64 = 1e6;
 /// Maximum number of ranges in a report.
 const RANGES_MAX: usize = 64;
 /// Target load of each part when a range is offered for splitting, in per mille of the upstream's
@@ -65,12 +67,13 @@
         removed.collect()
     }
 
-    /// Merges rates measured by the former owner of keys.
+    /// Merges rates measured by the former owner of keys; leaves out those that are no numbers.
     pub fn merge_rates(&mut self, rates: &[KeyRate]) {
         let weight = self.weight.max(NEWEST_WEIGHT);
-        for key_rate in rates {
+        for key_rate in rates.iter().filter(|r| r.rate.is_finite()) {
+            let measured = f64::from(key_rate.rate).min(RATE_MAX);
             let rate = self.rates.entry(key_rate.key.0).or_default();
-            *rate = rate.max(f64::from(key_rate.rate) * weight);
+            *rate = rate.max(measured * weight);
         }
     }
 
--- a/tests/testsuite/host/load_meter.rs
+++ b/tests/testsuite/host/load_meter.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use foxtaildrift::Table;
+use foxtaildrift::connection::peer_message::KeyRate;
 use foxtaildrift::connection::protocol::KeyRange;
 use foxtaildrift::process::host::load_meter::LoadMeter;
 use foxtaildrift::request::shard_key::ShardKey;
@@ -99,3 +100,22 @@
     );
     assert!(range.split_keys.is_sorted() && range.split_keys.len() <= 3);
 }
+
+#[test]
+fn an_odd_rate_of_a_former_owner_is_forgotten_after_a_while() {
+    // Guards against a handover that makes a range look overloaded for ever.
+    for odd in [f32::NAN, f32::INFINITY, f32::NEG_INFINITY, f32::MAX, -1.0] {
+        let (table, load) = (table(), load());
+        let mut meter = LoadMeter::default();
+        meter.merge_rates(&[KeyRate {
+            key: ShardKey(100),
+            rate: odd,
+        }]);
+        for _ in 0..120 {
+            meter.record(BTreeMap::new(), Duration::from_millis(500));
+        }
+        let report = meter.report(&table, &service(), OWNER, &load);
+        assert_eq!((report.rate, report.utilization), (0, 0), "{odd}");
+        assert_eq!(report.ranges, [], "{odd}");
+    }
+}
