Refuse a chunk whose size overflows the size of its body

A caller could end the thread of its connection if the operators' limit on bodies was the largest number.

Cause: the sum of the body so far and the chunk was compared with the limit after it had saturated, and then added again without saturation. The sum is now checked for overflow.

Test before the fix: http1::a_chunk_of_the_largest_size_is_refused_whatever_the_limit: "attempt to add with overflow" at http1.rs:258. The other new test, heads_and_chunk_lines_without_end_are_refused, held before: heads, interim responses, chunk lines and trailers without end are bounded.

--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -279,7 +279,8 @@
         if size == 0 {
             return skip_trailers(conn, deadline, recipient);
         }
-        if body.len().saturating_add(size) > bytes_max {
+        let end = body.len().checked_add(size);
+        if end.is_none_or(|end| end > bytes_max) {
             return Err(ConnectionError::TooLarge("body"));
         }
         read_exact(conn, size, body, deadline, recipient)?;
--- a/tests/testsuite/http1.rs
+++ b/tests/testsuite/http1.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use foxtaildrift::connection::buffered_connection::{BufferedConnection, ConnectionError};
@@ -27,6 +28,18 @@
     BufferedConnection::new(listener.accept().unwrap().0).unwrap()
 }
 
+/// Returns a connection that receives `bytes`, more than the sockets hold, and stays open.
+fn connection_sending(bytes: Vec<u8>) -> BufferedConnection {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut sender = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    thread::spawn(move || {
+        // Fails once the receiver has closed the connection.
+        let _ = sender.write_all(&bytes);
+        let _ = sender.read(&mut [0]);
+    });
+    BufferedConnection::new(listener.accept().unwrap().0).unwrap()
+}
+
 fn deadline() -> Instant {
     Instant::now() + Duration::from_secs(2)
 }
@@ -163,3 +176,46 @@
         }
     }
 }
+
+#[test]
+fn a_chunk_of_the_largest_size_is_refused_whatever_the_limit() {
+    let chunks = b"1\r\na\r\nffffffffffffffff\r\nb\r\n";
+    for limit in [0, 1, 1000, usize::MAX - 1, usize::MAX] {
+        let result = read_body(chunks, Framing::Chunked, limit);
+        assert!(
+            matches!(result, Err(ConnectionError::TooLarge("body"))),
+            "{limit}: {result:?}"
+        );
+    }
+}
+
+#[test]
+fn heads_and_chunk_lines_without_end_are_refused() {
+    let header = format!("HTTP/1.1 200 OK\r\nA: {}", "a".repeat(200_000));
+    let headers = format!("HTTP/1.1 200 OK\r\n{}", "A: a\r\n".repeat(40_000));
+    let status = format!("HTTP/1.1 200 {}", "a".repeat(200_000));
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n".repeat(8_000);
+    for head in [header, headers, status, interim] {
+        let mut conn = connection_sending(head.clone().into_bytes());
+        let read = http1::read_response_head(&mut conn, deadline(), &Recipient::none());
+        let refused = matches!(
+            read,
+            Err(ConnectionError::TooLarge(_) | ConnectionError::Malformed(_))
+        );
+        assert!(refused, "{}: {read:?}", &head[..30]);
+    }
+    let size = "0".repeat(100_000);
+    let extension = format!("1;{}", "a".repeat(100_000));
+    let trailer = format!("0\r\n{}", "a".repeat(100_000));
+    let trailers = format!("0\r\n{}", "A: a\r\n".repeat(20_000));
+    for chunks in [size, extension, trailer, trailers] {
+        let mut conn = connection_sending(chunks.clone().into_bytes());
+        let none = Recipient::none();
+        let read = http1::read_body(&mut conn, Framing::Chunked, 1000, deadline(), &none);
+        assert!(
+            matches!(read, Err(ConnectionError::Malformed(_))),
+            "{}: {read:?}",
+            &chunks[..10]
+        );
+    }
+}
