Refuse a table of an epoch that none can follow

An operator saw keys stay where they were for ever: after a table of the epoch, from the store or from another daemon, no other table was adopted, and the thread "plan" ended on each daemon that planned. Above 2^44 the tokens of grants also lost the highest digits of the epoch, so later ones were lower.

Cause: nothing bounded the epoch, and the next one was computed without regard to overflow. `Table::check` refuses an epoch above Epoch::LAST, the last that a fencing token has room for, and a slice that was assigned after the table's epoch, which its witnesses could never confirm. It runs wherever a table arrives; the previous one stays in force, with a `table-refused` line. `Epoch::next` saturates.

Tests before the fix: planner::a_table_of_the_last_epoch_does_not_stop_the_planner: "attempt to add with overflow" at epoch.rs:13; host::store_sync::an_invalid_table_leaves_the_previous_one_in_force and a_valid_table_after_an_invalid_one_is_adopted: "left: Epoch, right: Epoch(3)". A table that can't be decoded was refused before.

--- a/src/process/host/owned_range.rs
+++ b/src/process/host/owned_range.rs
@@ -14,6 +14,7 @@
 
 use crate::connection::protocol::KeyRange;
 use crate::request::shard_key::ShardKey;
+use crate::version::epoch::Epoch;
 use crate::version::fencing_token::FencingToken;
 
 /// Bits of a grant's fencing token that hold the owner's rank among the candidates.
@@ -21,6 +22,10 @@
 /// Bits of a grant's fencing token that count how often the session became live or the upstream
 /// needed higher fencing tokens.
 const INCARNATION_BITS: u32 = 18;
+/// Bits of a grant's fencing token that hold the epoch.
+const EPOCH_BITS: u32 = u64::BITS - RANK_BITS - INCARNATION_BITS;
+
+const _: () = assert!(Epoch::LAST.0 == (1 << EPOCH_BITS) - 1);
 
 /// Consecutive keys that are owned under one fencing token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -296,7 +296,7 @@
     }
 
     fn adopt_stored_table(&self, item: &KeyValue) {
-        let table: Table = match postcard::from_bytes(&item.value) {
+        let table = match Table::decode(&item.value) {
             Ok(table) => table,
             Err(e) => {
                 tracing::error!(event = "table-refused", revision = %item.revision, error = %e);
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -327,8 +327,12 @@
         }
     }
 
+    /// Adopts the table of another daemon.
     fn adopt_table(&self, table: Arc<Table>) {
-        self.with_ownership(|o, now| o.adopt_table(now, table));
+        match table.check() {
+            Ok(()) => self.with_ownership(|o, now| o.adopt_table(now, table)),
+            Err(e) => tracing::error!(event = "table-refused", error = %e),
+        }
     }
 
     /// Fetches the configuration of the daemon at `from` and adopts it.
--- a/src/process/platform_sync.rs
+++ b/src/process/platform_sync.rs
@@ -137,11 +137,10 @@
         let Some(stored) = self.platform.read(&key)? else {
             return Ok(StoredTable::default());
         };
-        let table: Table =
-            postcard::from_bytes(&stored.bytes).map_err(|e| PlatformError::Malformed {
-                location: key.to_string(),
-                reason: e.to_string(),
-            })?;
+        let table: Table = Table::decode(&stored.bytes).map_err(|e| PlatformError::Malformed {
+            location: key.to_string(),
+            reason: e.to_string(),
+        })?;
         let version = StoredTable {
             revision: stored.revision,
             epoch: table.epoch,
--- a/src/version/epoch.rs
+++ b/src/version/epoch.rs
@@ -8,8 +8,11 @@
 }
 
 impl Epoch {
-    /// Returns the following epoch.
+    /// The last epoch that a table may have: fencing tokens have no room for a later one.
+    pub const LAST: Self = Self((1 << 44) - 1);
+
+    /// Returns the following epoch, or the same one if the number is the largest.
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -33,5 +33,6 @@
 pub mod slice_id;
 pub mod table;
 pub mod table_delta;
+pub mod table_error;
 pub mod upstream;
 pub mod witness_set;
--- a/src/version/table.rs
+++ b/src/version/table.rs
@@ -14,6 +14,7 @@
 use crate::version::service_name::ServiceName;
 use crate::version::session_id::SessionId;
 use crate::version::slice_id::SliceId;
+use crate::version::table_error::TableError;
 
 /// The number of shard keys of a sharded service; a `usize` for arithmetic with slice indices.
 const KEY_COUNT: usize = 65_536;
@@ -159,6 +160,34 @@
 }
 
 impl Table {
+    /// Decodes a table and checks it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `bytes` is not an encoded table, or a check fails.
+    pub fn decode(bytes: &[u8]) -> Result<Self, TableError> {
+        let table: Self = postcard::from_bytes(bytes)?;
+        table.check()?;
+        Ok(table)
+    }
+
+    /// Checks that the table can be followed by further ones, and that each slice can be served under
+    /// it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its epoch is above [`Epoch::LAST`], or below one that assigned a slice.
+    pub fn check(&self) -> Result<(), TableError> {
+        if self.epoch > Epoch::LAST {
+            return Err(TableError::EpochTooLarge(self.epoch));
+        }
+        let newest = self.assignments().map(|(_, _, a)| a.since).max();
+        match newest.filter(|&since| since > self.epoch) {
+            Some(since) => Err(TableError::AssignedLater(since)),
+            None => Ok(()),
+        }
+    }
+
     /// Returns the assignment of a slice.
     pub fn assignment(&self, service: &ServiceName, slice: SliceId) -> Option<&Assignment> {
         self.services.get(service)?.assignment(slice)
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -12,4 +12,5 @@
 mod retry_budget_share;
 mod settings;
 mod stop_schedule;
+mod store_sync;
 mod upstream_selector;
--- /dev/null
+++ b/tests/testsuite/host/store_sync.rs
@@ -0,0 +1,204 @@
+//! What a daemon makes of odd values among those that it watches in the store.
+
+use std::collections::VecDeque;
+use std::net::{IpAddr, Ipv4Addr, UdpSocket};
+use std::sync::mpsc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use foxtaildrift::Table;
+use foxtaildrift::connection::peer_pool::{PeerPool, PeerTimeouts};
+use foxtaildrift::connection::protocol::{OperatorProtocol, RoutingConfigError};
+use foxtaildrift::connection::reactor::Reactor;
+use foxtaildrift::process::clock::{Clock, SystemClock};
+use foxtaildrift::process::host::store_sync::StoreSync;
+use foxtaildrift::process::lease_times::LeaseTimes;
+use foxtaildrift::process::membership::Membership;
+use foxtaildrift::process::metrics::Metrics;
+use foxtaildrift::process::ownership::Ownership;
+use foxtaildrift::process::platform::Revision;
+use foxtaildrift::process::stop_flag::StopFlag;
+use foxtaildrift::process::store::{
+    CommitOutcome, KeyChange, KeyValue, RangeResponse, Store, StoreError, TABLE_KEY, Transaction,
+    WatchResponse,
+};
+use foxtaildrift::version::epoch::Epoch;
+use foxtaildrift::version::instance_id::InstanceId;
+use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, MemberInfo, WEIGHT_FULL};
+use foxtaildrift::version::routing_config::RoutingConfig;
+use foxtaildrift::version::session_id::SessionId;
+
+/// The key of the configuration in [`PlainOperators`].
+const CONFIG_KEY: &str = "op/config";
+/// The prefix of the keys of evacuated failure domains in [`PlainOperators`].
+const EVACUATE_PREFIX: &str = "op/evacuate/";
+
+/// The value of [`CONFIG_KEY`] is the label; it must be UTF-8 text.
+struct PlainOperators;
+
+impl OperatorProtocol for PlainOperators {
+    fn key_prefix(&self) -> &str {
+        "op/"
+    }
+
+    fn parse(&self, items: &[KeyValue]) -> Result<RoutingConfig, RoutingConfigError> {
+        let error = |reason: &str| RoutingConfigError {
+            key: CONFIG_KEY.to_owned(),
+            field: "(root)".to_owned(),
+            reason: reason.to_owned(),
+        };
+        let config = items.iter().find(|i| i.key == CONFIG_KEY);
+        let config = config.ok_or_else(|| error("missing"))?;
+        let label = String::from_utf8(config.value.clone()).map_err(|_| error("not text"))?;
+        let evacuated = items
+            .iter()
+            .filter_map(|i| i.key.strip_prefix(EVACUATE_PREFIX));
+        Ok(RoutingConfig {
+            label,
+            evacuated: evacuated.filter_map(|d| d.parse().ok()).collect(),
+            ..RoutingConfig::default()
+        })
+    }
+}
+
+/// A store with prepared responses; after the last one it stops the daemon.
+#[derive(Default)]
+struct PreparedStore {
+    ranges: Mutex<VecDeque<RangeResponse>>,
+    watches: Mutex<VecDeque<WatchResponse>>,
+    stop: Arc<StopFlag>,
+}
+
+impl PreparedStore {
+    fn next<T>(&self, prepared: &Mutex<VecDeque<T>>) -> Result<T, StoreError> {
+        prepared.lock().unwrap().pop_front().ok_or_else(|| {
+            self.stop.set();
+            StoreError::Refused(503)
+        })
+    }
+}
+
+impl Store for PreparedStore {
+    fn range(&self, _: &str) -> Result<RangeResponse, StoreError> {
+        self.next(&self.ranges)
+    }
+
+    fn watch(&self, _: &str, _: Revision, _: Duration) -> Result<WatchResponse, StoreError> {
+        self.next(&self.watches)
+    }
+
+    fn commit(&self, _: &Transaction) -> Result<CommitOutcome, StoreError> {
+        Err(StoreError::Refused(503))
+    }
+
+    fn close(&self) {}
+}
+
+fn membership() -> Arc<Membership> {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    let info = MemberInfo {
+        session: SessionId {
+            instance: InstanceId(1),
+            tenure: 1,
+        },
+        peer: address,
+        entry: address,
+        domain: "zarzis".parse().unwrap(),
+        upstream: None,
+        leaving: false,
+        weight: WEIGHT_FULL,
+        cpu_share: CPU_SHARE_DEFAULT,
+    };
+    let ownership = Ownership::new(1, LeaseTimes::default(), info, clock.now(), 7);
+    let reactor = Reactor::start().unwrap();
+    let timeouts = PeerTimeouts {
+        acknowledge: Duration::from_millis(100),
+        reply: Duration::from_millis(500),
+    };
+    let pool = Arc::new(PeerPool::new(
+        &reactor,
+        IpAddr::V4(Ipv4Addr::LOCALHOST),
+        timeouts,
+    ));
+    let metrics = Arc::new(Metrics::new().unwrap());
+    let (events, _) = mpsc::channel();
+    Arc::new(Membership::new(clock, ownership, socket, pool, metrics, events).unwrap())
+}
+
+fn item(key: &str, value: &[u8], revision: u64) -> KeyValue {
+    KeyValue {
+        key: key.to_owned(),
+        value: value.to_vec(),
+        revision: Revision(revision),
+    }
+}
+
+fn range(items: Vec<KeyValue>, as_of: u64) -> RangeResponse {
+    RangeResponse {
+        items,
+        as_of: Revision(as_of),
+    }
+}
+
+fn changes(changes: Vec<KeyChange>, as_of: u64) -> WatchResponse {
+    WatchResponse::Changes {
+        changes,
+        as_of: Revision(as_of),
+    }
+}
+
+/// Returns the daemon's membership after it has watched the table in a store with these responses.
+fn after_table(ranges: Vec<RangeResponse>, watches: Vec<WatchResponse>) -> Arc<Membership> {
+    run(ranges, watches, |sync, stop| sync.sync_table(stop))
+}
+
+fn run(
+    ranges: Vec<RangeResponse>,
+    watches: Vec<WatchResponse>,
+    watch: impl FnOnce(&StoreSync, &StopFlag),
+) -> Arc<Membership> {
+    let membership = membership();
+    let store = Arc::new(PreparedStore {
+        ranges: Mutex::new(ranges.into()),
+        watches: Mutex::new(watches.into()),
+        stop: Arc::default(),
+    });
+    let stop = Arc::clone(&store.stop);
+    let protocol = Arc::new(PlainOperators);
+    let sync = StoreSync::new(store, protocol, Arc::clone(&membership), InstanceId(1));
+    watch(&sync, &stop);
+    membership
+}
+
+fn table(epoch: u64) -> Vec<u8> {
+    let table = Table {
+        epoch: Epoch(epoch),
+        ..Table::default()
+    };
+    postcard::to_stdvec(&table).unwrap()
+}
+
+#[test]
+fn an_invalid_table_leaves_the_previous_one_in_force() {
+    for odd in [Vec::new(), vec![0xff; 64], table(u64::MAX), table(1 << 44)] {
+        let membership = after_table(
+            vec![range(vec![item(TABLE_KEY, &table(3), 4)], 4)],
+            vec![changes(vec![KeyChange::Put(item(TABLE_KEY, &odd, 5))], 5)],
+        );
+        assert_eq!(membership.table().epoch, Epoch(3), "{odd:x?}");
+    }
+}
+
+#[test]
+fn a_valid_table_after_an_invalid_one_is_adopted() {
+    let membership = after_table(
+        vec![range(vec![item(TABLE_KEY, &table(u64::MAX), 4)], 4)],
+        vec![changes(
+            vec![KeyChange::Put(item(TABLE_KEY, &table(3), 5))],
+            5,
+        )],
+    );
+    assert_eq!(membership.table().epoch, Epoch(3));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod records;
 mod settings;
 mod store;
+mod table;
 mod table_delta;
 mod upstream_client;
 mod upstream_pool;
--- a/tests/testsuite/planner.rs
+++ b/tests/testsuite/planner.rs
@@ -230,3 +230,12 @@
         assert_eq!(cell.slices_by_owner(), slices_by_owner);
     }
 }
+
+#[test]
+fn a_table_of_the_last_epoch_does_not_stop_the_planner() {
+    let mut cell = Cell::new(3);
+    cell.table.epoch = Epoch(u64::MAX);
+    cell.join_requests.insert(InstanceId(4), info(4));
+    cell.plan(DOCUMENT);
+    assert_eq!(cell.table.epoch, Epoch(u64::MAX));
+}
