Apply evacuations while the newest configuration is invalid

An operator who evacuated a failure domain saw its upstreams still get requests, on all daemons, while the newest configuration in the store could not be parsed.

Cause: the configuration and the evacuations are parsed together, and a refused configuration stayed among the values of the daemon, so each later change was refused with it. A refused value is now replaced by the one that was valid the last time; the `routing-refused` line is unchanged.

Test before the fix: host::store_sync::an_invalid_configuration_leaves_the_previous_one_in_force_with_later_ changes: "left: ("first", []), right: ("first", ["zarzis"])".

--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -84,6 +84,8 @@
     join_requests: BTreeMap<String, MemberInfo>,
     /// Operators' routing values by key.
     routing_items: BTreeMap<String, KeyValue>,
+    /// Operators' routing values that were valid together the last time.
+    valid_routing_items: BTreeMap<String, KeyValue>,
 }
 
 /// Keeps the daemon and the store in sync.
@@ -236,20 +238,11 @@
 
     /// Adopts the operators' routing as of the revision `as_of`.
     fn adopt_routing(&self, as_of: Revision) {
-        let items: Vec<KeyValue> = sync::lock(&self.state)
-            .routing_items
-            .values()
-            .cloned()
-            .collect();
-        if items.is_empty() {
+        if sync::lock(&self.state).routing_items.is_empty() {
             return;
         }
-        let mut routing = match self.protocol.parse(&items) {
-            Ok(routing) => routing,
-            Err(e) => {
-                tracing::error!(event = "routing-refused", revision = %as_of, error = %e);
-                return;
-            }
+        let Some(mut routing) = self.parse_routing(as_of) else {
+            return;
         };
         // The newest revision among the values can't serve as the version: a removal leaves no
         // value behind, so after a restart the version would be lower than the table's.
@@ -267,6 +260,23 @@
         }
     }
 
+    /// Parses the operators' routing values. An invalid one is replaced by the one that was valid the
+    /// last time, so that later changes of the others still take effect.
+    fn parse_routing(&self, as_of: Revision) -> Option<RoutingConfig> {
+        let mut state = sync::lock(&self.state);
+        let refused = match self.protocol.parse(&to_items(&state.routing_items)) {
+            Ok(routing) => {
+                state.valid_routing_items = state.routing_items.clone();
+                return Some(routing);
+            }
+            Err(e) => e,
+        };
+        tracing::error!(event = "routing-refused", revision = %as_of, error = %refused);
+        let valid = state.valid_routing_items.get(&refused.key)?.clone();
+        state.routing_items.insert(refused.key, valid);
+        self.protocol.parse(&to_items(&state.routing_items)).ok()
+    }
+
     /// Applies the table and replaces the join requests by those in `range`.
     fn replace_table_and_joins(&self, range: RangeResponse) {
         sync::lock(&self.state).join_requests.clear();
@@ -588,3 +598,8 @@
         }
     }
 }
+
+/// Returns the values as the operators' protocol takes them.
+fn to_items(items: &BTreeMap<String, KeyValue>) -> Vec<KeyValue> {
+    items.values().cloned().collect()
+}
--- a/tests/testsuite/host/store_sync.rs
+++ b/tests/testsuite/host/store_sync.rs
@@ -149,6 +149,11 @@
     }
 }
 
+/// Returns the daemon's membership after it has watched the routing in a store with these responses.
+fn after_routing(ranges: Vec<RangeResponse>, watches: Vec<WatchResponse>) -> Arc<Membership> {
+    run(ranges, watches, |sync, stop| sync.sync_routing(stop))
+}
+
 /// Returns the daemon's membership after it has watched the table in a store with these responses.
 fn after_table(ranges: Vec<RangeResponse>, watches: Vec<WatchResponse>) -> Arc<Membership> {
     run(ranges, watches, |sync, stop| sync.sync_table(stop))
@@ -172,6 +177,13 @@
     membership
 }
 
+fn routing(membership: &Membership) -> (String, Vec<String>) {
+    let active = membership.active_configuration();
+    let routing = active.routing_config.as_ref().expect("no routing");
+    let evacuated = routing.evacuated.iter().map(ToString::to_string);
+    (routing.label.clone(), evacuated.collect())
+}
+
 fn table(epoch: u64) -> Vec<u8> {
     let table = Table {
         epoch: Epoch(epoch),
@@ -180,6 +192,29 @@
     postcard::to_stdvec(&table).unwrap()
 }
 
+#[test]
+fn an_invalid_configuration_leaves_the_previous_one_in_force_with_later_changes() {
+    let invalid = KeyChange::Put(item(CONFIG_KEY, &[0xff], 5));
+    let evacuation = KeyChange::Put(item("op/evacuate/zarzis", b"", 6));
+    let membership = after_routing(
+        vec![range(vec![item(CONFIG_KEY, b"first", 4)], 4)],
+        vec![changes(vec![invalid], 5), changes(vec![evacuation], 6)],
+    );
+    let expected = ("first".to_owned(), vec!["zarzis".to_owned()]);
+    assert_eq!(routing(&membership), expected);
+}
+
+#[test]
+fn a_valid_configuration_after_an_invalid_one_is_adopted() {
+    let invalid = KeyChange::Put(item(CONFIG_KEY, &[0xff], 5));
+    let valid = KeyChange::Put(item(CONFIG_KEY, b"second", 6));
+    let membership = after_routing(
+        vec![range(vec![item(CONFIG_KEY, b"first", 4)], 4)],
+        vec![changes(vec![invalid], 5), changes(vec![valid], 6)],
+    );
+    assert_eq!(routing(&membership), ("second".to_owned(), Vec::new()));
+}
+
 #[test]
 fn an_invalid_table_leaves_the_previous_one_in_force() {
     for odd in [Vec::new(), vec![0xff; 64], table(u64::MAX), table(1 << 44)] {
