Skip an entry of the store that can't be read

An operator saw `store-lost` with "the store sent a malformed answer", and no change of the routing or of the table any more: one entry of another writer, such as one nested very deeply or with a number too large, made each daemon reject the whole response and ask for the same again and again.

Cause: all entries were decoded as one JSON value. The decoder gives up at 128 levels and at numbers out of range wherever they are, and one value that is not base 64 was an error of the response. One that can't be decoded is skipped with an `entry-skipped` line at level error; a watch continues from its `AsOf`.

A skipped entry does not read as a removal: a range names the keys that it hides (all, if an entry's key can't be read), and their former values stay in force, among them the configuration and the table.

The tests of hidden keys use what this change adds, so they could not fail before.

--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -20,6 +20,7 @@
     TABLE_KEY, Transaction, WatchResponse,
 };
 use crate::process::sync;
+use crate::process::unreadable_entry::UnreadableEntry;
 use crate::version::document_version::DocumentVersion;
 use crate::version::epoch::Epoch;
 use crate::version::instance_id::InstanceId;
@@ -174,6 +175,7 @@
             let result = match after {
                 None => self.store.range(prefix).map(|range| {
                     let as_of = range.as_of;
+                    log_unreadable(name, &range.unreadable);
                     replace(range);
                     Some(as_of)
                 }),
@@ -182,7 +184,12 @@
                         self.store
                             .watch(prefix, revision, timeout.unwrap_or(WATCH_TIMEOUT));
                     response.map(|response| match response {
-                        WatchResponse::Changes { changes, as_of } => {
+                        WatchResponse::Changes {
+                            changes,
+                            as_of,
+                            unreadable,
+                        } => {
+                            log_unreadable(name, &unreadable);
                             apply(changes, as_of);
                             Some(as_of.max(revision))
                         }
@@ -207,10 +214,14 @@
         }
     }
 
-    /// Replaces the operators' routing values by those in `range`, and adopts them.
+    /// Replaces the operators' routing values by those in `range`, and adopts them. A value that
+    /// could not be read keeps its former content.
     fn replace_routing(&self, range: RangeResponse) {
+        let mut state = sync::lock(&self.state);
+        state.routing_items.retain(|key, _| range.may_hide(key));
         let items = range.items.into_iter().map(|i| (i.key.clone(), i));
-        sync::lock(&self.state).routing_items = items.collect();
+        state.routing_items.extend(items);
+        drop(state);
         self.adopt_routing(range.as_of);
     }
 
@@ -277,13 +288,18 @@
         self.protocol.parse(&to_items(&state.routing_items)).ok()
     }
 
-    /// Applies the table and replaces the join requests by those in `range`.
+    /// Applies the table and replaces the join requests by those in `range`. A request that could not
+    /// be read keeps its former content.
     fn replace_table_and_joins(&self, range: RangeResponse) {
-        sync::lock(&self.state).join_requests.clear();
+        let mut state = sync::lock(&self.state);
+        state.join_requests.retain(|key, _| range.may_hide(key));
         let has_table = range.items.iter().any(|i| i.key == TABLE_KEY);
         if !has_table {
-            sync::lock(&self.state).stored = Some(StoredTable::default());
+            // If there is a table that can't be read, a write that expects none fails.
+            let former = state.stored.filter(|_| range.may_hide(TABLE_KEY));
+            state.stored = Some(former.unwrap_or_default());
         }
+        drop(state);
         self.apply_table_and_join_changes(range.items.into_iter().map(KeyChange::Put).collect());
     }
 
@@ -590,6 +606,7 @@
     fn read_table(&self, health: &mut StoreHealth) {
         match self.store.range(TABLE_KEY) {
             Ok(range) => {
+                log_unreadable("table", &range.unreadable);
                 for item in range.items.iter().filter(|i| i.key == TABLE_KEY) {
                     self.adopt_stored_table(item);
                 }
@@ -599,6 +616,14 @@
     }
 }
 
+/// Logs the entries that could not be read in a response to the calls that the log names `watch`.
+fn log_unreadable(watch: &'static str, entries: &[UnreadableEntry]) {
+    for entry in entries {
+        let (key, reason) = (entry.key.as_deref(), &entry.reason);
+        tracing::error!(event = "entry-skipped", watch, key, reason);
+    }
+}
+
 /// Returns the values as the operators' protocol takes them.
 fn to_items(items: &BTreeMap<String, KeyValue>) -> Vec<KeyValue> {
     items.values().cloned().collect()
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -58,6 +58,7 @@
 pub mod sync;
 pub mod table_history;
 pub mod thread_pool;
+pub mod unreadable_entry;
 pub mod upstream_dispatcher;
 pub mod wall_time;
 pub mod witness;
--- a/src/process/store.rs
+++ b/src/process/store.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use crate::process::platform::Revision;
+use crate::process::unreadable_entry::UnreadableEntry;
 
 /// The key of the assignment table.
 pub const TABLE_KEY: &str = "foxtaildrift/table";
@@ -37,6 +38,16 @@
     pub items: Vec<KeyValue>,
     /// The store's revision before the first value was read; a watch continues from it.
     pub as_of: Revision,
+    /// The entries that could not be read; their keys have values all the same.
+    pub unreadable: Vec<UnreadableEntry>,
+}
+
+impl RangeResponse {
+    /// Returns whether one of the entries that could not be read may be that of `key`.
+    pub fn may_hide(&self, key: &str) -> bool {
+        let mut keys = self.unreadable.iter().map(|entry| entry.key.as_deref());
+        keys.any(|unreadable| unreadable.is_none_or(|k| k == key))
+    }
 }
 
 /// A change of a value.
@@ -62,6 +73,8 @@
         changes: Vec<KeyChange>,
         /// The revision to continue the watch from.
         as_of: Revision,
+        /// The changes that could not be read; the earlier values of their keys stay in force.
+        unreadable: Vec<UnreadableEntry>,
     },
     /// The store no longer has the changes after the requested revision, so the range must be read
     /// again.
--- a/tests/testsuite/host/store_sync.rs
+++ b/tests/testsuite/host/store_sync.rs
@@ -22,6 +22,7 @@
     CommitOutcome, KeyChange, KeyValue, RangeResponse, Store, StoreError, TABLE_KEY, Transaction,
     WatchResponse,
 };
+use foxtaildrift::process::unreadable_entry::UnreadableEntry;
 use foxtaildrift::version::epoch::Epoch;
 use foxtaildrift::version::instance_id::InstanceId;
 use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, MemberInfo, WEIGHT_FULL};
@@ -139,6 +140,7 @@
     RangeResponse {
         items,
         as_of: Revision(as_of),
+        ..RangeResponse::default()
     }
 }
 
@@ -146,6 +148,19 @@
     WatchResponse::Changes {
         changes,
         as_of: Revision(as_of),
+        unreadable: Vec::new(),
+    }
+}
+
+/// Returns a range without values, whose entries with these keys can't be read.
+fn unreadable_range(keys: &[Option<&str>], as_of: u64) -> RangeResponse {
+    let entry = |key: &Option<&str>| UnreadableEntry {
+        key: key.map(str::to_owned),
+        reason: "odd".to_owned(),
+    };
+    RangeResponse {
+        unreadable: keys.iter().map(entry).collect(),
+        ..range(Vec::new(), as_of)
     }
 }
 
@@ -237,3 +252,62 @@
     );
     assert_eq!(membership.table().epoch, Epoch(3));
 }
+
+#[test]
+fn values_that_cannot_be_read_again_are_not_removed() {
+    let hidden = [
+        vec![Some(CONFIG_KEY), Some("op/evacuate/zarzis")],
+        // Whose entry it is can't be read.
+        vec![None],
+    ];
+    for keys in hidden {
+        let items = vec![
+            item(CONFIG_KEY, b"first", 3),
+            item("op/evacuate/zarzis", b"", 4),
+        ];
+        let second = range(vec![item("op/evacuate/ajka", b"", 6)], 6);
+        let second = RangeResponse {
+            unreadable: unreadable_range(&keys, 6).unreadable,
+            ..second
+        };
+        let membership = after_routing(
+            vec![range(items, 4), second],
+            vec![WatchResponse::HistoryLost],
+        );
+        let evacuated = vec!["ajka".to_owned(), "zarzis".to_owned()];
+        assert_eq!(
+            routing(&membership),
+            ("first".to_owned(), evacuated),
+            "{keys:?}"
+        );
+    }
+}
+
+#[test]
+fn a_value_that_was_removed_is_not_kept_for_the_sake_of_another() {
+    let items = vec![
+        item(CONFIG_KEY, b"first", 3),
+        item("op/evacuate/zarzis", b"", 4),
+    ];
+    let second = RangeResponse {
+        unreadable: unreadable_range(&[Some("op/odd")], 6).unreadable,
+        ..range(vec![item(CONFIG_KEY, b"first", 3)], 6)
+    };
+    let membership = after_routing(
+        vec![range(items, 4), second],
+        vec![WatchResponse::HistoryLost],
+    );
+    assert_eq!(routing(&membership), ("first".to_owned(), Vec::new()));
+}
+
+#[test]
+fn a_table_that_cannot_be_read_again_stays_in_force() {
+    let membership = after_table(
+        vec![
+            range(vec![item(TABLE_KEY, &table(3), 4)], 4),
+            unreadable_range(&[Some(TABLE_KEY)], 5),
+        ],
+        vec![WatchResponse::HistoryLost],
+    );
+    assert_eq!(membership.table().epoch, Epoch(3));
+}
