Bound the size of a table before it is expanded

An operator would see a daemon killed for lack of memory after a table of some hundred bytes: runs of equal assignments are encoded once, so 65,536 slices cost as many bytes as one, and neither the number of services nor that of the sessions in an assignment was bounded.

Tables and deltas are decoded in their encoded form, and expanded only if all their services have at most TABLE_ENTRIES_MAX slices and sessions together: enough for 512 services of the largest size (4096 slices with three candidates each). The bytes on the wire are the same. A delta with invalid slices is now refused by `apply`, after which the whole table is fetched; it was a malformed frame before.

--- a/src/version/table.rs
+++ b/src/version/table.rs
@@ -1,6 +1,7 @@
 //! The assignment table, which all daemons of a cell share.
 
 use std::collections::BTreeMap;
+use std::iter;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -20,6 +21,9 @@
 const KEY_COUNT: usize = 65_536;
 /// The maximum number of slices of a service.
 const SLICES_MAX: usize = 65_536;
+/// The maximum number of slices of a table and sessions in their assignments, together. Runs are
+/// encoded once, so a few bytes could otherwise fill the memory of the daemon that decodes them.
+const TABLE_ENTRIES_MAX: usize = 8 * 1024 * 1024;
 
 /// The slices of one service.
 ///
@@ -34,23 +38,52 @@
 }
 
 /// The run-length encoded form of [`ServiceSlices`].
-#[derive(Serialize, Deserialize)]
-struct EncodedSlices {
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct EncodedSlices {
     runs: Vec<(u32, Assignment)>,
     range_starts: Vec<u16>,
 }
 
+impl EncodedSlices {
+    /// Returns the number of slices and of sessions in their assignments.
+    fn entry_count(&self) -> usize {
+        let entries = self.runs.iter().map(|(length, assignment)| {
+            let former = assignment.former_candidates.values();
+            let former = former.map(|f| 1 + f.predecessors.len()).sum::<usize>();
+            let length = usize::try_from(*length).unwrap_or(usize::MAX);
+            length.saturating_mul(1 + assignment.candidates.len() + former)
+        });
+        entries.fold(0, usize::saturating_add)
+    }
+}
+
+/// Checks that services that belong to one table are not too large together.
+///
+/// # Errors
+///
+/// Returns an error if they have more than [`TABLE_ENTRIES_MAX`] slices and sessions.
+pub(super) fn check_size<'s>(
+    services: impl IntoIterator<Item = &'s EncodedSlices>,
+) -> Result<(), &'static str> {
+    let counts = services.into_iter().map(EncodedSlices::entry_count);
+    match counts.fold(0, usize::saturating_add) > TABLE_ENTRIES_MAX {
+        true => Err("the table is too large"),
+        false => Ok(()),
+    }
+}
+
 impl TryFrom<EncodedSlices> for ServiceSlices {
     type Error = &'static str;
 
     fn try_from(encoded: EncodedSlices) -> Result<Self, Self::Error> {
+        check_size(iter::once(&encoded))?;
         let mut slices = Vec::new();
         for (length, assignment) in encoded.runs {
             let length = usize::try_from(length).unwrap_or(usize::MAX);
             if length > SLICES_MAX - slices.len() {
                 return Err("too many slices");
             }
-            slices.extend(std::iter::repeat_n(assignment, length));
+            slices.extend(iter::repeat_n(assignment, length));
         }
         let range_starts = encoded.range_starts;
         let is_ascending = range_starts.first().is_none_or(|&start| start == 0)
@@ -146,6 +179,7 @@
 
 /// The assignment table, stored as one value on the platform and changed by compare-and-swap only.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "EncodedTable")]
 pub struct Table {
     /// The version of this table.
     pub epoch: Epoch,
@@ -159,6 +193,33 @@
     pub services: BTreeMap<ServiceName, ServiceSlices>,
 }
 
+/// A table whose services are not expanded yet.
+#[derive(Deserialize)]
+struct EncodedTable {
+    epoch: Epoch,
+    document: DocumentVersion,
+    planner: InstanceId,
+    members: BTreeMap<SessionId, Member>,
+    services: BTreeMap<ServiceName, EncodedSlices>,
+}
+
+impl TryFrom<EncodedTable> for Table {
+    type Error = &'static str;
+
+    fn try_from(encoded: EncodedTable) -> Result<Self, Self::Error> {
+        check_size(encoded.services.values())?;
+        let services = encoded.services.into_iter();
+        let services = services.map(|(name, slices)| Ok((name, slices.try_into()?)));
+        Ok(Self {
+            epoch: encoded.epoch,
+            document: encoded.document,
+            planner: encoded.planner,
+            members: encoded.members,
+            services: services.collect::<Result<_, Self::Error>>()?,
+        })
+    }
+}
+
 impl Table {
     /// Decodes a table and checks it.
     ///
--- a/src/version/table_delta.rs
+++ b/src/version/table_delta.rs
@@ -14,7 +14,7 @@
 use crate::version::member::Member;
 use crate::version::service_name::ServiceName;
 use crate::version::session_id::SessionId;
-use crate::version::table::{ServiceSlices, Table};
+use crate::version::table::{self, EncodedSlices, ServiceSlices, Table};
 
 /// A delta that can't be applied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -25,13 +25,16 @@
     /// The result is not the table that the sender has.
     #[error("the result differs from the sender's table of epoch {0}")]
     Mismatch(Epoch),
+    /// The slices of a service are invalid.
+    #[error("invalid slices: {0}")]
+    InvalidSlices(&'static str),
 }
 
 /// What changes a service's slices.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum SlicesDelta {
     /// All slices are replaced.
-    Whole(ServiceSlices),
+    Whole(EncodedSlices),
     /// Some key ranges are removed, and some are added or assigned anew.
     Ranges {
         removed: BTreeSet<u16>,
@@ -39,6 +42,16 @@
     },
 }
 
+impl SlicesDelta {
+    /// Returns the slices that replace all slices of the service, if they do.
+    fn whole(&self) -> Option<&EncodedSlices> {
+        match self {
+            SlicesDelta::Whole(slices) => Some(slices),
+            SlicesDelta::Ranges { .. } => None,
+        }
+    }
+}
+
 /// What changes the table of one epoch to that of a later one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableDelta {
@@ -83,11 +96,16 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if `base` is not the table that the delta changes.
+    /// Returns an error if `base` is not the table that the delta changes, or the delta is invalid.
     pub fn apply(self, base: &Table) -> Result<Table, TableDeltaError> {
         if base.epoch != self.base {
             return Err(TableDeltaError::OtherBase(self.base));
         }
+        let replaced = self
+            .changed_services
+            .values()
+            .filter_map(SlicesDelta::whole);
+        table::check_size(replaced).map_err(TableDeltaError::InvalidSlices)?;
         let mut table = base.clone();
         table.epoch = self.epoch;
         table.document = self.document;
@@ -101,7 +119,7 @@
             .retain(|name, _| !self.removed_services.contains(name));
         for (name, delta) in self.changed_services {
             let slices = table.services.entry(name).or_default();
-            apply_slices_delta(slices, delta);
+            apply_slices_delta(slices, delta).map_err(TableDeltaError::InvalidSlices)?;
         }
         match digest(&table) == self.digest {
             true => Ok(table),
@@ -115,7 +133,7 @@
     let base = match base {
         Some(base) if base == slices => return None,
         Some(base) if !base.range_starts.is_empty() && !slices.range_starts.is_empty() => base,
-        _ => return Some(SlicesDelta::Whole(slices.clone())),
+        _ => return Some(SlicesDelta::Whole(slices.clone().into())),
     };
     let (before, after) = (by_start(base), by_start(slices));
     let removed = before.keys().filter(|s| !after.contains_key(*s));
@@ -126,11 +144,12 @@
     })
 }
 
-fn apply_slices_delta(slices: &mut ServiceSlices, delta: SlicesDelta) {
+/// Changes `slices` by `delta`; returns an error if the new slices are invalid.
+fn apply_slices_delta(slices: &mut ServiceSlices, delta: SlicesDelta) -> Result<(), &'static str> {
     let (removed, changed) = match delta {
         SlicesDelta::Whole(whole) => {
-            *slices = whole;
-            return;
+            *slices = whole.try_into()?;
+            return Ok(());
         }
         SlicesDelta::Ranges { removed, changed } => (removed, changed),
     };
@@ -140,6 +159,7 @@
     ranges.retain(|start, _| !removed.contains(start));
     ranges.extend(changed);
     (slices.range_starts, slices.slices) = ranges.into_iter().unzip();
+    Ok(())
 }
 
 /// Returns the assignments of key ranges by their first keys.
