Check what daemons send each other with damaged messages

Arbitrary bytes, and valid datagrams, frames, tables, join requests, facts and load reports with changed, inserted, removed and cut bytes and with the largest numbers in place of others, go through the decoders, through a daemon's ownership for some seconds, through the planner and through table deltas.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,3 +26,4 @@
 mod table_delta;
 mod upstream_client;
 mod upstream_pool;
+mod wire_properties;
