List a panic on a table with an earlier assignment as red, with its test

An operator would see a daemon whose threads end one after another, after a table of another writer that gives a slice which the daemon serves an earlier epoch of assignment: `Ownership::permit_for_slice` asserts that the token of a slice never decreases, and the assertion is active in release builds.

The test fails each time: "a slice's fencing token never decreases" at ownership.rs:381. Two ways are open: refuse such a table in `adopt_table`, or don't serve the slice (an error in place of the assertion).

--- a/tests/testsuite/ownership_messages.rs
+++ b/tests/testsuite/ownership_messages.rs
@@ -14,12 +14,14 @@
 use foxtaildrift::process::ownership::Ownership;
 use foxtaildrift::process::ownership_action::OwnershipAction;
 use foxtaildrift::process::session_facts::SessionFacts;
+use foxtaildrift::version::assignment::Assignment;
 use foxtaildrift::version::document_version::DocumentVersion;
 use foxtaildrift::version::epoch::Epoch;
 use foxtaildrift::version::instance_id::InstanceId;
 use foxtaildrift::version::member::{Member, MemberInfo};
 use foxtaildrift::version::session_id::SessionId;
-use foxtaildrift::version::table::Table;
+use foxtaildrift::version::table::{ServiceSlices, Table};
+use foxtaildrift::version::witness_set::{WitnessAddress, WitnessSet};
 
 const CELL_HASH: u64 = 1;
 const MEMBERS: u64 = 200;
@@ -184,3 +186,36 @@
     third.receive(now, facts_from(0, resignation(0)));
     assert_eq!(third.domain_position(), Some(1));
 }
+
+#[test]
+fn a_table_that_assigns_a_slice_at_an_earlier_epoch_does_not_stop_the_daemon() {
+    // Guards against an odd table that ends the threads which ask what this daemon serves.
+    let table_with = |epoch: u64, since: u64| {
+        let mut table = Arc::unwrap_or_clone(table(epoch, 1..2));
+        let own = table.members.get_mut(&session(1)).unwrap();
+        let witness = WitnessAddress {
+            instance: InstanceId(1),
+            peer: peer(1),
+        };
+        own.witnesses = vec![WitnessSet(vec![witness])];
+        let mut slices = ServiceSlices::ranged(1);
+        slices.slices[0] = Assignment {
+            candidates: vec![session(1)],
+            since: Epoch(since),
+            ..Assignment::default()
+        };
+        table.services.insert("desk".parse().unwrap(), slices);
+        Arc::new(table)
+    };
+    let mut daemon = daemon(1, 1);
+    let mut now = Moment::default() + Duration::from_secs(1);
+    daemon.adopt_table(now, table_with(5, 5));
+    for _ in 0..3 {
+        now = now + Duration::from_millis(100);
+        daemon.tick(now);
+    }
+    assert_eq!(daemon.served_slices(now).len(), 1);
+    daemon.adopt_table(now, table_with(6, 4));
+    daemon.tick(now);
+    daemon.served_slices(now);
+}
