--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -20,6 +20,7 @@
     TABLE_KEY, Transaction, WatchResponse,
 };
 use crate::process::sync;
+use crate::process::unreadable_entry::UnreadableEntry;
 use crate::version::document_version::DocumentVersion;
 use crate::version::epoch::Epoch;
 use crate::version::instance_id::InstanceId;
@@ -84,6 +85,8 @@
     join_requests: BTreeMap<String, MemberInfo>,
     /// Operators' routing values by key.
     routing_items: BTreeMap<String, KeyValue>,
+    /// Operators' routing values that were valid together the last time.
+    valid_routing_items: BTreeMap<String, KeyValue>,
 }
 
 /// Keeps the daemon and the store in sync.
@@ -172,6 +175,7 @@
             let result = match after {
                 None => self.store.range(prefix).map(|range| {
                     let as_of = range.as_of;
+                    log_unreadable(name, &range.unreadable);
                     replace(range);
                     Some(as_of)
                 }),
@@ -180,7 +184,12 @@
                         self.store
                             .watch(prefix, revision, timeout.unwrap_or(WATCH_TIMEOUT));
                     response.map(|response| match response {
-                        WatchResponse::Changes { changes, as_of } => {
+                        WatchResponse::Changes {
+                            changes,
+                            as_of,
+                            unreadable,
+                        } => {
+                            log_unreadable(name, &unreadable);
                             apply(changes, as_of);
                             Some(as_of.max(revision))
                         }
@@ -205,10 +214,14 @@
         }
     }
 
-    /// Replaces the operators' routing values by those in `range`, and adopts them.
+    /// Replaces the operators' routing values by those in `range`, and adopts them. A value that
+    /// could not be read keeps its former content.
     fn replace_routing(&self, range: RangeResponse) {
+        let mut state = sync::lock(&self.state);
+        state.routing_items.retain(|key, _| range.may_hide(key));
         let items = range.items.into_iter().map(|i| (i.key.clone(), i));
-        sync::lock(&self.state).routing_items = items.collect();
+        state.routing_items.extend(items);
+        drop(state);
         self.adopt_routing(range.as_of);
     }
 
@@ -236,20 +249,11 @@
 
     /// Adopts the operators' routing as of the revision `as_of`.
     fn adopt_routing(&self, as_of: Revision) {
-        let items: Vec<KeyValue> = sync::lock(&self.state)
-            .routing_items
-            .values()
-            .cloned()
-            .collect();
-        if items.is_empty() {
+        if sync::lock(&self.state).routing_items.is_empty() {
             return;
         }
-        let mut routing = match self.protocol.parse(&items) {
-            Ok(routing) => routing,
-            Err(e) => {
-                tracing::error!(event = "routing-refused", revision = %as_of, error = %e);
-                return;
-            }
+        let Some(mut routing) = self.parse_routing(as_of) else {
+            return;
         };
         // The newest revision among the values can't serve as the version: a removal leaves no
         // value behind, so after a restart the version would be lower than the table's.
@@ -267,13 +271,35 @@
         }
     }
 
-    /// Applies the table and replaces the join requests by those in `range`.
+    /// Parses the operators' routing values. An invalid one is replaced by the one that was valid the
+    /// last time, so that later changes of the others still take effect.
+    fn parse_routing(&self, as_of: Revision) -> Option<RoutingConfig> {
+        let mut state = sync::lock(&self.state);
+        let refused = match self.protocol.parse(&to_items(&state.routing_items)) {
+            Ok(routing) => {
+                state.valid_routing_items = state.routing_items.clone();
+                return Some(routing);
+            }
+            Err(e) => e,
+        };
+        tracing::error!(event = "routing-refused", revision = %as_of, error = %refused);
+        let valid = state.valid_routing_items.get(&refused.key)?.clone();
+        state.routing_items.insert(refused.key, valid);
+        self.protocol.parse(&to_items(&state.routing_items)).ok()
+    }
+
+    /// Applies the table and replaces the join requests by those in `range`. A request that could not
+    /// be read keeps its former content.
     fn replace_table_and_joins(&self, range: RangeResponse) {
-        sync::lock(&self.state).join_requests.clear();
+        let mut state = sync::lock(&self.state);
+        state.join_requests.retain(|key, _| range.may_hide(key));
         let has_table = range.items.iter().any(|i| i.key == TABLE_KEY);
         if !has_table {
-            sync::lock(&self.state).stored = Some(StoredTable::default());
+            // If there is a table that can't be read, a write that expects none fails.
+            let former = state.stored.filter(|_| range.may_hide(TABLE_KEY));
+            state.stored = Some(former.unwrap_or_default());
         }
+        drop(state);
         self.apply_table_and_join_changes(range.items.into_iter().map(KeyChange::Put).collect());
     }
 
@@ -296,7 +322,7 @@
     }
 
     fn adopt_stored_table(&self, item: &KeyValue) {
-        let table: Table = match postcard::from_bytes(&item.value) {
+        let table = match Table::decode(&item.value) {
             Ok(table) => table,
             Err(e) => {
                 tracing::error!(event = "table-refused", revision = %item.revision, error = %e);
@@ -580,6 +606,7 @@
     fn read_table(&self, health: &mut StoreHealth) {
         match self.store.range(TABLE_KEY) {
             Ok(range) => {
+                log_unreadable("table", &range.unreadable);
                 for item in range.items.iter().filter(|i| i.key == TABLE_KEY) {
                     self.adopt_stored_table(item);
                 }
@@ -588,3 +615,16 @@
         }
     }
 }
+
+/// Logs the entries that could not be read in a response to the calls that the log names `watch`.
+fn log_unreadable(watch: &'static str, entries: &[UnreadableEntry]) {
+    for entry in entries {
+        let (key, reason) = (entry.key.as_deref(), &entry.reason);
+        tracing::error!(event = "entry-skipped", watch, key, reason);
+    }
+}
+
+/// Returns the values as the operators' protocol takes them.
+fn to_items(items: &BTreeMap<String, KeyValue>) -> Vec<KeyValue> {
+    items.values().cloned().collect()
+}
--- /dev/null
+++ b/tests/testsuite/host/store_sync.rs
@@ -0,0 +1,313 @@
+//! What a daemon makes of odd values among those that it watches in the store.
+
+use std::collections::VecDeque;
+use std::net::{IpAddr, Ipv4Addr, UdpSocket};
+use std::sync::mpsc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use foxtaildrift::Table;
+use foxtaildrift::connection::peer_pool::{PeerPool, PeerTimeouts};
+use foxtaildrift::connection::protocol::{OperatorProtocol, RoutingConfigError};
+use foxtaildrift::connection::reactor::Reactor;
+use foxtaildrift::process::clock::{Clock, SystemClock};
+use foxtaildrift::process::host::store_sync::StoreSync;
+use foxtaildrift::process::lease_times::LeaseTimes;
+use foxtaildrift::process::membership::Membership;
+use foxtaildrift::process::metrics::Metrics;
+use foxtaildrift::process::ownership::Ownership;
+use foxtaildrift::process::platform::Revision;
+use foxtaildrift::process::stop_flag::StopFlag;
+use foxtaildrift::process::store::{
+    CommitOutcome, KeyChange, KeyValue, RangeResponse, Store, StoreError, TABLE_KEY, Transaction,
+    WatchResponse,
+};
+use foxtaildrift::process::unreadable_entry::UnreadableEntry;
+use foxtaildrift::version::epoch::Epoch;
+use foxtaildrift::version::instance_id::InstanceId;
+use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, MemberInfo, WEIGHT_FULL};
+use foxtaildrift::version::routing_config::RoutingConfig;
+use foxtaildrift::version::session_id::SessionId;
+
+/// The key of the configuration in [`PlainOperators`].
+const CONFIG_KEY: &str = "op/config";
+/// The prefix of the keys of evacuated failure domains in [`PlainOperators`].
+const EVACUATE_PREFIX: &str = "op/evacuate/";
+
+/// The value of [`CONFIG_KEY`] is the label; it must be UTF-8 text.
+struct PlainOperators;
+
+impl OperatorProtocol for PlainOperators {
+    fn key_prefix(&self) -> &str {
+        "op/"
+    }
+
+    fn parse(&self, items: &[KeyValue]) -> Result<RoutingConfig, RoutingConfigError> {
+        let error = |reason: &str| RoutingConfigError {
+            key: CONFIG_KEY.to_owned(),
+            field: "(root)".to_owned(),
+            reason: reason.to_owned(),
+        };
+        let config = items.iter().find(|i| i.key == CONFIG_KEY);
+        let config = config.ok_or_else(|| error("missing"))?;
+        let label = String::from_utf8(config.value.clone()).map_err(|_| error("not text"))?;
+        let evacuated = items
+            .iter()
+            .filter_map(|i| i.key.strip_prefix(EVACUATE_PREFIX));
+        Ok(RoutingConfig {
+            label,
+            evacuated: evacuated.filter_map(|d| d.parse().ok()).collect(),
+            ..RoutingConfig::default()
+        })
+    }
+}
+
+/// A store with prepared responses; after the last one it stops the daemon.
+#[derive(Default)]
+struct PreparedStore {
+    ranges: Mutex<VecDeque<RangeResponse>>,
+    watches: Mutex<VecDeque<WatchResponse>>,
+    stop: Arc<StopFlag>,
+}
+
+impl PreparedStore {
+    fn next<T>(&self, prepared: &Mutex<VecDeque<T>>) -> Result<T, StoreError> {
+        prepared.lock().unwrap().pop_front().ok_or_else(|| {
+            self.stop.set();
+            StoreError::Refused(503)
+        })
+    }
+}
+
+impl Store for PreparedStore {
+    fn range(&self, _: &str) -> Result<RangeResponse, StoreError> {
+        self.next(&self.ranges)
+    }
+
+    fn watch(&self, _: &str, _: Revision, _: Duration) -> Result<WatchResponse, StoreError> {
+        self.next(&self.watches)
+    }
+
+    fn commit(&self, _: &Transaction) -> Result<CommitOutcome, StoreError> {
+        Err(StoreError::Refused(503))
+    }
+
+    fn close(&self) {}
+}
+
+fn membership() -> Arc<Membership> {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    let info = MemberInfo {
+        session: SessionId {
+            instance: InstanceId(1),
+            tenure: 1,
+        },
+        peer: address,
+        entry: address,
+        domain: "zarzis".parse().unwrap(),
+        upstream: None,
+        leaving: false,
+        weight: WEIGHT_FULL,
+        cpu_share: CPU_SHARE_DEFAULT,
+    };
+    let ownership = Ownership::new(1, LeaseTimes::default(), info, clock.now(), 7);
+    let reactor = Reactor::start().unwrap();
+    let timeouts = PeerTimeouts {
+        acknowledge: Duration::from_millis(100),
+        reply: Duration::from_millis(500),
+    };
+    let pool = Arc::new(PeerPool::new(
+        &reactor,
+        IpAddr::V4(Ipv4Addr::LOCALHOST),
+        timeouts,
+    ));
+    let metrics = Arc::new(Metrics::new().unwrap());
+    let (events, _) = mpsc::channel();
+    Arc::new(Membership::new(clock, ownership, socket, pool, metrics, events).unwrap())
+}
+
+fn item(key: &str, value: &[u8], revision: u64) -> KeyValue {
+    KeyValue {
+        key: key.to_owned(),
+        value: value.to_vec(),
+        revision: Revision(revision),
+    }
+}
+
+fn range(items: Vec<KeyValue>, as_of: u64) -> RangeResponse {
+    RangeResponse {
+        items,
+        as_of: Revision(as_of),
+        ..RangeResponse::default()
+    }
+}
+
+fn changes(changes: Vec<KeyChange>, as_of: u64) -> WatchResponse {
+    WatchResponse::Changes {
+        changes,
+        as_of: Revision(as_of),
+        unreadable: Vec::new(),
+    }
+}
+
+/// Returns a range without values, whose entries with these keys can't be read.
+fn unreadable_range(keys: &[Option<&str>], as_of: u64) -> RangeResponse {
+    let entry = |key: &Option<&str>| UnreadableEntry {
+        key: key.map(str::to_owned),
+        reason: "odd".to_owned(),
+    };
+    RangeResponse {
+        unreadable: keys.iter().map(entry).collect(),
+        ..range(Vec::new(), as_of)
+    }
+}
+
+/// Returns the daemon's membership after it has watched the routing in a store with these responses.
+fn after_routing(ranges: Vec<RangeResponse>, watches: Vec<WatchResponse>) -> Arc<Membership> {
+    run(ranges, watches, |sync, stop| sync.sync_routing(stop))
+}
+
+/// Returns the daemon's membership after it has watched the table in a store with these responses.
+fn after_table(ranges: Vec<RangeResponse>, watches: Vec<WatchResponse>) -> Arc<Membership> {
+    run(ranges, watches, |sync, stop| sync.sync_table(stop))
+}
+
+fn run(
+    ranges: Vec<RangeResponse>,
+    watches: Vec<WatchResponse>,
+    watch: impl FnOnce(&StoreSync, &StopFlag),
+) -> Arc<Membership> {
+    let membership = membership();
+    let store = Arc::new(PreparedStore {
+        ranges: Mutex::new(ranges.into()),
+        watches: Mutex::new(watches.into()),
+        stop: Arc::default(),
+    });
+    let stop = Arc::clone(&store.stop);
+    let protocol = Arc::new(PlainOperators);
+    let sync = StoreSync::new(store, protocol, Arc::clone(&membership), InstanceId(1));
+    watch(&sync, &stop);
+    membership
+}
+
+fn routing(membership: &Membership) -> (String, Vec<String>) {
+    let active = membership.active_configuration();
+    let routing = active.routing_config.as_ref().expect("no routing");
+    let evacuated = routing.evacuated.iter().map(ToString::to_string);
+    (routing.label.clone(), evacuated.collect())
+}
+
+fn table(epoch: u64) -> Vec<u8> {
+    let table = Table {
+        epoch: Epoch(epoch),
+        ..Table::default()
+    };
+    postcard::to_stdvec(&table).unwrap()
+}
+
+#[test]
+fn an_invalid_configuration_leaves_the_previous_one_in_force_with_later_changes() {
+    let invalid = KeyChange::Put(item(CONFIG_KEY, &[0xff], 5));
+    let evacuation = KeyChange::Put(item("op/evacuate/zarzis", b"", 6));
+    let membership = after_routing(
+        vec![range(vec![item(CONFIG_KEY, b"first", 4)], 4)],
+        vec![changes(vec![invalid], 5), changes(vec![evacuation], 6)],
+    );
+    let expected = ("first".to_owned(), vec!["zarzis".to_owned()]);
+    assert_eq!(routing(&membership), expected);
+}
+
+#[test]
+fn a_valid_configuration_after_an_invalid_one_is_adopted() {
+    let invalid = KeyChange::Put(item(CONFIG_KEY, &[0xff], 5));
+    let valid = KeyChange::Put(item(CONFIG_KEY, b"second", 6));
+    let membership = after_routing(
+        vec![range(vec![item(CONFIG_KEY, b"first", 4)], 4)],
+        vec![changes(vec![invalid], 5), changes(vec![valid], 6)],
+    );
+    assert_eq!(routing(&membership), ("second".to_owned(), Vec::new()));
+}
+
+#[test]
+fn an_invalid_table_leaves_the_previous_one_in_force() {
+    for odd in [Vec::new(), vec![0xff; 64], table(u64::MAX), table(1 << 44)] {
+        let membership = after_table(
+            vec![range(vec![item(TABLE_KEY, &table(3), 4)], 4)],
+            vec![changes(vec![KeyChange::Put(item(TABLE_KEY, &odd, 5))], 5)],
+        );
+        assert_eq!(membership.table().epoch, Epoch(3), "{odd:x?}");
+    }
+}
+
+#[test]
+fn a_valid_table_after_an_invalid_one_is_adopted() {
+    let membership = after_table(
+        vec![range(vec![item(TABLE_KEY, &table(u64::MAX), 4)], 4)],
+        vec![changes(
+            vec![KeyChange::Put(item(TABLE_KEY, &table(3), 5))],
+            5,
+        )],
+    );
+    assert_eq!(membership.table().epoch, Epoch(3));
+}
+
+#[test]
+fn values_that_cannot_be_read_again_are_not_removed() {
+    let hidden = [
+        vec![Some(CONFIG_KEY), Some("op/evacuate/zarzis")],
+        // Whose entry it is can't be read.
+        vec![None],
+    ];
+    for keys in hidden {
+        let items = vec![
+            item(CONFIG_KEY, b"first", 3),
+            item("op/evacuate/zarzis", b"", 4),
+        ];
+        let second = range(vec![item("op/evacuate/ajka", b"", 6)], 6);
+        let second = RangeResponse {
+            unreadable: unreadable_range(&keys, 6).unreadable,
+            ..second
+        };
+        let membership = after_routing(
+            vec![range(items, 4), second],
+            vec![WatchResponse::HistoryLost],
+        );
+        let evacuated = vec!["ajka".to_owned(), "zarzis".to_owned()];
+        assert_eq!(
+            routing(&membership),
+            ("first".to_owned(), evacuated),
+            "{keys:?}"
+        );
+    }
+}
+
+#[test]
+fn a_value_that_was_removed_is_not_kept_for_the_sake_of_another() {
+    let items = vec![
+        item(CONFIG_KEY, b"first", 3),
+        item("op/evacuate/zarzis", b"", 4),
+    ];
+    let second = RangeResponse {
+        unreadable: unreadable_range(&[Some("op/odd")], 6).unreadable,
+        ..range(vec![item(CONFIG_KEY, b"first", 3)], 6)
+    };
+    let membership = after_routing(
+        vec![range(items, 4), second],
+        vec![WatchResponse::HistoryLost],
+    );
+    assert_eq!(routing(&membership), ("first".to_owned(), Vec::new()));
+}
+
+#[test]
+fn a_table_that_cannot_be_read_again_stays_in_force() {
+    let membership = after_table(
+        vec![
+            range(vec![item(TABLE_KEY, &table(3), 4)], 4),
+            unreadable_range(&[Some(TABLE_KEY)], 5),
+        ],
+        vec![WatchResponse::HistoryLost],
+    );
+    assert_eq!(membership.table().epoch, Epoch(3));
+}
