Let the stand-in of sharded upstreams carry out grants late

The users' upstreams leave a part of the grants unanswered and carry them out seconds later.

An environment chooses these options (`UpstreamOptions`).

`run` and `left` lines are unchanged, and nothing else read `grant` lines.

--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -17,6 +17,7 @@
 
 use crate::args::BenchError;
 use crate::fault_proxy::{self, Network};
+use crate::upstream_options::UpstreamOptions;
 
 /// The timeout of an HTTP request to a daemon or the store.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
@@ -71,6 +72,7 @@
     store_process: Option<Child>,
     network: Option<Arc<Network>>,
     sharded_services: Vec<String>,
+    upstream_options: UpstreamOptions,
     next_id: AtomicU32,
 }
 
@@ -90,6 +92,20 @@
         Self::start_with_network(None, program, services, sharded)
     }
 
+    /// Like [`Self::start`], with upstreams that treat grants as `upstream_options` says.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process can't be started or a file can't be written.
+    pub fn start_with_options(
+        upstream_options: UpstreamOptions,
+        program: &Path,
+        services: &[&'static str],
+        sharded: &[&str],
+    ) -> Result<Self, BenchError> {
+        Self::start_cluster(None, upstream_options, program, services, sharded)
+    }
+
     /// Like [`Self::start`], with all connections between daemons and to the store through the
     /// fault proxy.
     ///
@@ -102,6 +118,17 @@
         program: &Path,
         services: &[&'static str],
         sharded: &[&str],
+    ) -> Result<Self, BenchError> {
+        let upstream_options = UpstreamOptions::default();
+        Self::start_cluster(network, upstream_options, program, services, sharded)
+    }
+
+    fn start_cluster(
+        network: Option<Arc<Network>>,
+        upstream_options: UpstreamOptions,
+        program: &Path,
+        services: &[&'static str],
+        sharded: &[&str],
     ) -> Result<Self, BenchError> {
         let process_id = std::process::id();
         let number = STARTED_CLUSTERS.fetch_add(1, Ordering::SeqCst);
@@ -119,6 +146,7 @@
             store_process: None,
             network,
             sharded_services: sharded.iter().map(|&s| s.to_owned()).collect(),
+            upstream_options,
             next_id: AtomicU32::new(0),
         };
         let listen = store_address.to_string();
@@ -212,6 +240,8 @@
         if sharded {
             args.push("--divided");
         }
+        let options = self.upstream_options.to_args(number);
+        args.extend(options.iter().map(String::as_str));
         let child = self.spawn(&format!("upstream-{number}"), &args)?;
         self.hosts[number].upstream = Some(child);
         Ok(())
--- /dev/null
+++ b/crates/bench/src/late_grants.rs
@@ -0,0 +1,37 @@
+//! Choice of the grants that the upstream's stand-in leaves unanswered and carries out late.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use foxtaildrift::process::sync;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::upstream_options::UpstreamOptions;
+
+/// How long after its arrival a late grant is carried out, in milliseconds.
+const DELAY_MS: std::ops::Range<u64> = 300..2000;
+
+/// Draws which grants are late.
+pub struct LateGrants {
+    /// The fraction of the grants that are late.
+    share: f64,
+    rng: Mutex<SmallRng>,
+}
+
+impl LateGrants {
+    /// Creates the choice with the share and the seed of `options`.
+    pub fn new(options: &UpstreamOptions) -> Self {
+        Self {
+            share: options.late_grants,
+            rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
+        }
+    }
+
+    /// Returns how long after its arrival the next grant is carried out; `None` if it is not late.
+    pub fn draw_delay(&self) -> Option<Duration> {
+        let mut rng = sync::lock(&self.rng);
+        let is_late = rng.random_bool(self.share);
+        is_late.then(|| Duration::from_millis(rng.random_range(DELAY_MS)))
+    }
+}
--- a/crates/bench/src/ranged_upstream.rs
+++ b/crates/bench/src/ranged_upstream.rs
@@ -23,6 +23,9 @@
 
 use crate::args::{self, BenchError};
 use crate::host_run::HostRun;
+use crate::late_grants::LateGrants;
+use crate::ownership_event::{OwnershipChange, OwnershipEvent};
+use crate::upstream_options::UpstreamOptions;
 
 /// The limits of requests to the stand-in.
 const LIMITS: ListenerLimits = ListenerLimits {
@@ -35,6 +38,10 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 /// The timeout of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long the connection of a call without an answer is kept open.
+const UNANSWERED_TIME: Duration = Duration::from_secs(10);
+/// How often a call without an answer checks whether its client has closed the connection.
+const CLIENT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A granted range of keys, both ends included.
 struct Grant {
@@ -44,12 +51,19 @@
     expires_at: Instant,
 }
 
+/// The fencing token of a call for a range of keys, both ends included.
+struct SeenToken {
+    first: u64,
+    last: u64,
+    fencing_token: u64,
+}
+
 #[derive(Default)]
 struct State {
     /// The accepted grants that were neither released nor replaced; they may have expired.
     active: Vec<Grant>,
-    /// All grants since the start; none with a lower fencing token is accepted for their keys.
-    accepted: Vec<Grant>,
+    /// The tokens seen since the start; no grant with a lower one is accepted for their keys.
+    seen: Vec<SeenToken>,
     /// The number of requests that are running.
     running: u32,
 }
@@ -60,6 +74,9 @@
     /// Whether only requests whose keys were granted are run.
     sharded: bool,
     service_time: Duration,
+    late_grants: LateGrants,
+    /// Whether the fencing tokens of releases refuse no grant.
+    fence_by_grants_only: bool,
     /// The path of the journal.
     journal: String,
     state: Mutex<State>,
@@ -89,7 +106,9 @@
             "N",
         );
         o.optflag("", "divided", "run only requests whose keys were granted");
+        UpstreamOptions::declare(o);
     })?;
+    let options = UpstreamOptions::from_matches(&matches)?;
     let text = |name: &str| args::value(&matches, name, String::new());
     let address: SocketAddr = parse_address(&text("listen")?)?;
     let reports: SocketAddr = parse_address(&text("reports")?)?;
@@ -104,6 +123,8 @@
         id: format!("i-{started_ms:x}-{}", address.ip()),
         sharded: matches.opt_present("divided"),
         service_time: Duration::from_millis(args::value(&matches, "work-ms", 20)?),
+        late_grants: LateGrants::new(&options),
+        fence_by_grants_only: options.fence_by_grants_only,
         journal: text("journal")?,
         state: Mutex::default(),
     });
@@ -143,41 +164,103 @@
         .map_err(BenchError::with_context("invalid address"))
 }
 
+/// Returns the JSON body of a request; null if it is none.
+fn parse_body(request: &HttpRequest) -> Value {
+    serde_json::from_slice(&request.body).unwrap_or(Value::Null)
+}
+
+impl State {
+    /// Records the fencing token of a call; repeated ones are kept once.
+    fn record_token(&mut self, first: u64, last: u64, fencing_token: u64) {
+        let is_same =
+            |s: &SeenToken| (s.first, s.last, s.fencing_token) == (first, last, fencing_token);
+        if !self.seen.iter().any(is_same) {
+            self.seen.push(SeenToken {
+                first,
+                last,
+                fencing_token,
+            });
+        }
+    }
+}
+
 impl RangedUpstream {
-    /// Accepts a grant unless a higher fencing token was granted for some of its keys.
-    fn grant(&self, body: &Value) -> HttpResponse {
+    /// Accepts a grant that arrived at `arrived_at`, unless a higher fencing token was seen for some
+    /// of its keys.
+    fn grant(&self, body: &Value, arrived_at: Instant) -> HttpResponse {
         let number = |name: &str| body[name].as_u64().unwrap_or(0);
         let (first, last, fencing_token) = (number("From"), number("To"), number("fence"));
+        let expires_at = arrived_at + Duration::from_millis(number("HoldMs"));
         let mut state = sync::lock(&self.state);
-        let overlaps = |g: &&Grant| g.first <= last && first <= g.last;
-        if state
-            .accepted
-            .iter()
-            .filter(overlaps)
-            .any(|g| g.fencing_token > fencing_token)
-        {
+        let is_fenced =
+            |s: &SeenToken| s.first <= last && first <= s.last && s.fencing_token > fencing_token;
+        if state.seen.iter().any(is_fenced) {
             return HttpResponse::text(409, "a higher fence was seen");
         }
-        let expires_at = Instant::now() + Duration::from_millis(number("HoldMs"));
-        let grant = || Grant {
+        // A late grant may expire before a renewal that was carried out before it.
+        let is_replaced =
+            |g: &Grant| g.first == first && g.last == last && g.expires_at <= expires_at;
+        state.active.retain(|g| !is_replaced(g));
+        state.active.push(Grant {
             first,
             last,
             fencing_token,
             expires_at,
+        });
+        state.record_token(first, last, fencing_token);
+        let at_micros = micros_now();
+        let remaining = expires_at.saturating_duration_since(Instant::now());
+        let remaining_micros = u64::try_from(remaining.as_micros()).unwrap_or(0);
+        let event = OwnershipEvent {
+            at_micros,
+            upstream: self.id.clone(),
+            first,
+            last,
+            fencing_token,
+            change: OwnershipChange::Granted {
+                expires_at_micros: at_micros + remaining_micros,
+            },
         };
-        state
-            .active
-            .retain(|g| !(g.first == first && g.last == last));
-        state.active.push(grant());
-        state.accepted.push(grant());
-        self.write_journal(&format!("grant {first} {last} {fencing_token}"));
+        self.write_journal(&event.to_string());
         HttpResponse::text(200, "")
     }
 
+    /// Accepts a grant `delay` after its arrival, unless its duration has passed by then, and closes
+    /// the connection without a response.
+    fn grant_late(
+        &self,
+        body: &Value,
+        arrived_at: Instant,
+        delay: Duration,
+        recipient: &Recipient,
+    ) -> HttpResponse {
+        thread::sleep(delay.saturating_sub(arrived_at.elapsed()));
+        let duration = Duration::from_millis(body["HoldMs"].as_u64().unwrap_or(0));
+        if arrived_at.elapsed() < duration {
+            self.grant(body, arrived_at);
+        }
+        while !recipient.has_disconnected() && arrived_at.elapsed() < UNANSWERED_TIME {
+            thread::sleep(CLIENT_POLL_INTERVAL);
+        }
+        HttpResponse {
+            close_without_response: true,
+            ..HttpResponse::default()
+        }
+    }
+
+    /// Handles a grant, which may be a late one.
+    fn handle_grant(&self, request: &HttpRequest, recipient: &Recipient) -> HttpResponse {
+        let body = parse_body(request);
+        match self.late_grants.draw_delay() {
+            Some(delay) => self.grant_late(&body, request.received_at, delay, recipient),
+            None => self.grant(&body, request.received_at),
+        }
+    }
+
     /// Releases the grants of a range of keys, and responds once no request is running.
     fn release(&self, body: &Value) -> HttpResponse {
         let number = |name: &str| body[name].as_u64().unwrap_or(0);
-        let (first, last) = (number("From"), number("To"));
+        let (first, last, fencing_token) = (number("From"), number("To"), number("fence"));
         let mut kept = Vec::new();
         let mut state = sync::lock(&self.state);
         for grant in std::mem::take(&mut state.active) {
@@ -201,6 +284,18 @@
             }
         }
         state.active = kept;
+        if !self.fence_by_grants_only {
+            state.record_token(first, last, fencing_token);
+        }
+        let event = OwnershipEvent {
+            at_micros: micros_now(),
+            upstream: self.id.clone(),
+            first,
+            last,
+            fencing_token,
+            change: OwnershipChange::Released,
+        };
+        self.write_journal(&event.to_string());
         drop(state);
         while sync::lock(&self.state).running > 0 {
             thread::sleep(Duration::from_millis(2));
@@ -285,10 +380,9 @@
     }
 
     fn handle(&self, request: HttpRequest, recipient: &Recipient) -> HttpResponse {
-        let body = || serde_json::from_slice(&request.body).unwrap_or(Value::Null);
         match request.head.path() {
-            "/grant" if self.sharded => self.grant(&body()),
-            "/release" if self.sharded => self.release(&body()),
+            "/grant" if self.sharded => self.handle_grant(&request, recipient),
+            "/release" if self.sharded => self.release(&parse_body(&request)),
             "/grant" | "/release" => HttpResponse::text(400, "no keys"),
             _ => {
                 let id = request
--- /dev/null
+++ b/crates/bench/src/upstream_options.rs
@@ -0,0 +1,68 @@
+//! Options of the upstream's stand-in for the users' platform that an environment chooses.
+
+use getopts::{Matches, Options};
+
+use crate::args::{self, BenchError};
+
+/// How the upstreams of an environment treat grants.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct UpstreamOptions {
+    /// The fraction of the grants that get no answer and are carried out later.
+    pub late_grants: f64,
+    /// The seed of the choice of these grants.
+    pub seed: u64,
+    /// Whether only the fencing tokens of grants refuse a grant, and those of releases don't.
+    pub fence_by_grants_only: bool,
+}
+
+impl UpstreamOptions {
+    /// Declares the options of the command line.
+    pub fn declare(options: &mut Options) {
+        options.optopt(
+            "",
+            "late-grants",
+            "the fraction of the grants that get no answer and are carried out later (default 0)",
+            "SHARE",
+        );
+        options.optopt("", "seed", "the seed of the choice of late grants", "N");
+        options.optflag(
+            "",
+            "fence-by-grants-only",
+            "refuse no grant for the fencing token of a release",
+        );
+    }
+
+    /// Returns the options of a command line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a value is invalid.
+    pub fn from_matches(matches: &Matches) -> Result<Self, BenchError> {
+        let late_grants = args::value(matches, "late-grants", 0.0)?;
+        if !(0.0..=1.0).contains(&late_grants) {
+            let text = format!("--late-grants: {late_grants} is not in 0 to 1");
+            return Err(BenchError(text));
+        }
+        Ok(Self {
+            late_grants,
+            seed: args::value(matches, "seed", 0)?,
+            fence_by_grants_only: matches.opt_present("fence-by-grants-only"),
+        })
+    }
+
+    /// Returns the command line of the upstream with this number. Each upstream draws its own late
+    /// grants.
+    pub fn to_args(&self, number: usize) -> Vec<String> {
+        let seed = self.seed.wrapping_mul(1000) + number as u64;
+        let mut args = vec![
+            "--late-grants".to_owned(),
+            self.late_grants.to_string(),
+            "--seed".to_owned(),
+            seed.to_string(),
+        ];
+        if self.fence_by_grants_only {
+            args.push("--fence-by-grants-only".to_owned());
+        }
+        args
+    }
+}
