Check the merged journals of upstreams for exclusive ownership

For each range of keys: an upstream takes keys only with a fencing token above all tokens with which other upstreams had them (a grant that it still holds may be renewed), no two upstreams hold a key together for more than 0.5 s, and they never both begin requests for it while both hold it. The verdict of the soak compares the tokens of runs only, so it misses a late grant under which nothing runs.

--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -5,5 +5,6 @@
 mod explore;
 mod host;
 mod journal;
+mod ownership_check;
 mod runs;
 mod soak;
