--- a/crates/bench/src/ranged_upstream.rs
+++ b/crates/bench/src/ranged_upstream.rs
@@ -99,12 +99,6 @@
         o.reqopt("", "service", "the service", "NAME");
         o.reqopt("", "domain", "the failure domain", "NAME");
         o.reqopt("", "journal", "the journal file", "FILE");
-        o.optopt(
-            "",
-            "work-ms",
-            "how long a request takes, in milliseconds",
-            "N",
-        );
         o.optflag("", "divided", "run only requests whose keys were granted");
         UpstreamOptions::declare(o);
     })?;
@@ -122,7 +116,7 @@
     let upstream = Arc::new(RangedUpstream {
         id: format!("i-{started_ms:x}-{}", address.ip()),
         sharded: matches.opt_present("divided"),
-        service_time: Duration::from_millis(args::value(&matches, "work-ms", 20)?),
+        service_time: Duration::from_millis(options.work_ms),
         late_grants: LateGrants::new(&options),
         fence_by_grants_only: options.fence_by_grants_only,
         journal: text("journal")?,
--- a/crates/bench/src/upstream_options.rs
+++ b/crates/bench/src/upstream_options.rs
@@ -4,9 +4,14 @@
 
 use crate::args::{self, BenchError};
 
-/// How the upstreams of an environment treat grants.
-#[derive(Clone, Debug, Default, PartialEq)]
+/// How long a request takes unless an option says otherwise, in milliseconds.
+const WORK_MS_DEFAULT: u64 = 20;
+
+/// How the upstreams of an environment run requests and treat grants.
+#[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamOptions {
+    /// How long a request takes, in milliseconds.
+    pub work_ms: u64,
     /// The fraction of the grants that get no answer and are carried out later.
     pub late_grants: f64,
     /// The seed of the choice of these grants.
@@ -15,9 +20,26 @@
     pub fence_by_grants_only: bool,
 }
 
+impl Default for UpstreamOptions {
+    fn default() -> Self {
+        Self {
+            work_ms: WORK_MS_DEFAULT,
+            late_grants: 0.0,
+            seed: 0,
+            fence_by_grants_only: false,
+        }
+    }
+}
+
 impl UpstreamOptions {
     /// Declares the options of the command line.
     pub fn declare(options: &mut Options) {
+        options.optopt(
+            "",
+            "work-ms",
+            "how long a request takes, in milliseconds (default 20)",
+            "N",
+        );
         options.optopt(
             "",
             "late-grants",
@@ -44,6 +66,7 @@
             return Err(BenchError(text));
         }
         Ok(Self {
+            work_ms: args::value(matches, "work-ms", WORK_MS_DEFAULT)?,
             late_grants,
             seed: args::value(matches, "seed", 0)?,
             fence_by_grants_only: matches.opt_present("fence-by-grants-only"),
@@ -55,6 +78,8 @@
     pub fn to_args(&self, number: usize) -> Vec<String> {
         let seed = self.seed.wrapping_mul(1000) + number as u64;
         let mut args = vec![
+            "--work-ms".to_owned(),
+            self.work_ms.to_string(),
             "--late-grants".to_owned(),
             self.late_grants.to_string(),
             "--seed".to_owned(),
