Reproduce the incident of keys passed on early with real processes

Nine sharded upstreams leave half of the grants unanswered and carry them out late, 60 callers send most requests for 60 adjacent keys that change every 2 s, and each second a daemon is killed and started again, for 26 s. The check of the merged journals must hold.

In the test the tokens of releases refuse no grant.

--- a/crates/bench/tests/testsuite/host.rs
+++ b/crates/bench/tests/testsuite/host.rs
@@ -3,11 +3,21 @@
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::TcpStream;
-use std::time::Duration;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
 
+use foxtaildrift::connection::http_client::HttpClient;
+use foxtaildrift::connection::protocol::OutgoingRequest;
+use foxtaildrift::request::headers::Headers;
+use foxtaildrift_bench::args::BenchError;
 use foxtaildrift_bench::host_cluster::{HostCluster, HostProcess};
 use foxtaildrift_bench::host_run::HostRun;
+use foxtaildrift_bench::ownership_check::OwnershipCheck;
+use foxtaildrift_bench::upstream_options::UpstreamOptions;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
 
 /// How long an environment may take to start.
@@ -26,6 +36,23 @@
     57344, 61440,
 ];
 
+/// How long callers send requests for hot keys while grants are late.
+const HOT_KEYS_TIME: Duration = Duration::from_secs(26);
+/// How long the same keys are hot.
+const HOT_PERIOD: Duration = Duration::from_secs(2);
+/// The number of adjacent keys that are hot at a time.
+const HOT_KEYS: u16 = 60;
+/// The first of the hot keys is below this key.
+const FIRST_HOT_KEY_END: u16 = u16::MAX - HOT_KEYS;
+/// The fraction of the requests that are for hot keys.
+const HOT_SHARE: f64 = 0.8;
+/// The number of callers of hot keys.
+const HOT_CALLERS: u64 = 60;
+/// The pause of a caller of hot keys after each response.
+const HOT_CALL_PAUSE: Duration = Duration::from_millis(5);
+/// The time between two restarts of daemons while grants are late.
+const RESTART_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Returns the operators' routing with `more_rules`, a JSON fragment that begins with a comma.
 fn config(version: u32, more_rules: &str) -> String {
     format!(
@@ -42,9 +69,18 @@
 
 /// Starts six hosts and waits until they serve all keys.
 fn start_cluster() -> HostCluster {
-    let program = env!("CARGO_BIN_EXE_foxtaildrift-bench");
     let services = ["desk", "desk", "desk", "desk", "office", "office"];
-    let cluster = HostCluster::start(program.as_ref(), &services, &["desk"]);
+    let cluster = start_ready_cluster(&services, UpstreamOptions::default());
+    cluster
+        .wait_until("all keys are served", START_TIME, |c| serves_all_keys(c, 4))
+        .unwrap();
+    cluster
+}
+
+/// Starts a host for each element of `services` and waits until their daemons are ready.
+fn start_ready_cluster(services: &[&'static str], options: UpstreamOptions) -> HostCluster {
+    let program = env!("CARGO_BIN_EXE_foxtaildrift-bench");
+    let cluster = HostCluster::start_with_options(options, program.as_ref(), services, &["desk"]);
     let cluster = cluster.expect("the processes start");
     let store_responds = |c: &HostCluster| c.control_store("put/op/config", &config(1, "")).is_ok();
     cluster
@@ -55,9 +91,6 @@
         .wait_until("all daemons are ready", START_TIME, all_ready)
         .unwrap();
     cluster
-        .wait_until("all keys are served", START_TIME, |c| serves_all_keys(c, 4))
-        .unwrap();
-    cluster
 }
 
 /// Returns whether the daemon of host `entry` serves all keys.
@@ -315,3 +348,83 @@
         .unwrap();
     assert!(cluster.log(0).contains("former-released"));
 }
+
+/// Guards against an upstream that carries out a late grant with an older fencing token after another
+/// upstream had the key with a newer one (OWNER on all sites).
+#[test]
+fn keys_pass_on_only_once_their_last_upstream_can_no_longer_take_them() {
+    let _lock = crate::daemon::lock_environment();
+    let seed = 67;
+    let options = UpstreamOptions {
+        work_ms: 100,
+        late_grants: 0.5,
+        seed,
+        fence_by_grants_only: true,
+    };
+    let mut cluster = start_ready_cluster(&["desk"; 9], options);
+    let addresses: Vec<SocketAddr> = cluster.hosts.iter().map(|h| h.caller_address).collect();
+    let stopping = AtomicBool::new(false);
+    let restarted = thread::scope(|scope| {
+        for caller in 0..HOT_CALLERS {
+            let (addresses, stopping) = (&addresses, &stopping);
+            scope.spawn(move || call_hot_keys(addresses, seed, caller, stopping));
+        }
+        let restarted = restart_daemons(&mut cluster);
+        stopping.store(true, Ordering::SeqCst);
+        restarted
+    });
+    restarted.unwrap();
+    let journals = (0..cluster.hosts.len()).map(|n| cluster.journal(n));
+    let check = OwnershipCheck::read(journals);
+    assert!(check.transfers() > 0, "no keys passed on");
+    let violations: Vec<String> = check.violations().iter().map(|v| v.to_string()).collect();
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+/// Kills a daemon and starts it again, one after the other, for the time of the hot keys.
+fn restart_daemons(cluster: &mut HostCluster) -> Result<(), BenchError> {
+    let started = Instant::now();
+    for number in (0..cluster.hosts.len()).cycle() {
+        thread::sleep(RESTART_INTERVAL);
+        if started.elapsed() > HOT_KEYS_TIME {
+            break;
+        }
+        cluster.kill_daemon(number);
+        cluster.start_daemon(number)?;
+    }
+    Ok(())
+}
+
+/// Sends requests to random hosts until `stopping` is set, most of them for keys that are hot for
+/// some time, so that the planner moves their ranges.
+fn call_hot_keys(addresses: &[SocketAddr], seed: u64, caller: u64, stopping: &AtomicBool) {
+    let mut rng = SmallRng::seed_from_u64(seed * 1000 + caller);
+    let started = Instant::now();
+    for count in 0u32.. {
+        if stopping.load(Ordering::SeqCst) {
+            return;
+        }
+        let period = started.elapsed().as_secs() / HOT_PERIOD.as_secs();
+        let mut period_rng = SmallRng::seed_from_u64(seed * 1000 + period);
+        let first_hot = period_rng.random_range(0..FIRST_HOT_KEY_END);
+        let key = match rng.random_bool(HOT_SHARE) {
+            true => first_hot + rng.random_range(0..HOT_KEYS),
+            false => rng.random(),
+        };
+        let mut headers = Headers::default();
+        headers.push("Host", "a.example");
+        headers.push("Request-Id", format!("hot-{caller}-{count}"));
+        headers.push("Deadline-Ms", "1000");
+        headers.push("Shard-Key", key.to_string());
+        let request = OutgoingRequest {
+            method: "GET",
+            target: "/look/hot".to_owned(),
+            headers,
+            body: Vec::new(),
+        };
+        let client = HttpClient::new(addresses[rng.random_range(0..addresses.len())], None);
+        // Whether the request is served does not matter here.
+        let _ = client.call(&request, Duration::from_secs(2));
+        thread::sleep(HOT_CALL_PAUSE);
+    }
+}
