Keep the fence of environments as it was: tokens of releases don't count

Since late grants came into the stand-in, it refused grants for the tokens of releases too, in all environments. That the release of all keys by a restarted daemon fences its own grants was not traced. Whether the users' upstreams count the tokens of releases isn't known; an environment can still choose it.

--- a/crates/bench/src/upstream_options.rs
+++ b/crates/bench/src/upstream_options.rs
@@ -26,7 +26,7 @@
             work_ms: WORK_MS_DEFAULT,
             late_grants: 0.0,
             seed: 0,
-            fence_by_grants_only: false,
+            fence_by_grants_only: true,
         }
     }
 }
