--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -7,5 +7,6 @@
 mod fault_proxy;
 mod host;
 mod journal;
+mod ownership_check;
 mod runs;
 mod soak;
