Keep a slice's fencing token when a table assigns it at an earlier epoch

What operators saw: a table in the store with such an assignment ended each thread that asked what the daemon serves, by a debug assertion that release builds have too.

Cause: the token of a slice that is served follows from the epoch of its assignment; nothing refuses a newer table with an earlier one.

Fix: the token is the larger of the two, so it never falls whatever is adopted.

The assertion stated what the maximum guarantees now.

--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -379,10 +379,8 @@
             rank,
             incarnation,
         };
-        debug_assert!(
-            held.is_none_or(|h| h <= token),
-            "a slice's fencing token never decreases"
-        );
+        // A table that assigns the slice at an earlier epoch must not lower the token.
+        let token = held.map_or(token, |h| h.max(token));
         Ok(ServePermit {
             slice,
             token,
