Send handovers before a release is announced, and bound each release by its grant

Found by the review of the fix; nothing of it was seen by callers. - A release ended in the tracker when its call did. Another thread could then announce it before its handover was sent, and the next owner granted the keys without it: they were slow (grants::a_release_is_announced_after_its_handover_ was_sent failed: epoch 2 announced while the handover was being sent). It ends now once the next owner has the handovers, each owner's apart from the others'. - A release whose thread failed never ended.

--- a/crates/bench/src/explore/node.rs
+++ b/crates/bench/src/explore/node.rs
@@ -166,7 +166,8 @@
 
     /// Begins a release that waits for all work that no other release waits for.
     pub fn begin_release(&mut self) -> ReleaseId {
-        let id = self.releases.begin();
+        // The work ends with its permits at the latest, which is checked apart from the tracker.
+        let id = self.releases.begin(Moment(u64::MAX));
         let epoch = self.ownership.as_ref().map(|o| o.table().epoch);
         self.releases.cover(epoch.unwrap_or_default());
         let unreleased = self.unfinished_work.iter_mut();
--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -31,13 +31,15 @@
 use crate::version::epoch::Epoch;
 use crate::version::fencing_token::FencingToken;
 use crate::version::service_name::ServiceName;
+use crate::version::session_id::SessionId;
 use crate::version::slice_id::SliceId;
 
 /// Largest assumed drift of the upstream's clock while it measures the duration of a grant, as a
 /// fraction.
 const CLOCK_DRIFT: f64 = 0.02;
-/// How much earlier than the lease a grant ends, to cover the time that the call takes to arrive.
-const GRANT_MARGIN: Duration = Duration::from_millis(20);
+/// How much earlier than the lease a grant ends. Its duration counts from the arrival of the call,
+/// which may be as late as the end of the call.
+const GRANT_MARGIN: Duration = GRANT_TIMEOUT.saturating_add(Duration::from_millis(20));
 /// Shortest grant that is worth a call.
 const GRANT_DURATION_MIN: Duration = Duration::from_millis(150);
 /// Timeout of a grant call.
@@ -245,7 +247,7 @@
             grants.abandon(self.dispatcher.upstream_gone_at());
             drop(grants);
             if self.is_candidate() {
-                self.end_session("the upstream is gone");
+                self.end_session(self.own_session(), "the upstream is gone");
             }
             return;
         };
@@ -313,28 +315,36 @@
     /// Releases all keys to the next candidates and resigns the session. Called when the planner
     /// did not move the keys in time and the upstream or this process is about to stop.
     pub fn release_all_and_resign(&self, reason: &str) {
+        let session = self.own_session();
         let split = |grant: &KeyGrant| self.split_by_next_owner(grant);
         let all = sync::lock(&self.grants).begin_release_all(&split);
         self.dispatcher.set_granted(Vec::new());
         self.release_and_hand_over(all);
         let until = self.clock.now() + RELEASE_TIMEOUT;
-        while !self.end_session(reason) && self.clock.now() < until {
+        while !self.end_session(session, reason) && self.clock.now() < until {
             thread::sleep(RELEASE_POLL_INTERVAL);
         }
         sync::lock(&self.grants).end_release_all();
         self.announce_released();
     }
 
-    /// Resigns the session, so that others may serve its keys at once, unless the upstream may still
-    /// use some of them; returns whether it did.
-    pub fn end_session(&self, reason: &str) -> bool {
+    /// Returns this daemon's present session.
+    pub fn own_session(&self) -> SessionId {
+        self.membership.with_ownership(|o, _| o.info().session)
+    }
+
+    /// Resigns `session`, so that others may serve its keys at once, unless the upstream may still
+    /// use some of them. Returns whether the session has ended.
+    pub fn end_session(&self, session: SessionId, reason: &str) -> bool {
         let mut grants = sync::lock(&self.grants);
         if !grants.is_idle(self.clock.now()) {
             return false;
         }
         self.membership.with_ownership(|o, now| {
-            tracing::warn!(event = "session-resigned", session = %o.info().session, reason);
-            o.resign(now);
+            if o.info().session == session {
+                tracing::warn!(event = "session-resigned", %session, reason);
+                o.resign(now);
+            }
         });
         true
     }
@@ -347,7 +357,8 @@
         let in_progress = grants.releases_in_progress(now);
         self.membership.with_ownership(|o, now| {
             let session = o.info().session;
-            if o.facts().adopted(session) < epoch && epoch <= o.table().epoch {
+            let is_member = o.table().members.contains_key(&session);
+            if is_member && o.facts().adopted(session) < epoch && epoch <= o.table().epoch {
                 tracing::info!(event = "epoch-released", %epoch, in_progress);
                 o.announce_release(now, epoch);
             }
@@ -355,26 +366,46 @@
     }
 
     fn release_and_hand_over(&self, releasing: Vec<ReleasingGrant>) {
+        let mut by_next_owner: BTreeMap<Option<SocketAddr>, Vec<ReleasingGrant>> = BTreeMap::new();
+        for release in releasing {
+            by_next_owner
+                .entry(release.next_owner)
+                .or_default()
+                .push(release);
+        }
+        thread::scope(|scope| {
+            for (next, releasing) in by_next_owner {
+                scope.spawn(move || self.release_to(next, releasing));
+            }
+        });
+    }
+
+    /// Releases grants whose keys the daemon at `next` owns next. Each release ends once that daemon
+    /// has the handovers: it would otherwise grant the keys without them.
+    fn release_to(&self, next: Option<SocketAddr>, releasing: Vec<ReleasingGrant>) {
         let released: Vec<_> = thread::scope(|scope| {
             let spawn_release = |r| scope.spawn(move || (self.release_range(&r), r));
             let threads: Vec<_> = releasing.into_iter().map(spawn_release).collect();
             threads.into_iter().filter_map(|t| t.join().ok()).collect()
         });
-        let mut by_next_owner: BTreeMap<SocketAddr, Vec<KeyHandover>> = BTreeMap::new();
-        for (handover, releasing) in released {
-            let keys = releasing.grant.range.keys();
-            let rates = sync::lock(&self.load_meter).remove_rates(keys);
-            if let Some(next) = releasing.next_owner {
-                by_next_owner.entry(next).or_default().push(KeyHandover {
-                    service: releasing.grant.service,
-                    keys,
-                    handover,
-                    rates,
-                });
-            }
+        let mut handovers = Vec::new();
+        let mut ended = Vec::new();
+        for ((over_at, handover), release) in released {
+            let keys = release.grant.range.keys();
+            handovers.push(KeyHandover {
+                service: release.grant.service,
+                keys,
+                handover,
+                rates: sync::lock(&self.load_meter).remove_rates(keys),
+            });
+            ended.push((release.id, over_at));
+        }
+        if let Some(next) = next {
+            self.hand_over(next, handovers);
         }
-        for (peer, handovers) in by_next_owner {
-            self.hand_over(peer, handovers);
+        let mut grants = sync::lock(&self.grants);
+        for (id, over_at) in ended {
+            grants.end_release(id, over_at);
         }
     }
 
@@ -459,8 +490,9 @@
         })
     }
 
-    /// Releases a range at the upstream; returns the upstream's handover.
-    fn release_range(&self, releasing: &ReleasingGrant) -> Option<String> {
+    /// Releases a range at the upstream; returns until when the upstream may use it, and the
+    /// upstream's handover.
+    fn release_range(&self, releasing: &ReleasingGrant) -> (Moment, Option<String>) {
         let grant = &releasing.grant;
         let keys = grant.range.keys();
         let fencing_token = owned_range::pack_fencing_token(grant.range.token);
@@ -471,7 +503,7 @@
             .pool()
             .send_control_request(|| Some(request), RELEASE_TIMEOUT);
         let now = self.clock.now();
-        let (over_at, handover) = match result {
+        let outcome = match result {
             Ok((head, metadata)) if head.status < 300 => {
                 let ms = now.since(started).as_millis();
                 tracing::info!(
@@ -501,8 +533,8 @@
                 (grant.possible_until, None)
             }
         };
-        sync::lock(&self.grants).end_release(releasing.id, over_at);
-        handover
+        sync::lock(&self.grants).end_release_call(releasing.id);
+        outcome
     }
 
     /// Sends grants at the same time, each unless its duration would be too short.
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -271,9 +271,8 @@
         let result = self
             .pool
             .send_request(request, &process.instance, time_left, recipient);
-        let duration = self.clock.now().since(sent_at);
-        times.ran = duration;
-        self.outcome_of(request, &process, dispatch, fingerprint, duration, result)
+        times.ran = self.clock.now().since(sent_at);
+        self.outcome_of(request, &process, dispatch, fingerprint, sent_at, result)
     }
 
     /// Builds the outcome from the upstream's response or failure.
@@ -283,12 +282,13 @@
         process: &UpstreamProcess,
         dispatch: u64,
         fingerprint: Fingerprint,
-        duration: Duration,
+        sent_at: Moment,
         result: Result<ReceivedResponse, UpstreamRequestFailure>,
     ) -> UpstreamOutcome {
+        let now = self.clock.now();
+        let duration = now.since(sent_at);
         match result {
             Ok(received) => {
-                let now = self.clock.now();
                 sync::lock(&self.state).upstream.record_answer(now);
                 self.end_dispatch(Some(dispatch), Some(duration), Some(fingerprint));
                 UpstreamOutcome::Ran(received.response)
@@ -301,7 +301,6 @@
                     .filter(|i| **i != process.instance);
                 tracing::info!(event = "upstream-shed", request = %request.id, status, ?other);
                 if let Some(warmup) = metadata.warmup_remaining {
-                    let now = self.clock.now();
                     sync::lock(&self.state).upstream.set_cold_for(now, warmup);
                 }
                 UpstreamOutcome::not_run(NotRunCause::Shed, SHED_RETRY_AFTER)
@@ -310,8 +309,7 @@
                 // Ended before the upstream is marked as down: no byte was sent, so this request
                 // is not a crash suspect.
                 self.end_dispatch(Some(dispatch), None, None);
-                let at = self.clock.now() - duration;
-                self.handle_upstream_loss(UpstreamLoss::Refused { at });
+                self.handle_upstream_loss(UpstreamLoss::Refused { at: sent_at });
                 UpstreamOutcome::not_run(NotRunCause::Down, DOWN_RETRY_AFTER)
             }
             Err(UpstreamRequestFailure::NotSent(reason)) => {
--- a/src/process/host/key_grants.rs
+++ b/src/process/host/key_grants.rs
@@ -87,8 +87,8 @@
     releases: ReleaseTracker,
     /// Grants whose release call is in progress.
     releasing: Vec<ReleasingGrant>,
-    /// Whether nothing is granted because all keys are being released.
-    releasing_all: bool,
+    /// Number of releases of all keys in progress, during which nothing is granted.
+    releases_of_all: u32,
 }
 
 impl KeyGrants {
@@ -109,15 +109,15 @@
         let is_void = |g: &KeyGrant| gone_at.is_some_and(|at| g.called_until <= at);
         for grant in std::mem::take(&mut self.grants) {
             if !is_void(&grant) {
-                let id = self.releases.begin();
-                self.releases.end_at(id, grant.possible_until);
+                self.releases.begin(grant.possible_until);
             }
         }
     }
 
-    /// Removes the grants that have certainly expired.
+    /// Removes the grants that have certainly expired, also those that are being released.
     pub fn remove_expired(&mut self, now: Moment) {
         self.grants.retain(|g| g.possible_until > now);
+        self.releasing.retain(|r| r.grant.possible_until > now);
     }
 
     /// Sets the current upstream process; a new one has no grants. Returns whether it replaced
@@ -196,7 +196,7 @@
 
     /// Begins the release of all grants; nothing is granted until [`KeyGrants::end_release_all`].
     pub fn begin_release_all(&mut self, split: SplitByNextOwner<'_>) -> Vec<ReleasingGrant> {
-        self.releasing_all = true;
+        self.releases_of_all += 1;
         let all = std::mem::take(&mut self.grants);
         self.begin_releases(&all, split)
     }
@@ -209,7 +209,7 @@
         let parts = grants.iter().flat_map(split);
         let begun: Vec<ReleasingGrant> = parts
             .map(|(grant, next_owner)| ReleasingGrant {
-                id: self.releases.begin(),
+                id: self.releases.begin(grant.possible_until),
                 grant,
                 next_owner,
             })
@@ -218,15 +218,21 @@
         begun
     }
 
-    /// Ends the call of a release; the upstream may use the keys until `over_at`.
-    pub fn end_release(&mut self, id: ReleaseId, over_at: Moment) {
+    /// Ends the call of a release: the keys may be granted again.
+    pub fn end_release_call(&mut self, id: ReleaseId) {
         self.releasing.retain(|r| r.id != id);
+    }
+
+    /// Ends a release whose handover has been sent, if there was one; the upstream may use the keys
+    /// until `over_at`.
+    pub fn end_release(&mut self, id: ReleaseId, over_at: Moment) {
+        self.end_release_call(id);
         self.releases.end_at(id, over_at);
     }
 
-    /// Allows grants again after the release of all keys.
+    /// Allows grants again after a release of all keys, unless another one is in progress.
     pub fn end_release_all(&mut self) {
-        self.releasing_all = false;
+        self.releases_of_all -= 1;
     }
 
     /// Returns the newest epoch that may be announced as released.
@@ -241,7 +247,7 @@
 
     /// Returns whether all keys are being released.
     pub fn is_releasing_all(&self) -> bool {
-        self.releasing_all
+        self.releases_of_all > 0
     }
 
     /// Returns the parts of `range` whose grants are due, with the handover for each; those of which
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -165,7 +165,8 @@
             thread::sleep(STOP_POLL_INTERVAL);
         }
         let grant_manager = &self.context.grant_manager;
-        if !(self.has_moved_all_keys() && grant_manager.end_session("the process stops")) {
+        let session = grant_manager.own_session();
+        if !(self.has_moved_all_keys() && grant_manager.end_session(session, "the process stops")) {
             tracing::warn!(event = "stopped-with-keys");
         }
         thread::sleep(STOP_POLL_INTERVAL);
--- a/src/process/release_tracker.rs
+++ b/src/process/release_tracker.rs
@@ -17,8 +17,8 @@
 struct Release {
     /// The first epoch whose table may have taken the released slices away.
     lost_at: Epoch,
-    /// When the release is over without an acknowledgement, if that is known.
-    over_at: Option<Moment>,
+    /// When the release is over, at the latest.
+    over_at: Moment,
 }
 
 /// Tracks the releases in progress.
@@ -31,14 +31,14 @@
 }
 
 impl ReleaseTracker {
-    /// Begins the release of slices that the daemon no longer serves. Any table that is newer than
-    /// the last one covered may have taken them away.
-    pub fn begin(&mut self) -> ReleaseId {
+    /// Begins the release of slices that the daemon no longer serves, which is over at `over_at` at
+    /// the latest. Any table that is newer than the last one covered may have taken them away.
+    pub fn begin(&mut self, over_at: Moment) -> ReleaseId {
         self.last_id += 1;
         let id = ReleaseId(self.last_id);
         let release = Release {
             lost_at: self.covered.next(),
-            over_at: None,
+            over_at,
         };
         self.releases.insert(id, release);
         id
@@ -54,17 +54,17 @@
         self.releases.remove(&id);
     }
 
-    /// Ends a release at `moment`, until which the slices may still be used.
+    /// Ends a release at `moment`, until which the slices may still be used, unless it is over
+    /// earlier anyway.
     pub fn end_at(&mut self, id: ReleaseId, moment: Moment) {
         if let Some(release) = self.releases.get_mut(&id) {
-            release.over_at = Some(moment);
+            release.over_at = release.over_at.min(moment);
         }
     }
 
     /// Returns the number of releases in progress.
     pub fn in_progress(&mut self, now: Moment) -> usize {
-        self.releases
-            .retain(|_, r| r.over_at.is_none_or(|over| over > now));
+        self.releases.retain(|_, r| r.over_at > now);
         self.releases.len()
     }
 
--- a/tests/testsuite/host/grants/daemon.rs
+++ b/tests/testsuite/host/grants/daemon.rs
@@ -15,6 +15,7 @@
 use foxtaildrift::process::clock::{Clock, SystemClock};
 use foxtaildrift::process::host::grant_manager::GrantManager;
 use foxtaildrift::process::host::host_dispatcher::HostDispatcher;
+use foxtaildrift::process::host::local_upstream::UpstreamLoss;
 use foxtaildrift::process::lease_times::LeaseTimes;
 use foxtaildrift::process::membership::{Membership, MembershipEvent};
 use foxtaildrift::process::metrics::Metrics;
@@ -76,6 +77,13 @@
 pub struct TestTable(Table);
 
 impl TestTable {
+    /// Gives a member another address for daemons.
+    pub fn with_peer(mut self, instance: InstanceId, address: SocketAddr) -> Self {
+        let (session, member) = member(instance, address);
+        self.0.members.insert(session, member);
+        self
+    }
+
     /// Adds a session of a former process at the address of the daemon under test.
     pub fn with_former_process(mut self) -> Self {
         let (session, member) = member(FORMER, peer(OWN));
@@ -119,7 +127,9 @@
 
 /// The daemon under test.
 pub struct Daemon {
+    /// What is tested.
     pub manager: Arc<GrantManager>,
+    dispatcher: Arc<HostDispatcher>,
     membership: Arc<Membership>,
     reactor: Arc<Reactor>,
     stop: Arc<StopFlag>,
@@ -163,7 +173,7 @@
         let manager = Arc::new(GrantManager::new(
             clock,
             Arc::clone(&membership),
-            dispatcher,
+            Arc::clone(&dispatcher),
             peers,
             protocol,
             GRANT_MAX,
@@ -173,6 +183,7 @@
         let ticking = thread::spawn(move || ticked.run(&ticking_until));
         let daemon = Self {
             manager,
+            dispatcher,
             membership,
             reactor,
             stop,
@@ -196,6 +207,19 @@
             .with_ownership(|o, _| o.facts().resigned.contains_key(&first))
     }
 
+    /// Returns whether the daemon has announced the end of the sessions of its former process.
+    pub fn has_ended_former_sessions(&self) -> bool {
+        let former = info(FORMER, peer(OWN)).session;
+        self.membership
+            .with_ownership(|o, _| o.facts().resigned.contains_key(&former))
+    }
+
+    /// Takes the upstream as lost although its process may still run.
+    pub fn lose_upstream(&self) {
+        self.dispatcher
+            .handle_upstream_loss(UpstreamLoss::GrantsNotAnswered);
+    }
+
     /// Returns the newest epoch that the daemon has announced as released.
     pub fn announced(&self) -> Epoch {
         let first = info(OWN, peer(OWN)).session;
