End the sessions of a former process when their leases have expired

Cause: a restarted daemon announced the end of its former process as soon as the upstream had released all keys. It cannot know which grants of that process were not answered; one may take effect after the release. The release had a token above all of its epoch.

Fix: the release is for the handover only, with a token below all grants.

Weighed: the end of the sessions after an acknowledged release is up to 2 s sooner where all daemons restart at once. It relies on each upstream to refuse a grant by a token that it saw in a release, which its protocol does not state.

--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -29,7 +30,6 @@
 use crate::request::shard_key::ShardKey;
 use crate::request::upstream_load::UpstreamLoad;
 use crate::version::epoch::Epoch;
-use crate::version::fencing_token::FencingToken;
 use crate::version::service_name::ServiceName;
 use crate::version::session_id::SessionId;
 use crate::version::slice_id::SliceId;
@@ -57,6 +57,8 @@
 const RELEASE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Timeout of the call that sends handovers to the next owner.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(600);
+/// A fencing token below that of each grant.
+const FENCING_TOKEN_MIN: u64 = 0;
 /// HTTP status of an upstream whose service is not sharded by key.
 const STATUS_NOT_SHARDED: u16 = 400;
 /// HTTP status of an upstream that has seen a higher fencing token.
@@ -98,6 +100,8 @@
     grant_max: Duration,
     grants: Mutex<KeyGrants>,
     load_meter: Mutex<LoadMeter>,
+    /// Whether the grants of the former process were released.
+    former_released: AtomicBool,
 }
 
 impl GrantManager {
@@ -119,6 +123,7 @@
             grant_max,
             grants: Mutex::default(),
             load_meter: Mutex::default(),
+            former_released: AtomicBool::new(false),
         }
     }
 
@@ -147,78 +152,57 @@
         load_meter.report(&table, &process.service, own_session, load)
     }
 
-    /// Releases the grants of a former daemon process on this host, and announces the end of its
-    /// sessions. That process can't grant any more, so other daemons need not wait for its lease to
-    /// expire.
+    /// Releases the grants of a former daemon process on this host, for their handover. Its sessions
+    /// end when their leases have expired: a grant that it sent may still take effect until then.
     ///
-    /// The release is for all keys, so it is made only while this process has none itself. Afterwards
-    /// the former sessions end when their leases have expired.
-    pub fn release_former_sessions(&self) {
+    /// The release is for all keys, so it is made only while this process has none itself.
+    pub fn release_former_grants(&self) {
         if !self.membership.has_read_platform() || self.is_candidate() {
             return;
         }
         let former = self.membership.with_ownership(|o, _| o.former_sessions());
-        if former.is_empty() {
+        if former.is_empty() || self.former_released.load(Ordering::SeqCst) {
             return;
         }
         let split = |grant: &KeyGrant| self.split_by_next_owner(grant);
         let own = sync::lock(&self.grants).begin_release_all(&split);
         self.release_and_hand_over(own);
-        self.release_former_grants(former.len());
+        let released = self.release_unfenced(former.len());
+        self.former_released.store(released, Ordering::SeqCst);
         sync::lock(&self.grants).end_release_all();
     }
 
-    /// Releases all keys in the name of the former process of this daemon, whose `sessions` have not
-    /// ended, and ends them.
-    fn release_former_grants(&self, sessions: usize) {
-        let epoch = self.membership.table().epoch;
-        // At least as high as any fencing token of the former process, and below all later ones. The
-        // upstream refuses a grant of the former process that takes effect after this.
-        let fencing_token = owned_range::pack_fencing_token(FencingToken {
-            since: epoch,
-            rank: u32::MAX,
-            incarnation: u32::MAX,
-        });
+    /// Releases all keys without a fencing token above those of this process's later grants; returns
+    /// whether nothing is left to release. `sessions` is how many former sessions have not ended.
+    fn release_unfenced(&self, sessions: usize) -> bool {
         let all_keys = KeyRange {
             first: ShardKey(0),
             last: ShardKey(u16::MAX),
         };
-        let request = self.protocol.release_request(all_keys, fencing_token);
-        match self
+        let request = self.protocol.release_request(all_keys, FENCING_TOKEN_MIN);
+        let result = self
             .dispatcher
             .pool()
-            .send_control_request(|| Some(request), RELEASE_TIMEOUT)
-        {
+            .send_control_request(|| Some(request), RELEASE_TIMEOUT);
+        let reason = match result {
             Ok((head, metadata)) if head.status < 300 => {
-                tracing::info!(
-                    event = "former-released",
-                    sessions,
-                    warm = metadata.handover.is_some()
-                );
+                let warm = metadata.handover.is_some();
+                tracing::info!(event = "former-released", sessions, warm);
                 self.keep_handover(all_keys, metadata.handover);
+                return true;
             }
             Ok((head, _)) if head.status == STATUS_NOT_SHARDED => {
-                tracing::info!(
-                    event = "former-released",
-                    sessions,
-                    reason = "the service of the upstream is not sharded"
-                );
-            }
-            Err(UpstreamRequestFailure::Refused) => {
-                tracing::info!(
-                    event = "former-released",
-                    sessions,
-                    reason = "the upstream is gone"
-                );
+                "the service of the upstream is not sharded"
             }
+            Err(UpstreamRequestFailure::Refused) => "the upstream is gone",
             other => {
                 let reason = failure_reason(other.map(|(head, _)| head.status));
                 tracing::warn!(event = "former-not-released", sessions, reason);
-                return;
+                return false;
             }
-        }
-        self.membership
-            .with_ownership(|o, now| o.end_former_sessions(now));
+        };
+        tracing::info!(event = "former-released", sessions, reason);
+        true
     }
 
     /// Keeps the upstream's handover in case its keys are assigned to this daemon again.
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -390,10 +390,9 @@
     let times = context.settings.lease_times();
     let (mut reported_at, mut traffic_at) = (started, started);
     while !context.stop.wait(PERIODIC_INTERVAL) {
-        context.grant_manager.release_former_sessions();
+        context.grant_manager.release_former_grants();
         context.grant_manager.reconcile();
-        let former_leases_expired =
-            started.elapsed() > times.expiry_delay() + times.renewal_interval;
+        let former_leases_expired = started.elapsed() > times.expiry_delay();
         if former_leases_expired && context.membership.has_read_platform() {
             context
                 .membership
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -306,9 +306,8 @@
     /// Announces that the sessions of former processes at this daemon's address have ended.
     ///
     /// This is safe only after the daemon has read the platform's table, so that the former process
-    /// had adopted no newer one, and once no work that the former process started can still be
-    /// running: either the local upstream has released all keys, or this process has held the
-    /// address for a lease and its drift margin.
+    /// had adopted no newer one, and once this process has held the address for a lease and its drift
+    /// margin, so that nothing which the former process started can still be running.
     pub fn end_former_sessions(&mut self, now: Moment) {
         let me = self.info.session.instance;
         let peer = self.info.peer;
--- a/tests/testsuite/host/grants/mod.rs
+++ b/tests/testsuite/host/grants/mod.rs
@@ -125,10 +125,24 @@
     let daemon = Daemon::start(&upstream, table(1, &[OWN, OTHER]).with_former_process());
     daemon.manager.reconcile();
     assert_eq!(upstream.calls("grant").len(), 1);
-    daemon.manager.release_former_sessions();
+    daemon.manager.release_former_grants();
     assert!(
         upstream.calls("release").is_empty(),
         "{:?}",
         upstream.calls("release")
     );
 }
+
+/// Guards against a former process whose sessions are announced as ended while a grant that it sent
+/// may still take effect.
+#[test]
+fn a_restarted_daemon_releases_for_its_former_process_without_ending_its_sessions() {
+    let upstream = ScriptedUpstream::start(|_| Answer::After(Duration::ZERO));
+    let daemon = Daemon::start(&upstream, table(1, &[OTHER]).with_former_process());
+    daemon.manager.release_former_grants();
+    daemon.manager.release_former_grants();
+    let releases = upstream.calls("release");
+    assert_eq!(releases.len(), 1, "{releases:?}");
+    assert_eq!(releases[0].fencing_token, 0, "below all own grants");
+    assert!(!daemon.has_ended_former_sessions());
+}
