Let grants last as long as before, less 20 ms

Shorter grants are renewed more often, and each renewal without an answer leaves its keys without a grant sooner.

What the margin is for is narrower since the duration is determined when the connection stands: bytes on an established connection of the same host. That a packet of it is lost, sent again after 0.2 s or more, and the lease lapses in that moment too is left open (docs/incidents/keys-passed-on-early.md).

--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -37,9 +37,9 @@
 /// Largest assumed drift of the upstream's clock while it measures the duration of a grant, as a
 /// fraction.
 const CLOCK_DRIFT: f64 = 0.02;
-/// How much earlier than the lease a grant ends. Its duration counts from the arrival of the call,
-/// which may be as late as the end of the call.
-const GRANT_MARGIN: Duration = GRANT_TIMEOUT.saturating_add(Duration::from_millis(20));
+/// How much earlier than the lease a grant ends, to cover the time that its bytes take to arrive on an
+/// established connection of this host.
+const GRANT_MARGIN: Duration = Duration::from_millis(20);
 /// Shortest grant that is worth a call.
 const GRANT_DURATION_MIN: Duration = Duration::from_millis(150);
 /// Timeout of a grant call.
