--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -416,6 +416,14 @@
     Some(timeout.min(KEEP_ALIVE_MAX))
 }
 
+/// Describes the status or the failure of a control request for a log line.
+pub fn failure_reason(result: Result<u16, UpstreamRequestFailure>) -> String {
+    match result {
+        Ok(status) => format!("status {status}"),
+        Err(e) => format!("{e:?}"),
+    }
+}
+
 /// Converts an error that occurred after the request was sent.
 fn sent_failure(e: ConnectionError) -> UpstreamRequestFailure {
     match e {
--- /dev/null
+++ b/src/process/host/grant_attempt.rs
@@ -0,0 +1,73 @@
+//! One attempt to grant a range of keys to the upstream.
+
+use crate::connection::protocol::Grant;
+use crate::connection::upstream_pool::UpstreamRequestFailure;
+use crate::process::host::key_grants::KeyGrant;
+use crate::process::host::owned_range::OwnedRange;
+use crate::process::moment::Moment;
+use crate::version::service_name::ServiceName;
+
+/// Largest assumed drift of the upstream's clock while it measures the duration of a grant, as a
+/// fraction.
+pub const CLOCK_DRIFT: f64 = 0.02;
+
+/// A grant that was sent to the upstream.
+pub struct SentGrant {
+    /// The grant.
+    pub grant: Grant,
+    /// When its duration was determined, right before it was written.
+    pub sent_at: Moment,
+}
+
+/// An attempt to grant a range.
+pub struct GrantAttempt {
+    /// The range.
+    pub range: OwnedRange,
+    /// When the attempt began.
+    pub began_at: Moment,
+    /// When its call ended.
+    pub ended_at: Moment,
+    /// What was sent; `None` if there was no connection in time.
+    pub sent: Option<SentGrant>,
+    /// HTTP status of the response.
+    pub result: Result<u16, UpstreamRequestFailure>,
+}
+
+impl GrantAttempt {
+    /// Returns what the upstream may have because of this attempt, which sent `sent`.
+    pub fn key_grant(&self, service: &ServiceName, sent: &SentGrant) -> KeyGrant {
+        let duration = sent.grant.duration;
+        let possible_until = self.ended_at + duration.mul_f64(1.0 + CLOCK_DRIFT);
+        KeyGrant {
+            service: service.clone(),
+            range: self.range,
+            certain_until: match self.result {
+                Ok(200..300) => sent.sent_at + duration.mul_f64(1.0 - CLOCK_DRIFT),
+                _ => sent.sent_at,
+            },
+            possible_until,
+            unanswered_until: match self.result {
+                Err(_) => possible_until,
+                Ok(_) => Moment::default(),
+            },
+            called_until: self.ended_at,
+        }
+    }
+
+    /// Logs that the grant may last longer than the lease, which was live until `live_until`, because
+    /// its call took long.
+    pub fn log_if_outlasts(&self, live_until: Moment) {
+        let Some(sent) = &self.sent else {
+            return;
+        };
+        let possible_until = self.ended_at + sent.grant.duration.mul_f64(1.0 + CLOCK_DRIFT);
+        if possible_until > live_until {
+            tracing::info!(
+                event = "grant-may-outlast-lease",
+                first = sent.grant.keys.first.0,
+                fence = sent.grant.fencing_token,
+                ms = possible_until.since(live_until).as_millis() as u64
+            );
+        }
+    }
+}
--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -12,14 +12,16 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::connection::peer_message::{KeyHandover, PeerRequest};
+use crate::connection::peer_message::KeyHandover;
 use crate::connection::peer_pool::PeerPool;
-use crate::connection::protocol::{Grant, KeyRange, UpstreamProtocol};
-use crate::connection::recipient::Recipient;
-use crate::connection::upstream_pool::UpstreamRequestFailure;
+use crate::connection::protocol::{KeyRange, UpstreamProtocol};
+use crate::connection::upstream_pool::{self, UpstreamRequestFailure};
 use crate::process::clock::Clock;
+use crate::process::host::grant_attempt::{GrantAttempt, SentGrant};
+use crate::process::host::grant_sender::GrantSender;
 use crate::process::host::host_dispatcher::HostDispatcher;
 use crate::process::host::key_grants::{KeyGrant, KeyGrants, ReleasingGrant};
+use crate::process::host::key_releaser::{self, KeyReleaser};
 use crate::process::host::load_meter::LoadMeter;
 use crate::process::host::local_upstream::{UpstreamLoss, UpstreamProcess};
 use crate::process::host::owned_range::{self, OwnedRange};
@@ -27,60 +29,22 @@
 use crate::process::membership::Membership;
 use crate::process::moment::Moment;
 use crate::process::sync;
-use crate::request::shard_key::ShardKey;
 use crate::request::upstream_load::UpstreamLoad;
 use crate::version::epoch::Epoch;
 use crate::version::service_name::ServiceName;
 use crate::version::session_id::SessionId;
 use crate::version::slice_id::SliceId;
 
-/// Largest assumed drift of the upstream's clock while it measures the duration of a grant, as a
-/// fraction.
-const CLOCK_DRIFT: f64 = 0.02;
-/// How much earlier than the lease a grant ends, to cover the time that its bytes take to arrive on an
-/// established connection of this host.
-const GRANT_MARGIN: Duration = Duration::from_millis(20);
-/// Shortest grant that is worth a call.
-const GRANT_DURATION_MIN: Duration = Duration::from_millis(150);
-/// Timeout of a grant call.
-///
-/// An upstream whose slots are all busy answers once one is free.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The most grant calls in progress at the same time: one without an answer must not hold up the
 /// others, and each may need a connection.
 const GRANTS_AT_ONCE_MAX: usize = 8;
 /// How long the planner may take to move the keys of an upstream that announced its stop.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Timeout of a release call: the upstream finishes the requests for its keys first.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Interval at which one release checks whether the others have ended.
 const RELEASE_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Timeout of the call that sends handovers to the next owner.
-const HANDOVER_TIMEOUT: Duration = Duration::from_millis(600);
-/// A fencing token below that of each grant.
-const FENCING_TOKEN_MIN: u64 = 0;
-/// HTTP status of an upstream whose service is not sharded by key.
-const STATUS_NOT_SHARDED: u16 = 400;
 /// HTTP status of an upstream that has seen a higher fencing token.
 const STATUS_FENCED: u16 = 409;
 
-/// A grant that was sent to the upstream.
-struct SentGrant {
-    grant: Grant,
-    sent_at: Moment,
-}
-
-/// An attempt to grant a range.
-struct GrantAttempt {
-    range: OwnedRange,
-    began_at: Moment,
-    ended_at: Moment,
-    /// What was sent; `None` if there was no connection in time.
-    sent: Option<SentGrant>,
-    /// HTTP status of the response.
-    result: Result<u16, UpstreamRequestFailure>,
-}
-
 /// What the daemon may serve now.
 struct Served {
     /// Epoch of the table that says so.
@@ -95,9 +59,8 @@
     clock: Arc<dyn Clock>,
     membership: Arc<Membership>,
     dispatcher: Arc<HostDispatcher>,
-    peers: Arc<PeerPool>,
-    protocol: Arc<dyn UpstreamProtocol>,
-    grant_max: Duration,
+    sender: GrantSender,
+    releaser: KeyReleaser,
     grants: Mutex<KeyGrants>,
     load_meter: Mutex<LoadMeter>,
     /// Whether the grants of the former process were released.
@@ -114,13 +77,20 @@
         protocol: Arc<dyn UpstreamProtocol>,
         grant_max: Duration,
     ) -> Self {
+        let sender = GrantSender::new(
+            Arc::clone(&clock),
+            Arc::clone(&dispatcher),
+            Arc::clone(&protocol),
+            grant_max,
+        );
+        let releaser =
+            KeyReleaser::new(Arc::clone(&clock), Arc::clone(&dispatcher), peers, protocol);
         Self {
             clock,
             membership,
             dispatcher,
-            peers,
-            protocol,
-            grant_max,
+            sender,
+            releaser,
             grants: Mutex::default(),
             load_meter: Mutex::default(),
             former_released: AtomicBool::new(false),
@@ -167,44 +137,13 @@
         let split = |grant: &KeyGrant| self.split_by_next_owner(grant);
         let own = sync::lock(&self.grants).begin_release_all(&split);
         self.release_and_hand_over(own);
-        let released = self.release_unfenced(former.len());
-        self.former_released.store(released, Ordering::SeqCst);
+        if let Ok(handover) = self.releaser.release_all_keys(former.len()) {
+            self.former_released.store(true, Ordering::SeqCst);
+            self.keep_handover(key_releaser::ALL_KEYS, handover);
+        }
         sync::lock(&self.grants).end_release_all();
     }
 
-    /// Releases all keys without a fencing token above those of this process's later grants; returns
-    /// whether nothing is left to release. `sessions` is how many former sessions have not ended.
-    fn release_unfenced(&self, sessions: usize) -> bool {
-        let all_keys = KeyRange {
-            first: ShardKey(0),
-            last: ShardKey(u16::MAX),
-        };
-        let request = self.protocol.release_request(all_keys, FENCING_TOKEN_MIN);
-        let result = self
-            .dispatcher
-            .pool()
-            .send_control_request(|| Some(request), RELEASE_TIMEOUT);
-        let reason = match result {
-            Ok((head, metadata)) if head.status < 300 => {
-                let warm = metadata.handover.is_some();
-                tracing::info!(event = "former-released", sessions, warm);
-                self.keep_handover(all_keys, metadata.handover);
-                return true;
-            }
-            Ok((head, _)) if head.status == STATUS_NOT_SHARDED => {
-                "the service of the upstream is not sharded"
-            }
-            Err(UpstreamRequestFailure::Refused) => "the upstream is gone",
-            other => {
-                let reason = failure_reason(other.map(|(head, _)| head.status));
-                tracing::warn!(event = "former-not-released", sessions, reason);
-                return false;
-            }
-        };
-        tracing::info!(event = "former-released", sessions, reason);
-        true
-    }
-
     /// Keeps the upstream's handover in case its keys are assigned to this daemon again.
     fn keep_handover(&self, keys: KeyRange, handover: Option<String>) {
         let (Some(process), Some(handover)) = (self.dispatcher.upstream_process(), handover) else {
@@ -277,7 +216,7 @@
             .flat_map(|range| grants.due_grants(now, &process.service, range))
             .collect();
         for part in due.chunks(GRANTS_AT_ONCE_MAX) {
-            let attempts = self.send_grants(part, live_until).into_iter();
+            let attempts = self.sender.send_grants(part, live_until).into_iter();
             let accepted = attempts.map(|a| self.record_attempt(&mut grants, &process, a));
             if accepted.filter(|accepted| *accepted).count() < part.len() {
                 break;
@@ -304,7 +243,7 @@
         let all = sync::lock(&self.grants).begin_release_all(&split);
         self.dispatcher.set_granted(Vec::new());
         self.release_and_hand_over(all);
-        let until = self.clock.now() + RELEASE_TIMEOUT;
+        let until = self.clock.now() + key_releaser::RELEASE_TIMEOUT;
         while !self.end_session(session, reason) && self.clock.now() < until {
             thread::sleep(RELEASE_POLL_INTERVAL);
         }
@@ -385,7 +324,7 @@
             ended.push((release.id, over_at));
         }
         if let Some(next) = next {
-            self.hand_over(next, handovers);
+            self.releaser.hand_over(next, handovers);
         }
         let mut grants = sync::lock(&self.grants);
         for (id, over_at) in ended {
@@ -393,18 +332,11 @@
         }
     }
 
-    fn hand_over(&self, peer: SocketAddr, handovers: Vec<KeyHandover>) {
-        let ranges = handovers.len();
-        let request = PeerRequest::TransferKeys(handovers);
-        let result = self
-            .peers
-            .call(peer, &request, HANDOVER_TIMEOUT, &Recipient::none(), || {
-                false
-            });
-        match result {
-            Ok(_) => tracing::info!(event = "keys-handed-over", %peer, ranges),
-            Err(e) => tracing::warn!(event = "handover-failed", %peer, ranges, error = %e),
-        }
+    /// Releases a grant at the upstream; returns until when the upstream may use it, and the handover.
+    fn release_range(&self, release: &ReleasingGrant) -> (Moment, Option<String>) {
+        let outcome = self.releaser.release_range(&release.grant);
+        sync::lock(&self.grants).end_release_call(release.id);
+        outcome
     }
 
     /// Begins the release of the keys that this daemon does not serve under the present table.
@@ -474,117 +406,6 @@
         })
     }
 
-    /// Releases a range at the upstream; returns until when the upstream may use it, and the
-    /// upstream's handover.
-    fn release_range(&self, releasing: &ReleasingGrant) -> (Moment, Option<String>) {
-        let grant = &releasing.grant;
-        let keys = grant.range.keys();
-        let fencing_token = owned_range::pack_fencing_token(grant.range.token);
-        let request = self.protocol.release_request(keys, fencing_token);
-        let started = self.clock.now();
-        let result = self
-            .dispatcher
-            .pool()
-            .send_control_request(|| Some(request), RELEASE_TIMEOUT);
-        let now = self.clock.now();
-        let outcome = match result {
-            Ok((head, metadata)) if head.status < 300 => {
-                let ms = now.since(started).as_millis();
-                tracing::info!(
-                    event = "keys-released",
-                    first = keys.first.0,
-                    last = keys.last.0,
-                    fence = fencing_token,
-                    ms
-                );
-                // An unanswered grant may still take effect after the release.
-                (grant.unanswered_until, metadata.handover)
-            }
-            Err(UpstreamRequestFailure::Refused) => {
-                self.dispatcher
-                    .handle_upstream_loss(UpstreamLoss::Refused { at: started });
-                (now, None)
-            }
-            other => {
-                let reason = failure_reason(other.map(|(head, _)| head.status));
-                tracing::warn!(
-                    event = "release-failed",
-                    first = keys.first.0,
-                    last = keys.last.0,
-                    fence = fencing_token,
-                    reason
-                );
-                (grant.possible_until, None)
-            }
-        };
-        sync::lock(&self.grants).end_release_call(releasing.id);
-        outcome
-    }
-
-    /// Sends grants at the same time, each unless its duration would be too short.
-    fn send_grants(
-        &self,
-        due: &[(OwnedRange, Option<String>)],
-        live_until: Moment,
-    ) -> Vec<GrantAttempt> {
-        let send = |(range, handover): &(OwnedRange, Option<String>)| {
-            self.send_grant(*range, handover.clone(), live_until)
-        };
-        if let [only] = due {
-            return send(only).into_iter().collect();
-        }
-        thread::scope(|scope| {
-            let threads: Vec<_> = due.iter().map(|d| scope.spawn(move || send(d))).collect();
-            let attempts = threads.into_iter().filter_map(|t| t.join().ok());
-            attempts.flatten().collect()
-        })
-    }
-
-    /// Sends a grant, unless its duration would be too short. The duration counts from the arrival
-    /// of the call, so it is determined when the connection stands.
-    fn send_grant(
-        &self,
-        range: OwnedRange,
-        handover: Option<String>,
-        live_until: Moment,
-    ) -> Option<GrantAttempt> {
-        let began_at = self.clock.now();
-        self.grant_duration(began_at, live_until)?;
-        let mut sent = None;
-        let build_request = || {
-            let sent_at = self.clock.now();
-            let grant = Grant {
-                keys: range.keys(),
-                fencing_token: owned_range::pack_fencing_token(range.token),
-                duration: self.grant_duration(sent_at, live_until)?,
-                handover,
-            };
-            let request = self.protocol.grant_request(&grant);
-            sent = Some(SentGrant { grant, sent_at });
-            Some(request)
-        };
-        let pool = self.dispatcher.pool();
-        let result = pool.send_control_request(build_request, GRANT_TIMEOUT);
-        let attempt = GrantAttempt {
-            range,
-            began_at,
-            ended_at: self.clock.now(),
-            sent,
-            result: result.map(|(head, _)| head.status),
-        };
-        attempt.log_if_outlasts(live_until);
-        Some(attempt)
-    }
-
-    /// Returns how long a grant sent at `sent_at` may last, or `None` if that is too short.
-    fn grant_duration(&self, sent_at: Moment, live_until: Moment) -> Option<Duration> {
-        let max_duration = live_until
-            .since(sent_at + GRANT_MARGIN)
-            .mul_f64(1.0 / (1.0 + CLOCK_DRIFT));
-        let duration = max_duration.min(self.grant_max);
-        (duration >= GRANT_DURATION_MIN).then_some(duration)
-    }
-
     /// Records an attempt to grant a range; returns whether the upstream accepted it.
     fn record_attempt(
         &self,
@@ -618,7 +439,7 @@
             first = attempt.range.first,
             last = attempt.range.last,
             fence = owned_range::pack_fencing_token(attempt.range.token),
-            reason = failure_reason(attempt.result)
+            reason = upstream_pool::failure_reason(attempt.result)
         );
         false
     }
@@ -661,45 +482,6 @@
     }
 }
 
-impl GrantAttempt {
-    /// Returns what the upstream may have because of this attempt, which sent `sent`.
-    fn key_grant(&self, service: &ServiceName, sent: &SentGrant) -> KeyGrant {
-        let duration = sent.grant.duration;
-        let possible_until = self.ended_at + duration.mul_f64(1.0 + CLOCK_DRIFT);
-        KeyGrant {
-            service: service.clone(),
-            range: self.range,
-            certain_until: match self.result {
-                Ok(200..300) => sent.sent_at + duration.mul_f64(1.0 - CLOCK_DRIFT),
-                _ => sent.sent_at,
-            },
-            possible_until,
-            unanswered_until: match self.result {
-                Err(_) => possible_until,
-                Ok(_) => Moment::default(),
-            },
-            called_until: self.ended_at,
-        }
-    }
-
-    /// Logs that the grant may last longer than the lease, which was live until `live_until`, because
-    /// its call took long.
-    fn log_if_outlasts(&self, live_until: Moment) {
-        let Some(sent) = &self.sent else {
-            return;
-        };
-        let possible_until = self.ended_at + sent.grant.duration.mul_f64(1.0 + CLOCK_DRIFT);
-        if possible_until > live_until {
-            tracing::info!(
-                event = "grant-may-outlast-lease",
-                first = sent.grant.keys.first.0,
-                fence = sent.grant.fencing_token,
-                ms = possible_until.since(live_until).as_millis() as u64
-            );
-        }
-    }
-}
-
 /// Records an accepted grant, and logs it unless it was a renewal.
 fn record_accepted(grants: &mut KeyGrants, key_grant: KeyGrant, sent: &SentGrant) {
     let grant = &sent.grant;
@@ -719,10 +501,3 @@
         );
     }
 }
-
-fn failure_reason(result: Result<u16, UpstreamRequestFailure>) -> String {
-    match result {
-        Ok(status) => format!("status {status}"),
-        Err(e) => format!("{e:?}"),
-    }
-}
--- /dev/null
+++ b/src/process/host/grant_sender.rs
@@ -0,0 +1,111 @@
+//! Sends grants to the upstream. Keeps no state: what was granted is recorded by the caller.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crate::connection::protocol::{Grant, UpstreamProtocol};
+use crate::process::clock::Clock;
+use crate::process::host::grant_attempt::{CLOCK_DRIFT, GrantAttempt, SentGrant};
+use crate::process::host::host_dispatcher::HostDispatcher;
+use crate::process::host::owned_range::{self, OwnedRange};
+use crate::process::moment::Moment;
+
+/// How much earlier than the lease a grant ends, to cover the time that its bytes take to arrive on an
+/// established connection of this host.
+const GRANT_MARGIN: Duration = Duration::from_millis(20);
+/// Shortest grant that is worth a call.
+const GRANT_DURATION_MIN: Duration = Duration::from_millis(150);
+/// Timeout of a grant call.
+///
+/// An upstream whose slots are all busy answers once one is free.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Sends grants to the local upstream.
+pub struct GrantSender {
+    clock: Arc<dyn Clock>,
+    dispatcher: Arc<HostDispatcher>,
+    protocol: Arc<dyn UpstreamProtocol>,
+    grant_max: Duration,
+}
+
+impl GrantSender {
+    /// Creates a sender; no grant is longer than `grant_max`.
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        dispatcher: Arc<HostDispatcher>,
+        protocol: Arc<dyn UpstreamProtocol>,
+        grant_max: Duration,
+    ) -> Self {
+        Self {
+            clock,
+            dispatcher,
+            protocol,
+            grant_max,
+        }
+    }
+
+    /// Sends grants at the same time, each unless its duration would be too short.
+    pub fn send_grants(
+        &self,
+        due: &[(OwnedRange, Option<String>)],
+        live_until: Moment,
+    ) -> Vec<GrantAttempt> {
+        let send = |(range, handover): &(OwnedRange, Option<String>)| {
+            self.send_grant(*range, handover.clone(), live_until)
+        };
+        if let [only] = due {
+            return send(only).into_iter().collect();
+        }
+        thread::scope(|scope| {
+            let threads: Vec<_> = due.iter().map(|d| scope.spawn(move || send(d))).collect();
+            let attempts = threads.into_iter().filter_map(|t| t.join().ok());
+            attempts.flatten().collect()
+        })
+    }
+
+    /// Sends a grant, unless its duration would be too short. The duration counts from the arrival
+    /// of the call, so it is determined when the connection stands.
+    fn send_grant(
+        &self,
+        range: OwnedRange,
+        handover: Option<String>,
+        live_until: Moment,
+    ) -> Option<GrantAttempt> {
+        let began_at = self.clock.now();
+        self.grant_duration(began_at, live_until)?;
+        let mut sent = None;
+        let build_request = || {
+            let sent_at = self.clock.now();
+            let grant = Grant {
+                keys: range.keys(),
+                fencing_token: owned_range::pack_fencing_token(range.token),
+                duration: self.grant_duration(sent_at, live_until)?,
+                handover,
+            };
+            let request = self.protocol.grant_request(&grant);
+            sent = Some(SentGrant { grant, sent_at });
+            Some(request)
+        };
+        let pool = self.dispatcher.pool();
+        let result = pool.send_control_request(build_request, GRANT_TIMEOUT);
+        let attempt = GrantAttempt {
+            range,
+            began_at,
+            ended_at: self.clock.now(),
+            sent,
+            result: result.map(|(head, _)| head.status),
+        };
+        attempt.log_if_outlasts(live_until);
+        Some(attempt)
+    }
+
+    /// Returns how long a grant sent at `sent_at` may last, or `None` if that is too short.
+    fn grant_duration(&self, sent_at: Moment, live_until: Moment) -> Option<Duration> {
+        let max_duration = live_until
+            .since(sent_at + GRANT_MARGIN)
+            .mul_f64(1.0 / (1.0 + CLOCK_DRIFT));
+        let duration = max_duration.min(self.grant_max);
+        (duration >= GRANT_DURATION_MIN).then_some(duration)
+    }
+}
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -11,6 +11,8 @@
 //! | [`local_upstream`] | current process of the local upstream, and its state |
 //! | [`grant_manager`] | which keys are granted to the local upstream, and when they are released |
 //! | [`key_grants`] | which grants the local upstream has, and when a release is complete |
+//! | `grant_sender`, `grant_attempt` | calls that grant keys, and what each of them means |
+//! | `key_releaser` | calls that release keys, and their handover to the next owner |
 //! | [`owned_range`] | arithmetic on key ranges, and the fencing tokens of grants |
 //! | [`load_meter`] | load that each key range puts on the local upstream |
 //! | [`store_sync`] | routing and table in force, and writes of the next table |
@@ -29,13 +31,16 @@
 pub mod admission;
 pub mod body_reservations;
 pub mod endpoints;
+mod grant_attempt;
 pub mod grant_manager;
+mod grant_sender;
 pub mod grant_wait;
 pub mod host_context;
 pub mod host_dispatcher;
 pub mod host_router;
 pub mod host_settings;
 pub mod key_grants;
+mod key_releaser;
 pub mod load_meter;
 pub mod local_upstream;
 pub mod metered_store;
