Send several grants at once without threads

Grants were sent from scoped threads that were joined while the grants were locked.

They are written to several connections first, and then the responses are read in turn until one deadline; a response that has arrived is read also after it. So each round is bounded by the timeout of a grant, with no thread to start or to join, and no attempt can be lost with its thread.

--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -27,6 +27,8 @@
 const KEEP_ALIVE_MAX: Duration = Duration::from_secs(3600);
 /// From which time on a connection that took long to establish is logged.
 const CONNECT_SLOW_MIN: Duration = Duration::from_millis(200);
+/// How long a response is read that may have arrived before its deadline.
+const READ_TIME_MIN: Duration = Duration::from_millis(5);
 /// The most idle connections in the pool.
 const IDLE_MAX: usize = 32;
 /// The most refused requests on one connection; it is not reused after that.
@@ -40,7 +42,7 @@
     /// The connection was refused: nothing listens at the address, so the upstream's process is
     /// gone.
     Refused,
-    /// No connection was established, so no byte of the request was sent.
+    /// No connection was established in time, so no byte of the request was sent.
     NotSent(String),
     /// The upstream responded that it did not run the request.
     NotRun {
@@ -120,6 +122,12 @@
     refused: Vec<String>,
 }
 
+/// A request of the daemon itself that was sent and not answered yet.
+pub struct PendingControlRequest {
+    connection: UpstreamConnection,
+    method: &'static str,
+}
+
 /// A connection without a request in progress.
 struct IdleConnection {
     connection: UpstreamConnection,
@@ -264,18 +272,32 @@
         ))
     }
 
-    /// Sends a request of the daemon itself and waits up to `timeout` for its response. `build` is
-    /// called once a connection stands, and returns `None` if the request must not be sent any more.
+    /// Sends a request of the daemon itself and waits up to `timeout` for its response.
     ///
     /// # Errors
     ///
     /// Returns an error if no complete response arrives.
     pub fn send_control_request(
         &self,
-        build: impl FnOnce() -> Option<OutgoingRequest>,
+        request: OutgoingRequest,
         timeout: Duration,
     ) -> Result<(ResponseHead, ResponseMetadata), UpstreamRequestFailure> {
         let deadline = Instant::now() + timeout;
+        let pending = self.begin_control_request(|| Some(request), deadline)?;
+        self.finish_control_request(pending, deadline)
+    }
+
+    /// Sends a request of the daemon itself. `build` is called once a connection stands, and returns
+    /// `None` if the request must not be sent any more.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it was not sent, or only in part.
+    pub fn begin_control_request(
+        &self,
+        build: impl FnOnce() -> Option<OutgoingRequest>,
+        deadline: Instant,
+    ) -> Result<PendingControlRequest, UpstreamRequestFailure> {
         let mut connection = self.checkout(None, deadline)?;
         let Some(request) = build() else {
             let reason = "it was withdrawn while connecting";
@@ -288,10 +310,37 @@
             request.body.len(),
         );
         bytes.extend_from_slice(&request.body);
-        let conn = &mut connection.conn;
-        let exchanged = control_exchange(conn, request.method, &bytes, deadline);
-        let (head, framing) = match exchanged {
-            Ok(exchanged) => exchanged,
+        let written = connection
+            .conn
+            .write(&bytes, false, deadline, &Recipient::none());
+        if let Err(e) = written {
+            connection.conn.reset();
+            return Err(sent_failure(e));
+        }
+        Ok(PendingControlRequest {
+            connection,
+            method: request.method,
+        })
+    }
+
+    /// Waits until `deadline` for the response to a request of the daemon itself; takes one that has
+    /// arrived already also later.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no complete response arrives.
+    pub fn finish_control_request(
+        &self,
+        pending: PendingControlRequest,
+        deadline: Instant,
+    ) -> Result<(ResponseHead, ResponseMetadata), UpstreamRequestFailure> {
+        let PendingControlRequest {
+            mut connection,
+            method,
+        } = pending;
+        let deadline = deadline.max(Instant::now() + READ_TIME_MIN);
+        let (head, framing) = match read_control_response(&mut connection.conn, method, deadline) {
+            Ok(response) => response,
             Err(e) => {
                 connection.conn.reset();
                 return Err(sent_failure(e));
@@ -393,15 +442,13 @@
     }
 }
 
-/// Writes the bytes of a request of the daemon itself and reads the response to it.
-fn control_exchange(
+/// Reads the response to a request of the daemon itself.
+fn read_control_response(
     conn: &mut BufferedConnection,
     method: &str,
-    bytes: &[u8],
     deadline: Instant,
 ) -> Result<(ResponseHead, Framing), ConnectionError> {
     let recipient = Recipient::none();
-    conn.write(bytes, false, deadline, &recipient)?;
     let head = http1::read_response_head(conn, deadline, &recipient)?;
     let framing = http1::response_framing(&head, method)?;
     http1::read_body(conn, framing, BODY_BYTES_MAX, deadline, &recipient)?;
--- a/src/process/host/grant_attempt.rs
+++ b/src/process/host/grant_attempt.rs
@@ -29,20 +29,19 @@
     pub ended_at: Moment,
     /// What was sent; `None` if there was no connection in time.
     pub sent: Option<SentGrant>,
-    /// HTTP status of the response.
+    /// HTTP status of the response, or why there was none.
     pub result: Result<u16, UpstreamRequestFailure>,
 }
 
 impl GrantAttempt {
     /// Returns what the upstream may have because of this attempt, which sent `sent`.
     pub fn key_grant(&self, service: &ServiceName, sent: &SentGrant) -> KeyGrant {
-        let duration = sent.grant.duration;
-        let possible_until = self.ended_at + duration.mul_f64(1.0 + CLOCK_DRIFT);
+        let possible_until = self.possible_until(sent);
         KeyGrant {
             service: service.clone(),
             range: self.range,
             certain_until: match self.result {
-                Ok(200..300) => sent.sent_at + duration.mul_f64(1.0 - CLOCK_DRIFT),
+                Ok(200..300) => sent.sent_at + sent.grant.duration.mul_f64(1.0 - CLOCK_DRIFT),
                 _ => sent.sent_at,
             },
             possible_until,
@@ -54,13 +53,18 @@
         }
     }
 
+    /// Returns until when the upstream may have what `sent` granted.
+    fn possible_until(&self, sent: &SentGrant) -> Moment {
+        self.ended_at + sent.grant.duration.mul_f64(1.0 + CLOCK_DRIFT)
+    }
+
     /// Logs that the grant may last longer than the lease, which was live until `live_until`, because
     /// its call took long.
     pub fn log_if_outlasts(&self, live_until: Moment) {
         let Some(sent) = &self.sent else {
             return;
         };
-        let possible_until = self.ended_at + sent.grant.duration.mul_f64(1.0 + CLOCK_DRIFT);
+        let possible_until = self.possible_until(sent);
         if possible_until > live_until {
             tracing::info!(
                 event = "grant-may-outlast-lease",
--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -35,8 +35,8 @@
 use crate::version::session_id::SessionId;
 use crate::version::slice_id::SliceId;
 
-/// The most grant calls in progress at the same time: one without an answer must not hold up the
-/// others, and each may need a connection.
+/// The most grants that are sent before the first response is awaited: one without an answer must not
+/// hold up the others, and each needs a connection.
 const GRANTS_AT_ONCE_MAX: usize = 8;
 /// How long the planner may take to move the keys of an upstream that announced its stop.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -125,7 +125,8 @@
     /// Releases the grants of a former daemon process on this host, for their handover. Its sessions
     /// end when their leases have expired: a grant that it sent may still take effect until then.
     ///
-    /// The release is for all keys, so it is made only while this process has none itself.
+    /// The release is for all keys, so it is made only while this process is to have none; what it was
+    /// granted before that is released first.
     pub fn release_former_grants(&self) {
         if !self.membership.has_read_platform() || self.is_candidate() {
             return;
@@ -170,7 +171,7 @@
             grants.abandon(self.dispatcher.upstream_gone_at());
             drop(grants);
             if self.is_candidate() {
-                self.end_session(self.own_session(), "the upstream is gone");
+                self.resign_if_idle(self.own_session(), "the upstream is gone");
             }
             return;
         };
@@ -216,9 +217,11 @@
             .flat_map(|range| grants.due_grants(now, &process.service, range))
             .collect();
         for part in due.chunks(GRANTS_AT_ONCE_MAX) {
-            let attempts = self.sender.send_grants(part, live_until).into_iter();
-            let accepted = attempts.map(|a| self.record_attempt(&mut grants, &process, a));
-            if accepted.filter(|accepted| *accepted).count() < part.len() {
+            let mut all_accepted = true;
+            for attempt in self.sender.send_grants(part, live_until) {
+                all_accepted &= self.record_attempt(&mut grants, &process, attempt);
+            }
+            if !all_accepted {
                 break;
             }
         }
@@ -244,7 +247,7 @@
         self.dispatcher.set_granted(Vec::new());
         self.release_and_hand_over(all);
         let until = self.clock.now() + key_releaser::RELEASE_TIMEOUT;
-        while !self.end_session(session, reason) && self.clock.now() < until {
+        while !self.resign_if_idle(session, reason) && self.clock.now() < until {
             thread::sleep(RELEASE_POLL_INTERVAL);
         }
         sync::lock(&self.grants).end_release_all();
@@ -257,8 +260,8 @@
     }
 
     /// Resigns `session`, so that others may serve its keys at once, unless the upstream may still
-    /// use some of them. Returns whether the session has ended.
-    pub fn end_session(&self, session: SessionId, reason: &str) -> bool {
+    /// use some of them. Returns whether the session has ended; the one that followed it goes on.
+    pub fn resign_if_idle(&self, session: SessionId, reason: &str) -> bool {
         let mut grants = sync::lock(&self.grants);
         if !grants.is_idle(self.clock.now()) {
             return false;
--- a/src/process/host/grant_sender.rs
+++ b/src/process/host/grant_sender.rs
@@ -1,10 +1,10 @@
 //! Sends grants to the upstream. Keeps no state: what was granted is recorded by the caller.
 
 use std::sync::Arc;
-use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::connection::protocol::{Grant, UpstreamProtocol};
+use crate::connection::upstream_pool::{PendingControlRequest, UpstreamRequestFailure};
 use crate::process::clock::Clock;
 use crate::process::host::grant_attempt::{CLOCK_DRIFT, GrantAttempt, SentGrant};
 use crate::process::host::host_dispatcher::HostDispatcher;
@@ -21,6 +21,14 @@
 /// An upstream whose slots are all busy answers once one is free.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// A grant whose call is in progress.
+struct BegunGrant {
+    range: OwnedRange,
+    began_at: Moment,
+    sent: Option<SentGrant>,
+    pending: Result<PendingControlRequest, UpstreamRequestFailure>,
+}
+
 /// Sends grants to the local upstream.
 pub struct GrantSender {
     clock: Arc<dyn Clock>,
@@ -45,33 +53,35 @@
         }
     }
 
-    /// Sends grants at the same time, each unless its duration would be too short.
+    /// Sends grants, and then waits for the responses to all of them; leaves out those whose duration
+    /// would be too short.
     pub fn send_grants(
         &self,
         due: &[(OwnedRange, Option<String>)],
         live_until: Moment,
     ) -> Vec<GrantAttempt> {
-        let send = |(range, handover): &(OwnedRange, Option<String>)| {
-            self.send_grant(*range, handover.clone(), live_until)
-        };
-        if let [only] = due {
-            return send(only).into_iter().collect();
-        }
-        thread::scope(|scope| {
-            let threads: Vec<_> = due.iter().map(|d| scope.spawn(move || send(d))).collect();
-            let attempts = threads.into_iter().filter_map(|t| t.join().ok());
-            attempts.flatten().collect()
-        })
+        let deadline = Instant::now() + GRANT_TIMEOUT;
+        let begun: Vec<BegunGrant> = due
+            .iter()
+            .filter_map(|(range, handover)| {
+                self.begin_grant(*range, handover.clone(), live_until, deadline)
+            })
+            .collect();
+        let finished = begun.into_iter().map(|b| self.finish_grant(b, deadline));
+        finished
+            .inspect(|attempt| attempt.log_if_outlasts(live_until))
+            .collect()
     }
 
     /// Sends a grant, unless its duration would be too short. The duration counts from the arrival
     /// of the call, so it is determined when the connection stands.
-    fn send_grant(
+    fn begin_grant(
         &self,
         range: OwnedRange,
         handover: Option<String>,
         live_until: Moment,
-    ) -> Option<GrantAttempt> {
+        deadline: Instant,
+    ) -> Option<BegunGrant> {
         let began_at = self.clock.now();
         self.grant_duration(began_at, live_until)?;
         let mut sent = None;
@@ -88,16 +98,28 @@
             Some(request)
         };
         let pool = self.dispatcher.pool();
-        let result = pool.send_control_request(build_request, GRANT_TIMEOUT);
-        let attempt = GrantAttempt {
+        let pending = pool.begin_control_request(build_request, deadline);
+        Some(BegunGrant {
             range,
             began_at,
-            ended_at: self.clock.now(),
             sent,
-            result: result.map(|(head, _)| head.status),
-        };
-        attempt.log_if_outlasts(live_until);
-        Some(attempt)
+            pending,
+        })
+    }
+
+    /// Waits for the response to a grant.
+    fn finish_grant(&self, begun: BegunGrant, deadline: Instant) -> GrantAttempt {
+        let pool = self.dispatcher.pool();
+        let response = begun
+            .pending
+            .and_then(|pending| pool.finish_control_request(pending, deadline));
+        GrantAttempt {
+            range: begun.range,
+            began_at: begun.began_at,
+            ended_at: self.clock.now(),
+            sent: begun.sent,
+            result: response.map(|(head, _)| head.status),
+        }
     }
 
     /// Returns how long a grant sent at `sent_at` may last, or `None` if that is too short.
--- a/src/process/host/key_releaser.rs
+++ b/src/process/host/key_releaser.rs
@@ -24,7 +24,8 @@
 pub const RELEASE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Timeout of the call that sends handovers to the next owner.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(600);
-/// A fencing token below that of each grant.
+/// The lowest fencing token: an upstream that counts the tokens of releases refuses no grant because
+/// of it.
 const FENCING_TOKEN_MIN: u64 = 0;
 /// HTTP status of an upstream whose service is not sharded by key.
 const STATUS_NOT_SHARDED: u16 = 400;
@@ -73,7 +74,7 @@
         let result = self
             .dispatcher
             .pool()
-            .send_control_request(|| Some(request), RELEASE_TIMEOUT);
+            .send_control_request(request, RELEASE_TIMEOUT);
         let now = self.clock.now();
         match result {
             Ok((head, metadata)) if head.status < 300 => {
@@ -118,7 +119,7 @@
         let result = self
             .dispatcher
             .pool()
-            .send_control_request(|| Some(request), RELEASE_TIMEOUT);
+            .send_control_request(request, RELEASE_TIMEOUT);
         let reason = match result {
             Ok((head, metadata)) if head.status < 300 => {
                 let warm = metadata.handover.is_some();
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -166,7 +166,9 @@
         }
         let grant_manager = &self.context.grant_manager;
         let session = grant_manager.own_session();
-        if !(self.has_moved_all_keys() && grant_manager.end_session(session, "the process stops")) {
+        if !(self.has_moved_all_keys()
+            && grant_manager.resign_if_idle(session, "the process stops"))
+        {
             tracing::warn!(event = "stopped-with-keys");
         }
         thread::sleep(STOP_POLL_INTERVAL);
@@ -392,7 +394,7 @@
     while !context.stop.wait(PERIODIC_INTERVAL) {
         context.grant_manager.release_former_grants();
         context.grant_manager.reconcile();
-        let former_leases_expired = started.elapsed() > times.expiry_delay();
+        let former_leases_expired = started.elapsed() > times.former_process_delay();
         if former_leases_expired && context.membership.has_read_platform() {
             context
                 .membership
--- a/src/process/lease_times.rs
+++ b/src/process/lease_times.rs
@@ -33,4 +33,10 @@
     pub fn expiry_delay(&self) -> Duration {
         self.lease + self.drift_margin
     }
+
+    /// Returns how long after its start a process waits before it announces the end of the sessions
+    /// of its former process, whose last renewal was sent before that.
+    pub fn former_process_delay(&self) -> Duration {
+        self.expiry_delay()
+    }
 }
--- a/src/process/periodic_tasks.rs
+++ b/src/process/periodic_tasks.rs
@@ -94,8 +94,7 @@
     /// Declares the sessions of former processes on this daemon's address ended, once no request
     /// can still reach them and a table was read that is newer than any table they had.
     fn end_former_sessions(&self, state: &TaskState) {
-        let former_leases_expired =
-            state.started_at.elapsed() > self.times.expiry_delay() + self.times.renewal_interval;
+        let former_leases_expired = state.started_at.elapsed() > self.times.former_process_delay();
         if former_leases_expired && self.membership.has_read_platform() {
             self.membership
                 .with_ownership(|o, now| o.end_former_sessions(now));
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -307,7 +307,7 @@
         headers: Headers::default(),
         body: vec![b'x'; HELD_UP_BYTES],
     };
-    let result = pool(to).send_control_request(|| Some(grant), Duration::from_millis(100));
+    let result = pool(to).send_control_request(grant, Duration::from_millis(100));
     assert_eq!(result.err(), Some(UpstreamRequestFailure::TimedOut));
     let (received, was_reset) = server.join().expect("the upstream panicked");
     assert!(received < HELD_UP_BYTES, "{received} bytes arrived");
@@ -447,8 +447,11 @@
         had_connection = Some(listener.accept().is_ok());
         None
     };
-    let result = pool(to).send_control_request(build, TIMEOUT);
-    assert!(matches!(result, Err(UpstreamRequestFailure::NotSent(_))));
+    let result = pool(to).begin_control_request(build, Instant::now() + TIMEOUT);
+    assert!(matches!(
+        result.err(),
+        Some(UpstreamRequestFailure::NotSent(_))
+    ));
     assert_eq!(had_connection, Some(true));
 }
 
