--- a/crates/bench/tests/testsuite/host.rs
+++ b/crates/bench/tests/testsuite/host.rs
@@ -350,7 +350,7 @@
 }
 
 /// Guards against an upstream that carries out a late grant with an older fencing token after another
-/// upstream had the key with a newer one (OWNER on all sites).
+/// upstream had the key with a newer one.
 #[test]
 fn keys_pass_on_only_once_their_last_upstream_can_no_longer_take_them() {
     let _lock = crate::daemon::lock_environment();
--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -42,7 +42,8 @@
     /// The connection was refused: nothing listens at the address, so the upstream's process is
     /// gone.
     Refused,
-    /// No connection was established in time, so no byte of the request was sent.
+    /// No connection was established in time, or the request was withdrawn meanwhile: no byte of it was
+    /// sent.
     NotSent(String),
     /// The upstream responded that it did not run the request.
     NotRun {
--- a/src/process/host/key_grants.rs
+++ b/src/process/host/key_grants.rs
@@ -250,8 +250,8 @@
         self.releases_of_all > 0
     }
 
-    /// Returns the parts of `range` whose grants are due, with the handover for each; those of which
-    /// an earlier grant was not accepted come last. Keys whose release call is in progress are left out: it would
+    /// Returns the parts of `range` whose grants are due, with the handover for each; those whose
+    /// last grant is not in force come last. Keys whose release call is in progress are left out: it would
     /// end the new grant too.
     pub fn due_grants(
         &self,
@@ -260,7 +260,7 @@
         range: &OwnedRange,
     ) -> Vec<(OwnedRange, Option<String>)> {
         let is_own = |g: &&KeyGrant| g.service == *service && g.range.token == range.token;
-        let (in_force, unconfirmed): (Vec<&KeyGrant>, Vec<&KeyGrant>) = self
+        let (in_force, not_in_force): (Vec<&KeyGrant>, Vec<&KeyGrant>) = self
             .grants
             .iter()
             .filter(is_own)
@@ -281,7 +281,7 @@
         let merged = owned_range::merge_adjacent(without_handover);
         let mut due: Vec<_> = merged.into_iter().map(|r| (r, None)).collect();
         due.extend(handed_over);
-        due.sort_by_key(|(range, _)| unconfirmed.iter().any(|g| g.range.overlaps(range)));
+        due.sort_by_key(|(range, _)| not_in_force.iter().any(|g| g.range.overlaps(range)));
         due
     }
 
