--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -83,7 +83,11 @@
     site.finish(i32::from(!late.is_empty()))
 }
 
-fn spawn_caller(site: &Installation, number: usize, stop: &Arc<AtomicBool>) -> thread::JoinHandle<()> {
+fn spawn_caller(
+    site: &Installation,
+    number: usize,
+    stop: &Arc<AtomicBool>,
+) -> thread::JoinHandle<()> {
     let stop = Arc::clone(stop);
     let to = site.machines[number].at(rig::CALLER_PORT);
     let record = site.record.clone();
