--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -462,9 +462,7 @@
                     "{{\"Key\":{},\"Revision\":{revision},\"Removed\":true}}",
                     quote(key.text())
                 );
-                state
-                    .history
-                    .push((revision, key.text().to_owned(), event));
+                state.history.push((revision, key.text().to_owned(), event));
             }
         }
         drop(state);
@@ -859,17 +857,17 @@
         }
         state.holds = left;
         let is_busy = |s: &BackendState| s.working.iter().any(|(_, k)| first <= *k && *k <= last);
-        let waits = state.working.iter().filter(|(_, k)| first <= *k && *k <= last);
+        let waits = state
+            .working
+            .iter()
+            .filter(|(_, k)| first <= *k && *k <= last);
         let waits = waits.count();
         self.record.line(format!(
             "{} /release {first}-{last} arrives, {waits} runs on these keys",
             self.id
         ));
         while is_busy(&state) {
-            state = self
-                .released
-                .wait(state)
-                .unwrap_or_else(|e| e.into_inner());
+            state = self.released.wait(state).unwrap_or_else(|e| e.into_inner());
         }
         drop(state);
         self.record
@@ -1128,15 +1126,16 @@
 
 /// Returns three octets of loopback addresses that no other run uses.
 fn free_block() -> [u8; 3] {
-    let seed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let seed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let mut number = seed.subsec_nanos() ^ std::process::id().wrapping_mul(0x9e37_79b9);
     for _ in 0..200 {
         number = number.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
         let block = [127, 64 + ((number >> 24) % 60) as u8, (number >> 12) as u8];
         let [a, b, c] = block;
-        let is_free = |last: u8, port: u16| {
-            TcpListener::bind((Ipv4Addr::new(a, b, c, last), port)).is_ok()
-        };
+        let is_free =
+            |last: u8, port: u16| TcpListener::bind((Ipv4Addr::new(a, b, c, last), port)).is_ok();
         let ports = [APP_PORT, PEER_PORT, CALLER_PORT, READY_PORT, CONTROL_PORT];
         let machines_free = (1..=12).all(|last| ports.iter().all(|&p| is_free(last, p)));
         if machines_free && is_free(250, STORE_PORT) {
@@ -1275,7 +1274,15 @@
     /// Returns whether every sampled key of a service is served by the first machine.
     pub fn serves_keys(&self, from: usize, path: &str) -> bool {
         (0..32u64).all(|part| {
-            let request = request("GET", path, &new_id("probe"), 2500, Some(part * 2048 + 7), 1, b"");
+            let request = request(
+                "GET",
+                path,
+                &new_id("probe"),
+                2500,
+                Some(part * 2048 + 7),
+                1,
+                b"",
+            );
             let to = self.machines[from].at(CALLER_PORT);
             call(to, &request, ms(2600)).is_ok_and(|m| m.status() == 200)
         })
@@ -1285,7 +1292,9 @@
     pub fn finish(&self, code: i32) -> ! {
         for machine in &self.machines {
             if let Some(pid) = machine.pid() {
-                let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+                let _ = Command::new("kill")
+                    .args(["-KILL", &pid.to_string()])
+                    .status();
             }
         }
         thread::sleep(ms(100));
