--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -1002,6 +1002,13 @@
 
 // ---- Machines.
 
+/// Sends a signal to a process that the script has started.
+pub fn send_signal(name: &str, pid: u32) {
+    let _ = Command::new("bash")
+        .args(["-c", &format!("kill -{name} {pid}")])
+        .status();
+}
+
 /// A machine with the daemon's process and its settings file.
 pub struct Machine {
     pub name: String,
@@ -1052,9 +1059,7 @@
     pub fn signal(&self, name: &str, record: &Record) {
         if let Some(pid) = self.pid() {
             record.line(format!("SIG{name} to {}", self.name));
-            let _ = Command::new("kill")
-                .args([format!("-{name}"), pid.to_string()])
-                .status();
+            send_signal(name, pid);
         }
     }
 
@@ -1292,9 +1297,7 @@
     pub fn finish(&self, code: i32) -> ! {
         for machine in &self.machines {
             if let Some(pid) = machine.pid() {
-                let _ = Command::new("kill")
-                    .args(["-KILL", &pid.to_string()])
-                    .status();
+                send_signal("KILL", pid);
             }
         }
         thread::sleep(ms(100));
