Keep the announcements of leaving upstreams, whatever reports come

Cause: an announcement was compared with the current process only. It was dropped, and acknowledged all the same, if no process had reported yet, if it named another one, or if it came in an outdated report; and a report that began a process anew began it without the announcement.

Change: host::departures keeps who announced a stop, by name and start time; LocalUpstream asks it for each report and announcement, and nothing else sets since when a process leaves.

--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -95,13 +95,7 @@
         }
         let effect = self.dispatcher.apply_report(status);
         match effect {
-            ReportEffect::NewProcess => {
-                tracing::info!(
-                    event = "upstream-up", instance = status.instance, service = %status.service,
-                    slots = status.slots, cold_ms = status.warmup_remaining.as_millis() as u64, draining = status.draining
-                );
-                self.update_upstream_info(status);
-            }
+            ReportEffect::NewProcess => self.begin_process(status),
             ReportEffect::Leaving => {
                 tracing::info!(
                     event = "upstream-leaving",
@@ -122,11 +116,17 @@
         }
     }
 
-    /// Updates the upstream in this daemon's member info, which the planner reads.
-    fn update_upstream_info(&self, status: &StatusReport) {
+    /// Logs that a process of the upstream is up, and sets it in this daemon's member info, which the
+    /// planner reads.
+    fn begin_process(&self, status: &StatusReport) {
         let Some(process) = self.dispatcher.upstream_process() else {
             return;
         };
+        let is_leaving = process.leaving_since.is_some();
+        tracing::info!(
+            event = "upstream-up", instance = status.instance, service = %status.service,
+            slots = status.slots, cold_ms = status.warmup_remaining.as_millis() as u64, draining = is_leaving
+        );
         let upstream = Upstream {
             service: status.service.clone(),
             address: status.address,
@@ -136,7 +136,7 @@
             connections: 1,
             checks_grants: true,
         };
-        let leaving = status.draining || self.stopping.is_set();
+        let leaving = is_leaving || self.stopping.is_set();
         self.membership.with_ownership(|o, now| {
             o.update_info(now, |info| {
                 info.upstream = Some(upstream);
--- a/src/process/host/local_upstream.rs
+++ b/src/process/host/local_upstream.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::connection::protocol::StatusReport;
+use crate::process::host::departures::Departures;
 use crate::process::moment::Moment;
 use crate::version::domain_name::DomainName;
 use crate::version::service_name::ServiceName;
@@ -88,6 +89,7 @@
     gone_at: Option<Moment>,
     /// When it last showed that it runs, by a report or an answer.
     seen_at: Moment,
+    departures: Departures,
 }
 
 impl LocalUpstream {
@@ -97,7 +99,31 @@
     }
 
     /// Applies a report and returns what it changed.
+    ///
+    /// Each report is acknowledged, so that the announcement in an outdated one counts as well.
     pub fn apply_report(&mut self, now: Moment, report: &StatusReport) -> ReportEffect {
+        if report.draining {
+            self.departures
+                .record(now, &report.instance, Some(report.started_ms));
+        }
+        let effect = self.apply_state(now, report);
+        match self.apply_departures() {
+            true if effect != ReportEffect::NewProcess => ReportEffect::Leaving,
+            _ => effect,
+        }
+    }
+
+    /// Records that the process `instance` will stop, whether or not it has reported; returns
+    /// whether that was new for the current process. `None` for `started_ms` stands for the current
+    /// process, or for the next one that reports, if its name matches.
+    pub fn mark_leaving(&mut self, now: Moment, instance: &str, started_ms: Option<u64>) -> bool {
+        let current = self.process.as_ref().filter(|p| p.instance == instance);
+        let started_ms = started_ms.or(current.map(|p| p.started_ms));
+        self.departures.record(now, instance, started_ms);
+        self.apply_departures()
+    }
+
+    fn apply_state(&mut self, now: Moment, report: &StatusReport) -> ReportEffect {
         let Some(process) = &mut self.process else {
             return self.start_process(now, report);
         };
@@ -120,19 +146,16 @@
         ReportEffect::Outdated
     }
 
-    /// Records that the process `instance` will stop; returns whether that was new. `None` for
-    /// `started_ms` matches any start time.
-    pub fn mark_leaving(&mut self, now: Moment, instance: &str, started_ms: Option<u64>) -> bool {
+    /// Sets since when the current process leaves; returns whether that is new.
+    fn apply_departures(&mut self) -> bool {
         let Some(process) = &mut self.process else {
             return false;
         };
-        let matches =
-            process.instance == instance && started_ms.is_none_or(|s| s == process.started_ms);
-        if matches && process.leaving_since.is_none() {
-            process.leaving_since = Some(now);
-            return true;
-        }
-        false
+        let was_leaving = process.leaving_since.is_some();
+        process.leaving_since = self
+            .departures
+            .announced_at(&process.instance, process.started_ms);
+        process.leaving_since.is_some() && !was_leaving
     }
 
     /// Returns the latest time at which a process of the upstream was known to be gone.
@@ -177,7 +200,7 @@
             service: report.service.clone(),
             domain: report.domain.clone(),
             slots: report.slots,
-            leaving_since: report.draining.then_some(now),
+            leaving_since: None,
             cold_until: now + report.warmup_remaining,
             last_report_at: now,
         });
@@ -191,9 +214,5 @@
     process.slots = report.slots;
     process.last_report_at = now;
     process.cold_until = now + report.warmup_remaining;
-    if report.draining && process.leaving_since.is_none() {
-        process.leaving_since = Some(now);
-        return ReportEffect::Leaving;
-    }
     ReportEffect::Refreshed
 }
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -30,6 +30,7 @@
 
 pub mod admission;
 pub mod body_reservations;
+pub mod departures;
 pub mod endpoints;
 mod grant_attempt;
 pub mod grant_manager;
--- a/tests/testsuite/host/local_upstream.rs
+++ b/tests/testsuite/host/local_upstream.rs
@@ -114,12 +114,92 @@
         !upstream.mark_leaving(at(2), "a", None),
         "it was leaving already"
     );
-    let draining = StatusReport {
+    assert_eq!(
+        upstream.apply_report(at(3), &draining("a", 10, 2)),
+        ReportEffect::Refreshed
+    );
+    assert_eq!(upstream.running().unwrap().leaving_since, Some(at(1)));
+}
+
+/// A report that announces that the process will stop.
+fn draining(instance: &str, started_ms: u64, sequence: u64) -> StatusReport {
+    StatusReport {
         draining: true,
-        ..report("a", 10, 2)
-    };
+        ..report(instance, started_ms, sequence)
+    }
+}
+
+// An upstream whose leave was acknowledged got requests again after a report that was sent before it.
+#[test]
+fn a_leave_before_the_first_report_binds() {
+    let mut upstream = LocalUpstream::default();
+    upstream.mark_leaving(at(1), "a", Some(10));
     assert_eq!(
-        upstream.apply_report(at(3), &draining),
+        upstream.apply_report(at(2500), &report("a", 10, 3)),
+        ReportEffect::NewProcess
+    );
+    assert_eq!(upstream.running().unwrap().leaving_since, Some(at(1)));
+}
+
+#[test]
+fn a_leave_without_a_start_time_binds_the_next_process_of_that_name_only() {
+    let mut upstream = LocalUpstream::default();
+    upstream.mark_leaving(at(1), "a", None);
+    upstream.apply_report(at(2500), &report("a", 10, 3));
+    assert_eq!(upstream.running().unwrap().leaving_since, Some(at(1)));
+    upstream.apply_report(at(2600), &report("a", 20, 1));
+    assert_eq!(upstream.running().unwrap().leaving_since, None);
+}
+
+#[test]
+fn a_leave_binds_a_process_that_is_not_the_current_one() {
+    let mut upstream = LocalUpstream::default();
+    upstream.apply_report(at(0), &report("a", 10, 1));
+    upstream.mark_leaving(at(1), "b", Some(20));
+    assert_eq!(upstream.running().unwrap().leaving_since, None);
+    upstream.apply_report(at(2), &report("b", 20, 1));
+    assert_eq!(upstream.running().unwrap().leaving_since, Some(at(1)));
+}
+
+#[test]
+fn a_leave_outlasts_a_loss_of_the_process() {
+    let mut upstream = LocalUpstream::default();
+    upstream.apply_report(at(0), &report("a", 10, 1));
+    upstream.mark_leaving(at(1), "a", Some(10));
+    upstream.mark_down(UpstreamLoss::GrantsNotAnswered);
+    assert_eq!(
+        upstream.apply_report(at(2), &report("a", 10, 2)),
+        ReportEffect::NewProcess
+    );
+    assert_eq!(upstream.running().unwrap().leaving_since, Some(at(1)));
+}
+
+#[test]
+fn a_leave_outlasts_another_process() {
+    let mut upstream = LocalUpstream::default();
+    upstream.apply_report(at(0), &report("a", 10, 1));
+    upstream.apply_report(at(1), &draining("a", 10, 2));
+    upstream.apply_report(at(2), &report("b", 20, 1));
+    assert_eq!(upstream.running().unwrap().leaving_since, None);
+    assert_eq!(
+        upstream.apply_report(at(4000), &report("a", 10, 3)),
+        ReportEffect::NewProcess,
+        "the other process is silent"
+    );
+    assert_eq!(upstream.running().unwrap().leaving_since, Some(at(1)));
+}
+
+#[test]
+fn an_outdated_report_that_announces_a_stop_binds() {
+    let mut upstream = LocalUpstream::default();
+    upstream.apply_report(at(0), &report("a", 10, 5));
+    assert_eq!(
+        upstream.apply_report(at(1), &draining("a", 10, 4)),
+        ReportEffect::Leaving
+    );
+    assert_eq!(upstream.running().unwrap().leaving_since, Some(at(1)));
+    assert_eq!(
+        upstream.apply_report(at(2), &report("a", 10, 6)),
         ReportEffect::Refreshed
     );
     assert_eq!(upstream.running().unwrap().leaving_since, Some(at(1)));
