Store the departures of the upstream for the next process of its daemon

Cause: what was acknowledged lived in the memory of one process.

Change: host::departure_store writes the departures to the store, naming the revision that it replaces, and reads them once as the process starts. The stand-in environment can send reports in the name of an upstream.

--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -424,6 +424,23 @@
         )
     }
 
+    /// Sends a report in the name of the upstream of a host to its daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there was no response.
+    pub fn report(
+        &self,
+        number: usize,
+        target: &str,
+        body: &str,
+    ) -> Result<CallerResponse, BenchError> {
+        let to = SocketAddr::new(self.ip(number), REPORT_PORT);
+        let mut headers = Headers::default();
+        headers.push("Host", "reports");
+        call(to, "POST", target, headers, body.as_bytes())
+    }
+
     /// Waits until `condition` is true, and returns how long it took; `what` describes the
     /// condition in the error.
     ///
--- a/crates/bench/tests/testsuite/host.rs
+++ b/crates/bench/tests/testsuite/host.rs
@@ -30,6 +30,10 @@
 const APPLY_TIME_MAX: Duration = Duration::from_millis(2000);
 /// After this time an evacuated failure domain must get no requests.
 const EVACUATION_TIME: Duration = Duration::from_millis(5000);
+/// After this time an upstream that leaves must get no requests.
+const DRAIN_TIME: Duration = Duration::from_millis(2000);
+/// How long after its start a daemon must know what former processes of it acknowledged.
+const CONTACT_TIME: Duration = Duration::from_millis(3000);
 /// The tested keys: one in each sixteenth of the key space.
 const KEYS: [u16; 16] = [
     0, 4096, 8192, 12288, 16384, 20480, 24576, 28672, 32768, 36864, 40960, 45056, 49152, 53248,
@@ -332,6 +336,59 @@
     assert!(response.contains("Connection: close"), "{response:?}");
 }
 
+/// Guards against requests to an upstream that left, after late reports of it or a restart of the
+/// daemon that acknowledged it (DRAIN).
+#[test]
+fn an_upstream_that_left_gets_no_requests_from_any_process_of_its_daemon() {
+    let _lock = crate::daemon::lock_environment();
+    let mut cluster = start_cluster();
+    let leaving = 4;
+    cluster
+        .wait_until("the upstream is in use", START_TIME, |c| {
+            send_shared_requests(c, 10);
+            !HostRun::read_all(&c.journal(leaving)).is_empty()
+        })
+        .unwrap();
+    let instance = HostRun::read_all(&cluster.journal(leaving))
+        .remove(0)
+        .upstream;
+    let started = instance.split('-').nth(1).unwrap();
+    let started_ms = u64::from_str_radix(started, 16).unwrap();
+    let response = cluster.report(
+        leaving,
+        &format!("/Instances.Deregister/{instance}"),
+        &format!("{{\"born\":{started_ms}}}"),
+    );
+    assert_eq!(response.unwrap().status, 200);
+    thread::sleep(DRAIN_TIME);
+    // The upstream goes on reporting that it is ready, as late reports would.
+    let before = HostRun::read_all(&cluster.journal(leaving)).len();
+    send_shared_requests(&cluster, 60);
+    let after = HostRun::read_all(&cluster.journal(leaving)).len();
+    assert_eq!(after, before, "requests after it left");
+    cluster.kill_daemon(leaving);
+    cluster.start_daemon(leaving).unwrap();
+    thread::sleep(CONTACT_TIME);
+    cluster
+        .wait_until("the restarted daemon is ready", START_TIME, |c| {
+            c.is_ready(leaving)
+        })
+        .unwrap();
+    send_shared_requests(&cluster, 60);
+    let after = HostRun::read_all(&cluster.journal(leaving)).len();
+    assert_eq!(after, before, "requests after a restart of its daemon");
+}
+
+/// Sends `count` requests of the shared service to each host.
+fn send_shared_requests(cluster: &HostCluster, count: usize) {
+    for entry in 0..cluster.hosts.len() {
+        for _ in 0..count {
+            let response = cluster.request(entry, "POST", "/pay/x", None).unwrap();
+            assert!(matches!(response.status, 200 | 503), "{response:?}");
+        }
+    }
+}
+
 fn all_keys_are_served_after_all_daemons_are_killed(cluster: &mut HostCluster) {
     // Found by scale-1: the new daemons waited until the leases of the killed ones had expired, and
     // the planner waited for their join requests.
--- /dev/null
+++ b/src/process/host/departure_store.rs
@@ -0,0 +1,134 @@
+//! Keeps the departures of the local upstream in the store, so that the next process of this daemon
+//! knows them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::process::host::departures::DepartedProcess;
+use crate::process::host::host_context::HostContext;
+use crate::process::host::store_health::StoreHealth;
+use crate::process::host::store_sync::{self, RETRY_DELAY};
+use crate::process::platform::Revision;
+use crate::process::stop_flag::StopFlag;
+use crate::process::store::{
+    CommitOutcome, DEPARTURES_PREFIX, KeyValue, Store, StoreError, Transaction,
+};
+
+/// Interval at which the thread checks whether to stop while nothing departs.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Name of the calls in log lines.
+const CALLS: &str = "departures";
+
+/// The departures in the store, as last read or written.
+struct StoredDepartures {
+    /// Revision of the value; `None` if it could not be read.
+    revision: Option<Revision>,
+    processes: Vec<DepartedProcess>,
+}
+
+/// Reads the departures that former processes of this daemon stored, and stores new ones.
+pub struct DepartureStore {
+    store: Arc<dyn Store>,
+    context: Arc<HostContext>,
+    key: String,
+}
+
+impl DepartureStore {
+    /// Creates the store of the departures on the host of `context`.
+    pub fn new(store: Arc<dyn Store>, context: Arc<HostContext>) -> Self {
+        // Without the characters of an address that a URL must escape.
+        let address = context.settings.peers.to_string();
+        let host = address.replace(|c: char| !c.is_ascii_alphanumeric() && c != '.', "-");
+        let key = format!("{DEPARTURES_PREFIX}{host}");
+        Self {
+            store,
+            context,
+            key,
+        }
+    }
+
+    /// Reads the departures and stores new ones until the process stops.
+    pub fn run(&self, stop: &StopFlag) {
+        let mut health = StoreHealth::new(CALLS);
+        let mut stored: Option<StoredDepartures> = None;
+        while !stop.is_set() {
+            let result = match &stored {
+                None => self.read(),
+                Some(former) => {
+                    let dispatcher = &self.context.dispatcher;
+                    let current =
+                        dispatcher.await_departures(&former.processes, STOP_POLL_INTERVAL);
+                    if current == former.processes {
+                        continue;
+                    }
+                    self.write(former.revision, current)
+                }
+            };
+            match result {
+                Ok(next) => {
+                    stored = next;
+                    health.record_success();
+                }
+                Err(_) if stop.is_set() => {}
+                Err(e) => {
+                    stored = None;
+                    health.record_failure(&e);
+                }
+            }
+            if stored.is_none() {
+                stop.wait(RETRY_DELAY);
+            }
+        }
+    }
+
+    /// Reads the departures in the store and adds them to those of this process.
+    fn read(&self) -> Result<Option<StoredDepartures>, StoreError> {
+        let range = self.store.range(&self.key)?;
+        store_sync::log_unreadable(CALLS, &range.unreadable);
+        let is_unreadable = range.may_hide(&self.key);
+        let item = range.items.into_iter().find(|item| item.key == self.key);
+        let revision = item.as_ref().map(|item| item.revision);
+        let processes = item.map(|item| decode(&item)).unwrap_or_default();
+        self.context.add_departures(&processes);
+        Ok(Some(StoredDepartures {
+            revision: match is_unreadable {
+                true => None,
+                false => Some(revision.unwrap_or_default()),
+            },
+            processes,
+        }))
+    }
+
+    /// Replaces the value with the revision `former`; returns `None` if it has another one by now.
+    fn write(
+        &self,
+        former: Option<Revision>,
+        processes: Vec<DepartedProcess>,
+    ) -> Result<Option<StoredDepartures>, StoreError> {
+        let value =
+            postcard::to_stdvec(&processes).map_err(|e| StoreError::Malformed(e.to_string()))?;
+        let transaction = Transaction {
+            expected: former.map(|r| (self.key.clone(), r)).into_iter().collect(),
+            puts: vec![(self.key.clone(), value)],
+            removals: Vec::new(),
+        };
+        match self.store.commit(&transaction)? {
+            CommitOutcome::Done(revision) => {
+                tracing::info!(event = "departures-stored", count = processes.len());
+                Ok(Some(StoredDepartures {
+                    revision: Some(revision),
+                    processes,
+                }))
+            }
+            CommitOutcome::Conflict => Ok(None),
+        }
+    }
+}
+
+/// Decodes the value of the departures; one that can't be decoded is replaced by the next write.
+fn decode(item: &KeyValue) -> Vec<DepartedProcess> {
+    postcard::from_bytes(&item.value).unwrap_or_else(|e| {
+        tracing::error!(event = "entry-skipped", watch = CALLS, key = item.key, reason = %e);
+        Vec::new()
+    })
+}
--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -10,6 +10,7 @@
 use crate::connection::recipient::Recipient;
 use crate::process::clock::Clock;
 use crate::process::host::body_reservations::BodyReservations;
+use crate::process::host::departures::DepartedProcess;
 use crate::process::host::grant_manager::GrantManager;
 use crate::process::host::host_dispatcher::HostDispatcher;
 use crate::process::host::host_router::HostRouter;
@@ -88,6 +89,14 @@
         }
     }
 
+    /// Applies the departures of the upstream that former processes of this daemon have stored.
+    pub(super) fn add_departures(&self, processes: &[DepartedProcess]) {
+        if self.dispatcher.add_departures(processes) {
+            tracing::info!(event = "upstream-leaving", by = "store");
+            self.set_leaving(true);
+        }
+    }
+
     fn apply_status(&self, status: &StatusReport) {
         if status.address != self.settings.upstream {
             tracing::info!(event = "report-ignored", instance = status.instance, address = %status.address, reason = "another address");
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::mpsc::{self, RecvTimeoutError, SyncSender};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
 use crate::connection::protocol::StatusReport;
@@ -11,6 +11,7 @@
 use crate::process::clock::Clock;
 use crate::process::datagram::Message;
 use crate::process::host::admission::{Admission, Decision, Ticket};
+use crate::process::host::departures::DepartedProcess;
 use crate::process::host::grant_wait::GrantWait;
 use crate::process::host::local_upstream::{
     LocalUpstream, ReportEffect, UpstreamLoss, UpstreamProcess,
@@ -79,6 +80,8 @@
     state: Mutex<State>,
     /// Notified when the granted ranges change.
     granted_changed: Condvar,
+    /// Notified when a process of the upstream announces that it will stop.
+    departures_changed: Condvar,
 }
 
 impl HostDispatcher {
@@ -97,6 +100,7 @@
             drain_timeout,
             state: Mutex::default(),
             granted_changed: Condvar::new(),
+            departures_changed: Condvar::new(),
         }
     }
 
@@ -126,6 +130,9 @@
         let mut state = sync::lock(&self.state);
         let former_boot = state.upstream.running().map(UpstreamProcess::boot);
         let effect = state.upstream.apply_report(now, report);
+        if report.draining {
+            self.departures_changed.notify_all();
+        }
         if effect == ReportEffect::NewProcess {
             state.granted.clear();
             let suspects = former_boot.map(|boot| state.suspect_in_flight(now, boot));
@@ -143,9 +150,33 @@
     /// Records that the upstream will stop; returns whether that was new.
     pub fn mark_upstream_leaving(&self, instance: &str, started_ms: Option<u64>) -> bool {
         let now = self.clock.now();
-        sync::lock(&self.state)
-            .upstream
-            .mark_leaving(now, instance, started_ms)
+        let mut state = sync::lock(&self.state);
+        let is_new = state.upstream.mark_leaving(now, instance, started_ms);
+        drop(state);
+        self.departures_changed.notify_all();
+        is_new
+    }
+
+    /// Waits up to `timeout` until the processes that have announced that they will stop differ from
+    /// `known`; returns them.
+    pub fn await_departures(
+        &self,
+        known: &[DepartedProcess],
+        timeout: Duration,
+    ) -> Vec<DepartedProcess> {
+        let state = sync::lock(&self.state);
+        let is_known = |state: &mut State| state.upstream.departures() == known;
+        let waited = self
+            .departures_changed
+            .wait_timeout_while(state, timeout, is_known);
+        let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        state.upstream.departures()
+    }
+
+    /// Records that `processes` had announced that they will stop before this daemon started; returns
+    /// whether that is new for the current process.
+    pub fn add_departures(&self, processes: &[DepartedProcess]) -> bool {
+        sync::lock(&self.state).upstream.add_departures(processes)
     }
 
     /// Refuses new requests; those already admitted are finished.
--- a/src/process/host/local_upstream.rs
+++ b/src/process/host/local_upstream.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::connection::protocol::StatusReport;
-use crate::process::host::departures::Departures;
+use crate::process::host::departures::{DepartedProcess, Departures};
 use crate::process::moment::Moment;
 use crate::version::domain_name::DomainName;
 use crate::version::service_name::ServiceName;
@@ -103,8 +103,11 @@
     /// Each report is acknowledged, so that the announcement in an outdated one counts as well.
     pub fn apply_report(&mut self, now: Moment, report: &StatusReport) -> ReportEffect {
         if report.draining {
-            self.departures
-                .record(now, &report.instance, Some(report.started_ms));
+            let process = DepartedProcess {
+                instance: report.instance.clone(),
+                started_ms: Some(report.started_ms),
+            };
+            self.departures.record(now, process);
         }
         let effect = self.apply_state(now, report);
         match self.apply_departures() {
@@ -119,7 +122,25 @@
     pub fn mark_leaving(&mut self, now: Moment, instance: &str, started_ms: Option<u64>) -> bool {
         let current = self.process.as_ref().filter(|p| p.instance == instance);
         let started_ms = started_ms.or(current.map(|p| p.started_ms));
-        self.departures.record(now, instance, started_ms);
+        let process = DepartedProcess {
+            instance: instance.to_owned(),
+            started_ms,
+        };
+        self.departures.record(now, process);
+        self.apply_departures()
+    }
+
+    /// Returns the processes that have announced that they will stop.
+    pub fn departures(&self) -> Vec<DepartedProcess> {
+        self.departures.processes()
+    }
+
+    /// Records that `processes` had announced that they will stop before this daemon started; returns
+    /// whether that is new for the current process.
+    pub fn add_departures(&mut self, processes: &[DepartedProcess]) -> bool {
+        for process in processes {
+            self.departures.record(Moment::default(), process.clone());
+        }
         self.apply_departures()
     }
 
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -9,6 +9,8 @@
 //! | [`host_dispatcher`] | whether and when a request is sent to the local upstream |
 //! | [`admission`] | concurrency limit, queue order and pacing of the local upstream |
 //! | [`local_upstream`] | current process of the local upstream, and its state |
+//! | [`departures`] | which processes of the local upstream have announced that they will stop |
+//! | `departure_store` | the departures in the store, for the next process of the daemon |
 //! | [`grant_manager`] | which keys are granted to the local upstream, and when they are released |
 //! | [`key_grants`] | which grants the local upstream has, and when a release is complete |
 //! | `grant_sender`, `grant_attempt` | calls that grant keys, and what each of them means |
@@ -30,6 +32,7 @@
 
 pub mod admission;
 pub mod body_reservations;
+mod departure_store;
 pub mod departures;
 pub mod endpoints;
 mod grant_attempt;
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -15,6 +15,7 @@
 use crate::process::clock::{Clock, SystemClock};
 use crate::process::daemon::{self, DaemonError};
 use crate::process::host::body_reservations::BodyReservations;
+use crate::process::host::departure_store::DepartureStore;
 use crate::process::host::endpoints::{ReadinessHandler, ReportHandler};
 use crate::process::host::grant_manager::GrantManager;
 use crate::process::host::host_context::HostContext;
@@ -318,8 +319,10 @@
     let metrics = Arc::clone(&context.metrics);
     let traffic = Arc::clone(context.membership.traffic());
     let store = MeteredStore::new(Arc::clone(&platform.store), metrics, traffic);
+    let store: Arc<dyn Store> = Arc::new(store);
+    let departures = DepartureStore::new(Arc::clone(&store), Arc::clone(context));
     let store_sync = Arc::new(StoreSync::new(
-        Arc::new(store),
+        store,
         Arc::clone(&platform.operator_protocol),
         Arc::clone(&context.membership),
         context.instance,
@@ -328,14 +331,15 @@
     let fetchers = ThreadPool::new("fetch", 1);
     let releasers = ThreadPool::new("release", 4);
     let stop = || Arc::clone(&context.stop);
-    let (stop_routing, stop_table, stop_planning, stop_datagrams) =
-        (stop(), stop(), stop(), stop());
+    let (stop_routing, stop_table, stop_planning, stop_datagrams, stop_departures) =
+        (stop(), stop(), stop(), stop(), stop());
     let membership = Arc::clone(&context.membership);
     let (for_events, for_periodic) = (Arc::clone(context), Arc::clone(context));
     Ok(vec![
         spawn("routing", move || routing.sync_routing(&stop_routing))?,
         spawn("table", move || table.sync_table(&stop_table))?,
         spawn("plan", move || planner.run_planner(&stop_planning))?,
+        spawn("departures", move || departures.run(&stop_departures))?,
         spawn("datagrams", move || membership.run(&stop_datagrams))?,
         spawn("events", move || {
             handle_events(&for_events, &event_rx, &fetchers, &releasers)
--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -38,7 +38,7 @@
 /// Number of daemons in each failure domain that watch the routing; the others get it from them.
 const DOMAIN_ROUTING_WATCHERS: usize = 2;
 /// Delay before the next call after the store failed.
-const RETRY_DELAY: Duration = Duration::from_millis(250);
+pub(super) const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Interval at which a daemon checks whether a new table is needed.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a plan must be due, for each daemon ahead in the planning order, before this daemon
@@ -623,7 +623,7 @@
 }
 
 /// Logs the entries that could not be read in a response to the calls that the log names `watch`.
-fn log_unreadable(watch: &'static str, entries: &[UnreadableEntry]) {
+pub(super) fn log_unreadable(watch: &'static str, entries: &[UnreadableEntry]) {
     for entry in entries {
         let (key, reason) = (entry.key.as_deref(), &entry.reason);
         tracing::error!(event = "entry-skipped", watch, key, reason);
--- a/src/process/store.rs
+++ b/src/process/store.rs
@@ -13,10 +13,13 @@
 
 /// The key of the assignment table.
 pub const TABLE_KEY: &str = "foxtaildrift/table";
-/// The prefix of all keys that the daemons write.
+/// The prefix of the keys that the daemons write and watch.
 pub const KEY_PREFIX: &str = "foxtaildrift/";
 /// The prefix of the keys under which new processes store their join requests.
 pub const JOIN_REQUEST_PREFIX: &str = "foxtaildrift/joins/";
+/// The prefix of the keys under which daemons store which processes of their upstreams will stop. No
+/// daemon watches it.
+pub const DEPARTURES_PREFIX: &str = "foxtaildrift-departures/";
 /// The maximum number of expected revisions, writes and removals of one transaction, together.
 pub const TRANSACTION_ENTRIES_MAX: usize = 32;
 
