Bound the memory of all bodies that arrive at the same time

What callers would see: a faulty upstream sends bytes without end, the daemon that called it runs out of memory, and the requests of its other callers end with it (reported by other operators).

Cause: each body had a limit of 8 MiB, all together had none; bodies grew in allocations that doubled and stayed with the allocator; bodies that are not needed were kept.

Change: body_budget gives all bodies of a kind one budget (an eighth of the new setting memory_mb for responses), body_buffer collects them in pieces that are used again, and discards those that are not needed. The store's client and the product's own upstream client use the same.

--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -338,6 +338,21 @@
         self.hosts[number].caller_address.ip()
     }
 
+    /// Returns the address at which the daemon of a host reaches its upstream.
+    pub fn upstream_address(&self, number: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(number), UPSTREAM_PORT)
+    }
+
+    /// Returns the highest resident memory of the daemon of a host so far, in bytes, or `None` if it
+    /// does not run.
+    pub fn peak_memory(&self, number: usize) -> Option<u64> {
+        let daemon = self.hosts[number].daemon.as_ref()?;
+        let status = fs::read_to_string(format!("/proc/{}/status", daemon.id())).ok()?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+        let kilobytes = line.split_whitespace().next()?.parse::<u64>().ok()?;
+        Some(kilobytes * 1024)
+    }
+
     /// Returns the address of the store.
     pub fn store_ip(&self) -> IpAddr {
         self.store_address.ip()
--- a/crates/bench/tests/testsuite/host.rs
+++ b/crates/bench/tests/testsuite/host.rs
@@ -82,7 +82,10 @@
 }
 
 /// Starts a host for each element of `services` and waits until their daemons are ready.
-fn start_ready_cluster(services: &[&'static str], options: UpstreamOptions) -> HostCluster {
+pub(crate) fn start_ready_cluster(
+    services: &[&'static str],
+    options: UpstreamOptions,
+) -> HostCluster {
     let program = env!("CARGO_BIN_EXE_foxtaildrift-bench");
     let cluster = HostCluster::start_with_options(options, program.as_ref(), services, &["desk"]);
     let cluster = cluster.expect("the processes start");
--- a/src/connection/buffered_connection.rs
+++ b/src/connection/buffered_connection.rs
@@ -48,6 +48,9 @@
     /// The named part, `head` or `body`, is larger than allowed.
     #[error("the {0} is too large")]
     TooLarge(&'static str),
+    /// Other bodies take the memory that the body needs.
+    #[error("no memory is left for the body")]
+    OutOfMemory,
 }
 
 /// A non-blocking connection with a buffer of bytes that were read and not consumed yet.
--- a/src/connection/caller_connection.rs
+++ b/src/connection/caller_connection.rs
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, Weak};
 use std::time::{Duration, Instant};
 
+use crate::connection::body_buffer::BodyLimits;
 use crate::connection::buffered_connection::{self, BufferedConnection, ConnectionError};
 use crate::connection::http_listener::{HttpRequest, HttpResponse, ListenerShared};
 use crate::connection::http1;
@@ -474,10 +475,14 @@
         conn.write(interim, false, deadline, &Recipient::none())?;
     }
     let recipient = Recipient::none();
-    let body = http1::read_body(conn, framing, limits.body_bytes, deadline, &recipient)?;
+    let body_limits = BodyLimits {
+        bytes_max: limits.body_bytes,
+        budget: Arc::clone(&shared.body_budget),
+    };
+    let body = http1::read_body(conn, framing, &body_limits, deadline, &recipient)?;
     Ok(HttpRequest {
         head,
-        body,
+        body: body.bytes,
         received_at,
     })
 }
--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -3,6 +3,7 @@
 
 use std::time::Instant;
 
+use crate::connection::body_buffer::{BodyBuffer, BodyLimits, ReceivedBody};
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::recipient::Recipient;
 use crate::request::headers::Headers;
@@ -13,6 +14,8 @@
 pub const RESPONSE_HEAD_BYTES_MAX: usize = 64 * 1024;
 /// The longest chunk size line or trailer line, in bytes.
 const CHUNK_LINE_BYTES_MAX: usize = 1024;
+/// What follows the bytes of a chunk.
+const CHUNK_END: &[u8] = b"\r\n";
 /// The largest trailer section, in bytes.
 const TRAILER_BYTES_MAX: usize = 16 * 1024;
 
@@ -208,59 +211,81 @@
     }
 }
 
-/// Reads a whole body of at most `bytes_max` bytes.
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// Returns an error if no complete, valid body within `limits` arrives before `deadline`, or if
+/// `recipient` disconnects.
+pub fn read_body(
+    conn: &mut BufferedConnection,
+    framing: Framing,
+    limits: &BodyLimits,
+    deadline: Instant,
+    recipient: &Recipient,
+) -> Result<ReceivedBody, ConnectionError> {
+    let mut body = BodyBuffer::new(limits);
+    read_into(conn, framing, &mut body, deadline, recipient)?;
+    Ok(body.into_body())
+}
+
+/// Reads a whole body of at most `bytes_max` bytes and discards it.
 ///
 /// # Errors
 ///
 /// Returns an error if no complete, valid body arrives before `deadline`, or if `recipient`
 /// disconnects.
-pub fn read_body(
+pub fn discard_body(
     conn: &mut BufferedConnection,
     framing: Framing,
     bytes_max: usize,
     deadline: Instant,
     recipient: &Recipient,
-) -> Result<Vec<u8>, ConnectionError> {
-    let mut body = Vec::new();
+) -> Result<(), ConnectionError> {
+    let mut body = BodyBuffer::discarding(bytes_max);
+    read_into(conn, framing, &mut body, deadline, recipient)
+}
+
+/// Appends a whole body to `body`.
+fn read_into(
+    conn: &mut BufferedConnection,
+    framing: Framing,
+    body: &mut BodyBuffer,
+    deadline: Instant,
+    recipient: &Recipient,
+) -> Result<(), ConnectionError> {
     match framing {
-        Framing::Length(length) => {
-            if length > bytes_max {
-                return Err(ConnectionError::TooLarge("body"));
-            }
-            read_exact(conn, length, &mut body, deadline, recipient)?;
-        }
-        Framing::Chunked => read_chunks(conn, &mut body, bytes_max, deadline, recipient)?,
+        Framing::Length(length) => read_exact(conn, length, body, deadline, recipient),
+        Framing::Chunked => read_chunks(conn, body, deadline, recipient),
         Framing::UntilClose => loop {
-            let count = conn.buffered().len();
-            body.extend_from_slice(conn.buffered());
-            conn.consume(count);
-            if body.len() > bytes_max {
-                return Err(ConnectionError::TooLarge("body"));
-            }
+            body.append(conn.buffered())?;
+            conn.consume(conn.buffered().len());
             match conn.fill(deadline, recipient) {
                 Ok(_) => {}
-                Err(ConnectionError::Closed) => break,
+                Err(ConnectionError::Closed) => return Ok(()),
                 Err(e) => return Err(e),
             }
         },
     }
-    Ok(body)
 }
 
 /// Appends `count` bytes of the connection to `body`.
 fn read_exact(
     conn: &mut BufferedConnection,
     count: usize,
-    body: &mut Vec<u8>,
+    body: &mut BodyBuffer,
     deadline: Instant,
     recipient: &Recipient,
 ) -> Result<(), ConnectionError> {
-    let end = body.len() + count;
+    if count > body.bytes_left() {
+        return Err(ConnectionError::TooLarge("body"));
+    }
+    let end = body.length() + count;
     loop {
-        let available = conn.buffered().len().min(end - body.len());
-        body.extend_from_slice(&conn.buffered()[..available]);
+        let available = conn.buffered().len().min(end - body.length());
+        body.append(&conn.buffered()[..available])?;
         conn.consume(available);
-        if body.len() == end {
+        if body.length() == end {
             return Ok(());
         }
         conn.fill(deadline, recipient)?;
@@ -269,8 +294,7 @@
 
 fn read_chunks(
     conn: &mut BufferedConnection,
-    body: &mut Vec<u8>,
-    bytes_max: usize,
+    body: &mut BodyBuffer,
     deadline: Instant,
     recipient: &Recipient,
 ) -> Result<(), ConnectionError> {
@@ -279,16 +303,14 @@
         if size == 0 {
             return skip_trailers(conn, deadline, recipient);
         }
-        let end = body.len().checked_add(size);
-        if end.is_none_or(|end| end > bytes_max) {
-            return Err(ConnectionError::TooLarge("body"));
-        }
         read_exact(conn, size, body, deadline, recipient)?;
-        let mut end = Vec::new();
-        read_exact(conn, 2, &mut end, deadline, recipient)?;
-        if end != b"\r\n" {
+        while conn.buffered().len() < CHUNK_END.len() {
+            conn.fill(deadline, recipient)?;
+        }
+        if !conn.buffered().starts_with(CHUNK_END) {
             return Err(ConnectionError::Malformed("the end of a chunk"));
         }
+        conn.consume(CHUNK_END.len());
     }
 }
 
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use crate::connection::body_budget::BodyBudget;
+use crate::connection::body_buffer::BodyLimits;
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::http1::{self, Framing, ResponseHead};
 use crate::connection::protocol::OutgoingRequest;
@@ -17,7 +19,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// The most idle connections in the pool.
 const IDLE_MAX: usize = 4;
-/// The largest body of a response, in bytes.
+/// The largest body of a response, and the memory for all bodies that arrive at the same time, in
+/// bytes.
 const BODY_BYTES_MAX: usize = 32 * 1024 * 1024;
 
 #[derive(Default)]
@@ -35,6 +38,7 @@
 pub struct HttpClient {
     to: SocketAddr,
     from: Option<IpAddr>,
+    body_limits: BodyLimits,
     state: Mutex<State>,
 }
 
@@ -44,6 +48,10 @@
         Self {
             to,
             from,
+            body_limits: BodyLimits {
+                bytes_max: BODY_BYTES_MAX,
+                budget: BodyBudget::new(BODY_BYTES_MAX),
+            },
             state: Mutex::default(),
         }
     }
@@ -61,7 +69,7 @@
         let deadline = Instant::now() + timeout;
         let mut conn = self.checkout(deadline)?;
         let number = self.register(&conn)?;
-        let result = exchange(&mut conn, request, deadline);
+        let result = exchange(&mut conn, request, &self.body_limits, deadline);
         let mut state = sync::lock(&self.state);
         state.in_use.remove(&number);
         let (head, body, reusable) = result?;
@@ -117,6 +125,7 @@
 fn exchange(
     conn: &mut BufferedConnection,
     request: &OutgoingRequest,
+    body_limits: &BodyLimits,
     deadline: Instant,
 ) -> Result<(ResponseHead, Vec<u8>, bool), ConnectionError> {
     let mut bytes = http1::encode_request(
@@ -130,8 +139,8 @@
     conn.write(&bytes, false, deadline, &recipient)?;
     let head = http1::read_response_head(conn, deadline, &recipient)?;
     let framing = http1::response_framing(&head, request.method)?;
-    let body = http1::read_body(conn, framing, BODY_BYTES_MAX, deadline, &recipient)?;
+    let body = http1::read_body(conn, framing, body_limits, deadline, &recipient)?;
     let reusable =
         head.keeps_alive() && framing != Framing::UntilClose && conn.buffered().is_empty();
-    Ok((head, body, reusable))
+    Ok((head, body.bytes, reusable))
 }
--- a/src/connection/http_listener.rs
+++ b/src/connection/http_listener.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use crate::connection::acceptor::{Acceptor, ConnectionHandler};
+use crate::connection::body_budget::BodyBudget;
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::caller_connection::CallerConnection;
 use crate::connection::http1::RequestHead;
@@ -108,6 +109,8 @@
     pub(super) handler: Arc<dyn ListenerHandler>,
     pub(super) reactor: Weak<Reactor>,
     pub(super) threads: ThreadPool,
+    /// The memory for the bodies of requests.
+    pub(super) body_budget: Arc<BodyBudget>,
     pub(super) stopping: AtomicBool,
     connections: Mutex<Connections>,
     /// Itself, for its connections.
@@ -167,6 +170,7 @@
             handler,
             reactor: Arc::downgrade(reactor),
             threads: ThreadPool::with_stack("caller", threads, STACK_BYTES),
+            body_budget: BodyBudget::new(usize::MAX),
             stopping: AtomicBool::new(false),
             connections: Mutex::default(),
             this: Weak::clone(this),
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -12,6 +12,8 @@
 //! ```
 
 pub mod acceptor;
+pub mod body_budget;
+pub mod body_buffer;
 pub mod buffered_connection;
 pub mod caller_connection;
 pub mod caller_http;
--- a/src/connection/upstream_client.rs
+++ b/src/connection/upstream_client.rs
@@ -7,6 +7,8 @@
 use ureq::http::{Request, Response};
 use ureq::{Agent, Body};
 
+use crate::connection::body_budget::BodyBudget;
+use crate::connection::body_buffer::{BodyBuffer, BodyLimits, ReceivedBody};
 use crate::connection::upstream_error::UpstreamError;
 use crate::process::wall_time::WallTime;
 use crate::request::body::BODY_BYTES_MAX;
@@ -34,6 +36,12 @@
 /// The header with which an upstream states that it did not run a request.
 pub const OUTCOME_HEADER: &str = "foxtaildrift-outcome";
 
+/// The memory for the bodies of responses that arrive at the same time, in bytes.
+const BODIES_BYTES_MAX: usize = 32 * 1024 * 1024;
+/// The largest body of a response to a grant, a cancellation or a drain request, in bytes.
+const CONTROL_BODY_BYTES_MAX: usize = 1024 * 1024;
+/// The most bytes of one read of a body.
+const READ_BYTES: usize = 16 * 1024;
 /// The HTTP status with which an upstream sheds a request that it did not run.
 const SHED_STATUS: u16 = 503;
 /// The timeout of a grant, a cancellation or a drain request.
@@ -54,6 +62,7 @@
 pub struct UpstreamClient {
     upstream: Upstream,
     agent: Agent,
+    body_limits: BodyLimits,
 }
 
 impl UpstreamClient {
@@ -70,6 +79,10 @@
         Self {
             upstream,
             agent: config.new_agent(),
+            body_limits: BodyLimits {
+                bytes_max: BODY_BYTES_MAX,
+                budget: BodyBudget::new(BODIES_BYTES_MAX),
+            },
         }
     }
 
@@ -115,7 +128,7 @@
         let request = request
             .body(body)
             .map_err(|e| UpstreamError::Malformed(e.to_string()))?;
-        read_response(self.execute(request, timeout)?)
+        read_response(self.execute(request, timeout)?, &self.body_limits)
     }
 
     /// Grants the upstream a slice until `expires_at`; a grant with a higher token renews or
@@ -214,13 +227,31 @@
 /// Returns the status of a response and reads its body, so that the connection can be reused.
 fn status_of(response: Response<Body>) -> Result<u16, UpstreamError> {
     let status = response.status().as_u16();
-    let read = response.into_body().read_to_vec();
-    read.map_err(|e| UpstreamError::MaybeSent(format!("cut answer: {e}")))?;
+    let discarded = BodyBuffer::discarding(CONTROL_BODY_BYTES_MAX);
+    read_body(response.into_body(), discarded)?;
     Ok(status)
 }
 
+/// Reads a whole body into `buffer`.
+fn read_body(body: Body, mut buffer: BodyBuffer) -> Result<ReceivedBody, UpstreamError> {
+    let cut = |e: &dyn std::fmt::Display| UpstreamError::MaybeSent(format!("cut answer: {e}"));
+    let mut reader = body.into_reader();
+    let mut bytes = vec![0; READ_BYTES];
+    loop {
+        match reader.read(&mut bytes) {
+            Ok(0) => return Ok(buffer.into_body()),
+            Ok(count) => buffer.append(&bytes[..count]).map_err(|e| cut(&e))?,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(cut(&e)),
+        }
+    }
+}
+
 /// Reads an upstream's whole response.
-fn read_response(response: Response<Body>) -> Result<ServiceResponse, UpstreamError> {
+fn read_response(
+    response: Response<Body>,
+    body_limits: &BodyLimits,
+) -> Result<ServiceResponse, UpstreamError> {
     let status = response.status().as_u16();
     let text = |name: &str| {
         let value = response.headers().get(name)?.to_str().ok()?;
@@ -228,10 +259,8 @@
     };
     let content_type = text("content-type");
     let not_run = text(OUTCOME_HEADER).is_some_and(|o| o == Outcome::NotRun.to_string());
-    let mut body = response.into_body();
-    let limit = u64::try_from(BODY_BYTES_MAX).unwrap_or(u64::MAX);
-    let read = body.with_config().limit(limit).read_to_vec();
-    let bytes = read.map_err(|e| UpstreamError::MaybeSent(format!("cut answer: {e}")))?;
+    let body = read_body(response.into_body(), BodyBuffer::new(body_limits))?;
+    let bytes = body.bytes;
     if not_run && status == SHED_STATUS {
         return Ok(ServiceResponse::not_run(Refusal::UpstreamShed));
     }
--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use crate::connection::body_budget::BodyBudget;
+use crate::connection::body_buffer::BodyLimits;
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::http1::{self, Framing, ResponseHead};
 use crate::connection::protocol::{OutgoingRequest, ResponseMetadata, UpstreamProtocol};
@@ -141,16 +143,27 @@
     to: SocketAddr,
     from: Option<IpAddr>,
     protocol: Arc<dyn UpstreamProtocol>,
+    body_limits: BodyLimits,
     idle: Mutex<Vec<IdleConnection>>,
 }
 
 impl UpstreamPool {
     /// Creates a pool without connections, which connects to `to` from the address `from`.
-    pub fn new(to: SocketAddr, from: Option<IpAddr>, protocol: Arc<dyn UpstreamProtocol>) -> Self {
+    /// `body_budget` is the memory for the bodies of responses.
+    pub fn new(
+        to: SocketAddr,
+        from: Option<IpAddr>,
+        protocol: Arc<dyn UpstreamProtocol>,
+        body_budget: Arc<BodyBudget>,
+    ) -> Self {
         Self {
             to,
             from,
             protocol,
+            body_limits: BodyLimits {
+                bytes_max: BODY_BYTES_MAX,
+                budget: body_budget,
+            },
             idle: Mutex::default(),
         }
     }
@@ -224,11 +237,11 @@
         };
         let (head, metadata) = self.read_head(conn, request, deadline, recipient)?;
         let framing = http1::response_framing(&head, &request.method).map_err(sent_failure)?;
-        let body = http1::read_body(conn, framing, BODY_BYTES_MAX, deadline, recipient);
+        let body = http1::read_body(conn, framing, &self.body_limits, deadline, recipient);
         let not_run = metadata.not_run || head.status == 421;
         let is_reusable = body.is_ok() && written == bytes.len() && framing != Framing::UntilClose;
         let body = match body {
-            Ok(body) => body,
+            Ok(body) => body.bytes,
             Err(_) if not_run => Vec::new(),
             Err(e) => return Err(sent_failure(e)),
         };
@@ -265,7 +278,7 @@
             if framing == Framing::UntilClose {
                 break;
             }
-            http1::read_body(conn, framing, BODY_BYTES_MAX, deadline, recipient)
+            http1::discard_body(conn, framing, BODY_BYTES_MAX, deadline, recipient)
                 .map_err(sent_failure)?;
         }
         Err(UpstreamRequestFailure::MaybeRun(
@@ -452,7 +465,7 @@
     let recipient = Recipient::none();
     let head = http1::read_response_head(conn, deadline, &recipient)?;
     let framing = http1::response_framing(&head, method)?;
-    http1::read_body(conn, framing, BODY_BYTES_MAX, deadline, &recipient)?;
+    http1::discard_body(conn, framing, BODY_BYTES_MAX, deadline, &recipient)?;
     Ok((head, framing))
 }
 
--- a/src/process/host/host_settings.rs
+++ b/src/process/host/host_settings.rs
@@ -22,6 +22,12 @@
 use crate::version::member::CPU_SHARE_DEFAULT;
 use crate::version::service_name::ServiceName;
 
+/// Bytes of a mebibyte.
+const MIB: u64 = 1024 * 1024;
+/// Which part of the memory the bodies that arrive may take: one in this number. Copies of a body are
+/// made on its way.
+const BODIES_MEMORY_SHARE: u64 = 8;
+
 /// Settings from the daemon's YAML file; every field has a default.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -71,6 +77,8 @@
     pub cpu_share: f64,
     /// Speed of the host's network link, in megabits per second.
     pub link_mbps: f64,
+    /// Memory that the daemon may use, in MiB.
+    pub memory_mb: u64,
     /// Least severe level that is logged: error, warn, info, debug or trace.
     pub log_level: String,
 }
@@ -100,6 +108,7 @@
             retry_window_s: 10.0,
             cpu_share: 1.0,
             link_mbps: 1000.0,
+            memory_mb: 256,
             log_level: "info".to_owned(),
         }
     }
@@ -156,6 +165,12 @@
         (self.cpu_share * f64::from(CPU_SHARE_DEFAULT)) as u32
     }
 
+    /// Returns the memory for bodies of responses that arrive from the upstream, in bytes.
+    pub fn response_bodies_bytes(&self) -> usize {
+        let bytes = self.memory_mb * MIB / BODIES_MEMORY_SHARE;
+        usize::try_from(bytes).unwrap_or(usize::MAX)
+    }
+
     /// Returns the configuration of the retry budget.
     pub fn retry_budget(&self) -> RetryBudgetConfig {
         RetryBudgetConfig {
@@ -206,6 +221,9 @@
         if !(0.1..=1_000_000.0).contains(&self.link_mbps) {
             return out_of_range("link_mbps", self.link_mbps as u64, "0.1 to 1000000");
         }
+        if !(64..=1_048_576).contains(&self.memory_mb) {
+            return out_of_range("memory_mb", self.memory_mb, "64 to 1048576");
+        }
         let levels = ["error", "warn", "info", "debug", "trace"];
         if !levels.contains(&self.log_level.as_str()) {
             return Err(SettingsError::LogLevel(self.log_level.clone()));
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -6,6 +6,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use crate::connection::body_budget::BodyBudget;
 use crate::connection::http_listener::HttpListener;
 use crate::connection::peer_pool::{PeerPool, PeerTimeouts};
 use crate::connection::peer_server::{PeerHandler, PeerServer};
@@ -235,6 +236,7 @@
         settings.upstream,
         Some(settings.peers_listen_address().ip()),
         Arc::clone(&platform.upstream_protocol),
+        BodyBudget::new(settings.response_bodies_bytes()),
     );
     let dispatcher = Arc::new(HostDispatcher::new(
         Arc::clone(&clock),
--- a/tests/testsuite/host/grants/daemon.rs
+++ b/tests/testsuite/host/grants/daemon.rs
@@ -8,6 +8,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use foxtaildrift::connection::body_budget::BodyBudget;
 use foxtaildrift::connection::peer_pool::{PeerPool, PeerTimeouts};
 use foxtaildrift::connection::protocol::{StatusReport, UpstreamProtocol};
 use foxtaildrift::connection::reactor::Reactor;
@@ -162,7 +163,12 @@
             event_tx,
         );
         let membership = Arc::new(membership.unwrap());
-        let pool = UpstreamPool::new(upstream.address, None, Arc::clone(&protocol));
+        let pool = UpstreamPool::new(
+            upstream.address,
+            None,
+            Arc::clone(&protocol),
+            BodyBudget::new(1 << 20),
+        );
         let dispatcher = Arc::new(HostDispatcher::new(
             Arc::clone(&clock),
             Arc::clone(&membership),
--- a/tests/testsuite/http1.rs
+++ b/tests/testsuite/http1.rs
@@ -5,6 +5,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use foxtaildrift::connection::body_budget::BodyBudget;
+use foxtaildrift::connection::body_buffer::BodyLimits;
 use foxtaildrift::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use foxtaildrift::connection::http1::{self, Framing};
 use foxtaildrift::connection::recipient::Recipient;
@@ -44,14 +46,23 @@
     Instant::now() + Duration::from_secs(2)
 }
 
+fn body_limits(bytes_max: usize) -> BodyLimits {
+    BodyLimits {
+        bytes_max,
+        budget: BodyBudget::new(usize::MAX),
+    }
+}
+
 fn read_body(bytes: &[u8], framing: Framing, max: usize) -> Result<Vec<u8>, ConnectionError> {
-    http1::read_body(
+    let limits = body_limits(max);
+    let body = http1::read_body(
         &mut connection_receiving(bytes),
         framing,
-        max,
+        &limits,
         deadline(),
         &Recipient::none(),
-    )
+    )?;
+    Ok(body.bytes)
 }
 
 #[test]
@@ -211,7 +222,13 @@
     for chunks in [size, extension, trailer, trailers] {
         let mut conn = connection_sending(chunks.clone().into_bytes());
         let none = Recipient::none();
-        let read = http1::read_body(&mut conn, Framing::Chunked, 1000, deadline(), &none);
+        let read = http1::read_body(
+            &mut conn,
+            Framing::Chunked,
+            &body_limits(1000),
+            deadline(),
+            &none,
+        );
         assert!(
             matches!(read, Err(ConnectionError::Malformed(_))),
             "{}: {read:?}",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the library, one module per topic.
 
 mod assignment;
+mod body_buffer;
 mod burn;
 mod codec;
 mod command;
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -8,6 +8,7 @@
 
 use socket2::{Domain, Socket, Type};
 
+use foxtaildrift::connection::body_budget::BodyBudget;
 use foxtaildrift::connection::http1::ResponseHead;
 use foxtaildrift::connection::protocol::{
     Grant, KeyRange, OutgoingRequest, ResponseMetadata, UpstreamProtocol,
@@ -28,6 +29,9 @@
 /// the maximum size, and what the sockets hold.
 const TAKEN_BYTES_MAX: usize = 24 * 1024 * 1024;
 
+/// The memory for the bodies of responses.
+const BODIES_BYTES_MAX: usize = 32 * 1024 * 1024;
+
 /// The size of a body that an upstream which reads nothing has no room for, in bytes.
 const HELD_UP_BYTES: usize = 10_000;
 
@@ -82,7 +86,12 @@
 }
 
 fn pool(to: SocketAddr) -> UpstreamPool {
-    UpstreamPool::new(to, None, Arc::new(PlainProtocol))
+    UpstreamPool::new(
+        to,
+        None,
+        Arc::new(PlainProtocol),
+        BodyBudget::new(BODIES_BYTES_MAX),
+    )
 }
 
 /// Reads the head of a request.
