--- a/src/cmd/host.rs
+++ b/src/cmd/host.rs
@@ -12,6 +12,7 @@
 use crate::process::host::host_settings::HostSettings;
 use crate::process::host::service::{HostPlatform, HostService};
 use crate::process::logging;
+use crate::process::settings_error::SettingsError;
 
 /// The exit code of a daemon that could not start.
 const EXIT_FAILED: u8 = 1;
@@ -34,6 +35,12 @@
         "the settings file (default: all defaults)",
         "FILE",
     );
+    options.optopt(
+        "",
+        "memory-mb",
+        "the memory that the daemon may use, in MiB; takes precedence over the settings",
+        "N",
+    );
     options.optflag("", "check", "validate the settings and exit");
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
@@ -50,25 +57,51 @@
         println!("foxtaildrift-host {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let path = matches.opt_str("settings").map(PathBuf::from).or(path);
-    let settings = match &path {
-        Some(path) => HostSettings::load(path),
-        None => HostSettings::parse(""),
+    // A deploy file may fill in nothing for a value that it does not know.
+    let memory_mb = matches.opt_str("memory-mb").filter(|text| !text.is_empty());
+    let Ok(memory_mb) = memory_mb.map(|text| text.parse()).transpose() else {
+        return usage_error("--memory-mb: not a whole number");
     };
-    match settings {
+    let source = SettingsSource {
+        path: matches.opt_str("settings").map(PathBuf::from).or(path),
+        memory_mb,
+    };
+    match source.load() {
         Ok(_) if matches.opt_present("check") => {
             println!("the settings are valid");
             ExitCode::SUCCESS
         }
-        Ok(settings) => run(settings, path, connect),
+        Ok(settings) => run(settings, &source, connect),
         Err(e) => report_failure(&e),
     }
 }
 
+/// Where the settings come from.
+struct SettingsSource {
+    /// The settings file; all defaults if there is none.
+    path: Option<PathBuf>,
+    /// The memory that the command line states, in MiB.
+    memory_mb: Option<u64>,
+}
+
+impl SettingsSource {
+    fn load(&self) -> Result<HostSettings, SettingsError> {
+        let mut settings = match &self.path {
+            Some(path) => HostSettings::load(path)?,
+            None => HostSettings::default(),
+        };
+        if let Some(memory_mb) = self.memory_mb {
+            settings.memory_mb = memory_mb;
+            settings.validate()?;
+        }
+        Ok(settings)
+    }
+}
+
 /// Runs a daemon until a stop signal arrives.
 fn run(
     settings: HostSettings,
-    path: Option<PathBuf>,
+    source: &SettingsSource,
     connect: impl Fn(&HostSettings) -> HostPlatform,
 ) -> ExitCode {
     let _log = match logging::init_buffered(&settings.log_level) {
@@ -94,7 +127,7 @@
     while !stop_requested.load(Ordering::SeqCst) {
         std::thread::sleep(SIGNAL_POLL_INTERVAL);
         if reload_requested.swap(false, Ordering::SeqCst) {
-            reload(&settings, path.as_ref());
+            reload(&settings, source);
         }
     }
     service.stop();
@@ -103,16 +136,16 @@
 
 /// Reads the settings file again and logs whether it has changed; changes take effect with the next
 /// start.
-fn reload(current: &HostSettings, path: Option<&PathBuf>) {
-    let Some(path) = path else {
+fn reload(current: &HostSettings, source: &SettingsSource) {
+    if source.path.is_none() {
         tracing::info!(
             event = "reload",
             changed = false,
             reason = "no settings file"
         );
         return;
-    };
-    match HostSettings::load(path) {
+    }
+    match source.load() {
         Ok(settings) => {
             let changed = settings != *current;
             tracing::info!(
--- a/src/process/host/host_settings.rs
+++ b/src/process/host/host_settings.rs
@@ -180,7 +180,12 @@
         }
     }
 
-    fn validate(&self) -> Result<(), SettingsError> {
+    /// Validates the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first field that is out of range.
+    pub fn validate(&self) -> Result<(), SettingsError> {
         let out_of_range = |field, value: u64, range| {
             Err(SettingsError::Range {
                 field,
@@ -221,8 +226,8 @@
         if !(0.1..=1_000_000.0).contains(&self.link_mbps) {
             return out_of_range("link_mbps", self.link_mbps as u64, "0.1 to 1000000");
         }
-        if !(64..=1_048_576).contains(&self.memory_mb) {
-            return out_of_range("memory_mb", self.memory_mb, "64 to 1048576");
+        if !(16..=1_048_576).contains(&self.memory_mb) {
+            return out_of_range("memory_mb", self.memory_mb, "16 to 1048576");
         }
         let levels = ["error", "warn", "info", "debug", "trace"];
         if !levels.contains(&self.log_level.as_str()) {
