Send at most one control request on a connection to the upstream

Cause: responses to grants and releases carry no id; a late copy of a grant's response was taken for the response to the release that followed on the connection.

Change: a connection that has carried a control request carries no other; callers' requests, whose responses have ids, go on to use it.

--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -123,6 +123,29 @@
     /// The ids of the requests that the upstream refused on it. A late copy of the refusal would be
     /// taken for the response to another attempt with the same id.
     refused: Vec<String>,
+    /// Whether it has carried a request of the daemon itself. Responses to these have no id, so that a
+    /// late copy of one would be taken for the response to the next.
+    has_carried_control: bool,
+}
+
+impl UpstreamConnection {
+    /// Returns whether no late copy on the connection can be taken for the response to the next
+    /// request.
+    fn is_safe_for(&self, usage: ConnectionUse<'_>) -> bool {
+        match usage {
+            ConnectionUse::Request(id) => self.refused.iter().all(|r| r != id),
+            ConnectionUse::Control => !self.has_carried_control,
+        }
+    }
+}
+
+/// What a connection is taken for.
+#[derive(Clone, Copy, Debug)]
+enum ConnectionUse<'r> {
+    /// A caller's request with this id.
+    Request(&'r str),
+    /// A request of the daemon itself.
+    Control,
 }
 
 /// A request of the daemon itself that was sent and not answered yet.
@@ -187,7 +210,7 @@
         recipient: &Recipient,
     ) -> Result<ReceivedResponse, UpstreamRequestFailure> {
         let deadline = Instant::now() + timeout;
-        let mut connection = self.checkout(Some(&request.id), deadline)?;
+        let mut connection = self.checkout(ConnectionUse::Request(&request.id), deadline)?;
         // Connecting may have taken long.
         if recipient.has_disconnected() {
             return Err(UpstreamRequestFailure::RecipientDisconnected { sent: false });
@@ -312,7 +335,7 @@
         build: impl FnOnce() -> Option<OutgoingRequest>,
         deadline: Instant,
     ) -> Result<PendingControlRequest, UpstreamRequestFailure> {
-        let mut connection = self.checkout(None, deadline)?;
+        let mut connection = self.checkout(ConnectionUse::Control, deadline)?;
         let Some(request) = build() else {
             let reason = "it was withdrawn while connecting";
             return Err(UpstreamRequestFailure::NotSent(reason.to_owned()));
@@ -324,6 +347,7 @@
             request.body.len(),
         );
         bytes.extend_from_slice(&request.body);
+        connection.has_carried_control = true;
         let written = connection
             .conn
             .write(&bytes, false, deadline, &Recipient::none());
@@ -381,7 +405,7 @@
     /// Returns why no connection was established.
     pub fn probe(&self) -> Result<(), UpstreamRequestFailure> {
         let deadline = Instant::now() + PROBE_TIMEOUT;
-        let connection = self.checkout(None, deadline)?;
+        let connection = self.checkout(ConnectionUse::Control, deadline)?;
         sync::lock(&self.idle).push(IdleConnection {
             connection,
             expires_at: Instant::now() + IDLE_TIMEOUT,
@@ -389,15 +413,14 @@
         Ok(())
     }
 
-    /// Returns a pooled connection that can be reused, or a new one; for a request with an id, one on
-    /// which no request with that id was refused.
+    /// Returns a pooled connection that is safe for `usage`, or a new one.
     fn checkout(
         &self,
-        id: Option<&str>,
+        usage: ConnectionUse<'_>,
         deadline: Instant,
     ) -> Result<UpstreamConnection, UpstreamRequestFailure> {
         let now = Instant::now();
-        while let Some(idle) = self.take_idle(id) {
+        while let Some(idle) = self.take_idle(usage) {
             if idle.expires_at > now && idle.connection.conn.is_reusable() {
                 return Ok(idle.connection);
             }
@@ -420,17 +443,14 @@
         Ok(UpstreamConnection {
             conn,
             refused: Vec::new(),
+            has_carried_control: false,
         })
     }
 
-    /// Takes the idle connection that was used last, of those on which no request `id` was refused.
-    fn take_idle(&self, id: Option<&str>) -> Option<IdleConnection> {
+    /// Takes the idle connection that was used last, of those that are safe for `usage`.
+    fn take_idle(&self, usage: ConnectionUse<'_>) -> Option<IdleConnection> {
         let mut idle = sync::lock(&self.idle);
-        let fits = |i: &IdleConnection| {
-            let mut refused = i.connection.refused.iter();
-            refused.all(|r| Some(r.as_str()) != id)
-        };
-        let index = idle.iter().rposition(fits)?;
+        let index = idle.iter().rposition(|i| i.connection.is_safe_for(usage))?;
         Some(idle.remove(index))
     }
 
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -95,15 +96,16 @@
 }
 
 /// Reads the head of a request.
-fn read_request(stream: &mut TcpStream) {
+fn read_request(stream: &mut TcpStream) -> bool {
     let mut bytes = Vec::new();
     let mut byte = [0; 1];
     while !bytes.ends_with(b"\r\n\r\n") {
         match stream.read(&mut byte) {
             Ok(1) => bytes.push(byte[0]),
-            _ => return,
+            _ => return false,
         }
     }
+    true
 }
 
 /// Starts an upstream that responds to one request with `start`, then with `repeated` for as long as
@@ -494,3 +496,47 @@
         }
     }
 }
+
+/// Starts an upstream that answers the first request with status 200, the second with 201 and so on,
+/// and before each further answer on a connection repeats the one before it.
+fn repeating() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+    let to = listener.local_addr().expect("no local address");
+    let next_status = Arc::new(AtomicU16::new(200));
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("no connection");
+            let next_status = Arc::clone(&next_status);
+            thread::spawn(move || {
+                let mut former = String::new();
+                while read_request(&mut stream) {
+                    let status = next_status.fetch_add(1, Ordering::SeqCst);
+                    let answer = format!("HTTP/1.1 {status} OK\r\nContent-Length: 0\r\n\r\n");
+                    let both = format!("{former}{answer}");
+                    if stream.write_all(both.as_bytes()).is_err() {
+                        return;
+                    }
+                    former = answer;
+                }
+            });
+        }
+    });
+    to
+}
+
+// Keys were granted elsewhere while their upstream still worked on them: a late copy of the answer to
+// a grant was taken for the answer to the release that followed on the connection (OWNER).
+#[test]
+fn a_late_copy_of_a_control_response_is_not_taken_for_the_next() {
+    let pool = pool(repeating());
+    for expected in 200..206 {
+        let request = OutgoingRequest {
+            method: "POST",
+            target: "/grant".to_owned(),
+            headers: Headers::default(),
+            body: Vec::new(),
+        };
+        let (head, _) = pool.send_control_request(request, TIMEOUT).unwrap();
+        assert_eq!(head.status, expected);
+    }
+}
