Close a connection whose request timed out in its body

Cause: a read that timed out while nothing was buffered counted as an idle connection; the part of a body that has arrived is no longer in the buffer.

Change: read_request returns None if no request has begun; every other failure is answered, and ends the connection.

Evidence: http_listener::the_rest_of_a_body_that_comes_too_late_is_not_taken_for_a_request failed (200 for the smuggled request) and passes.

--- a/src/connection/caller_connection.rs
+++ b/src/connection/caller_connection.rs
@@ -213,7 +213,8 @@
             return;
         }
         match request {
-            Ok(request) => {
+            Ok(None) => self.read_on(&mut state),
+            Ok(Some(request)) => {
                 let next = self.accept_request(&mut state, request);
                 drop(state);
                 if let Some((number, request, recipient)) = next {
@@ -385,23 +386,12 @@
         !is_open
     }
 
-    /// Responds to a request that could not be read, unless the connection is closed or no byte of a
-    /// request has arrived.
+    /// Responds to a request that could not be read, unless the connection is closed. It is the last
+    /// one, as it is not known where the next begins.
     fn reject<'a>(&'a self, mut state: MutexGuard<'a, State>, error: &ConnectionError) {
-        let has_bytes = state
-            .conn
-            .as_ref()
-            .is_some_and(|c| !c.buffered().is_empty());
-        match error {
-            ConnectionError::TimedOut if !has_bytes => {
-                self.read_on(&mut state);
-                return;
-            }
-            ConnectionError::Closed | ConnectionError::Io(_) => {
-                self.close_locked(state);
-                return;
-            }
-            _ => {}
+        if matches!(error, ConnectionError::Closed | ConnectionError::Io(_)) {
+            self.close_locked(state);
+            return;
         }
         state.phase = Phase::Holding;
         state.last_number += 1;
@@ -455,18 +445,22 @@
     }
 }
 
-/// Reads a complete request, of which the first bytes have arrived. `is_first` is whether the
-/// requests before it are answered, so that an interim response can be written.
+/// Reads a complete request; returns `None` if no byte of one has arrived after all. `is_first` is
+/// whether the requests before it are answered, so that an interim response can be written.
 fn read_request(
     conn: &mut BufferedConnection,
     shared: &ListenerShared,
     is_first: bool,
-) -> Result<HttpRequest, ConnectionError> {
+) -> Result<Option<HttpRequest>, ConnectionError> {
     let handler = &shared.handler;
     let limits = handler.limits();
     let idle_deadline = Instant::now() + FIRST_BYTES_TIMEOUT;
     let head =
-        http1::read_request_head(conn, idle_deadline, limits.head_timeout, limits.head_bytes)?;
+        http1::read_request_head(conn, idle_deadline, limits.head_timeout, limits.head_bytes);
+    let head = match head {
+        Err(ConnectionError::TimedOut) if conn.buffered().is_empty() => return Ok(None),
+        head => head?,
+    };
     let received_at = Instant::now();
     let framing = http1::request_framing(&head.headers)?;
     let deadline = received_at + handler.body_timeout(&head);
@@ -480,11 +474,11 @@
         budget: Arc::clone(&shared.body_budget),
     };
     let body = http1::read_body(conn, framing, &body_limits, deadline, &recipient)?;
-    Ok(HttpRequest {
+    Ok(Some(HttpRequest {
         head,
         body: body.bytes,
         received_at,
-    })
+    }))
 }
 
 fn encode(response: &HttpResponse, is_head: bool, close: bool) -> Vec<u8> {
--- a/tests/testsuite/http_listener.rs
+++ b/tests/testsuite/http_listener.rs
@@ -352,3 +352,24 @@
     }
     assert_eq!(fixture.listener.busy_connections(), 0);
 }
+
+// The rest of a body that came after its timeout was read and run as a request (UNASKED).
+#[test]
+fn the_rest_of_a_body_that_comes_too_late_is_not_taken_for_a_request() {
+    let fixture = Fixture::start();
+    let mut stream = fixture.connect();
+    let smuggled = get("/smuggled/0");
+    let length = 4 + smuggled.len();
+    let head = format!("POST /body/0 HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(b"body").unwrap();
+    thread::sleep(Duration::from_millis(2300));
+    // The connection may be closed by now.
+    let _ = stream.write_all(smuggled.as_bytes());
+    let (status, closes, body) = read_response(&mut stream).unwrap();
+    assert_eq!((status, closes), (400, true), "{body}");
+    let mut rest = Vec::new();
+    let _ = stream.read_to_end(&mut rest);
+    assert_eq!(String::from_utf8_lossy(&rest), "");
+    assert_eq!(fixture.started(), Vec::<String>::new());
+}
