Keep ended sessions from coming back

Cause: the session of a daemon behind a cut was ended and removed from the table. When the cut ended, the daemon's join request under the same session was admitted, as nobody knew any more that it had ended; its witnesses began anew with it and granted the lease, while the daemon still served by the table from before the cut.

Change: a witness grants a lease only to a daemon whose table is not older than the witness's record of the session; a join request says whether the session is a member as far as its daemon knows, and one that is a member no more is not admitted.

Evidence: both tests of testsuite::rejoin that guard it failed without the change (Some(33) for None, 1 for 0).

--- a/crates/bench/src/explore/simulation.rs
+++ b/crates/bench/src/explore/simulation.rs
@@ -629,11 +629,11 @@
             return;
         }
         let now = self.nodes[number].clock.read(self.now);
-        let mut join_requests = self.nodes[number].join_requests.current(now);
-        let node = &self.nodes[number];
+        let node = &mut self.nodes[number];
         let (Some(base), Some(ownership)) = (node.base_revision, &node.ownership) else {
             return;
         };
+        let mut join_requests = node.join_requests.current(now, ownership.table());
         if ownership.table().epoch != self.stored_table.1.epoch {
             return;
         }
@@ -710,9 +710,11 @@
             }
             return;
         }
-        if let Message::Join(info) = &datagram.message {
+        if let Message::Join(request) = &datagram.message {
             let now = self.nodes[to].clock.read(self.now);
-            self.nodes[to].join_requests.record(now, (**info).clone());
+            self.nodes[to]
+                .join_requests
+                .record(now, (**request).clone());
         }
         self.with_ownership(to, |o, now| o.receive(now, *datagram));
     }
--- a/src/process/datagram.rs
+++ b/src/process/datagram.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::process::join_request::JoinRequest;
 use crate::process::load_report::LoadReport;
 use crate::process::moment::Moment;
 use crate::process::session_facts::SessionFacts;
@@ -13,7 +14,6 @@
 use crate::version::document_version::DocumentVersion;
 use crate::version::epoch::Epoch;
 use crate::version::instance_id::InstanceId;
-use crate::version::member::MemberInfo;
 use crate::version::session_id::SessionId;
 
 /// The size limit of a datagram, in bytes; a larger one is not sent.
@@ -67,7 +67,7 @@
     /// A daemon waits for the receiver to release slices and asks which epoch it has adopted.
     QueryAdopted,
     /// A daemon asks to be a member, or to update its member info.
-    Join(Box<MemberInfo>),
+    Join(Box<JoinRequest>),
     /// A daemon reports the load of its upstream and slices to the planner.
     Load(Box<LoadReport>),
     /// Requests that were in flight when an upstream crashed.
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -187,7 +187,8 @@
 
     /// Returns the member info of daemons that request to join or to change it, and of this daemon.
     pub fn join_requests(&self) -> BTreeMap<InstanceId, MemberInfo> {
-        let mut requests = sync::lock(&self.join_requests).current(self.clock.now());
+        let table = self.table();
+        let mut requests = sync::lock(&self.join_requests).current(self.clock.now(), &table);
         let own = self.with_ownership(|o, _| o.info().clone());
         requests.insert(own.session.instance, own);
         requests
@@ -400,8 +401,8 @@
             return;
         };
         match &datagram.message {
-            Message::Join(info) => {
-                sync::lock(&self.join_requests).record(self.clock.now(), (**info).clone());
+            Message::Join(request) => {
+                sync::lock(&self.join_requests).record(self.clock.now(), (**request).clone());
             }
             Message::Load(report) => {
                 if let Some(session) = report.session {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -24,6 +24,7 @@
 pub mod datagram;
 pub mod host;
 pub mod http_platform;
+pub mod join_request;
 pub mod join_requests;
 pub mod key_owner;
 pub mod lease_times;
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -14,6 +14,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::process::datagram::{Datagram, Message};
+use crate::process::join_request::JoinRequest;
 use crate::process::lease_times::LeaseTimes;
 use crate::process::moment::Moment;
 use crate::process::not_serving::NotServing;
@@ -844,7 +845,11 @@
             false => self.likely_planners(),
         };
         for peer in peers {
-            self.send(peer, Message::Join(Box::new(self.info.clone())));
+            let request = JoinRequest {
+                info: self.info.clone(),
+                is_member: self.joined,
+            };
+            self.send(peer, Message::Join(Box::new(request)));
         }
     }
 
--- a/src/process/witness.rs
+++ b/src/process/witness.rs
@@ -13,6 +13,8 @@
 /// The state of a session that this process witnesses.
 #[derive(Clone, Copy, Debug)]
 struct WitnessedSession {
+    /// The epoch of the table that made this process a witness of the session.
+    since: Epoch,
     last_renewal: Moment,
     granted_epoch: Epoch,
     ended: bool,
@@ -32,6 +34,7 @@
         for (&session, member) in &table.members {
             if member.witnesses.iter().any(|set| set.contains(me)) {
                 let new_session = WitnessedSession {
+                    since: table.epoch,
                     last_renewal: now,
                     granted_epoch: Epoch::default(),
                     ended: false,
@@ -41,8 +44,11 @@
         }
     }
 
-    /// Grants the lease of `session` and returns the granted epoch, or `None` if the session is
-    /// unknown here or has ended.
+    /// Grants the lease of `session`, whose daemon has the table of `epoch`; returns the granted epoch,
+    /// or `None` if the session is unknown here or has ended.
+    ///
+    /// A daemon with a table from before this process became a witness gets no grant: this process may
+    /// have ended the session under an earlier table, and forgotten that with a later one.
     pub fn renew(
         &mut self,
         now: Moment,
@@ -52,7 +58,7 @@
     ) -> Option<Epoch> {
         let witnessed = self.sessions.get_mut(&session)?;
         witnessed.ended |= now.since(witnessed.last_renewal) > times.expiry_delay();
-        if witnessed.ended {
+        if witnessed.ended || epoch < witnessed.since {
             return None;
         }
         witnessed.last_renewal = now;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod quarantine;
 mod recent_shared_requests;
 mod records;
+mod rejoin;
 mod settings;
 mod store;
 mod table;
--- a/tests/testsuite/wire_properties.rs
+++ b/tests/testsuite/wire_properties.rs
@@ -16,6 +16,7 @@
 };
 use foxtaildrift::connection::protocol::KeyRange;
 use foxtaildrift::process::datagram::{Datagram, Message};
+use foxtaildrift::process::join_request::JoinRequest;
 use foxtaildrift::process::lease_times::LeaseTimes;
 use foxtaildrift::process::load_report::{LoadReport, RangeLoad, SliceLoad};
 use foxtaildrift::process::moment::Moment;
@@ -310,7 +311,10 @@
         },
         Message::Facts(facts(3)),
         Message::QueryAdopted,
-        Message::Join(Box::new(info(5))),
+        Message::Join(Box::new(JoinRequest {
+            info: info(5),
+            is_member: true,
+        })),
         Message::Load(Box::new(load_report(2))),
         Message::Suspects(vec![CrashSuspect { fingerprint, boot }]),
         Message::Cleared(fingerprint),
