Raise the fencing tokens when a connection may lead to a new process

Cause: an upstream crashed and was back within half a second; its first report came 3 s later. Until then the daemon renewed the grants of the former process, with their tokens, on new connections.

Change: connection_group tells whether a new connection leads to the process of the earlier ones: one of them must still be open. A grant isn't sent on another one; the tokens are raised first. Grants in force stay in use meanwhile, and a raise keeps the epochs of the tokens that a session holds, so that it costs no service. Grants name the process that they are for.

Evidence: host::grants::a_process_that_has_not_reported_gets_no_fencing_token_of_a_former_one failed without the change (one token four times) and passes.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -18,6 +18,7 @@
 pub mod caller_connection;
 pub mod caller_http;
 pub mod calling_link;
+pub mod connection_group;
 pub mod frame;
 pub mod http1;
 pub mod http_client;
--- a/src/connection/protocol.rs
+++ b/src/connection/protocol.rs
@@ -72,6 +72,8 @@
 /// A grant of keys to an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Grant {
+    /// The upstream process that it is for; any other one must refuse it.
+    pub instance: String,
     /// The granted keys.
     pub keys: KeyRange,
     /// The fencing token of the grant.
--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -8,6 +8,7 @@
 use crate::connection::body_budget::BodyBudget;
 use crate::connection::body_buffer::BodyLimits;
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
+use crate::connection::connection_group::{ConnectionGroup, ConnectionGroups};
 use crate::connection::http1::{self, Framing, ResponseHead};
 use crate::connection::protocol::{OutgoingRequest, ResponseMetadata, UpstreamProtocol};
 use crate::connection::recipient::Recipient;
@@ -126,6 +127,7 @@
     /// Whether it has carried a request of the daemon itself. Responses to these have no id, so that a
     /// late copy of one would be taken for the response to the next.
     has_carried_control: bool,
+    group: ConnectionGroup,
 }
 
 impl UpstreamConnection {
@@ -168,6 +170,7 @@
     protocol: Arc<dyn UpstreamProtocol>,
     body_limits: BodyLimits,
     idle: Mutex<Vec<IdleConnection>>,
+    groups: ConnectionGroups,
 }
 
 impl UpstreamPool {
@@ -188,6 +191,7 @@
                 budget: body_budget,
             },
             idle: Mutex::default(),
+            groups: ConnectionGroups::default(),
         }
     }
 
@@ -320,23 +324,24 @@
         timeout: Duration,
     ) -> Result<(ResponseHead, ResponseMetadata), UpstreamRequestFailure> {
         let deadline = Instant::now() + timeout;
-        let pending = self.begin_control_request(|| Some(request), deadline)?;
+        let pending = self.begin_control_request(|_| Some(request), deadline)?;
         self.finish_control_request(pending, deadline)
     }
 
-    /// Sends a request of the daemon itself. `build` is called once a connection stands, and returns
-    /// `None` if the request must not be sent any more.
+    /// Sends a request of the daemon itself. `build` is called with the group of the connection once
+    /// that stands, and returns `None` if the request must not be sent on it.
     ///
     /// # Errors
     ///
     /// Returns an error if it was not sent, or only in part.
     pub fn begin_control_request(
         &self,
-        build: impl FnOnce() -> Option<OutgoingRequest>,
+        build: impl FnOnce(ConnectionGroup) -> Option<OutgoingRequest>,
         deadline: Instant,
     ) -> Result<PendingControlRequest, UpstreamRequestFailure> {
         let mut connection = self.checkout(ConnectionUse::Control, deadline)?;
-        let Some(request) = build() else {
+        let Some(request) = build(connection.group) else {
+            self.keep_unused(connection);
             let reason = "it was withdrawn while connecting";
             return Err(UpstreamRequestFailure::NotSent(reason.to_owned()));
         };
@@ -406,11 +411,16 @@
     pub fn probe(&self) -> Result<(), UpstreamRequestFailure> {
         let deadline = Instant::now() + PROBE_TIMEOUT;
         let connection = self.checkout(ConnectionUse::Control, deadline)?;
+        self.keep_unused(connection);
+        Ok(())
+    }
+
+    /// Adds a connection that was checked out and not used to the idle ones.
+    fn keep_unused(&self, connection: UpstreamConnection) {
         sync::lock(&self.idle).push(IdleConnection {
             connection,
             expires_at: Instant::now() + IDLE_TIMEOUT,
         });
-        Ok(())
     }
 
     /// Returns a pooled connection that is safe for `usage`, or a new one.
@@ -441,6 +451,7 @@
             _ => UpstreamRequestFailure::NotSent(e.to_string()),
         })?;
         Ok(UpstreamConnection {
+            group: self.groups.add(conn.stream()),
             conn,
             refused: Vec::new(),
             has_carried_control: false,
--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -18,7 +18,7 @@
 use crate::connection::upstream_pool::{self, UpstreamRequestFailure};
 use crate::process::clock::Clock;
 use crate::process::host::grant_attempt::{GrantAttempt, SentGrant};
-use crate::process::host::grant_sender::GrantSender;
+use crate::process::host::grant_sender::{GrantSender, GrantTarget};
 use crate::process::host::host_dispatcher::HostDispatcher;
 use crate::process::host::key_grants::{KeyGrant, KeyGrants, ReleasingGrant};
 use crate::process::host::key_releaser::{self, KeyReleaser};
@@ -216,15 +216,26 @@
             .iter()
             .flat_map(|range| grants.due_grants(now, &process.service, range))
             .collect();
+        let mut target = GrantTarget {
+            instance: process.instance.clone(),
+            group: grants.group(),
+            is_uncertain: false,
+        };
         for part in due.chunks(GRANTS_AT_ONCE_MAX) {
             let mut all_accepted = true;
-            for attempt in self.sender.send_grants(part, live_until) {
+            for attempt in self.sender.send_grants(&mut target, part, live_until) {
                 all_accepted &= self.record_attempt(&mut grants, &process, attempt);
             }
             if !all_accepted {
                 break;
             }
         }
+        grants.set_group(target.group);
+        if target.is_uncertain {
+            tracing::info!(event = "tokens-raised", instance = process.instance);
+            self.membership.with_ownership(|o, _| o.raise_incarnation());
+            grants.set_group(None);
+        }
         let granted = grants.granted_ranges(&served);
         drop(grants);
         self.dispatcher.set_granted(granted);
--- a/src/process/host/grant_sender.rs
+++ b/src/process/host/grant_sender.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::connection::connection_group::ConnectionGroup;
 use crate::connection::protocol::{Grant, UpstreamProtocol};
 use crate::connection::upstream_pool::{PendingControlRequest, UpstreamRequestFailure};
 use crate::process::clock::Clock;
@@ -29,6 +30,27 @@
     pending: Result<PendingControlRequest, UpstreamRequestFailure>,
 }
 
+/// Which process grants are for.
+#[derive(Debug)]
+pub struct GrantTarget {
+    /// Name of the process.
+    pub instance: String,
+    /// Group of the connections to the process that has the tokens of the grants; `None` if nothing was
+    /// sent with these tokens.
+    pub group: Option<ConnectionGroup>,
+    /// Whether a grant was not sent because its connection may lead to another process.
+    pub is_uncertain: bool,
+}
+
+impl GrantTarget {
+    /// Returns whether a grant may be sent on a connection of `group`.
+    fn admits(&mut self, group: ConnectionGroup) -> bool {
+        let is_same = *self.group.get_or_insert(group) == group;
+        self.is_uncertain |= !is_same;
+        is_same
+    }
+}
+
 /// Sends grants to the local upstream.
 pub struct GrantSender {
     clock: Arc<dyn Clock>,
@@ -57,6 +79,7 @@
     /// would be too short.
     pub fn send_grants(
         &self,
+        target: &mut GrantTarget,
         due: &[(OwnedRange, Option<String>)],
         live_until: Moment,
     ) -> Vec<GrantAttempt> {
@@ -64,7 +87,7 @@
         let begun: Vec<BegunGrant> = due
             .iter()
             .filter_map(|(range, handover)| {
-                self.begin_grant(*range, handover.clone(), live_until, deadline)
+                self.begin_grant(target, *range, handover.clone(), live_until, deadline)
             })
             .collect();
         let finished = begun.into_iter().map(|b| self.finish_grant(b, deadline));
@@ -77,6 +100,7 @@
     /// of the call, so it is determined when the connection stands.
     fn begin_grant(
         &self,
+        target: &mut GrantTarget,
         range: OwnedRange,
         handover: Option<String>,
         live_until: Moment,
@@ -85,14 +109,18 @@
         let began_at = self.clock.now();
         self.grant_duration(began_at, live_until)?;
         let mut sent = None;
-        let build_request = || {
+        let build_request = |group| {
             let sent_at = self.clock.now();
             let grant = Grant {
+                instance: target.instance.clone(),
                 keys: range.keys(),
                 fencing_token: owned_range::pack_fencing_token(range.token),
                 duration: self.grant_duration(sent_at, live_until)?,
                 handover,
             };
+            if !target.admits(group) {
+                return None;
+            }
             let request = self.protocol.grant_request(&grant);
             sent = Some(SentGrant { grant, sent_at });
             Some(request)
--- a/src/process/host/key_grants.rs
+++ b/src/process/host/key_grants.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::connection::connection_group::ConnectionGroup;
 use crate::connection::peer_message::KeyHandover;
 use crate::process::host::owned_range::{self, OwnedRange};
 use crate::process::moment::Moment;
@@ -79,6 +80,9 @@
 pub struct KeyGrants {
     /// Upstream process that the grants belong to.
     boot: Option<UpstreamBoot>,
+    /// Group of the connections to the process that has the present fencing tokens; `None` while no
+    /// grant was sent with them.
+    group: Option<ConnectionGroup>,
     grants: Vec<KeyGrant>,
     /// Handovers for keys not granted yet, each with its arrival time.
     handovers: Vec<(KeyHandover, Moment)>,
@@ -128,11 +132,23 @@
             return false;
         }
         let replaced = self.boot.replace(boot).is_some();
+        self.group = None;
         self.abandon(gone_at);
         self.failing_since = None;
         replaced
     }
 
+    /// Returns the group of the connections to the process that has the present fencing tokens.
+    pub fn group(&self) -> Option<ConnectionGroup> {
+        self.group
+    }
+
+    /// Sets the group of the connections on which grants with the present fencing tokens were sent;
+    /// `None` once the tokens are raised.
+    pub fn set_group(&mut self, group: Option<ConnectionGroup>) {
+        self.group = group;
+    }
+
     /// Records that the upstream accepted a grant.
     pub fn record_success(&mut self) {
         self.failing_since = None;
@@ -392,14 +408,15 @@
     }
 
     /// Returns the parts of `served` that are granted to the upstream, each with the time until
-    /// which that is certain.
+    /// which that is certain. A grant stays in force while one with a higher incarnation is on its
+    /// way.
     pub fn granted_ranges(&self, served: &[OwnedRange]) -> Vec<(OwnedRange, Moment)> {
         let mut granted = Vec::new();
         for grant in &self.grants {
-            let same_token = served
+            let same_ownership = served
                 .iter()
-                .filter(|range| range.token == grant.range.token);
-            let ranges = same_token.filter_map(|range| range.intersection(&grant.range));
+                .filter(|range| range.token.is_same_ownership(&grant.range.token));
+            let ranges = same_ownership.filter_map(|range| range.intersection(&grant.range));
             granted.extend(ranges.map(|range| (range, grant.certain_until)));
         }
         granted
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -280,7 +280,9 @@
     /// upstream restarted or has seen a higher token.
     pub fn raise_incarnation(&mut self) {
         self.session.incarnation += 1;
-        self.held_tokens.clear();
+        for token in self.held_tokens.values_mut() {
+            token.incarnation = self.session.incarnation;
+        }
     }
 
     /// Returns the sessions of former processes at this daemon's address that are not known to have
--- a/src/version/fencing_token.rs
+++ b/src/version/fencing_token.rs
@@ -19,6 +19,14 @@
     pub incarnation: u32,
 }
 
+impl FencingToken {
+    /// Returns whether the tokens differ in their incarnations at most: no other daemon has owned the
+    /// slice between them.
+    pub fn is_same_ownership(&self, other: &FencingToken) -> bool {
+        (self.since, self.rank) == (other.since, other.rank)
+    }
+}
+
 impl fmt::Display for FencingToken {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}.{}", self.since, self.rank, self.incarnation)
--- a/tests/testsuite/host/grants/mod.rs
+++ b/tests/testsuite/host/grants/mod.rs
@@ -146,3 +146,40 @@
     assert_eq!(releases[0].fencing_token, 0, "below all own grants");
     assert!(!daemon.has_ended_former_sessions());
 }
+
+/// Reconciles until `count` grants have arrived; returns their fencing tokens.
+fn await_grants(daemon: &Daemon, upstream: &ScriptedUpstream, count: usize) -> Vec<u64> {
+    let started = Instant::now();
+    loop {
+        daemon.manager.reconcile();
+        let grants = upstream.calls("grant");
+        if grants.len() >= count {
+            return grants.iter().map(|g| g.fencing_token).collect();
+        }
+        assert!(started.elapsed() < 2 * PATIENCE, "{} grants", grants.len());
+        thread::sleep(RECONCILE_INTERVAL);
+    }
+}
+
+/// Guards against a new process of the upstream that gets the keys with the fencing token of its
+/// former process, because it is up again at the same address before it reports (OWNER).
+#[test]
+fn a_process_that_has_not_reported_gets_no_fencing_token_of_a_former_one() {
+    let upstream = ScriptedUpstream::start(|_| Answer::After(Duration::ZERO));
+    let daemon = Daemon::start(&upstream, table(1, &[OWN, OTHER]));
+    let former = await_grants(&daemon, &upstream, 2);
+    upstream.restart();
+    let all = await_grants(&daemon, &upstream, former.len() + 2);
+    let newest_former = former.iter().max().unwrap();
+    for token in &all[former.len()..] {
+        assert!(token > newest_former, "{all:?}");
+    }
+}
+
+#[test]
+fn a_grant_is_renewed_with_the_same_fencing_token_while_its_process_runs() {
+    let upstream = ScriptedUpstream::start(|_| Answer::After(Duration::ZERO));
+    let daemon = Daemon::start(&upstream, table(1, &[OWN, OTHER]));
+    let tokens = await_grants(&daemon, &upstream, 4);
+    assert!(tokens.iter().all(|t| *t == tokens[0]), "{tokens:?}");
+}
--- a/tests/testsuite/host/grants/upstream.rs
+++ b/tests/testsuite/host/grants/upstream.rs
@@ -1,7 +1,7 @@
 //! An upstream that answers grants and releases as a test tells it, and records them.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -59,6 +59,7 @@
     /// Its address.
     pub address: SocketAddr,
     calls: Arc<Mutex<Vec<Call>>>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl ScriptedUpstream {
@@ -67,14 +68,30 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let calls = Arc::new(Mutex::new(Vec::new()));
+        let streams = Arc::new(Mutex::new(Vec::new()));
         let (script, recorded) = (Arc::new(script), Arc::clone(&calls));
+        let accepted = Arc::clone(&streams);
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 let (script, recorded) = (Arc::clone(&script), Arc::clone(&recorded));
+                accepted.lock().unwrap().push(stream.try_clone().unwrap());
                 thread::spawn(move || serve(stream, &*script, &recorded));
             }
         });
-        Self { address, calls }
+        Self {
+            address,
+            calls,
+            streams,
+        }
+    }
+
+    /// Closes all connections, as the end of a process does; a new one accepts further connections at
+    /// the same address at once.
+    pub fn restart(&self) {
+        for stream in self.streams.lock().unwrap().drain(..) {
+            // The daemon may have closed it.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
     }
 
     /// Returns the calls of an operation that have arrived.
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -454,7 +454,7 @@
     listener.set_nonblocking(true).expect("not settable");
     let to = listener.local_addr().expect("no local address");
     let mut had_connection = None;
-    let build = || {
+    let build = |_| {
         had_connection = Some(listener.accept().is_ok());
         None
     };
