Split the upstream pool: its connections and its failures

No behaviour changes: the connection with what it has carried, its use and the failure of a request have files of their own.

--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -9,9 +9,12 @@
 use crate::connection::body_buffer::BodyLimits;
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::connection_group::{ConnectionGroup, ConnectionGroups};
+use crate::connection::connection_use::ConnectionUse;
 use crate::connection::http1::{self, Framing, ResponseHead};
 use crate::connection::protocol::{OutgoingRequest, ResponseMetadata, UpstreamProtocol};
 use crate::connection::recipient::Recipient;
+use crate::connection::upstream_connection::UpstreamConnection;
+use crate::connection::upstream_request_failure::UpstreamRequestFailure;
 use crate::process::sync;
 use crate::request::body::{BODY_BYTES_MAX, Body};
 use crate::request::upstream_outcome::UpstreamResponse;
@@ -34,38 +37,9 @@
 const READ_TIME_MIN: Duration = Duration::from_millis(5);
 /// The most idle connections in the pool.
 const IDLE_MAX: usize = 32;
-/// The most refused requests on one connection; it is not reused after that.
-const REFUSALS_MAX: usize = 8;
 /// The most response heads that are read on one connection to find the one with the request's id.
 const RESPONSE_HEADS_MAX: usize = 4;
 
-/// Why a request to the upstream brought no valid response.
-#[derive(Debug, PartialEq, Eq)]
-pub enum UpstreamRequestFailure {
-    /// The connection was refused: nothing listens at the address, so the upstream's process is
-    /// gone.
-    Refused,
-    /// No connection was established in time, or the request was withdrawn meanwhile: no byte of it was
-    /// sent.
-    NotSent(String),
-    /// The upstream responded that it did not run the request.
-    NotRun {
-        /// The HTTP status.
-        status: u16,
-        /// The metadata in the response's headers.
-        metadata: ResponseMetadata,
-    },
-    /// The request may have run; the response was lost or is invalid.
-    MaybeRun(String),
-    /// The request may have run; no response arrived in time.
-    TimedOut,
-    /// The recipient of the response disconnected.
-    RecipientDisconnected {
-        /// Whether the upstream may have received the request.
-        sent: bool,
-    },
-}
-
 /// A response of the upstream with the metadata in its headers.
 #[derive(Debug, PartialEq, Eq)]
 pub struct ReceivedResponse {
@@ -118,38 +92,6 @@
     }
 }
 
-/// A connection to the upstream.
-struct UpstreamConnection {
-    conn: BufferedConnection,
-    /// The ids of the requests that the upstream refused on it. A late copy of the refusal would be
-    /// taken for the response to another attempt with the same id.
-    refused: Vec<String>,
-    /// Whether it has carried a request of the daemon itself. Responses to these have no id, so that a
-    /// late copy of one would be taken for the response to the next.
-    has_carried_control: bool,
-    group: ConnectionGroup,
-}
-
-impl UpstreamConnection {
-    /// Returns whether no late copy on the connection can be taken for the response to the next
-    /// request.
-    fn is_safe_for(&self, usage: ConnectionUse<'_>) -> bool {
-        match usage {
-            ConnectionUse::Request(id) => self.refused.iter().all(|r| r != id),
-            ConnectionUse::Control => !self.has_carried_control,
-        }
-    }
-}
-
-/// What a connection is taken for.
-#[derive(Clone, Copy, Debug)]
-enum ConnectionUse<'r> {
-    /// A caller's request with this id.
-    Request(&'r str),
-    /// A request of the daemon itself.
-    Control,
-}
-
 /// A request of the daemon itself that was sent and not answered yet.
 pub struct PendingControlRequest {
     connection: UpstreamConnection,
@@ -234,7 +176,7 @@
             }
         };
         if exchange.not_run {
-            connection.refused.push(request.id.clone());
+            connection.record_refusal(&request.id);
         }
         if exchange.is_reusable {
             self.check_in(connection, &exchange.head);
@@ -263,14 +205,15 @@
             }
         };
         let (head, metadata) = self.read_head(conn, request, deadline, recipient)?;
-        let framing = http1::response_framing(&head, &request.method).map_err(sent_failure)?;
+        let framing = http1::response_framing(&head, &request.method)
+            .map_err(UpstreamRequestFailure::after_sending)?;
         let body = http1::read_body(conn, framing, &self.body_limits, deadline, recipient);
         let not_run = metadata.not_run || head.status == 421;
         let is_reusable = body.is_ok() && written == bytes.len() && framing != Framing::UntilClose;
         let body = match body {
             Ok(body) => body.bytes,
             Err(_) if not_run => Vec::new(),
-            Err(e) => return Err(sent_failure(e)),
+            Err(e) => return Err(UpstreamRequestFailure::after_sending(e)),
         };
         Ok(Exchange {
             head,
@@ -290,8 +233,8 @@
         recipient: &Recipient,
     ) -> Result<(ResponseHead, ResponseMetadata), UpstreamRequestFailure> {
         for _ in 0..RESPONSE_HEADS_MAX {
-            let head =
-                http1::read_response_head(conn, deadline, recipient).map_err(sent_failure)?;
+            let head = http1::read_response_head(conn, deadline, recipient)
+                .map_err(UpstreamRequestFailure::after_sending)?;
             let metadata = self.protocol.parse_head(&head);
             if metadata.request_id.as_deref() == Some(&request.id) {
                 return Ok((head, metadata));
@@ -301,12 +244,13 @@
                 request = %request.id,
                 other = ?metadata.request_id,
             );
-            let framing = http1::response_framing(&head, &request.method).map_err(sent_failure)?;
+            let framing = http1::response_framing(&head, &request.method)
+                .map_err(UpstreamRequestFailure::after_sending)?;
             if framing == Framing::UntilClose {
                 break;
             }
             http1::discard_body(conn, framing, BODY_BYTES_MAX, deadline, recipient)
-                .map_err(sent_failure)?;
+                .map_err(UpstreamRequestFailure::after_sending)?;
         }
         Err(UpstreamRequestFailure::MaybeRun(
             "answers to other requests".to_owned(),
@@ -352,13 +296,13 @@
             request.body.len(),
         );
         bytes.extend_from_slice(&request.body);
-        connection.has_carried_control = true;
+        connection.record_control();
         let written = connection
             .conn
             .write(&bytes, false, deadline, &Recipient::none());
         if let Err(e) = written {
             connection.conn.reset();
-            return Err(sent_failure(e));
+            return Err(UpstreamRequestFailure::after_sending(e));
         }
         Ok(PendingControlRequest {
             connection,
@@ -386,7 +330,7 @@
             Ok(response) => response,
             Err(e) => {
                 connection.conn.reset();
-                return Err(sent_failure(e));
+                return Err(UpstreamRequestFailure::after_sending(e));
             }
         };
         let metadata = self.protocol.parse_head(&head);
@@ -450,12 +394,8 @@
             ErrorKind::ConnectionRefused => UpstreamRequestFailure::Refused,
             _ => UpstreamRequestFailure::NotSent(e.to_string()),
         })?;
-        Ok(UpstreamConnection {
-            group: self.groups.add(conn.stream()),
-            conn,
-            refused: Vec::new(),
-            has_carried_control: false,
-        })
+        let group = self.groups.add(conn.stream());
+        Ok(UpstreamConnection::new(conn, group))
     }
 
     /// Takes the idle connection that was used last, of those that are safe for `usage`.
@@ -467,9 +407,7 @@
 
     /// Returns a connection to the pool, unless it can't be reused after the response with `head`.
     fn check_in(&self, connection: UpstreamConnection, head: &ResponseHead) {
-        let is_spent =
-            !connection.conn.buffered().is_empty() || connection.refused.len() > REFUSALS_MAX;
-        if !head.keeps_alive() || is_spent {
+        if !head.keeps_alive() || connection.is_spent() {
             return;
         }
         let announced = head
@@ -507,22 +445,3 @@
     let timeout = Duration::from_secs(seconds.trim().parse().ok()?);
     Some(timeout.min(KEEP_ALIVE_MAX))
 }
-
-/// Describes the status or the failure of a control request for a log line.
-pub fn failure_reason(result: Result<u16, UpstreamRequestFailure>) -> String {
-    match result {
-        Ok(status) => format!("status {status}"),
-        Err(e) => format!("{e:?}"),
-    }
-}
-
-/// Converts an error that occurred after the request was sent.
-fn sent_failure(e: ConnectionError) -> UpstreamRequestFailure {
-    match e {
-        ConnectionError::TimedOut => UpstreamRequestFailure::TimedOut,
-        ConnectionError::RecipientDisconnected => {
-            UpstreamRequestFailure::RecipientDisconnected { sent: true }
-        }
-        e => UpstreamRequestFailure::MaybeRun(e.to_string()),
-    }
-}
--- a/src/process/host/grant_attempt.rs
+++ b/src/process/host/grant_attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to grant a range of keys to the upstream.
 
 use crate::connection::protocol::Grant;
-use crate::connection::upstream_pool::UpstreamRequestFailure;
+use crate::connection::upstream_request_failure::UpstreamRequestFailure;
 use crate::process::host::key_grants::KeyGrant;
 use crate::process::host::owned_range::OwnedRange;
 use crate::process::moment::Moment;
--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -15,7 +15,7 @@
 use crate::connection::peer_message::KeyHandover;
 use crate::connection::peer_pool::PeerPool;
 use crate::connection::protocol::{KeyRange, UpstreamProtocol};
-use crate::connection::upstream_pool::{self, UpstreamRequestFailure};
+use crate::connection::upstream_request_failure::{self, UpstreamRequestFailure};
 use crate::process::clock::Clock;
 use crate::process::host::grant_attempt::{GrantAttempt, SentGrant};
 use crate::process::host::grant_sender::{GrantSender, GrantTarget};
@@ -453,7 +453,7 @@
             first = attempt.range.first,
             last = attempt.range.last,
             fence = owned_range::pack_fencing_token(attempt.range.token),
-            reason = upstream_pool::failure_reason(attempt.result)
+            reason = upstream_request_failure::failure_reason(attempt.result)
         );
         false
     }
--- a/src/process/host/grant_sender.rs
+++ b/src/process/host/grant_sender.rs
@@ -5,7 +5,8 @@
 
 use crate::connection::connection_group::ConnectionGroup;
 use crate::connection::protocol::{Grant, UpstreamProtocol};
-use crate::connection::upstream_pool::{PendingControlRequest, UpstreamRequestFailure};
+use crate::connection::upstream_pool::PendingControlRequest;
+use crate::connection::upstream_request_failure::UpstreamRequestFailure;
 use crate::process::clock::Clock;
 use crate::process::host::grant_attempt::{CLOCK_DRIFT, GrantAttempt, SentGrant};
 use crate::process::host::host_dispatcher::HostDispatcher;
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -7,7 +7,8 @@
 
 use crate::connection::protocol::StatusReport;
 use crate::connection::recipient::Recipient;
-use crate::connection::upstream_pool::{ReceivedResponse, UpstreamPool, UpstreamRequestFailure};
+use crate::connection::upstream_pool::{ReceivedResponse, UpstreamPool};
+use crate::connection::upstream_request_failure::UpstreamRequestFailure;
 use crate::process::clock::Clock;
 use crate::process::datagram::Message;
 use crate::process::host::admission::{Admission, Decision, Ticket};
--- a/src/process/host/key_releaser.rs
+++ b/src/process/host/key_releaser.rs
@@ -11,7 +11,7 @@
 use crate::connection::peer_pool::PeerPool;
 use crate::connection::protocol::{KeyRange, UpstreamProtocol};
 use crate::connection::recipient::Recipient;
-use crate::connection::upstream_pool::{self, UpstreamRequestFailure};
+use crate::connection::upstream_request_failure::{self, UpstreamRequestFailure};
 use crate::process::clock::Clock;
 use crate::process::host::host_dispatcher::HostDispatcher;
 use crate::process::host::key_grants::KeyGrant;
@@ -95,7 +95,8 @@
                 (now, None)
             }
             other => {
-                let reason = upstream_pool::failure_reason(other.map(|(head, _)| head.status));
+                let reason =
+                    upstream_request_failure::failure_reason(other.map(|(head, _)| head.status));
                 tracing::warn!(
                     event = "release-failed",
                     first = keys.first.0,
@@ -131,7 +132,8 @@
             }
             Err(UpstreamRequestFailure::Refused) => "the upstream is gone",
             other => {
-                let reason = upstream_pool::failure_reason(other.map(|(head, _)| head.status));
+                let reason =
+                    upstream_request_failure::failure_reason(other.map(|(head, _)| head.status));
                 tracing::warn!(event = "former-not-released", sessions, reason);
                 return Err(NotReleased);
             }
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -15,9 +15,8 @@
     Grant, KeyRange, OutgoingRequest, ResponseMetadata, UpstreamProtocol,
 };
 use foxtaildrift::connection::recipient::Recipient;
-use foxtaildrift::connection::upstream_pool::{
-    ReceivedResponse, UpstreamPool, UpstreamRequestFailure,
-};
+use foxtaildrift::connection::upstream_pool::{ReceivedResponse, UpstreamPool};
+use foxtaildrift::connection::upstream_request_failure::UpstreamRequestFailure;
 use foxtaildrift::request::body::Body;
 use foxtaildrift::request::headers::Headers;
 use foxtaildrift::request::upstream_request::UpstreamRequest;
