Send short watch calls until the store answers again

Cause: after a failed watch the next one was as long as ever; a silent store never received it, so that its return was noticed only when the call had run into its timeout.

Change: while calls fail, a watch has a timeout of 0.2 s.

--- a/src/process/host/store_health.rs
+++ b/src/process/host/store_health.rs
@@ -17,6 +17,11 @@
         }
     }
 
+    /// Returns whether the last call failed.
+    pub(super) fn is_failing(&self) -> bool {
+        self.failing
+    }
+
     /// Logs the first failure after a success.
     pub(super) fn record_failure(&mut self, e: &StoreError) {
         if !self.failing {
--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -37,6 +37,9 @@
 const SHORT_ROUTING_WATCHERS: u32 = 2;
 /// Number of daemons in each failure domain that watch the routing; the others get it from them.
 const DOMAIN_ROUTING_WATCHERS: usize = 2;
+/// Timeout of a watch call after one that failed. A store that is silent would answer a longer one
+/// only long after its return.
+const FAILING_WATCH_TIMEOUT: Duration = Duration::from_millis(200);
 /// Delay before the next call after the store failed.
 pub(super) const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Interval at which a daemon checks whether a new table is needed.
@@ -180,9 +183,12 @@
                     Some(as_of)
                 }),
                 Some(revision) => {
-                    let response =
-                        self.store
-                            .watch(prefix, revision, timeout.unwrap_or(WATCH_TIMEOUT));
+                    let timeout = timeout.unwrap_or(WATCH_TIMEOUT);
+                    let timeout = match health.is_failing() {
+                        true => timeout.min(FAILING_WATCH_TIMEOUT),
+                        false => timeout,
+                    };
+                    let response = self.store.watch(prefix, revision, timeout);
                     response.map(|response| match response {
                         WatchResponse::Changes {
                             changes,
--- a/tests/testsuite/host/store_sync.rs
+++ b/tests/testsuite/host/store_sync.rs
@@ -311,3 +311,54 @@
     );
     assert_eq!(membership.table().epoch, Epoch(3));
 }
+
+/// A store whose first watch call fails; it records the timeouts of all, and stops the daemon with the
+/// third.
+#[derive(Default)]
+struct FailingOnce {
+    timeouts: Mutex<Vec<Duration>>,
+    stop: Arc<StopFlag>,
+}
+
+impl Store for FailingOnce {
+    fn range(&self, _: &str) -> Result<RangeResponse, StoreError> {
+        Ok(range(vec![item(CONFIG_KEY, b"one", 1)], 1))
+    }
+
+    fn watch(&self, _: &str, _: Revision, wait: Duration) -> Result<WatchResponse, StoreError> {
+        let mut timeouts = self.timeouts.lock().unwrap();
+        timeouts.push(wait);
+        match timeouts.len() {
+            1 => Err(StoreError::NoResponse("silent".to_owned())),
+            2 => Ok(changes(Vec::new(), 1)),
+            _ => {
+                self.stop.set();
+                Ok(changes(Vec::new(), 1))
+            }
+        }
+    }
+
+    fn commit(&self, _: &Transaction) -> Result<CommitOutcome, StoreError> {
+        Err(StoreError::Refused(503))
+    }
+
+    fn close(&self) {}
+}
+
+// After a silent outage the routing came into force only when a long watch call, sent during the
+// outage, had run into its timeout (CONFIG).
+#[test]
+fn watch_calls_are_short_until_the_store_answers_again() {
+    let store = Arc::new(FailingOnce::default());
+    let stop = Arc::clone(&store.stop);
+    let sync = StoreSync::new(
+        Arc::clone(&store) as Arc<dyn Store>,
+        Arc::new(PlainOperators),
+        membership(),
+        InstanceId(1),
+    );
+    sync.sync_routing(&stop);
+    let timeouts = store.timeouts.lock().unwrap();
+    assert!(timeouts[1] <= Duration::from_millis(300), "{timeouts:?}");
+    assert_eq!(timeouts[0], timeouts[2], "{timeouts:?}");
+}
