Send all grants of a pass after the tokens were raised

Change: a connection with an unread response is open unless the peer has hung up; the first grants with raised tokens go out on whatever connections (TokenHolder), and the tokens are raised again only for renewals that can't be told to reach their process.

The tests of host::grants hold.

--- a/src/connection/connection_group.rs
+++ b/src/connection/connection_group.rs
@@ -3,6 +3,7 @@
 use std::net::TcpStream;
 use std::sync::{Arc, Mutex, Weak};
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::net::{RecvFlags, recv};
 
 use crate::process::sync;
@@ -40,10 +41,19 @@
     }
 }
 
-/// Returns whether the peer has not closed the connection. If it has sent something, that is not
-/// known: a close may stand behind it.
+/// Returns whether the peer has not closed the connection. A close may stand behind what it has sent.
 fn is_open(stream: &TcpStream) -> bool {
     let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
-    let peeked = recv(stream, &mut [0u8; 1], flags);
-    matches!(peeked, Err(rustix::io::Errno::AGAIN))
+    match recv(stream, &mut [0u8; 1], flags) {
+        Err(rustix::io::Errno::AGAIN) => true,
+        Ok((1.., _)) => !has_hung_up(stream),
+        _ => false,
+    }
+}
+
+fn has_hung_up(stream: &TcpStream) -> bool {
+    let hang_ups = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut fds = [PollFd::new(stream, hang_ups)];
+    let polled = poll(&mut fds, Some(&Timespec::default()));
+    polled.is_err() || fds[0].revents().intersects(hang_ups)
 }
--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -25,6 +25,7 @@
 use crate::process::host::load_meter::LoadMeter;
 use crate::process::host::local_upstream::{UpstreamLoss, UpstreamProcess};
 use crate::process::host::owned_range::{self, OwnedRange};
+use crate::process::host::token_holder::TokenHolder;
 use crate::process::load_report::LoadReport;
 use crate::process::membership::Membership;
 use crate::process::moment::Moment;
@@ -216,10 +217,17 @@
             .iter()
             .flat_map(|range| grants.due_grants(now, &process.service, range))
             .collect();
+        if !due.is_empty() && grants.holder() == TokenHolder::Unclear {
+            // The next pass sends them all, with higher tokens.
+            tracing::info!(event = "tokens-raised", instance = process.instance);
+            self.membership.with_ownership(|o, _| o.raise_incarnation());
+            grants.set_holder(TokenHolder::Nobody);
+            return;
+        }
         let mut target = GrantTarget {
             instance: process.instance.clone(),
-            group: grants.group(),
-            is_uncertain: false,
+            holder: grants.holder(),
+            is_first: grants.holder() == TokenHolder::Nobody,
         };
         for part in due.chunks(GRANTS_AT_ONCE_MAX) {
             let mut all_accepted = true;
@@ -230,12 +238,7 @@
                 break;
             }
         }
-        grants.set_group(target.group);
-        if target.is_uncertain {
-            tracing::info!(event = "tokens-raised", instance = process.instance);
-            self.membership.with_ownership(|o, _| o.raise_incarnation());
-            grants.set_group(None);
-        }
+        grants.set_holder(target.holder);
         let granted = grants.granted_ranges(&served);
         drop(grants);
         self.dispatcher.set_granted(granted);
--- a/src/process/host/grant_sender.rs
+++ b/src/process/host/grant_sender.rs
@@ -11,6 +11,7 @@
 use crate::process::host::grant_attempt::{CLOCK_DRIFT, GrantAttempt, SentGrant};
 use crate::process::host::host_dispatcher::HostDispatcher;
 use crate::process::host::owned_range::{self, OwnedRange};
+use crate::process::host::token_holder::TokenHolder;
 use crate::process::moment::Moment;
 
 /// How much earlier than the lease a grant ends, to cover the time that its bytes take to arrive on an
@@ -36,19 +37,17 @@
 pub struct GrantTarget {
     /// Name of the process.
     pub instance: String,
-    /// Group of the connections to the process that has the tokens of the grants; `None` if nothing was
-    /// sent with these tokens.
-    pub group: Option<ConnectionGroup>,
-    /// Whether a grant was not sent because its connection may lead to another process.
-    pub is_uncertain: bool,
+    /// Which process has the tokens of the grants.
+    pub holder: TokenHolder,
+    /// Whether no process has had these tokens, so that any may get them.
+    pub is_first: bool,
 }
 
 impl GrantTarget {
     /// Returns whether a grant may be sent on a connection of `group`.
     fn admits(&mut self, group: ConnectionGroup) -> bool {
-        let is_same = *self.group.get_or_insert(group) == group;
-        self.is_uncertain |= !is_same;
-        is_same
+        self.holder = self.holder.with(group);
+        self.is_first || self.holder == TokenHolder::Group(group)
     }
 }
 
--- a/src/process/host/key_grants.rs
+++ b/src/process/host/key_grants.rs
@@ -7,9 +7,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::connection::connection_group::ConnectionGroup;
 use crate::connection::peer_message::KeyHandover;
 use crate::process::host::owned_range::{self, OwnedRange};
+use crate::process::host::token_holder::TokenHolder;
 use crate::process::moment::Moment;
 use crate::process::release_tracker::{ReleaseId, ReleaseTracker};
 use crate::version::epoch::Epoch;
@@ -80,9 +80,8 @@
 pub struct KeyGrants {
     /// Upstream process that the grants belong to.
     boot: Option<UpstreamBoot>,
-    /// Group of the connections to the process that has the present fencing tokens; `None` while no
-    /// grant was sent with them.
-    group: Option<ConnectionGroup>,
+    /// Which process of the upstream has the present fencing tokens.
+    holder: TokenHolder,
     grants: Vec<KeyGrant>,
     /// Handovers for keys not granted yet, each with its arrival time.
     handovers: Vec<(KeyHandover, Moment)>,
@@ -132,21 +131,20 @@
             return false;
         }
         let replaced = self.boot.replace(boot).is_some();
-        self.group = None;
+        self.holder = TokenHolder::Nobody;
         self.abandon(gone_at);
         self.failing_since = None;
         replaced
     }
 
-    /// Returns the group of the connections to the process that has the present fencing tokens.
-    pub fn group(&self) -> Option<ConnectionGroup> {
-        self.group
+    /// Returns which process of the upstream has the present fencing tokens.
+    pub fn holder(&self) -> TokenHolder {
+        self.holder
     }
 
-    /// Sets the group of the connections on which grants with the present fencing tokens were sent;
-    /// `None` once the tokens are raised.
-    pub fn set_group(&mut self, group: Option<ConnectionGroup>) {
-        self.group = group;
+    /// Sets which process of the upstream has the present fencing tokens.
+    pub fn set_holder(&mut self, holder: TokenHolder) {
+        self.holder = holder;
     }
 
     /// Records that the upstream accepted a grant.
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -14,6 +14,7 @@
 //! | [`grant_manager`] | which keys are granted to the local upstream, and when they are released |
 //! | [`key_grants`] | which grants the local upstream has, and when a release is complete |
 //! | `grant_sender`, `grant_attempt` | calls that grant keys, and what each of them means |
+//! | [`token_holder`] | which process of the local upstream has the present fencing tokens |
 //! | `key_releaser` | calls that release keys, and their handover to the next owner |
 //! | [`owned_range`] | arithmetic on key ranges, and the fencing tokens of grants |
 //! | [`load_meter`] | load that each key range puts on the local upstream |
@@ -56,4 +57,5 @@
 pub mod stop_schedule;
 mod store_health;
 pub mod store_sync;
+pub mod token_holder;
 pub mod upstream_selector;
