Keep no pieces of bodies where there is no budget for them

Cause: found by reading the diff: the budget of the callers' listener has no limit yet, so it kept the pieces of the largest uploads for good.

Change: BodyBudget::unlimited keeps none.

Evidence: body_buffer::pieces_are_kept_within_the_budget_only.

--- a/src/connection/body_budget.rs
+++ b/src/connection/body_budget.rs
@@ -20,6 +20,8 @@
     /// Empty pieces. They are used again, as the allocator would keep those that a thread has freed
     /// for that thread.
     free_pieces: Mutex<Vec<Vec<u8>>>,
+    /// The most empty pieces that are kept.
+    free_pieces_max: usize,
 }
 
 impl BodyBudget {
@@ -29,6 +31,17 @@
             bytes_max,
             reserved: AtomicUsize::new(0),
             free_pieces: Mutex::default(),
+            free_pieces_max: bytes_max / PIECE_BYTES,
+        })
+    }
+
+    /// Creates a budget without a limit, which keeps no pieces.
+    pub fn unlimited() -> Arc<Self> {
+        Arc::new(Self {
+            bytes_max: usize::MAX,
+            reserved: AtomicUsize::new(0),
+            free_pieces: Mutex::default(),
+            free_pieces_max: 0,
         })
     }
 
@@ -47,7 +60,7 @@
     pub fn return_piece(&self, mut piece: Vec<u8>) {
         piece.clear();
         let mut free_pieces = sync::lock(&self.free_pieces);
-        if free_pieces.len() < self.bytes_max / PIECE_BYTES {
+        if free_pieces.len() < self.free_pieces_max {
             free_pieces.push(piece);
         }
     }
--- a/src/connection/http_listener.rs
+++ b/src/connection/http_listener.rs
@@ -170,7 +170,7 @@
             handler,
             reactor: Arc::downgrade(reactor),
             threads: ThreadPool::with_stack("caller", threads, STACK_BYTES),
-            body_budget: BodyBudget::new(usize::MAX),
+            body_budget: BodyBudget::unlimited(),
             stopping: AtomicBool::new(false),
             connections: Mutex::default(),
             this: Weak::clone(this),
--- a/tests/testsuite/body_buffer.rs
+++ b/tests/testsuite/body_buffer.rs
@@ -105,3 +105,17 @@
     });
     assert_eq!(budget.reserved(), 0);
 }
+
+#[test]
+fn pieces_are_kept_within_the_budget_only() {
+    let limited = BodyBudget::new(64 * KIB);
+    let piece = limited.take_piece();
+    let kept = piece.as_ptr();
+    limited.return_piece(piece);
+    limited.return_piece(limited.take_piece());
+    assert_eq!(limited.take_piece().as_ptr(), kept);
+    // An unlimited budget would keep the pieces of the largest body for good.
+    let unlimited = BodyBudget::unlimited();
+    unlimited.return_piece(Vec::with_capacity(4 * 64 * KIB));
+    assert!(unlimited.take_piece().capacity() < 4 * 64 * KIB);
+}
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -13,7 +13,6 @@
 mod retry_budget_share;
 mod settings;
 mod stop_schedule;
-
 mod store_sync;
 mod token_holder;
 mod upstream_selector;
--- a/tests/testsuite/http1.rs
+++ b/tests/testsuite/http1.rs
@@ -49,7 +49,7 @@
 fn body_limits(bytes_max: usize) -> BodyLimits {
     BodyLimits {
         bytes_max,
-        budget: BodyBudget::new(usize::MAX),
+        budget: BodyBudget::unlimited(),
     }
 }
 
