--- a/src/process/host/grant_sender.rs
+++ b/src/process/host/grant_sender.rs
@@ -3,15 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::connection::connection_group::ConnectionGroup;
 use crate::connection::protocol::{Grant, UpstreamProtocol};
 use crate::connection::upstream_pool::PendingControlRequest;
 use crate::connection::upstream_request_failure::UpstreamRequestFailure;
 use crate::process::clock::Clock;
 use crate::process::host::grant_attempt::{CLOCK_DRIFT, GrantAttempt, SentGrant};
+use crate::process::host::grant_target::GrantTarget;
 use crate::process::host::host_dispatcher::HostDispatcher;
 use crate::process::host::owned_range::{self, OwnedRange};
-use crate::process::host::token_holder::TokenHolder;
 use crate::process::moment::Moment;
 
 /// How much earlier than the lease a grant ends, to cover the time that its bytes take to arrive on an
@@ -32,25 +31,6 @@
     pending: Result<PendingControlRequest, UpstreamRequestFailure>,
 }
 
-/// Which process grants are for.
-#[derive(Debug)]
-pub struct GrantTarget {
-    /// Name of the process.
-    pub instance: String,
-    /// Which process has the tokens of the grants.
-    pub holder: TokenHolder,
-    /// Whether no process has had these tokens, so that any may get them.
-    pub is_first: bool,
-}
-
-impl GrantTarget {
-    /// Returns whether a grant may be sent on a connection of `group`.
-    fn admits(&mut self, group: ConnectionGroup) -> bool {
-        self.holder = self.holder.with(group);
-        self.is_first || self.holder == TokenHolder::Group(group)
-    }
-}
-
 /// Sends grants to the local upstream.
 pub struct GrantSender {
     clock: Arc<dyn Clock>,
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -13,7 +13,7 @@
 //! | `departure_store` | the departures in the store, for the next process of the daemon |
 //! | [`grant_manager`] | which keys are granted to the local upstream, and when they are released |
 //! | [`key_grants`] | which grants the local upstream has, and when a release is complete |
-//! | `grant_sender`, `grant_attempt` | calls that grant keys, and what each of them means |
+//! | `grant_sender`, `grant_target`, `grant_attempt` | calls that grant keys, for which process, and what each of them means |
 //! | [`token_holder`] | which process of the local upstream has the present fencing tokens |
 //! | `key_releaser` | calls that release keys, and their handover to the next owner |
 //! | [`owned_range`] | arithmetic on key ranges, and the fencing tokens of grants |
@@ -39,6 +39,7 @@
 mod grant_attempt;
 pub mod grant_manager;
 mod grant_sender;
+mod grant_target;
 pub mod grant_wait;
 pub mod host_context;
 pub mod host_dispatcher;
