--- a/src/process/host/departure_store.rs
+++ b/src/process/host/departure_store.rs
@@ -53,7 +53,7 @@
         let mut stored: Option<StoredDepartures> = None;
         while !stop.is_set() {
             let result = match &stored {
-                None => self.read(),
+                None => self.read().map(Some),
                 Some(former) => {
                     let dispatcher = &self.context.dispatcher;
                     let current =
@@ -82,7 +82,7 @@
     }
 
     /// Reads the departures in the store and adds them to those of this process.
-    fn read(&self) -> Result<Option<StoredDepartures>, StoreError> {
+    fn read(&self) -> Result<StoredDepartures, StoreError> {
         let range = self.store.range(&self.key)?;
         store_sync::log_unreadable(CALLS, &range.unreadable);
         let is_unreadable = range.may_hide(&self.key);
@@ -90,13 +90,13 @@
         let revision = item.as_ref().map(|item| item.revision);
         let processes = item.map(|item| decode(&item)).unwrap_or_default();
         self.context.add_departures(&processes);
-        Ok(Some(StoredDepartures {
+        Ok(StoredDepartures {
             revision: match is_unreadable {
                 true => None,
                 false => Some(revision.unwrap_or_default()),
             },
             processes,
-        }))
+        })
     }
 
     /// Replaces the value with the revision `former`; returns `None` if it has another one by now.
