Log how long the write and the answer of a grant took that may outlast its lease

Cause: grant-may-outlast-lease tells that a call took long, not whether its daemon stood still before it had written the call or while it waited for the answer. Change: fields write_ms and answer_ms. No logic changed.

--- a/src/process/host/grant_attempt.rs
+++ b/src/process/host/grant_attempt.rs
@@ -25,6 +25,8 @@
     pub range: OwnedRange,
     /// When the attempt began.
     pub began_at: Moment,
+    /// When its call had been written, or had failed to be.
+    pub written_at: Moment,
     /// When its call ended.
     pub ended_at: Moment,
     /// What was sent; `None` if there was no connection in time.
@@ -70,7 +72,9 @@
                 event = "grant-may-outlast-lease",
                 first = sent.grant.keys.first.0,
                 fence = sent.grant.fencing_token,
-                ms = possible_until.since(live_until).as_millis() as u64
+                ms = possible_until.since(live_until).as_millis() as u64,
+                write_ms = self.written_at.since(sent.sent_at).as_millis() as u64,
+                answer_ms = self.ended_at.since(self.written_at).as_millis() as u64
             );
         }
     }
--- a/src/process/host/grant_sender.rs
+++ b/src/process/host/grant_sender.rs
@@ -27,6 +27,7 @@
 struct BegunGrant {
     range: OwnedRange,
     began_at: Moment,
+    written_at: Moment,
     sent: Option<SentGrant>,
     pending: Result<PendingControlRequest, UpstreamRequestFailure>,
 }
@@ -110,6 +111,7 @@
         Some(BegunGrant {
             range,
             began_at,
+            written_at: self.clock.now(),
             sent,
             pending,
         })
@@ -124,6 +126,7 @@
         GrantAttempt {
             range: begun.range,
             began_at: begun.began_at,
+            written_at: begun.written_at,
             ended_at: self.clock.now(),
             sent: begun.sent,
             result: response.map(|(head, _)| head.status),
