Show grants that take effect after their lease: two tests, red

All grants in question had write_ms 0 and answer_ms above 4 s: they were written before the stop, each on a connection of its own, and the upstream took them 1 ms after it. No logic changed.

--- a/tests/testsuite/host/grants/daemon.rs
+++ b/tests/testsuite/host/grants/daemon.rs
@@ -233,14 +233,28 @@
             .with_ownership(|o, _| o.facts().adopted(first))
     }
 
+    /// Stops the renewals of the lease.
+    pub fn stop_renewals(&self) {
+        self.stop.set();
+    }
+
+    /// Waits until the lease has lapsed.
+    pub fn await_lapse(&self) {
+        self.await_liveness(false);
+    }
+
     fn await_lease(&self) {
+        self.await_liveness(true);
+    }
+
+    fn await_liveness(&self, live: bool) {
         let started = Instant::now();
         let is_live = || {
             self.membership
                 .with_ownership(|o, now| o.live_until(now).is_some())
         };
-        while !is_live() {
-            assert!(started.elapsed() < LIVE_TIME_MAX, "no lease");
+        while is_live() != live {
+            assert!(started.elapsed() < LIVE_TIME_MAX, "live: {}", !live);
             thread::sleep(Duration::from_millis(10));
         }
     }
--- a/tests/testsuite/host/grants/mod.rs
+++ b/tests/testsuite/host/grants/mod.rs
@@ -183,3 +183,33 @@
     let tokens = await_grants(&daemon, &upstream, 4);
     assert!(tokens.iter().all(|t| *t == tokens[0]), "{tokens:?}");
 }
+
+/// Guards against a grant that waits in a connection which the upstream has not taken up: its duration
+/// counts from then, and a daemon that stands still meanwhile can't withdraw it (OWNER).
+#[test]
+fn a_grant_is_sent_only_on_a_connection_that_the_upstream_serves() {
+    let upstream = ScriptedUpstream::start(|_| Answer::After(Duration::ZERO));
+    let daemon = Daemon::start(&upstream, table(1, &[OWN, OTHER]));
+    await_grants(&daemon, &upstream, 3);
+    for grant in upstream.calls("grant") {
+        assert!(!grant.is_first, "{grant:?}");
+    }
+}
+
+/// Guards against an upstream that keeps keys which its daemon granted before it stood still, although
+/// another upstream has them since the lease lapsed (OWNER).
+#[test]
+fn grants_that_may_outlast_a_lapsed_lease_are_released_at_once() {
+    let upstream = ScriptedUpstream::start(|call| match call.name.as_str() {
+        "grant" => Answer::Never,
+        _ => Answer::After(Duration::ZERO),
+    });
+    let daemon = Daemon::start(&upstream, table(1, &[OWN, OTHER]));
+    daemon.stop_renewals();
+    daemon.manager.reconcile();
+    let grant = upstream.calls("grant").pop().expect("a grant");
+    daemon.await_lapse();
+    daemon.manager.reconcile();
+    let release = upstream.calls("release").pop().expect("a release");
+    assert!(release.at < grant.valid_until(), "{release:?} {grant:?}");
+}
--- a/tests/testsuite/host/grants/upstream.rs
+++ b/tests/testsuite/host/grants/upstream.rs
@@ -31,6 +31,8 @@
     pub duration: Duration,
     /// Fencing token.
     pub fencing_token: u64,
+    /// Whether nothing was answered before on its connection.
+    pub is_first: bool,
     /// Time of arrival.
     pub at: Instant,
 }
@@ -42,13 +44,14 @@
     }
 
     /// Parses the target of a request: `/NAME/MILLISECONDS/TOKEN/FIRST`.
-    fn parse(target: &str) -> Self {
+    fn parse(target: &str, is_first: bool) -> Self {
         let mut parts = target.split('/').skip(1);
         let mut next = || parts.next().unwrap();
         Self {
             name: next().to_owned(),
             duration: Duration::from_millis(next().parse().unwrap()),
             fencing_token: next().parse().unwrap(),
+            is_first,
             at: Instant::now(),
         }
     }
@@ -105,17 +108,19 @@
 fn serve(mut stream: TcpStream, script: &dyn Fn(&Call) -> Answer, calls: &Mutex<Vec<Call>>) {
     let mut buf = Vec::new();
     let mut byte = [0];
+    let mut is_first = true;
     while matches!(stream.read(&mut byte), Ok(1)) {
         buf.push(byte[0]);
         if !buf.ends_with(b"\r\n\r\n") {
             continue;
         }
         let head = String::from_utf8(std::mem::take(&mut buf)).unwrap();
-        let call = Call::parse(head.split(' ').nth(1).unwrap());
+        let call = Call::parse(head.split(' ').nth(1).unwrap(), is_first);
         calls.lock().unwrap().push(call.clone());
         if let Answer::After(delay) = script(&call) {
             thread::sleep(delay);
             let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            is_first = false;
         }
     }
 }
