Send grants only on connections that the upstream serves

Callers saw: keys held by two upstreams (OWNER), after a daemon stood still for some seconds. Cause: each grant went out on a connection of its own (since, against late copies of responses). A busy upstream takes a new connection up late, up to 0.4 s and more after the grant was written, and the duration counts from then. A daemon that runs gives the grant up and resets the connection; one that stands still can't, so the upstream took the keys after the lease, when another one had them. Class: an action is checked when it is sent, and takes effect when it is received. Change: control_pool. A connection carries grants and releases by turns with pings: a request for a process that does not exist, which the upstream refuses at once (421). Its answer proves that the upstream serves the connection, and separates the responses: a late copy of one is recognized by its status. The duration of a grant is determined after that, and the clock is read once more right before the write. A release on an idle connection that doesn't answer goes on a new one, as before.

--- a/src/connection/control_pool.rs
+++ b/src/connection/control_pool.rs
@@ -35,7 +35,7 @@
 /// The most response heads that are read on one connection to find the answer to a ping.
 const RESPONSE_HEADS_MAX: usize = 4;
 
-/// A connection on which the upstream has just answered a ping.
+/// A connection on which nothing was sent, or the upstream has just answered a ping.
 pub struct ReadyConnection(UpstreamConnection);
 
 /// A connection on which a ping was sent.
@@ -82,7 +82,7 @@
         sync::lock(&self.idle).clear();
     }
 
-    /// Sends a request and waits up to `timeout` for its response.
+    /// Sends a request that may take effect late, and waits up to `timeout` for its response.
     ///
     /// # Errors
     ///
@@ -93,8 +93,15 @@
         timeout: Duration,
     ) -> Result<(ResponseHead, ResponseMetadata), UpstreamRequestFailure> {
         let deadline = Instant::now() + timeout;
-        let ready = self.ready_connections(1, deadline).remove(0)?;
-        let pending = self.begin(ready, |_| Some(request), || true, deadline)?;
+        let idle = self.take_idle().map(Ok);
+        let ping_deadline = deadline.min(Instant::now() + PING_TIMEOUT);
+        let ready = self.ping_all(idle.into_iter(), ping_deadline).pop();
+        let connection = match ready {
+            Some(Ok(ready)) => ready,
+            // Nothing was sent on a new connection that a late copy could belong to.
+            _ => ReadyConnection(self.connector.connect(deadline)?),
+        };
+        let pending = self.begin(connection, |_| Some(request), || true, deadline)?;
         self.finish(pending, deadline)
     }
 
@@ -219,7 +226,8 @@
             method,
         } = pending;
         let deadline = deadline.max(Instant::now() + READ_TIME_MIN);
-        let (head, framing) = match read_response(&mut connection.conn, method, deadline) {
+        let response = self.read_own_response(&mut connection.conn, method, deadline);
+        let (head, framing) = match response {
             Ok(response) => response,
             Err(e) => {
                 connection.conn.reset();
@@ -227,8 +235,7 @@
             }
         };
         let metadata = self.protocol.parse_head(&head);
-        // It may be a late copy of the answer to a ping or to a caller's request.
-        if metadata.request_id.is_some() || self.is_refusal(&head) {
+        if metadata.request_id.is_some() {
             connection.conn.reset();
             return Err(UpstreamRequestFailure::MaybeRun(
                 "answers to other requests".to_owned(),
@@ -240,6 +247,22 @@
         Ok((head, metadata))
     }
 
+    /// Reads the response to a request, and discards late copies of the answer to the ping before it.
+    fn read_own_response(
+        &self,
+        conn: &mut BufferedConnection,
+        method: &str,
+        deadline: Instant,
+    ) -> Result<(ResponseHead, Framing), ConnectionError> {
+        loop {
+            let (head, framing) = read_response(conn, method, deadline)?;
+            if framing == Framing::UntilClose || !self.is_refusal(&head) {
+                return Ok((head, framing));
+            }
+            tracing::info!(event = "stray-answer", status = head.status);
+        }
+    }
+
     /// Returns whether a response has the form of the answer to a ping.
     fn is_refusal(&self, head: &ResponseHead) -> bool {
         head.status == http1::STATUS_MISDIRECTED && self.protocol.parse_head(head).not_run
@@ -300,7 +323,7 @@
     Ok((head, framing))
 }
 
-/// Closes a connection on which no echo was answered; returns why nothing was sent on it.
+/// Closes a connection on which no ping was answered; returns why nothing was sent on it.
 fn not_ready(connection: UpstreamConnection, error: &ConnectionError) -> UpstreamRequestFailure {
     connection.conn.reset();
     UpstreamRequestFailure::NotSent(format!("no answer to a ping: {error}"))
--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -19,6 +19,9 @@
 /// The largest trailer section, in bytes.
 const TRAILER_BYTES_MAX: usize = 16 * 1024;
 
+/// HTTP status of a request that reached another process than the one it was meant for.
+pub const STATUS_MISDIRECTED: u16 = 421;
+
 /// The head of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestHead {
--- a/src/connection/protocol.rs
+++ b/src/connection/protocol.rs
@@ -111,6 +111,10 @@
     /// Returns the metadata in the head of a response.
     fn parse_head(&self, head: &ResponseHead) -> ResponseMetadata;
 
+    /// Returns a request with the id `id` for a process that does not exist: any upstream refuses it
+    /// with status 421, and does not run it.
+    fn ping_request(&self, id: &str) -> OutgoingRequest;
+
     /// Returns the request that grants keys.
     fn grant_request(&self, grant: &Grant) -> OutgoingRequest;
 
--- a/src/connection/upstream_connection.rs
+++ b/src/connection/upstream_connection.rs
@@ -2,7 +2,6 @@
 
 use crate::connection::buffered_connection::BufferedConnection;
 use crate::connection::connection_group::ConnectionGroup;
-use crate::connection::connection_use::ConnectionUse;
 
 /// The most refused requests on one connection; it is not reused after that.
 const REFUSALS_MAX: usize = 8;
@@ -13,12 +12,8 @@
     pub conn: BufferedConnection,
     /// The group of connections to which it belongs.
     pub group: ConnectionGroup,
-    /// The ids of the requests that the upstream refused on it. A late copy of the refusal would be
-    /// taken for the response to another attempt with the same id.
+    /// The ids of the requests that the upstream refused on it.
     refused: Vec<String>,
-    /// Whether it has carried a request of the daemon itself. Responses to these have no id, so that a
-    /// late copy of one would be taken for the response to the next.
-    has_carried_control: bool,
 }
 
 impl UpstreamConnection {
@@ -28,7 +23,6 @@
             conn,
             group,
             refused: Vec::new(),
-            has_carried_control: false,
         }
     }
 
@@ -37,18 +31,10 @@
         self.refused.push(id.to_owned());
     }
 
-    /// Records that the connection carries a request of the daemon itself.
-    pub fn record_control(&mut self) {
-        self.has_carried_control = true;
-    }
-
-    /// Returns whether no late copy on the connection can be taken for the response to the next
-    /// request.
-    pub fn is_safe_for(&self, usage: ConnectionUse<'_>) -> bool {
-        match usage {
-            ConnectionUse::Request(id) => self.refused.iter().all(|r| r != id),
-            ConnectionUse::Control => !self.has_carried_control,
-        }
+    /// Returns whether the upstream refused the request with this id on the connection. A late copy of
+    /// the refusal would be taken for the response to its next attempt.
+    pub fn has_refused(&self, id: &str) -> bool {
+        self.refused.iter().any(|r| r == id)
     }
 
     /// Returns whether it must not be reused: something is left to read, or it has carried too many
--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -1,6 +1,5 @@
 //! A pool of connections to the local upstream, with one request at a time on each.
 
-use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -8,20 +7,18 @@
 use crate::connection::body_budget::BodyBudget;
 use crate::connection::body_buffer::BodyLimits;
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
-use crate::connection::connection_group::{ConnectionGroup, ConnectionGroups};
-use crate::connection::connection_use::ConnectionUse;
+use crate::connection::control_pool::ControlPool;
 use crate::connection::http1::{self, Framing, ResponseHead};
-use crate::connection::protocol::{OutgoingRequest, ResponseMetadata, UpstreamProtocol};
+use crate::connection::protocol::{ResponseMetadata, UpstreamProtocol};
 use crate::connection::recipient::Recipient;
 use crate::connection::upstream_connection::UpstreamConnection;
+use crate::connection::upstream_connector::UpstreamConnector;
 use crate::connection::upstream_request_failure::UpstreamRequestFailure;
 use crate::process::sync;
 use crate::request::body::{BODY_BYTES_MAX, Body};
 use crate::request::upstream_outcome::UpstreamResponse;
 use crate::request::upstream_request::UpstreamRequest;
 
-/// The timeout for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The timeout for a connection that only probes whether the upstream listens.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long a connection may be idle and still be reused, unless the upstream's `Keep-Alive` header
@@ -31,10 +28,6 @@
 const KEEP_ALIVE_SHARE: f64 = 0.7;
 /// The longest time in the `Keep-Alive` header that counts.
 const KEEP_ALIVE_MAX: Duration = Duration::from_secs(3600);
-/// From which time on a connection that took long to establish is logged.
-const CONNECT_SLOW_MIN: Duration = Duration::from_millis(200);
-/// How long a response is read that may have arrived before its deadline.
-const READ_TIME_MIN: Duration = Duration::from_millis(5);
 /// The most idle connections in the pool.
 const IDLE_MAX: usize = 32;
 /// The most response heads that are read on one connection to find the one with the request's id.
@@ -92,12 +85,6 @@
     }
 }
 
-/// A request of the daemon itself that was sent and not answered yet.
-pub struct PendingControlRequest {
-    connection: UpstreamConnection,
-    method: &'static str,
-}
-
 /// A connection without a request in progress.
 struct IdleConnection {
     connection: UpstreamConnection,
@@ -107,12 +94,11 @@
 
 /// The pooled connections to one address.
 pub struct UpstreamPool {
-    to: SocketAddr,
-    from: Option<IpAddr>,
+    connector: Arc<UpstreamConnector>,
+    control: ControlPool,
     protocol: Arc<dyn UpstreamProtocol>,
     body_limits: BodyLimits,
     idle: Mutex<Vec<IdleConnection>>,
-    groups: ConnectionGroups,
 }
 
 impl UpstreamPool {
@@ -124,22 +110,29 @@
         protocol: Arc<dyn UpstreamProtocol>,
         body_budget: Arc<BodyBudget>,
     ) -> Self {
+        let connector = Arc::new(UpstreamConnector::new(to, from));
+        let control = ControlPool::new(Arc::clone(&connector), Arc::clone(&protocol));
         Self {
-            to,
-            from,
+            connector,
+            control,
             protocol,
             body_limits: BodyLimits {
                 bytes_max: BODY_BYTES_MAX,
                 budget: body_budget,
             },
             idle: Mutex::default(),
-            groups: ConnectionGroups::default(),
         }
     }
 
+    /// Returns the connections for requests of the daemon itself.
+    pub fn control(&self) -> &ControlPool {
+        &self.control
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         sync::lock(&self.idle).clear();
+        self.control.clear();
     }
 
     /// Sends a request to the upstream process `instance` and waits up to `timeout` for its
@@ -156,7 +149,7 @@
         recipient: &Recipient,
     ) -> Result<ReceivedResponse, UpstreamRequestFailure> {
         let deadline = Instant::now() + timeout;
-        let mut connection = self.checkout(ConnectionUse::Request(&request.id), deadline)?;
+        let mut connection = self.checkout(Some(&request.id), deadline)?;
         // Connecting may have taken long.
         if recipient.has_disconnected() {
             return Err(UpstreamRequestFailure::RecipientDisconnected { sent: false });
@@ -208,7 +201,7 @@
         let framing = http1::response_framing(&head, &request.method)
             .map_err(UpstreamRequestFailure::after_sending)?;
         let body = http1::read_body(conn, framing, &self.body_limits, deadline, recipient);
-        let not_run = metadata.not_run || head.status == 421;
+        let not_run = metadata.not_run || head.status == http1::STATUS_MISDIRECTED;
         let is_reusable = body.is_ok() && written == bytes.len() && framing != Framing::UntilClose;
         let body = match body {
             Ok(body) => body.bytes,
@@ -257,96 +250,6 @@
         ))
     }
 
-    /// Sends a request of the daemon itself and waits up to `timeout` for its response.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no complete response arrives.
-    pub fn send_control_request(
-        &self,
-        request: OutgoingRequest,
-        timeout: Duration,
-    ) -> Result<(ResponseHead, ResponseMetadata), UpstreamRequestFailure> {
-        let deadline = Instant::now() + timeout;
-        let pending = self.begin_control_request(|_| Some(request), deadline)?;
-        self.finish_control_request(pending, deadline)
-    }
-
-    /// Sends a request of the daemon itself. `build` is called with the group of the connection once
-    /// that stands, and returns `None` if the request must not be sent on it.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if it was not sent, or only in part.
-    pub fn begin_control_request(
-        &self,
-        build: impl FnOnce(ConnectionGroup) -> Option<OutgoingRequest>,
-        deadline: Instant,
-    ) -> Result<PendingControlRequest, UpstreamRequestFailure> {
-        let mut connection = self.checkout(ConnectionUse::Control, deadline)?;
-        let Some(request) = build(connection.group) else {
-            self.keep_unused(connection);
-            let reason = "it was withdrawn while connecting";
-            return Err(UpstreamRequestFailure::NotSent(reason.to_owned()));
-        };
-        let mut bytes = http1::encode_request(
-            request.method,
-            &request.target,
-            &request.headers,
-            request.body.len(),
-        );
-        bytes.extend_from_slice(&request.body);
-        connection.record_control();
-        let written = connection
-            .conn
-            .write(&bytes, false, deadline, &Recipient::none());
-        if let Err(e) = written {
-            connection.conn.reset();
-            return Err(UpstreamRequestFailure::after_sending(e));
-        }
-        Ok(PendingControlRequest {
-            connection,
-            method: request.method,
-        })
-    }
-
-    /// Waits until `deadline` for the response to a request of the daemon itself; takes one that has
-    /// arrived already also later.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no complete response arrives.
-    pub fn finish_control_request(
-        &self,
-        pending: PendingControlRequest,
-        deadline: Instant,
-    ) -> Result<(ResponseHead, ResponseMetadata), UpstreamRequestFailure> {
-        let PendingControlRequest {
-            mut connection,
-            method,
-        } = pending;
-        let deadline = deadline.max(Instant::now() + READ_TIME_MIN);
-        let (head, framing) = match read_control_response(&mut connection.conn, method, deadline) {
-            Ok(response) => response,
-            Err(e) => {
-                connection.conn.reset();
-                return Err(UpstreamRequestFailure::after_sending(e));
-            }
-        };
-        let metadata = self.protocol.parse_head(&head);
-        // A response with a request id belongs to a caller's request, so the responses on this
-        // connection can't be matched to requests any more.
-        if metadata.request_id.is_some() {
-            return Err(UpstreamRequestFailure::MaybeRun(
-                "answers to other requests".to_owned(),
-            ));
-        }
-        if framing != Framing::UntilClose {
-            self.check_in(connection, &head);
-        }
-        Ok((head, metadata))
-    }
-
     /// Checks whether a process listens at the address.
     ///
     /// # Errors
@@ -354,7 +257,7 @@
     /// Returns why no connection was established.
     pub fn probe(&self) -> Result<(), UpstreamRequestFailure> {
         let deadline = Instant::now() + PROBE_TIMEOUT;
-        let connection = self.checkout(ConnectionUse::Control, deadline)?;
+        let connection = self.checkout(None, deadline)?;
         self.keep_unused(connection);
         Ok(())
     }
@@ -367,41 +270,28 @@
         });
     }
 
-    /// Returns a pooled connection that is safe for `usage`, or a new one.
+    /// Returns a pooled connection, or a new one. If it is for a request, the upstream has not refused
+    /// that request on it.
     fn checkout(
         &self,
-        usage: ConnectionUse<'_>,
+        request_id: Option<&str>,
         deadline: Instant,
     ) -> Result<UpstreamConnection, UpstreamRequestFailure> {
         let now = Instant::now();
-        while let Some(idle) = self.take_idle(usage) {
+        while let Some(idle) = self.take_idle(request_id) {
             if idle.expires_at > now && idle.connection.conn.is_reusable() {
                 return Ok(idle.connection);
             }
         }
-        let connect_deadline = deadline.min(now + CONNECT_TIMEOUT);
-        let connected = BufferedConnection::connect(self.to, self.from, connect_deadline);
-        let elapsed = now.elapsed();
-        if elapsed >= CONNECT_SLOW_MIN {
-            let ms = elapsed.as_millis() as u64;
-            tracing::info!(
-                event = "upstream-connect-slow",
-                ms,
-                connected = connected.is_ok()
-            );
-        }
-        let conn = connected.map_err(|e| match e.kind() {
-            ErrorKind::ConnectionRefused => UpstreamRequestFailure::Refused,
-            _ => UpstreamRequestFailure::NotSent(e.to_string()),
-        })?;
-        let group = self.groups.add(conn.stream());
-        Ok(UpstreamConnection::new(conn, group))
+        self.connector.connect(deadline)
     }
 
-    /// Takes the idle connection that was used last, of those that are safe for `usage`.
-    fn take_idle(&self, usage: ConnectionUse<'_>) -> Option<IdleConnection> {
+    /// Takes the idle connection that was used last, of those that are safe for the request.
+    fn take_idle(&self, request_id: Option<&str>) -> Option<IdleConnection> {
         let mut idle = sync::lock(&self.idle);
-        let index = idle.iter().rposition(|i| i.connection.is_safe_for(usage))?;
+        let is_safe =
+            |i: &IdleConnection| request_id.is_none_or(|id| !i.connection.has_refused(id));
+        let index = idle.iter().rposition(is_safe)?;
         Some(idle.remove(index))
     }
 
@@ -425,19 +315,6 @@
     }
 }
 
-/// Reads the response to a request of the daemon itself.
-fn read_control_response(
-    conn: &mut BufferedConnection,
-    method: &str,
-    deadline: Instant,
-) -> Result<(ResponseHead, Framing), ConnectionError> {
-    let recipient = Recipient::none();
-    let head = http1::read_response_head(conn, deadline, &recipient)?;
-    let framing = http1::response_framing(&head, method)?;
-    http1::discard_body(conn, framing, BODY_BYTES_MAX, deadline, &recipient)?;
-    Ok((head, framing))
-}
-
 /// Parses the timeout of a `Keep-Alive` header; a longer one than [`KEEP_ALIVE_MAX`] is reduced to it.
 fn keep_alive_timeout(text: &str) -> Option<Duration> {
     let mut parts = text.split(',');
--- a/src/process/host/grant_sender.rs
+++ b/src/process/host/grant_sender.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::connection::control_pool::{PendingControlRequest, ReadyConnection};
 use crate::connection::protocol::{Grant, UpstreamProtocol};
-use crate::connection::upstream_pool::PendingControlRequest;
 use crate::connection::upstream_request_failure::UpstreamRequestFailure;
 use crate::process::clock::Clock;
 use crate::process::host::grant_attempt::{CLOCK_DRIFT, GrantAttempt, SentGrant};
@@ -56,42 +56,61 @@
         }
     }
 
-    /// Sends grants, and then waits for the responses to all of them; leaves out those whose duration
-    /// would be too short.
+    /// Sends grants, and then waits for the responses to all of them; none if their duration would be
+    /// too short.
     pub fn send_grants(
         &self,
         target: &mut GrantTarget,
         due: &[(OwnedRange, Option<String>)],
         live_until: Moment,
     ) -> Vec<GrantAttempt> {
+        let began_at = self.clock.now();
+        if self.grant_duration(began_at, live_until).is_none() {
+            return Vec::new();
+        }
         let deadline = Instant::now() + GRANT_TIMEOUT;
+        let pool = self.dispatcher.pool().control();
+        let connections = pool.ready_connections(due.len(), deadline);
         let begun: Vec<BegunGrant> = due
             .iter()
-            .filter_map(|(range, handover)| {
-                self.begin_grant(target, *range, handover.clone(), live_until, deadline)
+            .zip(connections)
+            .map(|((range, handover), connection)| {
+                let mut sent = None;
+                let pending = connection.and_then(|connection| {
+                    let order = (*range, handover.clone());
+                    self.write_grant(connection, target, order, live_until, deadline, &mut sent)
+                });
+                BegunGrant {
+                    range: *range,
+                    began_at,
+                    written_at: self.clock.now(),
+                    sent,
+                    pending,
+                }
             })
             .collect();
-        let finished = begun.into_iter().map(|b| self.finish_grant(b, deadline));
-        finished
+        begun
+            .into_iter()
+            .map(|b| self.finish_grant(b, deadline))
             .inspect(|attempt| attempt.log_if_outlasts(live_until))
             .collect()
     }
 
-    /// Sends a grant, unless its duration would be too short. The duration counts from the arrival
-    /// of the call, so it is determined when the connection stands.
-    fn begin_grant(
+    /// Writes a grant, unless its duration would be too short. The duration is determined once the
+    /// upstream serves the connection, as it counts from the arrival there; if the process stands still
+    /// before the grant is written, it is withdrawn.
+    fn write_grant(
         &self,
+        connection: ReadyConnection,
         target: &mut GrantTarget,
-        range: OwnedRange,
-        handover: Option<String>,
+        order: (OwnedRange, Option<String>),
         live_until: Moment,
         deadline: Instant,
-    ) -> Option<BegunGrant> {
-        let began_at = self.clock.now();
-        self.grant_duration(began_at, live_until)?;
-        let mut sent = None;
-        let build_request = |group| {
-            let sent_at = self.clock.now();
+        sent: &mut Option<SentGrant>,
+    ) -> Result<PendingControlRequest, UpstreamRequestFailure> {
+        let (range, handover) = order;
+        let sent_at = self.clock.now();
+        let build = |group| {
             let grant = Grant {
                 instance: target.instance.clone(),
                 keys: range.keys(),
@@ -103,26 +122,24 @@
                 return None;
             }
             let request = self.protocol.grant_request(&grant);
-            sent = Some(SentGrant { grant, sent_at });
+            *sent = Some(SentGrant { grant, sent_at });
             Some(request)
         };
-        let pool = self.dispatcher.pool();
-        let pending = pool.begin_control_request(build_request, deadline);
-        Some(BegunGrant {
-            range,
-            began_at,
-            written_at: self.clock.now(),
-            sent,
-            pending,
-        })
+        let is_current = || self.clock.now() <= sent_at + GRANT_MARGIN;
+        let pool = self.dispatcher.pool().control();
+        let pending = pool.begin(connection, build, is_current, deadline);
+        if matches!(pending, Err(UpstreamRequestFailure::NotSent(_))) {
+            *sent = None;
+        }
+        pending
     }
 
     /// Waits for the response to a grant.
     fn finish_grant(&self, begun: BegunGrant, deadline: Instant) -> GrantAttempt {
-        let pool = self.dispatcher.pool();
+        let pool = self.dispatcher.pool().control();
         let response = begun
             .pending
-            .and_then(|pending| pool.finish_control_request(pending, deadline));
+            .and_then(|pending| pool.finish(pending, deadline));
         GrantAttempt {
             range: begun.range,
             began_at: begun.began_at,
--- a/src/process/host/key_releaser.rs
+++ b/src/process/host/key_releaser.rs
@@ -74,7 +74,8 @@
         let result = self
             .dispatcher
             .pool()
-            .send_control_request(request, RELEASE_TIMEOUT);
+            .control()
+            .send(request, RELEASE_TIMEOUT);
         let now = self.clock.now();
         match result {
             Ok((head, metadata)) if head.status < 300 => {
@@ -120,7 +121,8 @@
         let result = self
             .dispatcher
             .pool()
-            .send_control_request(request, RELEASE_TIMEOUT);
+            .control()
+            .send(request, RELEASE_TIMEOUT);
         let reason = match result {
             Ok((head, metadata)) if head.status < 300 => {
                 let warm = metadata.handover.is_some();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod codec;
 mod command;
 mod configuration;
+mod control_pool;
 mod host;
 mod http1;
 mod http_listener;
