Release what may outlast a lapsed lease at once

Callers saw: keys held by two upstreams (OWNER); their daemon, awake again, did nothing about it. Cause: the grants of a lapsed session were kept, as they end with the lease. Releases wait for running work, so the events of the membership no longer wait for a reconciliation. Class: an answer is trusted that belongs to a decision whose time has passed.

--- a/src/process/host/key_grants.rs
+++ b/src/process/host/key_grants.rs
@@ -208,6 +208,21 @@
         releasing
     }
 
+    /// Begins the release of the grants that the upstream may have after `lease_end`.
+    pub fn begin_release_outlasting(
+        &mut self,
+        lease_end: Moment,
+        split: SplitByNextOwner<'_>,
+    ) -> Vec<ReleasingGrant> {
+        let outlasts = |g: &KeyGrant| g.possible_until > lease_end;
+        let (outlasting, kept) = std::mem::take(&mut self.grants)
+            .into_iter()
+            .partition(outlasts);
+        self.grants = kept;
+        let outlasting: Vec<KeyGrant> = outlasting;
+        self.begin_releases(&outlasting, split)
+    }
+
     /// Begins the release of all grants; nothing is granted until [`KeyGrants::end_release_all`].
     pub fn begin_release_all(&mut self, split: SplitByNextOwner<'_>) -> Vec<ReleasingGrant> {
         self.releases_of_all += 1;
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -370,7 +370,8 @@
                 releasers.submit(move || context.grant_manager.release_lost_keys());
             }
             MembershipEvent::LeaseLapsed | MembershipEvent::SessionEnded(_) => {
-                context.grant_manager.reconcile()
+                // It may wait for releases.
+                releasers.submit(move || context.grant_manager.reconcile())
             }
             MembershipEvent::SuspectsReported(suspects) => {
                 context.dispatcher.add_suspects(&suspects)
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -158,6 +158,11 @@
         (until > now).then_some(until)
     }
 
+    /// Returns the latest end of any lease that the daemon's session has had, as far as it was recorded.
+    pub fn lease_end(&self) -> Moment {
+        self.session.permitted_until()
+    }
+
     /// Removes and returns the pending actions.
     pub fn take_actions(&mut self) -> Vec<OwnershipAction> {
         std::mem::take(&mut self.actions)
--- a/tests/testsuite/host/grants/mod.rs
+++ b/tests/testsuite/host/grants/mod.rs
@@ -207,9 +207,23 @@
     let daemon = Daemon::start(&upstream, table(1, &[OWN, OTHER]));
     daemon.stop_renewals();
     daemon.manager.reconcile();
-    let grant = upstream.calls("grant").pop().expect("a grant");
     daemon.await_lapse();
+    let lapsed = Instant::now();
     daemon.manager.reconcile();
     let release = upstream.calls("release").pop().expect("a release");
-    assert!(release.at < grant.valid_until(), "{release:?} {grant:?}");
+    let delay = release.at.duration_since(lapsed);
+    assert!(delay < Duration::from_millis(100), "{delay:?}");
+}
+
+/// Guards against a lapse of the lease that costs the keys their handovers: what ends with the lease
+/// needs no release, and the lease may come back.
+#[test]
+fn grants_that_end_with_a_lapsed_lease_are_kept() {
+    let upstream = ScriptedUpstream::start(|_| Answer::After(Duration::ZERO));
+    let daemon = Daemon::start(&upstream, table(1, &[OWN, OTHER]));
+    daemon.manager.reconcile();
+    daemon.stop_renewals();
+    daemon.await_lapse();
+    daemon.manager.reconcile();
+    assert_eq!(upstream.calls("release").len(), 0);
 }
