Let the upstream's stand-in take up connections late

Cause: an upstream whose slots are busy takes up a new connection late, while the client's connect has succeeded and its bytes wait in the kernel. The stand-in took each connection up at once, so that no test with real processes could show what a call does that arrives late on one.

Without the option the stand-in listens as before.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod host_run;
 pub mod journal;
 pub mod key_history;
+pub mod late_connections;
 pub mod late_grants;
 pub mod load;
 pub mod network;
--- a/crates/bench/src/ranged_upstream.rs
+++ b/crates/bench/src/ranged_upstream.rs
@@ -23,6 +23,7 @@
 
 use crate::args::{self, BenchError};
 use crate::host_run::HostRun;
+use crate::late_connections::LateConnections;
 use crate::late_grants::LateGrants;
 use crate::ownership_event::{OwnershipChange, OwnershipEvent};
 use crate::upstream_options::UpstreamOptions;
@@ -106,7 +107,13 @@
     let text = |name: &str| args::value(&matches, name, String::new());
     let address: SocketAddr = parse_address(&text("listen")?)?;
     let reports: SocketAddr = parse_address(&text("reports")?)?;
-    let listener = TcpListener::bind(address).map_err(BenchError::with_context(
+    let has_late_connections = options.late_connections > 0.0;
+    // Late connections are passed on to a port of the kernel's choice.
+    let own_address = match has_late_connections {
+        true => SocketAddr::new(address.ip(), 0),
+        false => address,
+    };
+    let listener = TcpListener::bind(own_address).map_err(BenchError::with_context(
         "can't start the upstream's stand-in",
     ))?;
     let since_epoch = SystemTime::now()
@@ -124,9 +131,16 @@
     });
     let id = upstream.id.clone();
     let reactor = Reactor::start().map_err(BenchError::with_context("can't start the stand-in"))?;
-    let _listener = HttpListener::start(&reactor, listener, upstream).map_err(
+    let listener = HttpListener::start(&reactor, listener, upstream).map_err(
         BenchError::with_context("can't start the upstream's stand-in"),
     )?;
+    let _late_connections = match has_late_connections {
+        true => {
+            let started = LateConnections::start(address, listener.address(), &options);
+            Some(started.map_err(BenchError::with_context("can't start the stand-in"))?)
+        }
+        false => None,
+    };
     let client = HttpClient::new(reports, Some(address.ip()));
     let info =
         json!({"Service": text("service")?, "Version": "v1", "Zone": text("domain")?, "Slots": 8});
--- a/crates/bench/src/upstream_options.rs
+++ b/crates/bench/src/upstream_options.rs
@@ -14,7 +14,9 @@
     pub work_ms: u64,
     /// The fraction of the grants that get no answer and are carried out later.
     pub late_grants: f64,
-    /// The seed of the choice of these grants.
+    /// The fraction of the connections that are taken up late.
+    pub late_connections: f64,
+    /// The seed of the choice of these grants and connections.
     pub seed: u64,
     /// Whether a grant is refused also for the higher fencing token of a release.
     pub fences_by_releases: bool,
@@ -25,6 +27,7 @@
         Self {
             work_ms: WORK_MS_DEFAULT,
             late_grants: 0.0,
+            late_connections: 0.0,
             seed: 0,
             fences_by_releases: false,
         }
@@ -46,7 +49,18 @@
             "the fraction of the grants that get no answer and are carried out later (default 0)",
             "SHARE",
         );
-        options.optopt("", "seed", "the seed of the choice of late grants", "N");
+        options.optopt(
+            "",
+            "late-connections",
+            "the fraction of the connections that are taken up late (default 0)",
+            "SHARE",
+        );
+        options.optopt(
+            "",
+            "seed",
+            "the seed of the choice of late grants and connections",
+            "N",
+        );
         options.optflag(
             "",
             "fence-by-releases",
@@ -60,21 +74,17 @@
     ///
     /// Returns an error if a value is invalid.
     pub fn from_matches(matches: &Matches) -> Result<Self, BenchError> {
-        let late_grants = args::value(matches, "late-grants", 0.0)?;
-        if !(0.0..=1.0).contains(&late_grants) {
-            let text = format!("--late-grants: {late_grants} is not in 0 to 1");
-            return Err(BenchError(text));
-        }
         Ok(Self {
             work_ms: args::value(matches, "work-ms", WORK_MS_DEFAULT)?,
-            late_grants,
+            late_grants: share(matches, "late-grants")?,
+            late_connections: share(matches, "late-connections")?,
             seed: args::value(matches, "seed", 0)?,
             fences_by_releases: matches.opt_present("fence-by-releases"),
         })
     }
 
     /// Returns the command line of the upstream with this number. Each upstream draws its own late
-    /// grants.
+    /// grants and connections.
     pub fn to_args(&self, number: usize) -> Vec<String> {
         let seed = self.seed.wrapping_mul(1000) + number as u64;
         let mut args = vec![
@@ -82,6 +92,8 @@
             self.work_ms.to_string(),
             "--late-grants".to_owned(),
             self.late_grants.to_string(),
+            "--late-connections".to_owned(),
+            self.late_connections.to_string(),
             "--seed".to_owned(),
             seed.to_string(),
         ];
@@ -91,3 +103,12 @@
         args
     }
 }
+
+/// Returns the value of an option that is a fraction; 0 if it is not given.
+fn share(matches: &Matches, name: &str) -> Result<f64, BenchError> {
+    let share = args::value(matches, name, 0.0)?;
+    if !(0.0..=1.0).contains(&share) {
+        return Err(BenchError(format!("--{name}: {share} is not in 0 to 1")));
+    }
+    Ok(share)
+}
--- a/crates/bench/tests/testsuite/host.rs
+++ b/crates/bench/tests/testsuite/host.rs
@@ -419,7 +419,7 @@
         work_ms: 100,
         late_grants: 0.5,
         seed,
-        fences_by_releases: false,
+        ..UpstreamOptions::default()
     };
     let mut cluster = start_ready_cluster(&["desk"; 9], options);
     let addresses: Vec<SocketAddr> = cluster.hosts.iter().map(|h| h.caller_address).collect();
--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod fault_proxy;
 mod host;
 mod journal;
+mod late_connections;
 mod ownership_check;
 mod runs;
 mod soak;
