Test that a stopped daemon leaves no grant that outlasts its lease

Cause: the daemon opens new connections for grants. It resets one whose answer is late, but can't while it is stopped: the upstream takes the connection up meanwhile, counts the grant's duration from then, and has the keys beyond the lease, beside the next upstream or after it, with a lower fencing token (OWNER).

Change: a test with nine hosts and hot keys stops daemons by SIGSTOP for 1.5 to 5 s, up to three at a time, each right after some of its grants arrived, beside restarts, for 26 s. Grants that arrive within 0.3 s after their daemon was continued are left out: no daemon can look at its clock and write in one step.

The seed fixes the draws, not the timing of the processes, so that a run may pass by chance. The test stays red until the daemon is mended.

--- a/crates/bench/tests/testsuite/host.rs
+++ b/crates/bench/tests/testsuite/host.rs
@@ -20,6 +20,8 @@
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
 
+use crate::daemon_stops::DaemonStops;
+
 /// How long an environment may take to start.
 const START_TIME: Duration = Duration::from_secs(15);
 /// The required time until a key is served again after a loss: 4 s, plus 100 ms for polling.
@@ -441,6 +443,37 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+/// Guards against grants that the upstream takes up late while their daemon is stopped (OWNER).
+#[test]
+fn a_stopped_daemon_leaves_no_grant_that_outlasts_its_lease() {
+    let _lock = crate::daemon::lock_environment();
+    let seed = 71;
+    let options = UpstreamOptions {
+        work_ms: 100,
+        late_connections: 0.25,
+        seed,
+        ..UpstreamOptions::default()
+    };
+    let mut cluster = start_ready_cluster(&["desk"; 9], options);
+    let addresses: Vec<SocketAddr> = cluster.hosts.iter().map(|h| h.caller_address).collect();
+    let stopping = AtomicBool::new(false);
+    let mut stops = DaemonStops::new(seed, cluster.hosts.len());
+    let stopped = thread::scope(|scope| {
+        for caller in 0..HOT_CALLERS {
+            let (addresses, stopping) = (&addresses, &stopping);
+            scope.spawn(move || call_hot_keys(addresses, seed, caller, stopping));
+        }
+        let stopped = stops.run(&mut cluster, HOT_KEYS_TIME);
+        stopping.store(true, Ordering::SeqCst);
+        stopped
+    });
+    stopped.unwrap();
+    let check = stops.check_ownership(&cluster);
+    assert!(check.transfers() > 0, "no keys passed on");
+    let violations: Vec<String> = check.violations().iter().map(|v| v.to_string()).collect();
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 /// Kills a daemon and starts it again, one after the other, for the time of the hot keys.
 fn restart_daemons(cluster: &mut HostCluster) -> Result<(), BenchError> {
     let started = Instant::now();
--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 
 mod address_block;
 mod daemon;
+mod daemon_stops;
 mod endless_responses;
 mod explore;
 mod fault_proxy;
