Check again right before a caller's request is written to the upstream

Cause: the dispatcher checked that the key is granted, that the upstream and its domain take work and that time is left; the pool then took or opened a connection, encoded the request and wrote it.

Evidence: five tests in host/grants/late_requests.rs. The conditions change when the request is encoded, after its connection stands: a clock set forward by 4 s (key, drain timeout, deadline), a new routing configuration (evacuated domain), a lost upstream.

Change: UpstreamPool::send_request encodes first, and then calls a check that the dispatcher gives; nothing but the write follows it. A request that is refused there has not run, with the cause of the earlier check; its connection goes back to the pool. A request admitted before a stop is still finished. check_allowed and begin_dispatch return the cause; the retry delay of each cause stands in one place.

Not covered: a pause within the write system call or between the check and it, and the rest of a request whose first part was written before the pause.

--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -16,7 +16,7 @@
 use crate::connection::upstream_request_failure::UpstreamRequestFailure;
 use crate::process::sync;
 use crate::request::body::{BODY_BYTES_MAX, Body};
-use crate::request::upstream_outcome::UpstreamResponse;
+use crate::request::upstream_outcome::{NotRunCause, UpstreamResponse};
 use crate::request::upstream_request::UpstreamRequest;
 
 /// The timeout for a connection that only probes whether the upstream listens.
@@ -136,7 +136,8 @@
     }
 
     /// Sends a request to the upstream process `instance` and waits up to `timeout` for its
-    /// response, or until `recipient` disconnects.
+    /// response, or until `recipient` disconnects. `check_allowed` is called immediately before the
+    /// request is written, and returns why it must not be.
     ///
     /// # Errors
     ///
@@ -147,19 +148,24 @@
         instance: &str,
         timeout: Duration,
         recipient: &Recipient,
+        check_allowed: impl FnOnce() -> Result<(), NotRunCause>,
     ) -> Result<ReceivedResponse, UpstreamRequestFailure> {
         let deadline = Instant::now() + timeout;
         let mut connection = self.checkout(Some(&request.id), deadline)?;
-        // Connecting may have taken long.
-        if recipient.has_disconnected() {
-            return Err(UpstreamRequestFailure::RecipientDisconnected { sent: false });
-        }
         let time_left = deadline.saturating_duration_since(Instant::now());
         let headers = self.protocol.request_headers(request, instance, time_left);
         let body = &request.body.0;
         let mut bytes =
             http1::encode_request(&request.method, &request.target, &headers, body.len());
         bytes.extend_from_slice(body);
+        // Connecting may have taken long, and the process may have been paused.
+        if recipient.has_disconnected() {
+            return Err(UpstreamRequestFailure::RecipientDisconnected { sent: false });
+        }
+        if let Err(cause) = check_allowed() {
+            self.keep_unused(connection);
+            return Err(UpstreamRequestFailure::NotAllowed(cause));
+        }
         let conn = &mut connection.conn;
         let exchange = match self.exchange(conn, request, &bytes, deadline, recipient) {
             Ok(exchange) => exchange,
--- a/src/connection/upstream_request_failure.rs
+++ b/src/connection/upstream_request_failure.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::buffered_connection::ConnectionError;
 use crate::connection::protocol::ResponseMetadata;
+use crate::request::upstream_outcome::NotRunCause;
 
 /// Why a request to the upstream brought no valid response.
 #[derive(Debug, PartialEq, Eq)]
@@ -12,6 +13,8 @@
     /// No connection was established in time, or the request was withdrawn meanwhile: no byte of it was
     /// sent.
     NotSent(String),
+    /// The request must not be sent any more, for this cause: no byte of it was sent.
+    NotAllowed(NotRunCause),
     /// The upstream responded that it did not run the request.
     NotRun {
         /// The HTTP status.
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -284,25 +284,27 @@
         // The conditions may have changed while the request was queued.
         let (dispatch, process) = match self.begin_dispatch(request, fingerprint) {
             Ok(dispatched) => dispatched,
-            Err(refusal) => {
+            Err(cause) => {
                 self.end_dispatch(None, None, None);
-                return refusal;
+                return refusal(cause);
             }
         };
         if recipient.has_disconnected() {
             self.end_dispatch(Some(dispatch), None, None);
-            return UpstreamOutcome::not_run(NotRunCause::CallerLeft, MOVE_RETRY_AFTER);
+            return refusal(NotRunCause::CallerLeft);
         }
         let sent_at = self.clock.now();
         times.waited = sent_at.since(now);
         let time_left = deadline.since(sent_at);
         if time_left < REQUEST_TIME_MIN {
             self.end_dispatch(Some(dispatch), None, None);
-            return UpstreamOutcome::not_run(NotRunCause::TimedOut, MOVE_RETRY_AFTER);
+            return refusal(NotRunCause::TimedOut);
         }
-        let result = self
-            .pool
-            .send_request(request, &process.instance, time_left, recipient);
+        let result =
+            self.pool
+                .send_request(request, &process.instance, time_left, recipient, || {
+                    self.check_sendable(request, &process, deadline)
+                });
         times.ran = self.clock.now().since(sent_at);
         self.outcome_of(request, &process, dispatch, fingerprint, sent_at, result)
     }
@@ -342,12 +344,17 @@
                 // is not a crash suspect.
                 self.end_dispatch(Some(dispatch), None, None);
                 self.handle_upstream_loss(UpstreamLoss::Refused { at: sent_at });
-                UpstreamOutcome::not_run(NotRunCause::Down, DOWN_RETRY_AFTER)
+                refusal(NotRunCause::Down)
             }
             Err(UpstreamRequestFailure::NotSent(reason)) => {
                 self.end_dispatch(Some(dispatch), None, None);
                 tracing::info!(event = "order-not-sent", request = %request.id, reason);
-                UpstreamOutcome::not_run(NotRunCause::Down, DOWN_RETRY_AFTER)
+                refusal(NotRunCause::Down)
+            }
+            Err(UpstreamRequestFailure::NotAllowed(cause)) => {
+                self.end_dispatch(Some(dispatch), None, None);
+                tracing::info!(event = "order-not-sent", request = %request.id, reason = %cause);
+                refusal(cause)
             }
             Err(UpstreamRequestFailure::MaybeRun(reason)) => {
                 let boot = process.boot();
@@ -363,7 +370,7 @@
                 self.end_dispatch(Some(dispatch), None, None);
                 match sent {
                     true => UpstreamOutcome::unknown("the caller left"),
-                    false => UpstreamOutcome::not_run(NotRunCause::CallerLeft, MOVE_RETRY_AFTER),
+                    false => refusal(NotRunCause::CallerLeft),
                 }
             }
         }
@@ -378,18 +385,16 @@
     ) -> Result<(), UpstreamOutcome> {
         let wait = GrantWait::new(self.clock.now(), request.objective);
         loop {
-            let Err(refusal) = self.check_allowed(request) else {
+            let Err(cause) = self.check_allowed(request) else {
                 return Ok(());
             };
+            let outcome = refusal(cause);
             let is_next_owner = self.is_next_owner(request);
-            let Some(pause) = wait.next(self.clock.now(), &refusal, is_next_owner) else {
-                return Err(refusal);
+            let Some(pause) = wait.next(self.clock.now(), &outcome, is_next_owner) else {
+                return Err(outcome);
             };
             if recipient.has_disconnected() {
-                return Err(UpstreamOutcome::not_run(
-                    NotRunCause::CallerLeft,
-                    MOVE_RETRY_AFTER,
-                ));
+                return Err(refusal(NotRunCause::CallerLeft));
             }
             let state = sync::lock(&self.state);
             // A grant that arrives just before the wait is found by the next check.
@@ -409,50 +414,58 @@
         })
     }
 
-    /// Returns an error unless the request may be sent to the upstream now.
-    fn check_allowed(&self, request: &UpstreamRequest) -> Result<(), UpstreamOutcome> {
+    /// Returns an error unless a new request may be sent to the upstream now.
+    fn check_allowed(&self, request: &UpstreamRequest) -> Result<(), NotRunCause> {
+        let closed = sync::lock(&self.state).closed;
+        match closed {
+            true => Err(NotRunCause::Stopping),
+            false => self.check_serving(request).map(drop),
+        }
+    }
+
+    /// Returns an error unless a request that was admitted for `process` may still be written to it:
+    /// since then it has waited for a connection, and this process may have been paused.
+    fn check_sendable(
+        &self,
+        request: &UpstreamRequest,
+        process: &UpstreamProcess,
+        deadline: Moment,
+    ) -> Result<(), NotRunCause> {
+        if self.check_serving(request)? != process.boot() {
+            return Err(NotRunCause::Down);
+        }
+        match deadline.since(self.clock.now()) < REQUEST_TIME_MIN {
+            true => Err(NotRunCause::TimedOut),
+            false => Ok(()),
+        }
+    }
+
+    /// Returns the process of the upstream that may run the request now, or an error if there is
+    /// none.
+    fn check_serving(&self, request: &UpstreamRequest) -> Result<UpstreamBoot, NotRunCause> {
         let now = self.clock.now();
         let active = self.membership.active_configuration();
         let state = sync::lock(&self.state);
-        if state.closed {
-            return Err(UpstreamOutcome::not_run(
-                NotRunCause::Stopping,
-                MOVE_RETRY_AFTER,
-            ));
-        }
-        let Some(process) = state.upstream.running() else {
-            return Err(UpstreamOutcome::not_run(
-                NotRunCause::Down,
-                DOWN_RETRY_AFTER,
-            ));
-        };
+        let process = state.upstream.running().ok_or(NotRunCause::Down)?;
         if process.service != request.service {
-            return Err(UpstreamOutcome::not_run(
-                NotRunCause::Down,
-                DOWN_RETRY_AFTER,
-            ));
+            return Err(NotRunCause::Down);
         }
         if !active.document.accepts_work(&process.domain) {
-            return Err(UpstreamOutcome::not_run(
-                NotRunCause::Evacuated,
-                MOVE_RETRY_AFTER,
-            ));
+            return Err(NotRunCause::Evacuated);
         }
         let close_after = self.drain_timeout.saturating_sub(DRAIN_MARGIN);
         if process
             .leaving_since
             .is_some_and(|at| now.since(at) >= close_after)
         {
-            return Err(UpstreamOutcome::not_run(
-                NotRunCause::Draining,
-                MOVE_RETRY_AFTER,
-            ));
+            return Err(NotRunCause::Draining);
         }
+        let boot = process.boot();
         drop(state);
-        match request.key {
-            Some(key) => self.check_key_granted(request, key),
-            None => Ok(()),
+        if let Some(key) = request.key {
+            self.check_key_granted(request, key)?;
         }
+        Ok(boot)
     }
 
     /// Returns an error unless the daemon may serve the key now and it is granted to the upstream.
@@ -460,7 +473,7 @@
         &self,
         request: &UpstreamRequest,
         key: ShardKey,
-    ) -> Result<(), UpstreamOutcome> {
+    ) -> Result<(), NotRunCause> {
         let hash = KeyHash(key.0.into());
         let may_serve = self
             .membership
@@ -471,10 +484,7 @@
             |(range, until): &(OwnedRange, Moment)| range.contains(key.0) && *until > now;
         match may_serve && state.granted.iter().any(is_granted) {
             true => Ok(()),
-            false => Err(UpstreamOutcome::not_run(
-                NotRunCause::NotOwner,
-                MOVE_RETRY_AFTER,
-            )),
+            false => Err(NotRunCause::NotOwner),
         }
     }
 
@@ -525,10 +535,7 @@
             match rx.recv_timeout(timeout) {
                 Ok(()) => return Ok(()),
                 Err(RecvTimeoutError::Disconnected) => {
-                    return Err(UpstreamOutcome::not_run(
-                        NotRunCause::Stopping,
-                        MOVE_RETRY_AFTER,
-                    ));
+                    return Err(refusal(NotRunCause::Stopping));
                 }
                 Err(RecvTimeoutError::Timeout) => {}
             }
@@ -544,7 +551,7 @@
                 } else {
                     NotRunCause::TimedOut
                 };
-                return Err(UpstreamOutcome::not_run(cause, MOVE_RETRY_AFTER));
+                return Err(refusal(cause));
             }
             state.wake_admitted(now);
             pacing_delay = state.admission.pacing_delay(now);
@@ -556,15 +563,11 @@
         &self,
         request: &UpstreamRequest,
         fingerprint: Fingerprint,
-    ) -> Result<(u64, UpstreamProcess), UpstreamOutcome> {
+    ) -> Result<(u64, UpstreamProcess), NotRunCause> {
         self.check_allowed(request)?;
         let mut state = sync::lock(&self.state);
-        let Some(process) = state.upstream.running().cloned() else {
-            return Err(UpstreamOutcome::not_run(
-                NotRunCause::Down,
-                DOWN_RETRY_AFTER,
-            ));
-        };
+        let process = state.upstream.running().cloned();
+        let process = process.ok_or(NotRunCause::Down)?;
         state.last_dispatch += 1;
         let dispatch = state.last_dispatch;
         state.in_flight.insert(dispatch, fingerprint);
@@ -655,6 +658,15 @@
     }
 }
 
+/// Returns the outcome of a request that was refused for `cause`, with the usual retry delay.
+fn refusal(cause: NotRunCause) -> UpstreamOutcome {
+    let retry_after = match cause {
+        NotRunCause::Down => DOWN_RETRY_AFTER,
+        _ => MOVE_RETRY_AFTER,
+    };
+    UpstreamOutcome::not_run(cause, retry_after)
+}
+
 /// Logs what became of a request whose recipient disconnected before its end.
 fn log_departure(request: &UpstreamRequest, outcome: &UpstreamOutcome, times: &RequestTimes) {
     tracing::info!(
--- a/tests/testsuite/host/grants/daemon.rs
+++ b/tests/testsuite/host/grants/daemon.rs
@@ -39,7 +39,7 @@
 /// A former process of the daemon under test.
 const FORMER: InstanceId = InstanceId(9);
 /// The sharded service.
-const SERVICE: &str = "desk";
+pub const SERVICE: &str = "desk";
 /// Longest duration of a grant.
 const GRANT_MAX: Duration = Duration::from_secs(10);
 /// How long the daemon may take to get its lease.
@@ -130,8 +130,10 @@
 pub struct Daemon {
     /// What is tested.
     pub manager: Arc<GrantManager>,
-    dispatcher: Arc<HostDispatcher>,
-    membership: Arc<Membership>,
+    /// Dispatcher to the upstream.
+    pub dispatcher: Arc<HostDispatcher>,
+    /// The daemon's membership.
+    pub membership: Arc<Membership>,
     reactor: Arc<Reactor>,
     stop: Arc<StopFlag>,
     ticking: Option<JoinHandle<()>>,
@@ -141,8 +143,21 @@
 impl Daemon {
     /// Starts a daemon whose upstream has reported, and waits until it has its lease under `table`.
     pub fn start(upstream: &ScriptedUpstream, table: TestTable) -> Self {
-        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-        let protocol: Arc<dyn UpstreamProtocol> = Arc::new(ScriptedProtocol);
+        Self::start_with(
+            upstream,
+            table,
+            Arc::new(SystemClock),
+            Arc::new(ScriptedProtocol),
+        )
+    }
+
+    /// Starts a daemon as [`Daemon::start`] does, with a clock and a protocol of the test's choice.
+    pub fn start_with(
+        upstream: &ScriptedUpstream,
+        table: TestTable,
+        clock: Arc<dyn Clock>,
+        protocol: Arc<dyn UpstreamProtocol>,
+    ) -> Self {
         let reactor = Reactor::start().unwrap();
         let timeouts = PeerTimeouts {
             acknowledge: Duration::from_millis(100),
--- a/tests/testsuite/host/grants/mod.rs
+++ b/tests/testsuite/host/grants/mod.rs
@@ -2,6 +2,7 @@
 //! upstream connection.
 
 mod daemon;
+mod late_requests;
 mod upstream;
 
 use std::net::TcpListener;
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -18,6 +18,7 @@
 use foxtaildrift::connection::upstream_request_failure::UpstreamRequestFailure;
 use foxtaildrift::request::body::Body;
 use foxtaildrift::request::headers::Headers;
+use foxtaildrift::request::upstream_outcome::NotRunCause;
 use foxtaildrift::request::upstream_request::UpstreamRequest;
 
 /// The timeout of each request.
@@ -85,7 +86,7 @@
 }
 
 fn send(pool: &UpstreamPool, id: &str) -> Result<ReceivedResponse, UpstreamRequestFailure> {
-    pool.send_request(&request(id), "i-1", TIMEOUT, &Recipient::none())
+    pool.send_request(&request(id), "i-1", TIMEOUT, &Recipient::none(), || Ok(()))
 }
 
 fn pool(to: SocketAddr) -> UpstreamPool {
@@ -155,7 +156,7 @@
     let pool = pool(listener.local_addr().expect("no local address"));
     let recipient = Recipient::connected();
     recipient.disconnect();
-    let result = pool.send_request(&request("a"), "i-1", TIMEOUT, &recipient);
+    let result = pool.send_request(&request("a"), "i-1", TIMEOUT, &recipient, || Ok(()));
     let unsent = UpstreamRequestFailure::RecipientDisconnected { sent: false };
     assert_eq!(result, Err(unsent));
     drop(pool);
@@ -166,6 +167,36 @@
     assert_eq!(String::from_utf8_lossy(&arrived), "");
 }
 
+/// Guards against a request that is written after it was no longer allowed, because it waited for its
+/// connection or its encoding; the connection itself stays usable.
+#[test]
+fn a_request_that_is_no_longer_allowed_when_its_connection_stands_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+    listener.set_nonblocking(true).expect("not settable");
+    let pool = pool(listener.local_addr().expect("no local address"));
+    let mut accepted = None;
+    let result = pool.send_request(&request("a"), "i-1", TIMEOUT, &Recipient::none(), || {
+        accepted = listener.accept().ok();
+        Err(NotRunCause::NotOwner)
+    });
+    let refused = UpstreamRequestFailure::NotAllowed(NotRunCause::NotOwner);
+    assert_eq!(result, Err(refused));
+    let (mut stream, _) = accepted.expect("the check came before the connection");
+    stream.set_nonblocking(false).expect("not settable");
+    let server = thread::spawn(move || {
+        let mut arrived = Vec::new();
+        // The pool resets the connection when it gets no answer.
+        let _ = stream.read_to_end(&mut arrived);
+        arrived
+    });
+    assert!(send(&pool, "b").is_err(), "nothing answers");
+    assert!(listener.accept().is_err(), "a second connection");
+    let arrived = server.join().expect("the upstream panicked");
+    let arrived = String::from_utf8_lossy(&arrived);
+    assert!(arrived.contains("Id: b"), "{arrived}");
+    assert!(!arrived.contains("Id: a"), "{arrived}");
+}
+
 /// Starts an upstream that reads nothing for `delay` and has room for little; the thread returns
 /// how many bytes it received, and whether the connection was reset.
 fn slow_to_read(delay: Duration) -> (SocketAddr, JoinHandle<(usize, bool)>) {
@@ -206,7 +237,7 @@
         });
         let mut request = request("a");
         request.body = Body(vec![b'x'; HELD_UP_BYTES]);
-        let result = pool.send_request(&request, "i-1", timeout, &recipient);
+        let result = pool.send_request(&request, "i-1", timeout, &recipient, || Ok(()));
         assert!(result.is_err(), "{what}: {result:?}");
         leaving.join().expect("the caller panicked");
         let (received, was_reset) = server.join().expect("the upstream panicked");
