Count the time that a forwarded request waits at the far end

Cause: PeerRequest::after_waiting shortened the time left of Dispatch and FetchOutcome only. Forward and DispatchShared, by which foxtaildriftd serves requests of other daemons, kept the time left that they had on arrival, however long the process then stood still before a thread took them up.

Change: the time left of an envelope is shortened too.

Not covered: the time that a request waits in the socket's buffer before the process reads it.

--- a/src/connection/peer_message.rs
+++ b/src/connection/peer_message.rs
@@ -151,6 +151,9 @@
     #[must_use]
     pub fn after_waiting(mut self, waited: Duration) -> Self {
         match &mut self {
+            PeerRequest::Forward(envelope) | PeerRequest::DispatchShared { envelope, .. } => {
+                envelope.remaining = envelope.remaining.saturating_sub(waited);
+            }
             PeerRequest::Dispatch { request, .. } => {
                 request.remaining = request.remaining.saturating_sub(waited);
                 request.objective = request.objective.saturating_sub(waited);
--- a/tests/testsuite/peer_pool.rs
+++ b/tests/testsuite/peer_pool.rs
@@ -16,8 +16,11 @@
 use foxtaildrift::connection::peer_server::{PeerHandler, PeerServer};
 use foxtaildrift::connection::reactor::Reactor;
 use foxtaildrift::connection::recipient::Recipient;
+use foxtaildrift::process::wall_time::WallTime;
 use foxtaildrift::request::body::Body;
+use foxtaildrift::request::envelope::Envelope;
 use foxtaildrift::request::headers::Headers;
+use foxtaildrift::request::request_id::RequestId;
 use foxtaildrift::request::upstream_outcome::UpstreamOutcome;
 use foxtaildrift::request::upstream_request::UpstreamRequest;
 use foxtaildrift::version::instance_id::InstanceId;
@@ -400,3 +403,38 @@
         assert!(request.objective <= Duration::from_millis(left_ms));
     }
 }
+
+/// Guards against requests that run after their callers' deadlines at a daemon that was paused after
+/// they had arrived: their time left counted from when a thread took them up.
+#[test]
+fn the_time_that_a_forwarded_request_waits_at_the_far_end_counts() {
+    let envelope = Envelope {
+        id: RequestId::generate(),
+        service: "desk".parse().unwrap(),
+        method: "POST".to_owned(),
+        path: "/book/".to_owned(),
+        key: b"a".to_vec(),
+        idempotency_key: None,
+        fresh_until: None,
+        repeatable: false,
+        remaining: Duration::from_secs(2),
+        content_type: None,
+        body: Body(Vec::new()),
+    };
+    let shared = PeerRequest::DispatchShared {
+        instance: InstanceId(1),
+        until: WallTime(0),
+        envelope: envelope.clone(),
+    };
+    for request in [PeerRequest::Forward(envelope), shared] {
+        for (waited_ms, left_ms) in [(0, 2000), (300, 1700), (4000, 0)] {
+            let waited = Duration::from_millis(waited_ms);
+            let (PeerRequest::Forward(envelope) | PeerRequest::DispatchShared { envelope, .. }) =
+                request.clone().after_waiting(waited)
+            else {
+                panic!("another request");
+            };
+            assert_eq!(envelope.remaining, Duration::from_millis(left_ms));
+        }
+    }
+}
