--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -4,7 +4,7 @@
 //! one of two concurrent writes fails. The last planner continues; the other daemons take over in
 //! order once a plan has been due for a while.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -12,7 +12,6 @@
 use crate::process::host::store_health::StoreHealth;
 use crate::process::membership::Membership;
 use crate::process::planner::{self, PlanInput};
-use crate::process::planner_priority::PlannerPriority;
 use crate::process::platform::Revision;
 use crate::process::stop_flag::StopFlag;
 use crate::process::store::{
@@ -496,28 +495,9 @@
     /// Returns how many daemons are ahead of this one in the planning order.
     fn planner_position(&self) -> u32 {
         let join_requests = self.all_join_requests();
-        let position = self.membership.with_ownership(|o, _| {
-            let table = o.table();
-            // A join request from a member's address by another instance shows that the member is
-            // gone.
-            let instance_at = join_requests
-                .values()
-                .map(|info| (info.peer, info.session.instance));
-            let instance_at: BTreeMap<_, _> = instance_at.collect();
-            let live = table.members.iter().filter(|(s, m)| {
-                let instance = instance_at.get(&m.info.peer);
-                !o.end_certificates().contains_key(s) && instance.is_none_or(|i| *i == s.instance)
-            });
-            let mut order: Vec<PlannerPriority> = live
-                .map(|(_, m)| PlannerPriority::new(table, &m.info, false))
-                .collect();
-            let known: BTreeSet<InstanceId> = order.iter().map(|p| p.instance).collect();
-            let joining = join_requests.iter().filter(|(i, _)| !known.contains(i));
-            order.extend(joining.map(|(_, info)| PlannerPriority::new(table, info, true)));
-            order.sort_unstable();
-            order.dedup_by_key(|p| p.instance);
-            order.iter().position(|p| p.instance == self.instance)
-        });
+        let position = self
+            .membership
+            .with_ownership(|o, _| o.planning_order().position(self.instance, &join_requests));
         u32::try_from(position.unwrap_or(0)).unwrap_or(0)
     }
 
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -15,16 +15,17 @@
 
 use crate::process::datagram::{Datagram, Message};
 use crate::process::join_request::JoinRequest;
+use crate::process::join_schedule::{JoinRecipients, JoinSchedule};
 use crate::process::lease_times::LeaseTimes;
 use crate::process::moment::Moment;
 use crate::process::not_serving::NotServing;
 use crate::process::own_session::OwnSession;
 use crate::process::ownership_action::OwnershipAction;
-use crate::process::planner_priority::PlannerPriority;
+use crate::process::ownership_rules::OwnershipRules;
+use crate::process::planning_order::PlanningOrder;
 use crate::process::serve_permit::ServePermit;
 use crate::process::session_facts::SessionFacts;
 use crate::process::witness::Witness;
-use crate::version::assignment::FormerCandidate;
 use crate::version::document_version::DocumentVersion;
 use crate::version::epoch::Epoch;
 use crate::version::fencing_token::FencingToken;
@@ -43,11 +44,6 @@
 const ANTI_ENTROPY_PEERS: usize = 1;
 /// How often a daemon queries the former candidates whose release it waits for.
 const QUERY_INTERVAL: Duration = Duration::from_millis(100);
-/// How often a daemon repeats its join request.
-const JOIN_INTERVAL: Duration = Duration::from_millis(500);
-/// A join request goes to all members each time this number of attempts has failed; the others go
-/// to the likely planners.
-const JOIN_BROADCAST_EVERY: u32 = 3;
 /// How many members at the front of the planning order get each join request.
 const LIKELY_PLANNERS: usize = 5;
 /// How many members a daemon forwards another's resignation to. The resigning daemon tells all, so
@@ -77,9 +73,7 @@
     newest_assignment_epoch: Epoch,
     renew_at: Moment,
     gossip_at: Moment,
-    join_at: Moment,
-    /// Join requests sent since the table last listed this daemon's member info.
-    join_attempts: u32,
+    join_schedule: JoinSchedule,
     query_at: Moment,
     lapsed_since: Moment,
     last_active: Moment,
@@ -111,8 +105,7 @@
             newest_assignment_epoch: Epoch::default(),
             renew_at: now,
             gossip_at: now,
-            join_at: now,
-            join_attempts: 0,
+            join_schedule: JoinSchedule::new(now),
             query_at: now,
             lapsed_since: now,
             last_active: now,
@@ -126,6 +119,22 @@
         &self.table
     }
 
+    /// Returns the rules that decide what the daemon may serve, with its present state.
+    fn rules(&self) -> OwnershipRules<'_> {
+        OwnershipRules {
+            table: &self.table,
+            session: &self.session,
+            facts: &self.facts,
+            end_certificates: &self.end_certificates,
+            times: &self.times,
+        }
+    }
+
+    /// Returns the planning order of the members not known to have ended.
+    pub(crate) fn planning_order(&self) -> PlanningOrder<'_> {
+        PlanningOrder::new(&self.table, &self.end_certificates)
+    }
+
     /// Returns the session facts that the daemon knows.
     pub fn facts(&self) -> &SessionFacts {
         &self.facts
@@ -153,9 +162,7 @@
 
     /// Returns the time until which the daemon's session is live, or `None` if it has lapsed.
     pub fn live_until(&self, now: Moment) -> Option<Moment> {
-        let member = self.table.members.get(&self.session.id)?;
-        let until = self.session.live_until(&member.witnesses, &self.times)?;
-        (until > now).then_some(until)
+        self.rules().live_until(now)
     }
 
     /// Returns the latest end of any lease that the daemon's session has had, as far as it was recorded.
@@ -172,9 +179,9 @@
     /// planner.
     pub fn update_info(&mut self, now: Moment, change: impl FnOnce(&mut MemberInfo)) {
         change(&mut self.info);
-        self.join_attempts = 0;
         self.info.session = self.session.id;
-        self.join_at = now;
+        self.join_schedule.reset_attempts();
+        self.join_schedule.advance(now);
     }
 
     /// Records the version of the document now in force in this process.
@@ -196,8 +203,7 @@
             self.renew(now);
         }
         self.renew_unconfirmed(now);
-        if now >= self.join_at {
-            self.join_at = now + JOIN_INTERVAL;
+        if self.join_schedule.take_due(now) {
             self.send_join_request();
         }
         if now >= self.query_at {
@@ -264,7 +270,7 @@
         self.update_end_certificates(now);
         self.update_membership(now);
         self.held_tokens = self.keep_uninterrupted(now, before);
-        self.newest_assignment_epoch = self.newest_assignment_epoch();
+        self.newest_assignment_epoch = self.rules().newest_assignment_epoch();
         self.actions
             .push(OwnershipAction::TableAdopted(self.table.epoch));
         self.renew_unconfirmed(now);
@@ -276,9 +282,7 @@
         if epoch > self.table.epoch {
             return;
         }
-        let mut new_facts = SessionFacts::default();
-        new_facts.adopted.insert(self.session.id, epoch);
-        self.merge_facts(now, new_facts);
+        self.merge_facts(now, SessionFacts::from_adopted(self.session.id, epoch));
     }
 
     /// Raises the fencing tokens of all slices that this daemon serves from now on, after the
@@ -303,10 +307,8 @@
 
     /// Ends the daemon's own session and starts the next one.
     pub fn resign(&mut self, now: Moment) {
-        let old = self.session.id;
-        let mut new_facts = SessionFacts::default();
-        new_facts.resigned.insert(old, self.table.epoch);
-        self.merge_and_broadcast(new_facts);
+        let end = (self.session.id, self.table.epoch);
+        self.merge_and_broadcast(SessionFacts::from_resigned([end]));
         self.start_next_session(now);
         self.update_end_certificates(now);
     }
@@ -322,10 +324,7 @@
         let former = self.table.members.keys().filter(|s| s.instance != me);
         let former = former.filter(|s| self.table.peer(**s) == Some(peer));
         let ended = former.map(|&s| (s, self.table.epoch));
-        let new_facts = SessionFacts {
-            resigned: ended.collect(),
-            ..SessionFacts::default()
-        };
+        let new_facts = SessionFacts::from_resigned(ended);
         self.merge_facts(now, new_facts);
     }
 
@@ -360,39 +359,8 @@
         service: &ServiceName,
         slice: SliceId,
     ) -> Result<ServePermit, NotServing> {
-        let (rank, until) = self.check_ownership_rules(now, service, slice)?;
-        let assignment = self
-            .table
-            .assignment(service, slice)
-            .ok_or(NotServing::UnknownSlice)?;
-        let member = self
-            .table
-            .members
-            .get(&self.session.id)
-            .ok_or(NotServing::NotCandidate)?;
         let held = self.held_tokens.get(&(service.clone(), slice)).copied();
-        if self.session.confirmed(&member.witnesses) < assignment.since {
-            let token = held.ok_or(NotServing::EpochUnconfirmed)?;
-            return Ok(ServePermit {
-                slice,
-                token,
-                until,
-            });
-        }
-        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-        let incarnation = self.session.incarnation;
-        let token = FencingToken {
-            since: assignment.since,
-            rank,
-            incarnation,
-        };
-        // A table that assigns the slice at an earlier epoch must not lower the token.
-        let token = held.map_or(token, |h| h.max(token));
-        Ok(ServePermit {
-            slice,
-            token,
-            until,
-        })
+        self.rules().permit(now, service, slice, held)
     }
 
     /// Returns whether records handed over at `handover_epoch` are complete for a slice: each
@@ -403,19 +371,8 @@
         slice: SliceId,
         handover_epoch: Epoch,
     ) -> bool {
-        let Some(assignment) = self.table.assignment(service, slice) else {
-            return false;
-        };
-        let released = |(&s, former): (&SessionId, &FormerCandidate)| {
-            s == self.session.id
-                || former.predecessors.contains(&self.session.id)
-                || self.facts.adopted(s) >= former.release_epoch
-        };
-        let recent =
-            handover_epoch == assignment.since || handover_epoch == assignment.previous_since;
-        recent
-            && assignment.records_lost_at < handover_epoch
-            && assignment.former_candidates.iter().all(released)
+        self.rules()
+            .is_handover_complete(service, slice, handover_epoch)
     }
 
     /// Returns whether this daemon's session is the first candidate of a slice.
@@ -427,7 +384,7 @@
     /// Returns whether the ownership rules allow this daemon to serve a slice now, whether or not
     /// its witnesses have confirmed the epoch.
     pub fn may_serve(&self, now: Moment, service: &ServiceName, slice: SliceId) -> bool {
-        self.check_ownership_rules(now, service, slice).is_ok()
+        self.rules().check(now, service, slice).is_ok()
     }
 
     /// Returns the daemon that most likely serves `key`: the first candidate not known to have
@@ -453,55 +410,6 @@
         served.collect()
     }
 
-    /// Checks the ownership rules for a slice; returns this daemon's rank among the candidates and
-    /// when its lease expires.
-    fn check_ownership_rules(
-        &self,
-        now: Moment,
-        service: &ServiceName,
-        slice: SliceId,
-    ) -> Result<(usize, Moment), NotServing> {
-        let assignment = self
-            .table
-            .assignment(service, slice)
-            .ok_or(NotServing::UnknownSlice)?;
-        let rank = assignment
-            .rank(self.session.id)
-            .ok_or(NotServing::NotCandidate)?;
-        let until = self.live_until(now).ok_or(NotServing::LeaseLapsed)?;
-        if !assignment.candidates[..rank]
-            .iter()
-            .all(|&s| self.has_ended_by_adopted_epoch(s))
-        {
-            return Err(NotServing::NotFirst);
-        }
-        if !assignment
-            .former_candidates
-            .iter()
-            .all(|(&s, former)| self.has_released(s, former))
-        {
-            return Err(NotServing::NotReleased);
-        }
-        Ok((rank, until))
-    }
-
-    /// Returns whether `session` is known to have ended without using an epoch newer than the
-    /// adopted one.
-    fn has_ended_by_adopted_epoch(&self, session: SessionId) -> bool {
-        self.end_certificates
-            .get(&session)
-            .is_some_and(|&epoch| epoch <= self.table.epoch)
-    }
-
-    /// Returns whether `session` has released the slice, or cannot serve it while this daemon is
-    /// live.
-    fn has_released(&self, session: SessionId, former: &FormerCandidate) -> bool {
-        session == self.session.id
-            || former.predecessors.contains(&self.session.id)
-            || self.facts.adopted(session) >= former.release_epoch
-            || self.has_ended_by_adopted_epoch(session)
-    }
-
     /// Returns the entries of `before` that this daemon still serves without interruption under the
     /// present table.
     fn keep_uninterrupted(
@@ -509,12 +417,10 @@
         now: Moment,
         before: BTreeMap<(ServiceName, SliceId), FencingToken>,
     ) -> BTreeMap<(ServiceName, SliceId), FencingToken> {
-        let is_allowed = |(service, slice): &(ServiceName, SliceId)| {
-            self.check_ownership_rules(now, service, *slice).is_ok()
-        };
+        let rules = self.rules();
         before
             .into_iter()
-            .filter(|(service_slice, _)| is_allowed(service_slice))
+            .filter(|((service, slice), _)| rules.check(now, service, *slice).is_ok())
             .collect()
     }
 
@@ -530,13 +436,8 @@
 
     fn announce_expired_sessions(&mut self, now: Moment) {
         let me = self.info.session.instance;
-        let mut new_facts = SessionFacts::default();
-        for (session, epoch) in self.witness.expire(now, &self.times) {
-            new_facts
-                .ended
-                .insert(session, BTreeMap::from([(me, epoch)]));
-        }
-        self.merge_facts(now, new_facts);
+        let expired = self.witness.expire(now, &self.times);
+        self.merge_facts(now, SessionFacts::from_ended(me, expired));
     }
 
     /// Records when the present lease ends, before it can be shortened.
@@ -593,14 +494,6 @@
         }
     }
 
-    /// Returns the latest epoch that assigned the present candidates to a slice of which this
-    /// daemon is a candidate.
-    fn newest_assignment_epoch(&self) -> Epoch {
-        let mine = self.table.assignments().map(|(_, _, a)| a);
-        let mine = mine.filter(|a| a.rank(self.session.id).is_some());
-        mine.map(|a| a.since).max().unwrap_or_default()
-    }
-
     /// Sends renewals to the witnesses for which `selected` holds; grants the renewal locally if
     /// this daemon is one of them.
     fn send_renewals(&mut self, now: Moment, selected: impl Fn(&OwnSession, InstanceId) -> bool) {
@@ -700,14 +593,7 @@
         }
         let confirmed = self.session.confirmed(&member.witnesses);
         if confirmed > self.facts.confirmed(session) {
-            let confirmed = BTreeMap::from([(session, confirmed)]);
-            self.merge_facts(
-                now,
-                SessionFacts {
-                    confirmed,
-                    ..SessionFacts::default()
-                },
-            );
+            self.merge_facts(now, SessionFacts::from_confirmed(session, confirmed));
         }
     }
 
@@ -726,10 +612,7 @@
         if facts.is_empty() {
             return;
         }
-        let resignations = SessionFacts {
-            resigned: self.merge_known(facts).resigned,
-            ..SessionFacts::default()
-        };
+        let resignations = SessionFacts::from_resigned(self.merge_known(facts).resigned);
         if !resignations.is_empty() {
             let peers = self.other_peers().into_iter();
             for peer in peers.sample(&mut self.rng, FORWARD_PEERS) {
@@ -754,16 +637,8 @@
     fn merge_and_broadcast(&mut self, facts: SessionFacts) {
         let me = self.info.session.instance;
         let new_facts = self.merge_known(facts);
-        let progress = SessionFacts {
-            adopted: facts_of_instance(new_facts.adopted, me),
-            confirmed: facts_of_instance(new_facts.confirmed, me),
-            ..SessionFacts::default()
-        };
-        let ends = SessionFacts {
-            ended: statements_by(new_facts.ended, me),
-            resigned: new_facts.resigned,
-            ..SessionFacts::default()
-        };
+        let progress = new_facts.progress_of(me);
+        let ends = new_facts.ends_stated_by(me);
         if !progress.is_empty() {
             for peer in self.peers_awaiting_release() {
                 self.send(peer, Message::Facts(progress.clone()));
@@ -833,7 +708,7 @@
         self.info.session = next;
         self.joined = false;
         self.held_tokens.clear();
-        self.join_at = now;
+        self.join_schedule.advance(now);
         self.actions.push(OwnershipAction::LeaseLapsed);
         self.actions.push(OwnershipAction::SessionEnded(old));
     }
@@ -841,15 +716,15 @@
     fn send_join_request(&mut self) {
         let listed = self.table.members.get(&self.session.id);
         if listed.is_some_and(|m| m.info == self.info) {
-            self.join_attempts = 0;
+            self.join_schedule.reset_attempts();
             return;
         }
-        // That a former process at this address is gone may change who plans, so all must know.
-        let is_successor = self.join_attempts == 0 && !self.former_sessions().is_empty();
-        self.join_attempts += 1;
-        let peers = match is_successor || self.join_attempts.is_multiple_of(JOIN_BROADCAST_EVERY) {
-            true => self.other_peers(),
-            false => self.likely_planners(),
+        let is_successor = !self.former_sessions().is_empty();
+        let peers = match self.join_schedule.begin_attempt(is_successor) {
+            JoinRecipients::All => self.other_peers(),
+            JoinRecipients::LikelyPlanners => self
+                .planning_order()
+                .first_peers(LIKELY_PLANNERS, self.info.peer),
         };
         for peer in peers {
             let request = JoinRequest {
@@ -860,55 +735,16 @@
         }
     }
 
-    /// Returns the addresses of the members that come first in the planning order.
-    fn likely_planners(&self) -> Vec<SocketAddr> {
-        let members = self.table.members.iter();
-        let live = members.filter(|(s, _)| !self.end_certificates.contains_key(s));
-        let mut order: Vec<_> = live
-            .map(|(_, m)| {
-                (
-                    PlannerPriority::new(&self.table, &m.info, false),
-                    m.info.peer,
-                )
-            })
-            .filter(|(_, peer)| *peer != self.info.peer)
-            .collect();
-        order.sort_unstable();
-        order.truncate(LIKELY_PLANNERS);
-        order.into_iter().map(|(_, peer)| peer).collect()
-    }
-
     /// Returns how many live members of this daemon's failure domain come before it in the planning
     /// order, or `None` if it is no member.
     pub fn domain_position(&self) -> Option<usize> {
-        let own = self.table.members.get(&self.session.id)?;
-        let own_priority = PlannerPriority::new(&self.table, &own.info, false);
-        let others = self.table.members.iter().filter(|(s, m)| {
-            m.info.domain == own.info.domain && !self.end_certificates.contains_key(s)
-        });
-        let before = others
-            .filter(|(_, m)| PlannerPriority::new(&self.table, &m.info, false) < own_priority);
-        Some(before.count())
+        self.planning_order().domain_position(self.session.id)
     }
 
     /// Queries the adopted epoch of the former candidates whose release this daemon waits for.
     fn query_former_candidates(&mut self, now: Moment) {
-        let mut waited_for = BTreeSet::new();
-        for (service, slice, assignment) in self.table.assignments() {
-            let mine = assignment.rank(self.session.id).is_some();
-            if mine
-                && self.check_ownership_rules(now, service, slice) == Err(NotServing::NotReleased)
-            {
-                let mut former = assignment.former_candidates.iter();
-                waited_for.extend(
-                    former
-                        .by_ref()
-                        .filter(|(s, f)| !self.has_released(**s, f))
-                        .map(|(s, _)| *s),
-                );
-            }
-        }
-        let peers: Vec<_> = waited_for
+        let unreleased = self.rules().unreleased_former_candidates(now);
+        let peers: Vec<_> = unreleased
             .iter()
             .filter_map(|&s| self.table.peer(s))
             .collect();
@@ -922,14 +758,8 @@
         let Some(&epoch) = self.facts.adopted.get(&session) else {
             return;
         };
-        let adopted = BTreeMap::from([(session, epoch)]);
-        self.send(
-            to,
-            Message::Facts(SessionFacts {
-                adopted,
-                ..SessionFacts::default()
-            }),
-        );
+        let adopted = SessionFacts::from_adopted(session, epoch);
+        self.send(to, Message::Facts(adopted));
     }
 
     fn gossip_facts(&mut self) {
@@ -988,28 +818,3 @@
         self.actions.push(OwnershipAction::Send { to, datagram });
     }
 }
-
-/// Returns the entries of the sessions of `instance`.
-fn facts_of_instance(
-    epochs: BTreeMap<SessionId, Epoch>,
-    instance: InstanceId,
-) -> BTreeMap<SessionId, Epoch> {
-    epochs
-        .into_iter()
-        .filter(|(s, _)| s.instance == instance)
-        .collect()
-}
-
-/// Returns the end statements made by `witness`.
-fn statements_by(
-    ended: BTreeMap<SessionId, BTreeMap<InstanceId, Epoch>>,
-    witness: InstanceId,
-) -> BTreeMap<SessionId, BTreeMap<InstanceId, Epoch>> {
-    let own = |by: BTreeMap<InstanceId, Epoch>| {
-        by.into_iter()
-            .filter(|(i, _)| *i == witness)
-            .collect::<BTreeMap<_, _>>()
-    };
-    let kept = ended.into_iter().map(|(s, by)| (s, own(by)));
-    kept.filter(|(_, by)| !by.is_empty()).collect()
-}
--- a/src/process/session_facts.rs
+++ b/src/process/session_facts.rs
@@ -25,6 +25,63 @@
 }
 
 impl SessionFacts {
+    /// Creates the fact that `session` has adopted `epoch`.
+    pub fn from_adopted(session: SessionId, epoch: Epoch) -> Self {
+        Self {
+            adopted: BTreeMap::from([(session, epoch)]),
+            ..Self::default()
+        }
+    }
+
+    /// Creates the fact that the witnesses of `session` have confirmed `epoch`.
+    pub fn from_confirmed(session: SessionId, epoch: Epoch) -> Self {
+        Self {
+            confirmed: BTreeMap::from([(session, epoch)]),
+            ..Self::default()
+        }
+    }
+
+    /// Creates the end statements of `witness` about sessions, each with the highest epoch that it
+    /// had granted.
+    pub fn from_ended(
+        witness: InstanceId,
+        ended: impl IntoIterator<Item = (SessionId, Epoch)>,
+    ) -> Self {
+        let ended = ended.into_iter();
+        let statements = ended.map(|(s, epoch)| (s, BTreeMap::from([(witness, epoch)])));
+        Self {
+            ended: statements.collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Creates the announcements that sessions have ended, each with its last epoch.
+    pub fn from_resigned(resigned: impl IntoIterator<Item = (SessionId, Epoch)>) -> Self {
+        Self {
+            resigned: resigned.into_iter().collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Returns the adopted and confirmed epochs of the sessions of `instance`.
+    pub fn progress_of(&self, instance: InstanceId) -> Self {
+        Self {
+            adopted: entries_of(&self.adopted, instance),
+            confirmed: entries_of(&self.confirmed, instance),
+            ..Self::default()
+        }
+    }
+
+    /// Returns the end statements made by `witness`, and all announcements that sessions have ended.
+    pub fn ends_stated_by(&self, witness: InstanceId) -> Self {
+        let ended = self.ended.iter();
+        let stated = ended.filter_map(|(&s, by)| Some((s, *by.get(&witness)?)));
+        Self {
+            resigned: self.resigned.clone(),
+            ..Self::from_ended(witness, stated)
+        }
+    }
+
     /// Returns whether there are no facts.
     pub fn is_empty(&self) -> bool {
         self.adopted.is_empty()
@@ -113,6 +170,15 @@
     }
 }
 
+/// Returns the entries of the sessions of `instance`.
+fn entries_of(
+    epochs: &BTreeMap<SessionId, Epoch>,
+    instance: InstanceId,
+) -> BTreeMap<SessionId, Epoch> {
+    let own = epochs.iter().filter(|(s, _)| s.instance == instance);
+    own.map(|(&s, &epoch)| (s, epoch)).collect()
+}
+
 /// Raises the entries of `known` to the accepted ones of `other`; adds the raised ones to
 /// `new_facts`.
 fn raise_entries(
