Split the watches, the routing values and the table planner from the store sync

Change: store_watch.rs reads and watches the keys with a prefix, routing_values.rs has the operators' values, stored_cell.rs and stored_table.rs the table and the join requests in the store, and table_planner.rs writes tables and join requests. The store sync decides which daemons watch. No behaviour, log line or bound changed.

--- a/src/process/host/departure_store.rs
+++ b/src/process/host/departure_store.rs
@@ -7,7 +7,7 @@
 use crate::process::host::departures::DepartedProcess;
 use crate::process::host::host_context::HostContext;
 use crate::process::host::store_health::StoreHealth;
-use crate::process::host::store_sync::{self, RETRY_DELAY};
+use crate::process::host::store_watch::{self, RETRY_DELAY};
 use crate::process::platform::Revision;
 use crate::process::stop_flag::StopFlag;
 use crate::process::store::{
@@ -84,7 +84,7 @@
     /// Reads the departures in the store and adds them to those of this process.
     fn read(&self) -> Result<StoredDepartures, StoreError> {
         let range = self.store.range(&self.key)?;
-        store_sync::log_unreadable(CALLS, &range.unreadable);
+        store_watch::log_unreadable(CALLS, &range.unreadable);
         let is_unreadable = range.may_hide(&self.key);
         let item = range.items.into_iter().find(|item| item.key == self.key);
         let revision = item.as_ref().map(|item| item.revision);
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -18,7 +18,11 @@
 //! | `key_releaser` | calls that release keys, and their handover to the next owner |
 //! | [`owned_range`] | arithmetic on key ranges, and the fencing tokens of grants |
 //! | [`load_meter`] | load that each key range puts on the local upstream |
-//! | [`store_sync`] | routing and table in force, and writes of the next table |
+//! | [`store_sync`] | routing and table in force, and which daemons watch the store |
+//! | `store_watch` | reads and watches of the keys with one prefix |
+//! | `routing_values` | operators' routing values in the store |
+//! | `stored_cell`, `stored_table` | table and join requests in the store, and who plans |
+//! | `table_planner` | writes of the next table and of join requests |
 //! | `store_health` | log lines when the store fails and when it works again |
 //! | [`body_reservations`] | how many large bodies may be on their way to this host |
 //! | [`grant_wait`] | how long a request waits for a moving key |
@@ -54,9 +58,14 @@
 pub mod recent_requests;
 mod request_progress;
 pub mod retry_budget_share;
+mod routing_values;
 pub mod service;
 pub mod stop_schedule;
 mod store_health;
 pub mod store_sync;
+mod store_watch;
+mod stored_cell;
+mod stored_table;
+mod table_planner;
 pub mod token_holder;
 pub mod upstream_selector;
