Split forwarding, responses, budgets, target selection and the log line from the host's router

Change: request_forwarder.rs sends requests to other daemons, response_builder.rs builds responses, retry_budgets.rs has the shares of the retry budgets, target_selector.rs selects among a route's targets, and request_log.rs logs finished requests. The router decides where a request is sent and what is retried. No behaviour, log line or bound changed.

--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -1,8 +1,6 @@
 //! Routes callers' requests to upstreams, and turns the outcomes into responses.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, OnceLock};
 use std::thread;
 use std::time::Duration;
 
@@ -11,32 +9,33 @@
     HttpRequest, HttpResponse, ListenerHandler, ListenerLimits,
 };
 use crate::connection::http1::RequestHead;
-use crate::connection::peer_error::PeerError;
-use crate::connection::peer_message::{PeerReply, PeerRequest};
-use crate::connection::peer_pool::{PeerCallReply, PeerPool};
+use crate::connection::peer_pool::PeerPool;
 use crate::connection::protocol::CallerProtocol;
 use crate::connection::recipient::Recipient;
 use crate::process::clock::Clock;
 use crate::process::host::host_dispatcher::HostDispatcher;
+use crate::process::host::request_forwarder::RequestForwarder;
+use crate::process::host::request_log;
 use crate::process::host::request_progress::{OWNER_RETRY_AFTER, RequestProgress, RequestTrace};
-use crate::process::host::retry_budget_share::{RetryBudgetConfig, RetryBudgetShare};
+use crate::process::host::response_builder::ResponseBuilder;
+use crate::process::host::retry_budget_share::RetryBudgetConfig;
+use crate::process::host::retry_budgets::RetryBudgets;
 use crate::process::host::stop_schedule::StopSchedule;
+use crate::process::host::target_selector::TargetSelector;
 use crate::process::host::upstream_selector::{AttemptOutcome, UpstreamSelector};
 use crate::process::membership::Membership;
 use crate::process::metrics::Metrics;
 use crate::process::moment::Moment;
 use crate::process::stop_flag::StopFlag;
-use crate::process::sync;
 use crate::request::body::Body;
 use crate::request::outcome::Outcome;
-use crate::request::upstream_load::UpstreamLoad;
 use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 use crate::request::upstream_request::UpstreamRequest;
 use crate::version::domain_name::DomainName;
 use crate::version::instance_id::InstanceId;
 use crate::version::key_hash::KeyHash;
 use crate::version::member::Member;
-use crate::version::routing_config::{RouteRule, RouteTarget, RoutingConfig};
+use crate::version::routing_config::{RouteRule, RoutingConfig};
 use crate::version::service_name::ServiceName;
 
 /// Timeout of a request whose caller sets none.
@@ -45,17 +44,10 @@
 const CALLER_TIMEOUT_MAX: Duration = Duration::from_secs(600);
 /// Longest time for receiving the body of a request, whatever the caller's timeout.
 const BODY_TIMEOUT_MAX: Duration = Duration::from_secs(30);
-/// Retry delay returned while the routing is unknown.
-const ROUTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry delay returned while too many requests are in progress on this host.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry delay returned while this process stops: other daemons can serve the request at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::ZERO;
-/// Timeout of the question whether another daemon has room for a large body.
-const RESERVATION_TIMEOUT: Duration = Duration::from_millis(400);
-/// How much longer than the request's time left this daemon waits for another daemon, which reports
-/// a timeout when the request's time runs out there.
-const OUTCOME_GRACE: Duration = Duration::from_millis(60);
 
 /// Dependencies of a [`HostRouter`].
 pub struct HostRouterDeps {
@@ -89,19 +81,23 @@
 pub struct HostRouter {
     deps: HostRouterDeps,
     selector: UpstreamSelector,
-    retry_budgets: Mutex<HashMap<ServiceName, RetryBudgetShare>>,
-    /// Credits of each route's targets, by route name, for smooth weighted round-robin.
-    target_credits: Mutex<HashMap<String, Vec<i64>>>,
+    target_selector: TargetSelector,
+    retry_budgets: RetryBudgets,
+    forwarder: RequestForwarder,
+    responses: ResponseBuilder,
 }
 
 impl HostRouter {
     /// Creates a router without observations of upstreams.
     pub fn new(deps: HostRouterDeps) -> Self {
+        let (membership, peers) = (Arc::clone(&deps.membership), Arc::clone(&deps.peers));
         Self {
-            deps,
             selector: UpstreamSelector::default(),
-            retry_budgets: Mutex::default(),
-            target_credits: Mutex::default(),
+            target_selector: TargetSelector::default(),
+            retry_budgets: RetryBudgets::new(deps.retry_budget),
+            forwarder: RequestForwarder::new(membership, peers),
+            responses: ResponseBuilder::new(Arc::clone(&deps.protocol)),
+            deps,
         }
     }
 
@@ -120,9 +116,7 @@
         recipient: &Recipient,
     ) -> (UpstreamOutcome, RequestTrace) {
         let now = self.deps.clock.now();
-        self.with_retry_budget(&request.service, |share, config| {
-            share.record_request(now, config)
-        });
+        self.retry_budgets.record_request(now, &request.service);
         let mut progress = RequestProgress::new(now, request, rule.attempts);
         if self.stops_before(now + request.remaining) {
             let refusal = UpstreamOutcome::not_run(NotRunCause::Stopping, STOPPING_RETRY_AFTER);
@@ -303,101 +297,13 @@
                 let (outcome, load) = self.deps.dispatcher.dispatch(request, recipient);
                 (outcome, Some(load))
             }
-            false => self.forward(member, request, recipient),
+            false => self.forwarder.forward(member, request, recipient),
         };
         progress.trace.load = load;
         progress.record(&outcome);
         outcome
     }
 
-    /// Sends a request to the daemon `member`.
-    fn forward(
-        &self,
-        member: &Member,
-        request: &UpstreamRequest,
-        recipient: &Recipient,
-    ) -> (UpstreamOutcome, Option<UpstreamLoad>) {
-        let session = member.info.session;
-        let message = PeerRequest::Dispatch {
-            instance: session.instance,
-            request: Box::new(request.clone()),
-        };
-        let address = member.info.peer;
-        if message.has_large_body()
-            && let Err(refusal) = self.reserve_body(address, session.instance, request, recipient)
-        {
-            return refusal;
-        }
-        let timeout = request.remaining + OUTCOME_GRACE;
-        let has_ended = || {
-            self.deps
-                .membership
-                .with_ownership(|o, _| o.has_ended(session))
-        };
-        let outcome = match self
-            .deps
-            .peers
-            .call(address, &message, timeout, recipient, has_ended)
-        {
-            Ok(reply) => return reply.into_outcome(),
-            Err(PeerError::RecipientDisconnected) => UpstreamOutcome::unknown("the caller left"),
-            Err(e) => {
-                let sent = !e.is_unsent();
-                tracing::info!(event = "hop-failed", request = %request.id, to = %address, sent, error = %e);
-                match sent {
-                    true => {
-                        UpstreamOutcome::unknown(format!("the daemon beside the upstream: {e}"))
-                    }
-                    false => UpstreamOutcome::not_run(NotRunCause::Unreachable, OWNER_RETRY_AFTER),
-                }
-            }
-        };
-        (outcome, None)
-    }
-
-    /// Asks the daemon at `address` whether it has room for the request's large body.
-    ///
-    /// # Errors
-    ///
-    /// Returns the outcome if the body must not be sent now.
-    fn reserve_body(
-        &self,
-        address: SocketAddr,
-        instance: InstanceId,
-        request: &UpstreamRequest,
-        recipient: &Recipient,
-    ) -> Result<(), (UpstreamOutcome, Option<UpstreamLoad>)> {
-        let reservation = PeerRequest::ReserveBody {
-            instance,
-            id: request.id.clone(),
-            attempt: request.attempt,
-            bytes: request.body.0.len(),
-        };
-        let timeout = request.remaining.min(RESERVATION_TIMEOUT);
-        let called = self
-            .deps
-            .peers
-            .call(address, &reservation, timeout, recipient, || false);
-        match called {
-            Ok(called) if called.reply == PeerReply::Accepted => Ok(()),
-            // No copy of the request itself was sent.
-            Ok(called) => Err(PeerCallReply {
-                resent: false,
-                ..called
-            }
-            .into_outcome()),
-            Err(PeerError::RecipientDisconnected) => Err((
-                UpstreamOutcome::not_run(NotRunCause::CallerLeft, OWNER_RETRY_AFTER),
-                None,
-            )),
-            Err(e) => {
-                tracing::info!(event = "hop-failed", request = %request.id, to = %address, sent = false, error = %e);
-                let outcome = UpstreamOutcome::not_run(NotRunCause::Unreachable, OWNER_RETRY_AFTER);
-                Err((outcome, None))
-            }
-        }
-    }
-
     /// Sleeps before another attempt; returns `false` at once if none is worthwhile.
     fn pause(
         &self,
@@ -418,44 +324,15 @@
     fn withdraw_retry(&self, request: &UpstreamRequest) -> bool {
         let now = self.deps.clock.now();
         let daemons = self.deps.membership.table().members.len();
-        let allowed = self.with_retry_budget(&request.service, |share, config| {
-            share.try_withdraw(now, config, daemons)
-        });
+        let allowed = self
+            .retry_budgets
+            .try_withdraw(now, &request.service, daemons);
         if allowed {
             self.deps.metrics.record_retry();
         }
         allowed
     }
 
-    fn with_retry_budget<R>(
-        &self,
-        service: &ServiceName,
-        f: impl FnOnce(&mut RetryBudgetShare, &RetryBudgetConfig) -> R,
-    ) -> R {
-        let mut retry_budgets = sync::lock(&self.retry_budgets);
-        f(
-            retry_budgets.entry(service.clone()).or_default(),
-            &self.deps.retry_budget,
-        )
-    }
-
-    /// Chooses the target of a request by smooth weighted round-robin.
-    fn choose_target<'t>(&self, rule: &'t RouteRule) -> Option<&'t RouteTarget> {
-        if rule.targets.len() < 2 {
-            return rule.targets.first();
-        }
-        let mut target_credits = sync::lock(&self.target_credits);
-        let credits = target_credits.entry(rule.name.clone()).or_default();
-        credits.resize(rule.targets.len(), 0);
-        let total: i64 = rule.targets.iter().map(|t| i64::from(t.weight)).sum();
-        for (credit, target) in credits.iter_mut().zip(&rule.targets) {
-            *credit += i64::from(target.weight);
-        }
-        let best = (0..credits.len()).max_by_key(|&i| credits[i])?;
-        credits[best] -= total;
-        rule.targets.get(best)
-    }
-
     /// Builds the upstream request for a caller's request.
     ///
     /// # Errors
@@ -478,7 +355,7 @@
             tracing::info!(event = "request", request = %id, status = 404, version = %routing.version, cause = "no-route");
             return Err(HttpResponse::text(404, "no route\n"));
         };
-        let Some(target) = self.choose_target(rule) else {
+        let Some(target) = self.target_selector.select(rule) else {
             return Err(HttpResponse::text(503, "the route has no target\n"));
         };
         let elapsed = http_request.received_at.elapsed();
@@ -516,40 +393,6 @@
         };
         self.deps.metrics.record_request(service, metric, duration);
     }
-
-    /// Builds the response to the caller from an outcome.
-    fn build_response(&self, id: &str, outcome: UpstreamOutcome) -> HttpResponse {
-        let mut response = match outcome {
-            UpstreamOutcome::Ran(upstream) => {
-                return HttpResponse {
-                    status: upstream.status,
-                    headers: upstream.headers,
-                    body: upstream.body.0,
-                    close_without_response: false,
-                };
-            }
-            UpstreamOutcome::NotRun {
-                cause: NotRunCause::CallerLeft,
-                ..
-            } => HttpResponse {
-                close_without_response: true,
-                ..HttpResponse::default()
-            },
-            UpstreamOutcome::NotRun { cause, retry_after } => {
-                let mut response = HttpResponse::text(503, format!("not run: {cause}\n"));
-                let (name, value) = self.deps.protocol.retry_after_header(retry_after);
-                response.headers.push(name, value);
-                response
-            }
-            UpstreamOutcome::Unknown { reason, timed_out } => {
-                let status = if timed_out { 504 } else { 502 };
-                HttpResponse::text(status, format!("may have run: {reason}\n"))
-            }
-        };
-        let (name, value) = self.deps.protocol.request_id_header(id);
-        response.headers.push(name, value);
-        response
-    }
 }
 
 impl ListenerHandler for HostRouter {
@@ -575,10 +418,7 @@
     fn handle(&self, http_request: HttpRequest, recipient: &Recipient) -> HttpResponse {
         let active = self.deps.membership.active_configuration();
         let Some(routing) = &active.routing_config else {
-            let mut response = HttpResponse::text(503, "not run: the routing is not known yet\n");
-            let (name, value) = self.deps.protocol.retry_after_header(ROUTING_RETRY_AFTER);
-            response.headers.push(name, value);
-            return response;
+            return self.responses.routing_unknown();
         };
         let started = self.deps.clock.now();
         let queued = http_request.received_at.elapsed();
@@ -590,8 +430,8 @@
         trace.queued = queued;
         let duration = self.deps.clock.now().since(started);
         self.record_metrics(&request.service, &outcome, duration);
-        log_request(&request, &rule, routing, &outcome, &trace, duration);
-        self.build_response(&request.id, outcome)
+        request_log::log_request(&request, &rule, routing, &outcome, &trace, duration);
+        self.responses.build(&request.id, outcome)
     }
 
     fn error_response(&self, error: &ConnectionError) -> HttpResponse {
@@ -613,7 +453,7 @@
             request = id,
             error = "too many requests are in progress"
         );
-        self.build_response(
+        self.responses.build(
             &id.unwrap_or_default(),
             UpstreamOutcome::not_run(NotRunCause::Overloaded, OVERLOAD_RETRY_AFTER),
         )
@@ -624,46 +464,6 @@
     }
 }
 
-/// Logs a finished request.
-fn log_request(
-    request: &UpstreamRequest,
-    rule: &RouteRule,
-    routing: &RoutingConfig,
-    outcome: &UpstreamOutcome,
-    trace: &RequestTrace,
-    duration: Duration,
-) {
-    let (label, cause, status) = match outcome {
-        UpstreamOutcome::Ran(r) => ("ran", String::new(), r.status),
-        UpstreamOutcome::NotRun { cause, .. } => ("not-run", cause.to_string(), 503),
-        UpstreamOutcome::Unknown { reason, timed_out } => (
-            "unknown",
-            reason.clone(),
-            if *timed_out { 504 } else { 502 },
-        ),
-    };
-    let upstream = trace.upstream_daemon.map(|i| i.to_string());
-    tracing::info!(
-        event = "request",
-        request = %request.id,
-        service = %request.service,
-        route = rule.name,
-        key = request.key.map(|k| k.0),
-        version = %routing.version,
-        outcome = label,
-        cause,
-        status,
-        tries = trace.attempts,
-        upstream,
-        queued_ms = trace.queued.as_millis() as u64,
-        waited_ms = trace.load.map(|l| l.waited_ms),
-        ran_ms = trace.load.map(|l| l.ran_ms),
-        in_flight = trace.load.map(|l| l.in_flight),
-        waiting = trace.load.map(|l| l.waiting),
-        ms = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX),
-    );
-}
-
 /// Turns "not run" into "may have run" if an earlier attempt may have run.
 fn account_for_earlier_attempts(outcome: UpstreamOutcome, may_have_run: bool) -> UpstreamOutcome {
     match outcome {
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -4,7 +4,11 @@
 //! | module | responsibility |
 //! |---|---|
 //! | [`host_router`] | where a request is sent, its retries, and the response to its caller |
+//! | `request_forwarder` | requests to the daemons beside other upstreams |
 //! | `request_progress` | how long a request waits, and whether it may have run |
+//! | `request_log` | log lines of finished requests |
+//! | `response_builder` | responses to callers |
+//! | `target_selector` | which of a route's weighted targets gets a request |
 //! | [`upstream_selector`] | which of several equivalent upstreams gets a request |
 //! | [`host_dispatcher`] | whether and when a request is sent to the local upstream |
 //! | [`admission`] | concurrency limit, queue order and pacing of the local upstream |
@@ -27,7 +31,7 @@
 //! | [`body_reservations`] | how many large bodies may be on their way to this host |
 //! | [`grant_wait`] | how long a request waits for a moving key |
 //! | [`recent_requests`] | duplicates of requests from other daemons |
-//! | [`retry_budget_share`] | how many retries this daemon may send |
+//! | [`retry_budget_share`], `retry_budgets` | how many retries this daemon may send, of one service and of all |
 //! | [`metered_store`] | metrics of store calls |
 //! | [`endpoints`] | HTTP endpoints for readiness, metrics and upstream reports |
 //! | [`host_context`] | state that the threads share, and requests of other daemons |
@@ -56,8 +60,12 @@
 pub mod metered_store;
 pub mod owned_range;
 pub mod recent_requests;
+mod request_forwarder;
+mod request_log;
 mod request_progress;
+mod response_builder;
 pub mod retry_budget_share;
+mod retry_budgets;
 mod routing_values;
 pub mod service;
 pub mod stop_schedule;
@@ -67,5 +75,6 @@
 mod stored_cell;
 mod stored_table;
 mod table_planner;
+mod target_selector;
 pub mod token_holder;
 pub mod upstream_selector;
--- /dev/null
+++ b/src/process/host/response_builder.rs
@@ -0,0 +1,68 @@
+//! Builds the responses to callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::connection::http_listener::HttpResponse;
+use crate::connection::protocol::CallerProtocol;
+use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
+
+/// Retry delay returned while the routing is unknown.
+const ROUTING_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Builder of responses in the protocol of the callers.
+pub(super) struct ResponseBuilder {
+    protocol: Arc<dyn CallerProtocol>,
+}
+
+impl ResponseBuilder {
+    /// Creates a builder for `protocol`.
+    pub(super) fn new(protocol: Arc<dyn CallerProtocol>) -> Self {
+        Self { protocol }
+    }
+
+    /// Builds the response to a request that arrives before the routing is known.
+    pub(super) fn routing_unknown(&self) -> HttpResponse {
+        let mut response = HttpResponse::text(503, "not run: the routing is not known yet\n");
+        self.add_retry_after(&mut response, ROUTING_RETRY_AFTER);
+        response
+    }
+
+    /// Builds the response to the caller from an outcome.
+    pub(super) fn build(&self, id: &str, outcome: UpstreamOutcome) -> HttpResponse {
+        let mut response = match outcome {
+            UpstreamOutcome::Ran(upstream) => {
+                return HttpResponse {
+                    status: upstream.status,
+                    headers: upstream.headers,
+                    body: upstream.body.0,
+                    close_without_response: false,
+                };
+            }
+            UpstreamOutcome::NotRun {
+                cause: NotRunCause::CallerLeft,
+                ..
+            } => HttpResponse {
+                close_without_response: true,
+                ..HttpResponse::default()
+            },
+            UpstreamOutcome::NotRun { cause, retry_after } => {
+                let mut response = HttpResponse::text(503, format!("not run: {cause}\n"));
+                self.add_retry_after(&mut response, retry_after);
+                response
+            }
+            UpstreamOutcome::Unknown { reason, timed_out } => {
+                let status = if timed_out { 504 } else { 502 };
+                HttpResponse::text(status, format!("may have run: {reason}\n"))
+            }
+        };
+        let (name, value) = self.protocol.request_id_header(id);
+        response.headers.push(name, value);
+        response
+    }
+
+    fn add_retry_after(&self, response: &mut HttpResponse, delay: Duration) {
+        let (name, value) = self.protocol.retry_after_header(delay);
+        response.headers.push(name, value);
+    }
+}
