Split the events, the network and the platform from the simulation

Change: event.rs, release.rs and event_queue.rs have the scheduled events, network.rs the links, platform.rs the stored table, document and planner's lease, forged_datagram.rs what no correct daemon sends. A node records its own permits. The invariant checker and the recovery checks are unchanged. The other tests of the bench were not run.

--- a/crates/bench/src/explore/fault_injector.rs
+++ b/crates/bench/src/explore/fault_injector.rs
@@ -1,6 +1,5 @@
 //! Faults of a simulation.
 
-use foxtaildrift::version::document_version::DocumentVersion;
 use foxtaildrift::version::domain_state::DomainState;
 use rand::RngExt;
 
@@ -33,7 +32,7 @@
             0..=2 => Self::isolate(simulation, node),
             3 => Self::cut_one_way(simulation, node),
             4 => Self::partition_domain(simulation),
-            5..=7 => simulation.cut_links.clear(),
+            5..=7 => simulation.network.cut_links.clear(),
             8..=9 => {
                 let pause = simulation.rng.random_range(100 * MILLI..PAUSE_MAX);
                 simulation.nodes[node].paused_until = simulation.now + pause;
@@ -41,15 +40,18 @@
             10 => simulation.stop_node(node),
             11 => simulation.restart_node(node),
             12 => Self::start_stopped_nodes(simulation),
-            13 => simulation.platform_up = !simulation.platform_up,
+            13 => simulation.platform.is_up = !simulation.platform.is_up,
             14 => {
                 simulation.nodes[node].platform_link_up = !simulation.nodes[node].platform_link_up;
-                simulation.lose_platform_replies = simulation.rng.random_ratio(1, 2);
+                simulation.platform.loses_replies = simulation.rng.random_ratio(1, 2);
             }
             15 => simulation.begin_resignation(node),
             16..=17 => Self::change_document(simulation),
             18 => Self::toggle_upstream(simulation, node),
-            _ => simulation.datagram_loss_one_in = [0, 3, 10][simulation.rng.random_range(0..3)],
+            _ => {
+                simulation.network.datagram_loss_one_in =
+                    [0, 3, 10][simulation.rng.random_range(0..3)]
+            }
         }
         simulation.rng.random_range(10 * MILLI..FAULT_INTERVAL_MAX)
     }
@@ -62,7 +64,7 @@
         simulation.witness_schedule_step = (simulation.witness_schedule_step + 1) % 3;
         match simulation.witness_schedule_step {
             1 => {
-                simulation.platform_up = false;
+                simulation.platform.is_up = false;
                 Self::isolate(simulation, node);
                 simulation.isolated_owner = node;
                 OWNER_CUT_TIME
@@ -74,11 +76,11 @@
                 for witness in others.collect::<Vec<_>>() {
                     simulation.restart_node(witness);
                 }
-                simulation.cut_links.clear();
+                simulation.network.cut_links.clear();
                 OWNER_RETURN_TIME
             }
             _ => {
-                simulation.platform_up = true;
+                simulation.platform.is_up = true;
                 CELL_RECOVERY_TIME
             }
         }
@@ -86,17 +88,17 @@
 
     /// Repairs all faults.
     pub fn repair_all(simulation: &mut Simulation) {
-        simulation.cut_links.clear();
-        simulation.datagram_loss_one_in = 0;
-        simulation.platform_up = true;
-        simulation.lose_platform_replies = false;
+        simulation.network.cut_links.clear();
+        simulation.network.datagram_loss_one_in = 0;
+        simulation.platform.is_up = true;
+        simulation.platform.loses_replies = false;
         for number in 0..simulation.nodes.len() {
             simulation.nodes[number].paused_until = simulation.now;
             simulation.nodes[number].platform_link_up = true;
         }
         Self::start_stopped_nodes(simulation);
-        simulation.document.1.domains.clear();
-        simulation.document.0 = DocumentVersion(simulation.document.0.0 + 1);
+        simulation.platform.document.domains.clear();
+        simulation.platform.increment_document_version();
         for number in 0..simulation.nodes.len() {
             Self::set_upstream(simulation, number, true);
         }
@@ -104,8 +106,8 @@
 
     fn isolate(simulation: &mut Simulation, node: usize) {
         for other in (0..simulation.nodes.len()).filter(|&o| o != node) {
-            simulation.cut_links.insert((node, other));
-            simulation.cut_links.insert((other, node));
+            simulation.network.cut_links.insert((node, other));
+            simulation.network.cut_links.insert((other, node));
         }
     }
 
@@ -113,7 +115,7 @@
     fn cut_one_way(simulation: &mut Simulation, node: usize) {
         let outward = simulation.rng.random_ratio(1, 2);
         for other in (0..simulation.nodes.len()).filter(|&o| o != node) {
-            simulation.cut_links.insert(if outward {
+            simulation.network.cut_links.insert(if outward {
                 (node, other)
             } else {
                 (other, node)
@@ -129,7 +131,7 @@
         for a in 0..simulation.nodes.len() {
             for b in 0..simulation.nodes.len() {
                 if is_inside(simulation, a) != is_inside(simulation, b) {
-                    simulation.cut_links.insert((a, b));
+                    simulation.network.cut_links.insert((a, b));
                 }
             }
         }
@@ -154,8 +156,8 @@
         } else {
             DomainState::In
         };
-        simulation.document.1.domains.insert(name, state);
-        simulation.document.0 = DocumentVersion(simulation.document.0.0 + 1);
+        simulation.platform.document.domains.insert(name, state);
+        simulation.platform.increment_document_version();
     }
 
     fn toggle_upstream(simulation: &mut Simulation, node: usize) {
--- a/crates/bench/src/explore/mod.rs
+++ b/crates/bench/src/explore/mod.rs
@@ -8,9 +8,15 @@
 //! that a slice's fencing token only rises, and that adopted epochs and document versions never fall.
 //! At the end all faults are repaired, and every slice must be served.
 
+pub mod event;
+pub mod event_queue;
 pub mod fault_injector;
+pub mod forged_datagram;
 pub mod invariant_checker;
+pub mod network;
 pub mod node;
+pub mod platform;
+pub mod release;
 pub mod simulation;
 pub mod tamper;
 
--- a/crates/bench/src/explore/node.rs
+++ b/crates/bench/src/explore/node.rs
@@ -13,6 +13,7 @@
 use foxtaildrift::version::document_version::DocumentVersion;
 use foxtaildrift::version::epoch::Epoch;
 use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, MemberInfo, WEIGHT_FULL};
+use foxtaildrift::version::service_name::ServiceName;
 use foxtaildrift::version::session_id::SessionId;
 use foxtaildrift::version::slice_id::SliceId;
 use foxtaildrift::version::upstream::{Upstream, UpstreamBoot};
@@ -151,6 +152,48 @@
         self.last_versions = (Epoch::default(), DocumentVersion::default());
     }
 
+    /// Returns which of the first `slices` slices the process serves, each with the end of its
+    /// permit.
+    fn served_until(
+        &self,
+        at: Time,
+        service: &ServiceName,
+        slices: u64,
+    ) -> BTreeMap<SliceId, Moment> {
+        let now = self.clock.read(at);
+        let Some(ownership) = self.ownership.as_ref().filter(|_| !self.is_resigning) else {
+            return BTreeMap::new();
+        };
+        let served = (0..slices).map(SliceId).filter_map(|s| {
+            let permit = ownership.permit_for_slice(now, service, s).ok()?;
+            Some((s, permit.until))
+        });
+        served.collect()
+    }
+
+    /// Records the permits that the process may have given out by now. A later permit may end
+    /// earlier, if the witnesses change.
+    pub fn record_permits(&mut self, at: Time, service: &ServiceName, slices: u64) {
+        for (slice, until) in self.served_until(at, service, slices) {
+            let permitted_until = self.permits.entry(slice).or_default();
+            *permitted_until = until.max(*permitted_until);
+        }
+    }
+
+    /// Removes the permits of the slices that the process does not serve any more; returns those
+    /// that have not ended.
+    pub fn take_lost_permits(
+        &mut self,
+        at: Time,
+        service: &ServiceName,
+        slices: u64,
+    ) -> Vec<(SliceId, Moment)> {
+        let served = self.served_until(at, service, slices);
+        let now = self.clock.read(at);
+        let lost = self.permits.extract_if(.., |s, _| !served.contains_key(s));
+        lost.filter(|(_, until)| *until > now).collect()
+    }
+
     /// Returns whether work on a slice that the process no longer serves has not ended.
     pub fn has_unfinished_work(&self, at: Time) -> bool {
         let now = self.clock.read(at);
--- a/crates/bench/src/explore/simulation.rs
+++ b/crates/bench/src/explore/simulation.rs
@@ -1,7 +1,6 @@
-//! The virtual time, network and platform of a simulation.
+//! A simulated cell in virtual time: processes its events and checks the invariants after each.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,9 +13,7 @@
 use foxtaildrift::process::planner::{self, PlanInput};
 use foxtaildrift::process::platform::Revision;
 use foxtaildrift::process::release_tracker::ReleaseId;
-use foxtaildrift::process::session_facts::SessionFacts;
 use foxtaildrift::version::document::Document;
-use foxtaildrift::version::document_version::DocumentVersion;
 use foxtaildrift::version::epoch::Epoch;
 use foxtaildrift::version::instance_id::InstanceId;
 use foxtaildrift::version::service_name::ServiceName;
@@ -26,9 +23,15 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::explore::event::Event;
+use crate::explore::event_queue::EventQueue;
 use crate::explore::fault_injector::FaultInjector;
+use crate::explore::forged_datagram;
 use crate::explore::invariant_checker::InvariantChecker;
+use crate::explore::network::Network;
 use crate::explore::node::{HostClock, Node, UnfinishedWork};
+use crate::explore::platform::Platform;
+use crate::explore::release::Release;
 use crate::explore::tamper::Tamper;
 
 /// Virtual time, in microseconds.
@@ -75,60 +78,16 @@
     pub tamper: Tamper,
 }
 
-/// A scheduled event.
-#[derive(Clone, Debug)]
-enum Event {
-    Tick(usize),
-    Plan(usize),
-    WriteTable {
-        node: usize,
-        instance: InstanceId,
-        base: Revision,
-        table: Arc<Table>,
-        reply_lost: bool,
-    },
-    Deliver {
-        to: usize,
-        datagram: Box<Datagram>,
-    },
-    ReceiveTable {
-        to: usize,
-        table: Arc<Table>,
-    },
-    ReceiveDocumentVersion {
-        to: usize,
-        version: DocumentVersion,
-    },
-    BeginRelease(Release),
-    EndRelease(Release, ReleaseId),
-    InjectFault,
-}
-
-/// The release of the slices that a process has lost when it begins.
-#[derive(Clone, Copy, Debug)]
-struct Release {
-    node: usize,
-    instance: InstanceId,
-    /// The epoch of the table whose adoption started the release.
-    epoch: Epoch,
-}
-
 /// A simulated cell: daemons, network and platform.
 pub struct Simulation {
     /// The current virtual time.
     pub now: Time,
     /// The hosts with their daemons.
     pub nodes: Vec<Node>,
-    /// The links, as (sender, receiver), that drop all datagrams.
-    pub cut_links: HashSet<(usize, usize)>,
-    /// One in this number of datagrams is lost; none if zero.
-    pub datagram_loss_one_in: u32,
-    /// Whether the platform is available.
-    pub platform_up: bool,
-    /// Whether some replies of the platform are lost.
-    pub lose_platform_replies: bool,
-    /// The current document and its version.
-    pub document: (DocumentVersion, Document),
+    /// The network between the daemons.
+    pub network: Network,
+    /// The platform.
+    pub platform: Platform,
     /// The random number generator of all choices.
     pub rng: ChaCha8Rng,
     /// Whether further faults are injected.
@@ -140,17 +99,12 @@
     /// The daemon that the witness schedule isolates.
     pub isolated_owner: usize,
     service: ServiceName,
-    stored_table: (Revision, Arc<Table>),
-    planner_lease_holder: Option<usize>,
-    queue: BinaryHeap<Reverse<(Time, u64)>>,
-    events: HashMap<u64, Event>,
-    next_event_id: u64,
+    queue: EventQueue,
     steps: u64,
     checker: InvariantChecker,
     times: LeaseTimes,
     /// A release that was announced while work on one of its slices continued.
     early_announcement: Option<String>,
-    node_by_peer: BTreeMap<SocketAddr, usize>,
 }
 
 impl Simulation {
@@ -176,35 +130,22 @@
         };
         let text = format!("services: {{{SERVICE}: {{slices: {SLICES}}}}}");
         let document = Document::parse(&text).expect("the document is valid");
-        let node_by_peer = nodes
-            .iter()
-            .enumerate()
-            .map(|(n, node)| (node.peer, n))
-            .collect();
         let mut simulation = Self {
             now: 0,
+            network: Network::new(&nodes),
             nodes,
-            cut_links: HashSet::new(),
-            datagram_loss_one_in: 0,
-            platform_up: true,
-            lose_platform_replies: false,
-            document: (DocumentVersion(1), document),
+            platform: Platform::new(document),
             rng,
             faults_enabled: true,
             tamper: spec.tamper,
             witness_schedule_step: 0,
             isolated_owner: 0,
             service: SERVICE.parse().expect("valid name"),
-            stored_table: (Revision::default(), Arc::default()),
-            planner_lease_holder: None,
-            queue: BinaryHeap::new(),
-            events: HashMap::new(),
-            next_event_id: 0,
+            queue: EventQueue::default(),
             steps: 0,
             checker: InvariantChecker::default(),
             times,
             early_announcement: None,
-            node_by_peer,
         };
         for node in 0..count {
             simulation.start_node(node);
@@ -222,7 +163,7 @@
 
     /// Returns the epoch of the table that the platform stores.
     pub fn epoch(&self) -> u64 {
-        self.stored_table.1.epoch.0
+        self.platform.table.epoch.0
     }
 
     /// Returns how many times a slice got a new owner.
@@ -255,10 +196,7 @@
 
     /// Processes events up to and including the first one after `end`.
     fn run_until(&mut self, end: Time) -> Result<(), String> {
-        while let Some(Reverse((at, id))) = self.queue.pop() {
-            let Some(event) = self.events.remove(&id) else {
-                continue;
-            };
+        while let Some((at, event)) = self.queue.pop() {
             self.now = at;
             self.steps += 1;
             self.process_event(event);
@@ -289,7 +227,7 @@
                     ownership.map(|o| o.permit_for_slice(now, &self.service, slice).err())
                 });
                 let refusals: Vec<_> = refusals.collect();
-                let assignment = self.stored_table.1.assignment(&self.service, slice);
+                let assignment = self.platform.table.assignment(&self.service, slice);
                 return Err(format!(
                     "slice {slice} is not served: {refusals:?} {assignment:?}"
                 ));
@@ -347,10 +285,7 @@
 
     /// Schedules `event` after `delay`.
     fn schedule(&mut self, delay: Time, event: Event) {
-        self.next_event_id += 1;
-        self.events.insert(self.next_event_id, event);
-        self.queue
-            .push(Reverse((self.now + delay, self.next_event_id)));
+        self.queue.push(self.now + delay, event);
     }
 
     fn process_event(&mut self, event: Event) {
@@ -413,7 +348,7 @@
             return;
         }
         let now = self.nodes[number].clock.read(self.now);
-        self.record_permits(number);
+        self.nodes[number].record_permits(self.now, &self.service, SLICES);
         let Some(ownership) = &mut self.nodes[number].ownership else {
             return;
         };
@@ -428,39 +363,11 @@
         }
     }
 
-    /// Returns the slices that a daemon serves, each with the end of its permit.
-    fn served_until(&self, number: usize) -> BTreeMap<SliceId, Moment> {
-        let node = &self.nodes[number];
-        let now = node.clock.read(self.now);
-        let Some(ownership) = node.ownership.as_ref().filter(|_| !node.is_resigning) else {
-            return BTreeMap::new();
-        };
-        let slices = (0..SLICES).map(SliceId);
-        let served = slices.filter_map(|s| {
-            let permit = ownership.permit_for_slice(now, &self.service, s).ok()?;
-            Some((s, permit.until))
-        });
-        served.collect()
-    }
-
-    /// Records the permits that a daemon may have given out by now. A later permit may end earlier,
-    /// if the witnesses change.
-    fn record_permits(&mut self, number: usize) {
-        for (slice, until) in self.served_until(number) {
-            let permitted_until = self.nodes[number].permits.entry(slice).or_default();
-            *permitted_until = until.max(*permitted_until);
-        }
-    }
-
     /// Lets the work on the slices that a daemon does not serve any more continue for a while, at
     /// most until its permits end; `taken_by` is the epoch that took them away, if one did.
     fn begin_work_on_lost_slices(&mut self, number: usize, taken_by: Option<Epoch>) {
-        let served = self.served_until(number);
         let now = self.nodes[number].clock.read(self.now);
-        let permits = self.nodes[number]
-            .permits
-            .extract_if(.., |s, _| !served.contains_key(s));
-        let lost: Vec<(SliceId, Moment)> = permits.filter(|(_, until)| *until > now).collect();
+        let lost = self.nodes[number].take_lost_permits(self.now, &self.service, SLICES);
         for (slice, permitted_until) in lost {
             let unanswered = self.rng.random_ratio(1, UNANSWERED_ONE_IN);
             let work_time = Duration::from_micros(self.rng.random_range(0..WORK_TIME_MAX));
@@ -567,7 +474,7 @@
         if !self.nodes[number].is_running(self.now) {
             return;
         }
-        self.record_permits(number);
+        self.nodes[number].record_permits(self.now, &self.service, SLICES);
         self.nodes[number].is_resigning = true;
         self.begin_work_on_lost_slices(number, None);
         self.resign_if_idle(number);
@@ -607,9 +514,9 @@
         if !self.nodes[number].is_running(self.now) || !self.reaches_platform(number) {
             return;
         }
-        let table = Arc::clone(&self.stored_table.1);
-        let version = self.document.0;
-        self.nodes[number].base_revision = Some(self.stored_table.0);
+        let table = Arc::clone(&self.platform.table);
+        let version = self.platform.document_version;
+        self.nodes[number].base_revision = Some(self.platform.revision);
         self.nodes[number].has_read_platform = true;
         self.with_ownership(number, |o, now| {
             o.adopt_table(now, table);
@@ -619,13 +526,9 @@
         });
         // The planner lease is sometimes ignored, so that planners race.
         let ignores_lease = self.rng.random_ratio(1, 8);
-        let lease_free = self
-            .planner_lease_holder
-            .is_none_or(|p| !self.nodes[p].is_running(self.now));
-        if lease_free {
-            self.planner_lease_holder = Some(number);
-        }
-        if self.planner_lease_holder != Some(number) && !ignores_lease {
+        let is_running = |n: usize| self.nodes[n].is_running(self.now);
+        let has_lease = self.platform.acquire_planner_lease(number, is_running);
+        if !has_lease && !ignores_lease {
             return;
         }
         let now = self.nodes[number].clock.read(self.now);
@@ -634,7 +537,7 @@
             return;
         };
         let mut join_requests = node.join_requests.current(now, ownership.table());
-        if ownership.table().epoch != self.stored_table.1.epoch {
+        if ownership.table().epoch != self.platform.table.epoch {
             return;
         }
         let own = ownership.info().clone();
@@ -642,8 +545,8 @@
         join_requests.insert(instance, own);
         let input = PlanInput {
             table: ownership.table(),
-            document: &self.document.1,
-            document_version: self.document.0,
+            document: &self.platform.document,
+            document_version: self.platform.document_version,
             join_requests: &join_requests,
             facts: ownership.facts(),
             end_certificates: ownership.end_certificates(),
@@ -654,7 +557,7 @@
             return;
         };
         let next = self.tamper.modify_table(ownership.table(), next);
-        let reply_lost = self.lose_platform_replies && self.rng.random_ratio(1, 4);
+        let reply_lost = self.platform.loses_replies && self.rng.random_ratio(1, 4);
         let delay = self.rng.random_range(MILLI..20 * MILLI);
         let delay = if self.rng.random_ratio(1, 20) {
             delay * 100
@@ -683,10 +586,9 @@
         table: Arc<Table>,
         reply_lost: bool,
     ) {
-        if !self.platform_up || self.stored_table.0 != base {
+        if !self.platform.compare_and_swap(base, Arc::clone(&table)) {
             return;
         }
-        self.stored_table = (Revision(base.0 + 1), Arc::clone(&table));
         let same_instance = self.nodes[number].ownership.as_ref();
         let same_instance = same_instance.is_some_and(|o| o.info().session.instance == instance);
         if same_instance && !reply_lost && self.nodes[number].platform_link_up {
@@ -698,7 +600,7 @@
     }
 
     fn reaches_platform(&self, number: usize) -> bool {
-        self.platform_up && self.nodes[number].platform_link_up
+        self.platform.is_up && self.nodes[number].platform_link_up
     }
 
     fn deliver(&mut self, to: usize, datagram: Box<Datagram>) {
@@ -720,18 +622,17 @@
     }
 
     fn send(&mut self, from: usize, to: SocketAddr, datagram: Datagram) {
-        let Some(&to) = self.node_by_peer.get(&to) else {
+        let Some(to) = self.network.node_at(to) else {
             return;
         };
-        let lost =
-            self.datagram_loss_one_in > 0 && self.rng.random_ratio(1, self.datagram_loss_one_in);
+        let lost = self.network.loses_datagram(&mut self.rng);
         if self.tamper == Tamper::GrantAfterEnd {
-            self.forge_grant(to, &datagram);
+            self.send_forged_grant(to, &datagram);
         }
         if self.tamper == Tamper::SkippedProof && self.rng.random_ratio(1, 200) {
-            self.forge_resignation(to);
+            self.send_forged_resignation(to);
         }
-        if lost || self.cut_links.contains(&(from, to)) {
+        if lost || self.network.is_cut(from, to) {
             return;
         }
         let delay = self.rng.random_range(200..2 * MILLI);
@@ -740,92 +641,47 @@
         } else {
             delay
         };
-        self.schedule(
-            delay,
-            Event::Deliver {
-                to,
-                datagram: Box::new(datagram),
-            },
-        );
+        self.schedule_delivery(delay, to, datagram);
     }
 
     /// Sends the grant of a witness that has lost its end statement for the session.
-    fn forge_grant(&mut self, witness: usize, renewal: &Datagram) {
-        let Message::Renew {
-            session,
-            sent,
-            epoch,
-        } = renewal.message
-        else {
-            return;
-        };
-        let Some(&owner) = self.node_by_peer.get(&renewal.peer) else {
+    fn send_forged_grant(&mut self, witness: usize, renewal: &Datagram) {
+        let Some(to) = self.network.node_at(renewal.peer) else {
             return;
         };
         let Some(ownership) = &self.nodes[witness].ownership else {
             return;
         };
-        let from = ownership.info().session.instance;
-        let message = Message::Grant {
-            session,
-            sent,
-            epoch,
-        };
-        let grant = Datagram {
-            from,
-            peer: self.nodes[witness].peer,
-            message,
-            ..renewal.clone()
-        };
-        self.schedule(
-            MILLI,
-            Event::Deliver {
-                to: owner,
-                datagram: Box::new(grant),
-            },
-        );
+        if let Some(grant) = forged_datagram::grant(ownership.info(), renewal) {
+            self.schedule_delivery(MILLI, to, grant);
+        }
     }
 
     /// Sends a daemon a forged resignation of the first candidate of slice 0.
-    fn forge_resignation(&mut self, to: usize) {
-        let Some(assignment) = self.stored_table.1.assignment(&self.service, SliceId(0)) else {
-            return;
-        };
-        let Some(&first) = assignment.candidates.first() else {
+    fn send_forged_resignation(&mut self, to: usize) {
+        let assignment = self.platform.table.assignment(&self.service, SliceId(0));
+        let Some(&first) = assignment.and_then(|a| a.candidates.first()) else {
             return;
         };
         let Some(ownership) = &self.nodes[to].ownership else {
             return;
         };
         let own = ownership.info();
-        if own.session == first {
-            return;
+        if own.session != first {
+            let resignation = forged_datagram::resignation(first, own);
+            self.schedule_delivery(MILLI, to, resignation);
         }
-        let resigned = BTreeMap::from([(first, Epoch(1))]);
-        let datagram = Datagram {
-            cell_hash: 1,
-            from: InstanceId(u64::MAX),
-            peer: own.peer,
-            epoch: Epoch::default(),
-            document_version: DocumentVersion::default(),
-            message: Message::Facts(SessionFacts {
-                resigned,
-                ..SessionFacts::default()
-            }),
-        };
-        self.schedule(
-            MILLI,
-            Event::Deliver {
-                to,
-                datagram: Box::new(datagram),
-            },
-        );
+    }
+
+    fn schedule_delivery(&mut self, delay: Time, to: usize, datagram: Datagram) {
+        let datagram = Box::new(datagram);
+        self.schedule(delay, Event::Deliver { to, datagram });
     }
 
     /// Returns the ownership state of the daemon at `from` if it can reply to a call from `to`.
     fn reachable(&self, to: usize, from: SocketAddr) -> Option<&Ownership> {
-        let from = *self.node_by_peer.get(&from)?;
-        let cut = self.cut_links.contains(&(from, to)) || self.cut_links.contains(&(to, from));
+        let from = self.network.node_at(from)?;
+        let cut = self.network.is_cut(from, to) || self.network.is_cut(to, from);
         let node = &self.nodes[from];
         let running = !cut && node.is_running(self.now);
         node.ownership.as_ref().filter(|_| running)
