Share the command line of the two daemons

Cause: the options, the help, the version, the usage errors and the exit codes of foxtaildriftd and foxtaildrift-host stood in src/cmd/daemon.rs and src/cmd/host.rs alike. Change: they are in src/cmd/daemon_command.rs.

--- a/src/cmd/host.rs
+++ b/src/cmd/host.rs
@@ -9,15 +9,16 @@
 use getopts::Options;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
+use crate::cmd::daemon_command::DaemonCommand;
 use crate::process::host::host_settings::HostSettings;
 use crate::process::host::service::{HostPlatform, HostService};
 use crate::process::logging;
 use crate::process::settings_error::SettingsError;
 
-/// The exit code of a daemon that could not start.
-const EXIT_FAILED: u8 = 1;
-/// The exit code of an invalid command line.
-const EXIT_USAGE: u8 = 2;
+/// The command line of the daemon.
+const COMMAND: DaemonCommand = DaemonCommand {
+    name: "foxtaildrift-host",
+};
 /// How often the daemon checks for signals.
 const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -29,38 +30,22 @@
     connect: impl Fn(&HostSettings) -> HostPlatform,
 ) -> ExitCode {
     let mut options = Options::new();
-    options.optopt(
-        "s",
-        "settings",
-        "the settings file (default: all defaults)",
-        "FILE",
-    );
+    DaemonCommand::declare_settings(&mut options);
     options.optopt(
         "",
         "memory-mb",
         "the memory that the daemon may use, in MiB; takes precedence over the settings",
         "N",
     );
-    options.optflag("", "check", "validate the settings and exit");
-    options.optflag("h", "help", "print this help");
-    options.optflag("V", "version", "print the version");
-    let matches = match options.parse(args) {
-        Ok(matches) if matches.free.is_empty() => matches,
-        Ok(matches) => return usage_error(&format!("unexpected argument `{}`", matches.free[0])),
-        Err(e) => return usage_error(&e.to_string()),
+    DaemonCommand::declare_flags(&mut options);
+    let matches = match COMMAND.parse(&options, args) {
+        Ok(matches) => matches,
+        Err(exit_code) => return exit_code,
     };
-    if matches.opt_present("help") {
-        print!("{}", options.usage("Usage: foxtaildrift-host [OPTIONS]"));
-        return ExitCode::SUCCESS;
-    }
-    if matches.opt_present("version") {
-        println!("foxtaildrift-host {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
     // A deploy file may fill in nothing for a value that it does not know.
     let memory_mb = matches.opt_str("memory-mb").filter(|text| !text.is_empty());
     let Ok(memory_mb) = memory_mb.map(|text| text.parse()).transpose() else {
-        return usage_error("--memory-mb: not a whole number");
+        return COMMAND.usage_error("--memory-mb: not a whole number");
     };
     let source = SettingsSource {
         path: matches.opt_str("settings").map(PathBuf::from).or(path),
@@ -72,7 +57,7 @@
             ExitCode::SUCCESS
         }
         Ok(settings) => run(settings, &source, connect),
-        Err(e) => report_failure(&e),
+        Err(e) => COMMAND.report_failure(&e),
     }
 }
 
@@ -106,7 +91,7 @@
 ) -> ExitCode {
     let _log = match logging::init_buffered(&settings.log_level) {
         Ok(thread) => thread,
-        Err(e) => return report_failure(&e),
+        Err(e) => return COMMAND.report_failure(&e),
     };
     let stop_requested = Arc::new(AtomicBool::new(false));
     let reload_requested = Arc::new(AtomicBool::new(false));
@@ -116,13 +101,13 @@
         (SIGHUP, &reload_requested),
     ] {
         if let Err(e) = signal_hook::flag::register(signal, Arc::clone(flag)) {
-            return report_failure(&e);
+            return COMMAND.report_failure(&e);
         }
     }
     let platform = connect(&settings);
     let service = match HostService::start(settings.clone(), platform) {
         Ok(service) => service,
-        Err(e) => return report_failure(&e),
+        Err(e) => return COMMAND.report_failure(&e),
     };
     while !stop_requested.load(Ordering::SeqCst) {
         std::thread::sleep(SIGNAL_POLL_INTERVAL);
@@ -157,15 +142,3 @@
         Err(e) => tracing::error!(event = "reload-refused", error = %e),
     }
 }
-
-/// Prints an error and returns the exit code of a failure.
-fn report_failure(e: &dyn std::fmt::Display) -> ExitCode {
-    eprintln!("foxtaildrift-host: {e}");
-    ExitCode::from(EXIT_FAILED)
-}
-
-/// Prints a usage error and returns its exit code.
-fn usage_error(text: &str) -> ExitCode {
-    eprintln!("foxtaildrift-host: {text}; see `foxtaildrift-host --help`");
-    ExitCode::from(EXIT_USAGE)
-}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -11,6 +11,7 @@
 pub mod check;
 pub mod command;
 pub mod daemon;
+mod daemon_command;
 pub mod drain;
 pub mod history;
 pub mod host;
