--- a/src/process/planning_order.rs
+++ b/src/process/planning_order.rs
@@ -44,9 +44,9 @@
     pub(crate) fn domain_position(&self, session: SessionId) -> Option<usize> {
         let own = self.table.members.get(&session)?;
         let own_priority = self.priority(own);
-        let neighbours = self.live_members().map(|(_, m)| m);
-        let neighbours = neighbours.filter(|m| m.info.domain == own.info.domain);
-        let before = neighbours.filter(|m| self.priority(m) < own_priority);
+        let in_domain = self.live_members().map(|(_, m)| m);
+        let in_domain = in_domain.filter(|m| m.info.domain == own.info.domain);
+        let before = in_domain.filter(|m| self.priority(m) < own_priority);
         Some(before.count())
     }
 
