Share the reading and the common checks of the two daemons' settings

Cause: src/process/settings.rs and src/process/host/host_settings.rs read, decoded and checked their files with the same code. Change: src/process/settings_file.rs decodes, reads, and checks the lease and the log level.

--- a/src/process/host/host_settings.rs
+++ b/src/process/host/host_settings.rs
@@ -18,6 +18,7 @@
 use crate::process::host::retry_budget_share::RetryBudgetConfig;
 use crate::process::lease_times::LeaseTimes;
 use crate::process::settings_error::SettingsError;
+use crate::process::settings_file;
 use crate::version::domain_name::DomainName;
 use crate::version::member::CPU_SHARE_DEFAULT;
 use crate::version::service_name::ServiceName;
@@ -121,11 +122,7 @@
     ///
     /// Returns the invalid field or the YAML error, with its line if the parser knows it.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        if text.trim().is_empty() {
-            return Ok(Self::default());
-        }
-        let settings: Option<Self> = serde_yaml_ng::from_str(text)?;
-        let settings = settings.unwrap_or_default();
+        let settings: Self = settings_file::decode(text)?;
         settings.validate()?;
         Ok(settings)
     }
@@ -136,12 +133,7 @@
     ///
     /// Returns an error if the file can't be read or its content is invalid.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path);
-        let text = text.map_err(|e| SettingsError::File {
-            path: path.to_owned(),
-            source: e,
-        })?;
-        Self::parse(&text)
+        Self::parse(&settings_file::read(path)?)
     }
 
     /// Returns the address to listen on for other daemons.
@@ -186,53 +178,54 @@
     ///
     /// Returns the first field that is out of range.
     pub fn validate(&self) -> Result<(), SettingsError> {
-        let out_of_range = |field, value: u64, range| {
-            Err(SettingsError::Range {
-                field,
-                value,
-                range,
-            })
-        };
-        if !(100..=60_000).contains(&self.lease_ms) {
-            return out_of_range("lease_ms", self.lease_ms, "100 to 60000");
-        }
-        if self.renewal_ms < 10 || self.renewal_ms > self.lease_ms / 3 {
-            return out_of_range("renewal_ms", self.renewal_ms, "10 to a third of lease_ms");
-        }
+        settings_file::check_lease(self.lease_ms, self.renewal_ms)?;
         if !(100..=600_000).contains(&self.give_up_ms) {
-            return out_of_range("give_up_ms", self.give_up_ms, "100 to 600000");
+            return settings_file::out_of_range("give_up_ms", self.give_up_ms, "100 to 600000");
         }
         if !(500..=600_000).contains(&self.hold_max_ms) {
-            return out_of_range("hold_max_ms", self.hold_max_ms, "500 to 600000");
+            return settings_file::out_of_range("hold_max_ms", self.hold_max_ms, "500 to 600000");
         }
         if !(500..=600_000).contains(&self.drain_ms) {
-            return out_of_range("drain_ms", self.drain_ms, "500 to 600000");
+            return settings_file::out_of_range("drain_ms", self.drain_ms, "500 to 600000");
         }
         if !(0.5..=600.0).contains(&self.grace_s) {
-            return out_of_range("grace_s", self.grace_s as u64, "0.5 to 600");
+            return settings_file::out_of_range("grace_s", self.grace_s as u64, "0.5 to 600");
         }
         if !(0.0..=10.0).contains(&self.retry_ratio) {
-            return out_of_range("retry_ratio", self.retry_ratio as u64, "0 to 10");
+            return settings_file::out_of_range("retry_ratio", self.retry_ratio as u64, "0 to 10");
         }
         if !(0.0..=1e6).contains(&self.retry_slack) {
-            return out_of_range("retry_slack", self.retry_slack as u64, "0 to 1000000");
+            return settings_file::out_of_range(
+                "retry_slack",
+                self.retry_slack as u64,
+                "0 to 1000000",
+            );
         }
         if !(0.5..=600.0).contains(&self.retry_window_s) {
-            return out_of_range("retry_window_s", self.retry_window_s as u64, "0.5 to 600");
+            return settings_file::out_of_range(
+                "retry_window_s",
+                self.retry_window_s as u64,
+                "0.5 to 600",
+            );
         }
         if !(0.001..=1024.0).contains(&self.cpu_share) {
-            return out_of_range("cpu_share", self.cpu_share as u64, "0.001 to 1024");
+            return settings_file::out_of_range(
+                "cpu_share",
+                self.cpu_share as u64,
+                "0.001 to 1024",
+            );
         }
         if !(0.1..=1_000_000.0).contains(&self.link_mbps) {
-            return out_of_range("link_mbps", self.link_mbps as u64, "0.1 to 1000000");
+            return settings_file::out_of_range(
+                "link_mbps",
+                self.link_mbps as u64,
+                "0.1 to 1000000",
+            );
         }
         if !(16..=1_048_576).contains(&self.memory_mb) {
-            return out_of_range("memory_mb", self.memory_mb, "16 to 1048576");
-        }
-        let levels = ["error", "warn", "info", "debug", "trace"];
-        if !levels.contains(&self.log_level.as_str()) {
-            return Err(SettingsError::LogLevel(self.log_level.clone()));
+            return settings_file::out_of_range("memory_mb", self.memory_mb, "16 to 1048576");
         }
+        settings_file::check_log_level(&self.log_level)?;
         Ok(())
     }
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -55,6 +55,7 @@
 pub mod session_facts;
 pub mod settings;
 pub mod settings_error;
+mod settings_file;
 pub mod shared_upstream_selector;
 pub mod status;
 pub mod stop_flag;
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -17,6 +17,7 @@
 use crate::process::lease_times::LeaseTimes;
 use crate::process::logging::LogFormat;
 use crate::process::settings_error::SettingsError;
+use crate::process::settings_file;
 use crate::version::domain_name::DomainName;
 
 /// The settings that a daemon reads from its YAML file; every field has a default.
@@ -91,11 +92,7 @@
     ///
     /// Returns an error if the YAML is malformed, with its line, or a value is invalid.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        if text.trim().is_empty() {
-            return Ok(Self::default());
-        }
-        let settings: Option<Self> = serde_yaml_ng::from_str(text)?;
-        let settings = settings.unwrap_or_default();
+        let settings: Self = settings_file::decode(text)?;
         settings.validate()?;
         Ok(settings)
     }
@@ -106,12 +103,7 @@
     ///
     /// Returns an error if the file can't be read or its settings are invalid.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path);
-        let text = text.map_err(|e| SettingsError::File {
-            path: path.to_owned(),
-            source: e,
-        })?;
-        Self::parse(&text)
+        Self::parse(&settings_file::read(path)?)
     }
 
     /// Returns the durations of the lease protocol.
@@ -132,35 +124,20 @@
     }
 
     fn validate(&self) -> Result<(), SettingsError> {
-        let out_of_range = |field, value: u64, range| {
-            Err(SettingsError::Range {
-                field,
-                value,
-                range,
-            })
-        };
         if !(1..=4096).contains(&self.workers) {
-            return out_of_range("workers", self.workers.into(), "1 to 4096");
-        }
-        if !(100..=60_000).contains(&self.lease_ms) {
-            return out_of_range("lease_ms", self.lease_ms, "100 to 60000");
-        }
-        if self.renewal_ms < 10 || self.renewal_ms > self.lease_ms / 3 {
-            return out_of_range("renewal_ms", self.renewal_ms, "10 to a third of lease_ms");
+            return settings_file::out_of_range("workers", self.workers.into(), "1 to 4096");
         }
+        settings_file::check_lease(self.lease_ms, self.renewal_ms)?;
         if self.clock_skew_ms > 60_000 {
-            return out_of_range("clock_skew_ms", self.clock_skew_ms, "0 to 60000");
+            return settings_file::out_of_range("clock_skew_ms", self.clock_skew_ms, "0 to 60000");
         }
         if !(1..=4096).contains(&self.record_mb) {
-            return out_of_range("record_mb", self.record_mb.into(), "1 to 4096");
+            return settings_file::out_of_range("record_mb", self.record_mb.into(), "1 to 4096");
         }
         if !(100..=600_000).contains(&self.stop_ms) {
-            return out_of_range("stop_ms", self.stop_ms, "100 to 600000");
-        }
-        let levels = ["error", "warn", "info", "debug", "trace"];
-        if !levels.contains(&self.log_level.as_str()) {
-            return Err(SettingsError::LogLevel(self.log_level.clone()));
+            return settings_file::out_of_range("stop_ms", self.stop_ms, "100 to 600000");
         }
+        settings_file::check_log_level(&self.log_level)?;
         if !self.platform.starts_with("http://") {
             return Err(SettingsError::Platform(self.platform.clone()));
         }
