Take nothing behind the answer to a ping for the response to the next request

Found by the review of the fix: an upstream that writes 421 and an extra 200 in one piece had the 200 taken for the answer to the grant that followed, whose own answer was 409 (for a release: keys pass on too early). Change: a request is not sent if something follows the answer to the ping. Pings have random ids, as those of several daemons reach upstreams of one service, and a 421 counts also without the header for not run. Test: what_follows_the_answer_to_a_ping_is_not_taken_for_the_response (the review's scratch test of the same case got Ok(200) before).

--- a/src/connection/control_pool.rs
+++ b/src/connection/control_pool.rs
@@ -62,8 +62,8 @@
     connector: Arc<UpstreamConnector>,
     protocol: Arc<dyn UpstreamProtocol>,
     idle: Mutex<Vec<IdleConnection>>,
-    /// The number in the id of the last ping.
-    last_ping: AtomicU64,
+    /// The id of the next ping.
+    next_ping: AtomicU64,
 }
 
 impl ControlPool {
@@ -73,7 +73,8 @@
             connector,
             protocol,
             idle: Mutex::default(),
-            last_ping: AtomicU64::new(0),
+            // Other daemons ping upstreams of the same service.
+            next_ping: AtomicU64::new(rand::random()),
         }
     }
 
@@ -141,7 +142,7 @@
         mut connection: UpstreamConnection,
         deadline: Instant,
     ) -> Result<PendingPing, UpstreamRequestFailure> {
-        let number = self.last_ping.fetch_add(1, Ordering::Relaxed);
+        let number = self.next_ping.fetch_add(1, Ordering::Relaxed);
         let id = format!("{number:016x}");
         let bytes = encode(&self.protocol.ping_request(&id));
         match write(&mut connection.conn, &bytes, deadline) {
@@ -166,7 +167,7 @@
             if framing == Framing::UntilClose || !head.keeps_alive() {
                 break;
             }
-            if self.is_refusal(&head) {
+            if is_refusal(&head) {
                 return Ok(ReadyConnection(connection));
             }
             tracing::info!(event = "stray-answer", request = %id, status = head.status);
@@ -196,6 +197,11 @@
             return Err(withdrawn());
         };
         let bytes = encode(&request);
+        if !connection.conn.is_reusable() {
+            connection.conn.reset();
+            let reason = "something followed the answer to the ping";
+            return Err(UpstreamRequestFailure::NotSent(reason.to_owned()));
+        }
         if !is_current() {
             self.check_in(connection);
             return Err(withdrawn());
@@ -226,7 +232,7 @@
             method,
         } = pending;
         let deadline = deadline.max(Instant::now() + READ_TIME_MIN);
-        let response = self.read_own_response(&mut connection.conn, method, deadline);
+        let response = read_own_response(&mut connection.conn, method, deadline);
         let (head, framing) = match response {
             Ok(response) => response,
             Err(e) => {
@@ -247,27 +253,6 @@
         Ok((head, metadata))
     }
 
-    /// Reads the response to a request, and discards late copies of the answer to the ping before it.
-    fn read_own_response(
-        &self,
-        conn: &mut BufferedConnection,
-        method: &str,
-        deadline: Instant,
-    ) -> Result<(ResponseHead, Framing), ConnectionError> {
-        loop {
-            let (head, framing) = read_response(conn, method, deadline)?;
-            if framing == Framing::UntilClose || !self.is_refusal(&head) {
-                return Ok((head, framing));
-            }
-            tracing::info!(event = "stray-answer", status = head.status);
-        }
-    }
-
-    /// Returns whether a response has the form of the answer to a ping.
-    fn is_refusal(&self, head: &ResponseHead) -> bool {
-        head.status == http1::STATUS_MISDIRECTED && self.protocol.parse_head(head).not_run
-    }
-
     /// Takes an idle connection that is still open.
     fn take_idle(&self) -> Option<UpstreamConnection> {
         let mut idle = sync::lock(&self.idle);
@@ -323,6 +308,26 @@
     Ok((head, framing))
 }
 
+/// Reads the response to a request, and discards late copies of the answer to the ping before it.
+fn read_own_response(
+    conn: &mut BufferedConnection,
+    method: &str,
+    deadline: Instant,
+) -> Result<(ResponseHead, Framing), ConnectionError> {
+    loop {
+        let (head, framing) = read_response(conn, method, deadline)?;
+        if framing == Framing::UntilClose || !is_refusal(&head) {
+            return Ok((head, framing));
+        }
+        tracing::info!(event = "stray-answer", status = head.status);
+    }
+}
+
+/// Returns whether a response has the form of the answer to a ping.
+fn is_refusal(head: &ResponseHead) -> bool {
+    head.status == http1::STATUS_MISDIRECTED
+}
+
 /// Closes a connection on which no ping was answered; returns why nothing was sent on it.
 fn not_ready(connection: UpstreamConnection, error: &ConnectionError) -> UpstreamRequestFailure {
     connection.conn.reset();
--- a/tests/testsuite/control_pool.rs
+++ b/tests/testsuite/control_pool.rs
@@ -262,3 +262,53 @@
         assert_eq!(send_ready(&pool, request("/grant", 0)), Ok(200));
     }
 }
+
+// Guards against bytes behind the answer to a ping that are taken for the response to the request after
+// it: keys that were refused count as granted, or pass on before they were released (OWNER).
+#[test]
+fn what_follows_the_answer_to_a_ping_is_not_taken_for_the_response() {
+    let to = upstream(|mut stream| {
+        while let Some(is_ping) = read_head(&mut stream) {
+            let answer = match is_ping {
+                true => format!("{PING_ANSWER}HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+                false => "HTTP/1.1 409 Fenced\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            };
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    let result = send_ready(&pool(to), request("/grant", 0));
+    assert!(
+        matches!(result, Err(UpstreamRequestFailure::NotSent(_))),
+        "{result:?}"
+    );
+}
+
+// Guards against one connection that the upstream does not serve, which uses up the time in which the
+// grants on the others are answered.
+#[test]
+fn one_silent_connection_leaves_the_others_their_time() {
+    let connections = AtomicU32::new(0);
+    let to = upstream(move |mut stream| {
+        if connections.fetch_add(1, Ordering::SeqCst) == 3 {
+            thread::sleep(4 * TIMEOUT);
+            return;
+        }
+        while let Some(is_ping) = read_head(&mut stream) {
+            if !is_ping {
+                thread::sleep(Duration::from_millis(30));
+            }
+            let ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            let answer = if is_ping { PING_ANSWER } else { ok };
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    let pool = pool(to);
+    let ready = pool.ready_connections(8, Instant::now() + TIMEOUT);
+    let deadline = Instant::now() + TIMEOUT;
+    let send = |c| pool.begin(c, |_| Some(request("/grant", 0)), || true, deadline);
+    let pending: Vec<_> = ready.into_iter().map(|c| send(c?)).collect();
+    let statuses = pending
+        .into_iter()
+        .map(|p| Ok::<u16, UpstreamRequestFailure>(pool.finish(p?, deadline)?.0.status));
+    assert_eq!(statuses.filter(|s| *s == Ok(200)).count(), 7);
+}
