--- a/src/process/host/grant_sender.rs
+++ b/src/process/host/grant_sender.rs
@@ -18,6 +18,8 @@
 const GRANT_MARGIN: Duration = Duration::from_millis(20);
 /// Shortest grant that is worth a call.
 const GRANT_DURATION_MIN: Duration = Duration::from_millis(150);
+/// How long to wait until the upstream serves the connections for grants.
+const READY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of a grant call.
 ///
 /// An upstream whose slots are all busy answers once one is free.
@@ -68,9 +70,9 @@
         if self.grant_duration(began_at, live_until).is_none() {
             return Vec::new();
         }
-        let deadline = Instant::now() + GRANT_TIMEOUT;
         let pool = self.dispatcher.pool().control();
-        let connections = pool.ready_connections(due.len(), deadline);
+        let connections = pool.ready_connections(due.len(), Instant::now() + READY_TIMEOUT);
+        let deadline = Instant::now() + GRANT_TIMEOUT;
         let begun: Vec<BegunGrant> = due
             .iter()
             .zip(connections)
