--- a/src/process/host/grant_manager.rs
+++ b/src/process/host/grant_manager.rs
@@ -160,17 +160,16 @@
         }]);
     }
 
-    /// Sends the grants that are due, and resigns the session if the upstream is gone. Once the lease
-    /// has lapsed, releases what the upstream may have longer. Announces what was released meanwhile.
+    /// Sends the grants that are due, and resigns the session if the upstream is gone. Announces what
+    /// was released meanwhile.
     pub fn reconcile(&self) {
         self.reconcile_grants();
-        self.release_outlasting();
         self.announce_released();
     }
 
     /// Releases the grants that may outlast a lapsed lease: the process may have stood still while
-    /// they were on their way.
-    fn release_outlasting(&self) {
+    /// they were on their way. Waits for the answers of the upstream.
+    pub fn release_outlasting(&self) {
         let mut grants = sync::lock(&self.grants);
         let (live_until, lease_end) = self
             .membership
@@ -183,14 +182,15 @@
         let split = |grant: &KeyGrant| self.split_by_next_owner(grant);
         let releasing = grants.begin_release_outlasting(lease_end, &split);
         let in_progress = grants.releases_in_progress(now);
-        drop(grants);
         if releasing.is_empty() {
             return;
         }
+        self.dispatcher.set_granted(Vec::new());
+        drop(grants);
         let ranges = releasing.len();
         tracing::warn!(event = "lapsed-grants-released", ranges, in_progress);
-        self.dispatcher.set_granted(Vec::new());
         self.release_and_hand_over(releasing);
+        self.announce_released();
     }
 
     fn reconcile_grants(&self) {
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -370,8 +370,8 @@
                 releasers.submit(move || context.grant_manager.release_lost_keys());
             }
             MembershipEvent::LeaseLapsed | MembershipEvent::SessionEnded(_) => {
-                // It may wait for releases.
-                releasers.submit(move || context.grant_manager.reconcile())
+                context.grant_manager.reconcile();
+                releasers.submit(move || context.grant_manager.release_outlasting());
             }
             MembershipEvent::SuspectsReported(suspects) => {
                 context.dispatcher.add_suspects(&suspects)
--- a/tests/testsuite/host/grants/mod.rs
+++ b/tests/testsuite/host/grants/mod.rs
@@ -210,7 +210,7 @@
     daemon.manager.reconcile();
     daemon.await_lapse();
     let lapsed = Instant::now();
-    daemon.manager.reconcile();
+    daemon.manager.release_outlasting();
     let release = upstream.calls("release").pop().expect("a release");
     let delay = release.at.duration_since(lapsed);
     assert!(delay < Duration::from_millis(100), "{delay:?}");
@@ -225,6 +225,52 @@
     daemon.manager.reconcile();
     daemon.stop_renewals();
     daemon.await_lapse();
-    daemon.manager.reconcile();
+    daemon.manager.release_outlasting();
     assert_eq!(upstream.calls("release").len(), 0);
 }
+
+/// Guards against a slow release after a lapse that holds up the periodic tasks, so that nothing is
+/// granted though the lease is back.
+#[test]
+fn a_slow_release_does_not_hold_up_the_reconciliation() {
+    let upstream = ScriptedUpstream::start(|call| match call.name.as_str() {
+        "grant" => Answer::Never,
+        _ => Answer::After(Duration::from_secs(2)),
+    });
+    let daemon = Daemon::start(&upstream, table(1, &[OWN, OTHER]));
+    daemon.stop_renewals();
+    daemon.manager.reconcile();
+    daemon.await_lapse();
+    let manager = Arc::clone(&daemon.manager);
+    let releasing = thread::spawn(move || manager.release_outlasting());
+    await_release(&upstream);
+    let started = Instant::now();
+    daemon.manager.reconcile();
+    assert!(started.elapsed() < Duration::from_millis(300));
+    releasing.join().unwrap();
+}
+
+/// Guards against a grant that the upstream reads after its daemon gave it up and reset the connection,
+/// and that lasts longer than the keys' release is held back for it (OWNER).
+#[test]
+fn a_grant_that_is_read_after_its_reset_ends_before_its_release_is_announced() {
+    let upstream = ScriptedUpstream::start(|_| Answer::After(Duration::ZERO));
+    let daemon = Daemon::start(&upstream, table(1, &[OWN, OTHER]));
+    upstream.stall_after_ping(Duration::from_millis(1500));
+    daemon.manager.reconcile();
+    daemon.adopt(table(2, &[OTHER]));
+    daemon.manager.release_lost_keys();
+    let started = Instant::now();
+    while daemon.announced() < Epoch(2) {
+        assert!(started.elapsed() < PATIENCE, "not announced");
+        daemon.manager.reconcile();
+        thread::sleep(RECONCILE_INTERVAL);
+    }
+    let announced = Instant::now();
+    let releases = upstream.calls("release");
+    for grant in upstream.calls("grant") {
+        let is_released = releases.iter().any(|r| r.at >= grant.at);
+        let ends_early = grant.valid_until() <= announced;
+        assert!(is_released || ends_early, "{grant:?} {announced:?}");
+    }
+}
