Check the grants that upstreams carried out in the soak's verdict

Cause: the verdict compared the tokens of executions only. A key that an upstream was granted late, and for which no request came, broke exclusive ownership unseen. Change: the verdict reads the journals with `OwnershipCheck`, and prints how often ranges passed on.

--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -2,6 +2,7 @@
 //! addresses, with stand-ins for the store and the upstreams.
 
 use std::fs;
+use std::io::Write;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::Child;
@@ -19,7 +20,9 @@
 use crate::args::BenchError;
 use crate::child::{self, Output};
 use crate::fault_proxy::FaultProxy;
+use crate::journal;
 use crate::network::Network;
+use crate::ownership_event::OwnershipEvent;
 use crate::upstream_options::UpstreamOptions;
 
 /// The timeout of an HTTP request to a daemon or the store.
@@ -293,9 +296,25 @@
         child::kill_and_wait(&mut self.hosts[number].daemon);
     }
 
-    /// Kills the upstream of a host.
-    pub fn kill_upstream(&mut self, number: usize) {
+    /// Kills the upstream of a host, and records in its journal that it holds no keys any more.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the journal can't be read or written.
+    pub fn kill_upstream(&mut self, number: usize) -> Result<(), BenchError> {
         child::kill_and_wait(&mut self.hosts[number].upstream);
+        // Taken after the wait: the keys count as held until the process has surely ended.
+        let ended_at_micros = journal::micros_now();
+        let path = self.journal(number);
+        let with_context = BenchError::with_context("journal");
+        let events = OwnershipEvent::read_all(&path).map_err(&with_context)?;
+        let Some(newest) = events.last() else {
+            return Ok(());
+        };
+        let end = OwnershipEvent::end_of(newest.upstream.as_str(), ended_at_micros);
+        let file = fs::OpenOptions::new().append(true).open(&path);
+        let written = file.and_then(|mut f| writeln!(f, "{end}"));
+        written.map_err(&with_context)
     }
 
     /// Returns whether the daemon of a host is running, and clears it if it has ended.
--- a/crates/bench/src/ownership_event.rs
+++ b/crates/bench/src/ownership_event.rs
@@ -33,9 +33,23 @@
     },
     /// The upstream carried out a release.
     Released,
+    /// The process of the upstream has ended.
+    Ended,
 }
 
 impl OwnershipEvent {
+    /// Returns the change for all keys when the process of an upstream has ended.
+    pub fn end_of(upstream: impl Into<String>, at_micros: u64) -> Self {
+        Self {
+            at_micros,
+            upstream: upstream.into(),
+            first: 0,
+            last: u64::from(u16::MAX),
+            fencing_token: 0,
+            change: OwnershipChange::Ended,
+        }
+    }
+
     /// Parses a line of a journal; returns `None` if it describes no change of ownership.
     pub fn parse(line: &str) -> Option<Self> {
         let (kind, fields) = line.split_once(' ')?;
@@ -49,6 +63,7 @@
                 expires_at_micros: number(fields.next())?,
             },
             "release" => OwnershipChange::Released,
+            "end" => OwnershipChange::Ended,
             _ => return None,
         };
         Some(Self {
@@ -72,7 +87,11 @@
             Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
             text => text?,
         };
-        let is_change = |line: &&str| line.starts_with("grant ") || line.starts_with("release ");
+        let is_change = |line: &&str| {
+            ["grant ", "release ", "end "]
+                .iter()
+                .any(|k| line.starts_with(k))
+        };
         let changes = text.lines().filter(is_change);
         let parse = |line: &str| {
             Self::parse(line).ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, line))
@@ -90,6 +109,7 @@
         let kind = match self.change {
             OwnershipChange::Granted { .. } => "grant",
             OwnershipChange::Released => "release",
+            OwnershipChange::Ended => "end",
         };
         write!(
             f,
@@ -98,7 +118,7 @@
         )?;
         match self.change {
             OwnershipChange::Granted { expires_at_micros } => write!(f, " {expires_at_micros}"),
-            OwnershipChange::Released => Ok(()),
+            OwnershipChange::Released | OwnershipChange::Ended => Ok(()),
         }
     }
 }
--- a/crates/bench/src/soak/faults.rs
+++ b/crates/bench/src/soak/faults.rs
@@ -207,7 +207,7 @@
     fn inject(&mut self, fault: Fault, cluster: &mut HostCluster) -> Result<(), BenchError> {
         match fault {
             Fault::KillDaemon(n) => cluster.kill_daemon(n),
-            Fault::KillUpstream(n) => cluster.kill_upstream(n),
+            Fault::KillUpstream(n) => cluster.kill_upstream(n)?,
             Fault::KillAllDaemons => {
                 for number in 0..cluster.hosts.len() {
                     cluster.kill_daemon(number);
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -136,8 +136,8 @@
     let calls = callers.stop();
     let verdict = SoakVerdict::of(cluster, &calls, planned_stops_from);
     println!(
-        "RESULT soak seed={} hosts={} faults={} requests={} ran={} refused={} unknown={} \
-         unanswered={} served_again_ms={} targets={}",
+        "RESULT soak seed={} hosts={} faults={} requests={} ran={} \
+         refused={} unknown={} unanswered={} transfers={} served_again_ms={} targets={}",
         spec.seed,
         spec.hosts,
         faults.count(),
@@ -146,6 +146,7 @@
         verdict.refused,
         verdict.unknown,
         verdict.unanswered,
+        verdict.transfers,
         served_again.as_millis(),
         if verdict.violations.is_empty() {
             "held"
--- a/crates/bench/src/soak/verdict.rs
+++ b/crates/bench/src/soak/verdict.rs
@@ -5,6 +5,7 @@
 
 use crate::host_cluster::HostCluster;
 use crate::host_run::HostRun;
+use crate::ownership_check::OwnershipCheck;
 use crate::soak::callers::{CallOutcome, CallRecord};
 
 /// The statuses that promise that a request did not run and never will.
@@ -23,6 +24,8 @@
     pub unknown: usize,
     /// The number of requests without a response.
     pub unanswered: usize,
+    /// How often a range of keys passed from one upstream to another.
+    pub transfers: usize,
     /// The descriptions of the broken promises.
     pub violations: Vec<String>,
 }
@@ -36,6 +39,7 @@
         let mut verdict = Self::default();
         verdict.check_single_execution(&runs);
         verdict.check_owners(&runs);
+        verdict.check_grants(cluster);
         verdict.check_responses(calls, &runs, planned_stops_from);
         verdict.check_routes(calls);
         for number in 0..cluster.hosts.len() {
@@ -81,6 +85,23 @@
         }
     }
 
+    /// Checks the grants that upstreams carried out: a key passes on only with a higher token, and no
+    /// two upstreams hold it together.
+    fn check_grants(&mut self, cluster: &HostCluster) {
+        let journals = (0..cluster.hosts.len()).map(|n| cluster.journal(n));
+        match OwnershipCheck::read(journals) {
+            Ok(check) => {
+                self.transfers = check.transfers();
+                let violations = check.violations();
+                self.violations
+                    .extend(violations.iter().map(|v| format!("two owners: {v}")));
+            }
+            Err(e) => self
+                .violations
+                .push(format!("the journals can't be read: {e}")),
+        }
+    }
+
     /// Checks that responses are complete, that requests refused as not run did not run, and that
     /// planned stops interrupted no request that ran.
     fn check_responses(
--- a/crates/bench/tests/testsuite/endless_responses.rs
+++ b/crates/bench/tests/testsuite/endless_responses.rs
@@ -69,7 +69,7 @@
     let _lock = crate::daemon::lock_environment();
     let services = ["office", "desk", "desk"];
     let mut cluster = host::start_ready_cluster(&services, UpstreamOptions::default());
-    cluster.kill_upstream(0);
+    cluster.kill_upstream(0).unwrap();
     let listener = TcpListener::bind(cluster.upstream_address(0)).unwrap();
     let stopping = AtomicBool::new(false);
     for kind in &KINDS {
--- a/crates/bench/tests/testsuite/ownership_check.rs
+++ b/crates/bench/tests/testsuite/ownership_check.rs
@@ -55,7 +55,11 @@
 
 #[test]
 fn journal_lines_of_ownership_can_be_parsed() {
-    for event in [grant(1, "u1", 5), release(2, "u1", 5)] {
+    for event in [
+        grant(1, "u1", 5),
+        release(2, "u1", 5),
+        OwnershipEvent::end_of("u1", 3),
+    ] {
         assert_eq!(OwnershipEvent::parse(&event.to_string()), Some(event));
     }
     assert_eq!(OwnershipEvent::parse(&run(1, "u1").to_string()), None);
@@ -78,6 +82,43 @@
     assert_eq!(check.transfers(), 2);
 }
 
+/// Guards against a violation reported for the soak (seed 411001): the grants of a killed process
+/// counted until they expired.
+#[test]
+fn a_process_that_has_ended_holds_no_keys() {
+    let ended_at = 1_000_000;
+    let events = [
+        grant(1, "u1", 1),
+        OwnershipEvent::end_of("u1", ended_at),
+        grant(ended_at + 1, "u2", 2),
+    ];
+    assert_eq!(violations(events, []), []);
+    let held_micros = 600_000;
+    let events = [
+        grant(1, "u1", 1),
+        grant(ended_at - held_micros, "u2", 2),
+        OwnershipEvent::end_of("u1", ended_at),
+    ];
+    let expected = ViolationKind::HeldTogether {
+        duration_micros: held_micros,
+    };
+    assert_eq!(violations(events, []), [expected]);
+}
+
+#[test]
+fn a_process_that_has_ended_still_fences_older_tokens() {
+    let events = [
+        grant(1, "u1", 2),
+        OwnershipEvent::end_of("u1", 2),
+        grant(3, "u2", 1),
+    ];
+    let expected = ViolationKind::TokenNotHigher {
+        fencing_token: 1,
+        former_token: 2,
+    };
+    assert_eq!(violations(events, []), [expected]);
+}
+
 #[test]
 fn a_late_grant_with_an_older_token_is_reported() {
     let events = [
