Pause daemons in series in the soak, while their upstreams hold many small ranges

Cause: the soak paused a daemon rarely, and its owners had some ten wide ranges each. Ownership broke where a daemon that held many small ranges stood still, resumed, and stood still again.

--- a/crates/bench/src/soak/callers.rs
+++ b/crates/bench/src/soak/callers.rs
@@ -14,18 +14,27 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::host_cluster::HostCluster;
+use crate::soak::hot_keys::HotKeys;
 use crate::soak::newest_route_number;
 
 /// The number of callers of each host.
 const CALLERS_PER_HOST: usize = 3;
 /// The largest number of callers in total, but at least one for each host.
 const CALLERS_MAX: usize = 96;
+/// The number of callers in total that send requests for hot keys only, besides the others.
+const HOT_CALLERS: usize = 32;
 /// The deadline that a request states, in milliseconds after it is sent.
 const DEADLINE_MS: u64 = 1500;
 /// How long after the deadline a caller still waits for the response.
 const CONNECTION_GRACE: Duration = Duration::from_millis(400);
+/// The number of kinds of requests that are drawn, weighted by how often they are drawn.
+const KINDS: u32 = 10;
+/// How many of them are for a key; they come first.
+const KEYED_KINDS: u32 = 6;
 /// The pause between two requests of a caller.
 const REQUEST_PAUSE: Duration = Duration::from_millis(15);
+/// The pause between two requests of a caller of hot keys.
+const HOT_REQUEST_PAUSE: Duration = Duration::from_millis(10);
 /// The pause of a caller after a failed connection.
 const FAILURE_PAUSE: Duration = Duration::from_millis(80);
 
@@ -71,6 +80,9 @@
     client: HttpClient,
     rng: SmallRng,
     newest_route: Arc<AtomicU32>,
+    /// The choice of the keys, if it sends requests for hot keys only.
+    hot_keys: Option<HotKeys>,
+    pause: Duration,
 }
 
 impl Callers {
@@ -80,30 +92,40 @@
         let calls = Arc::new(Mutex::new(Vec::new()));
         let hosts = cluster.hosts.len();
         let per_host = CALLERS_PER_HOST.min((CALLERS_MAX / hosts).max(1));
-        let mut threads = Vec::new();
-        for number in 0..hosts * per_host {
-            let host = number % hosts;
-            let mut caller = Caller {
-                host,
-                name: format!("s{seed}-{number}"),
-                client: HttpClient::new(cluster.hosts[host].caller_address, None),
-                rng: SmallRng::seed_from_u64(seed.wrapping_mul(1000) + number as u64),
-                newest_route: Arc::clone(newest_route),
-            };
-            let address = cluster.hosts[host].caller_address;
-            let (stop, calls) = (Arc::clone(&stop), Arc::clone(&calls));
-            threads.push(thread::spawn(move || {
-                for count in 0u32.. {
-                    if stop.load(Ordering::SeqCst) {
-                        return;
+        let started = Instant::now();
+        let create_caller = |number: usize, name: String| Caller {
+            host: number % hosts,
+            name,
+            client: HttpClient::new(cluster.hosts[number % hosts].caller_address, None),
+            rng: SmallRng::seed_from_u64(seed.wrapping_mul(1000) + number as u64),
+            newest_route: Arc::clone(newest_route),
+            hot_keys: None,
+            pause: REQUEST_PAUSE,
+        };
+        let usual = (0..hosts * per_host).map(|n| create_caller(n, format!("s{seed}-{n}")));
+        let hot = (0..HOT_CALLERS).map(|n| Caller {
+            hot_keys: Some(HotKeys::new(seed, started)),
+            pause: HOT_REQUEST_PAUSE,
+            ..create_caller(n, format!("s{seed}-hot{n}"))
+        });
+        let threads = usual
+            .chain(hot)
+            .map(|mut caller| {
+                let address = cluster.hosts[caller.host].caller_address;
+                let (stop, calls) = (Arc::clone(&stop), Arc::clone(&calls));
+                thread::spawn(move || {
+                    for count in 0u32.. {
+                        if stop.load(Ordering::SeqCst) {
+                            return;
+                        }
+                        let call = caller.call(count, address);
+                        let failed = matches!(call.outcome, CallOutcome::Failed(_));
+                        sync::lock(&calls).push(call);
+                        thread::sleep(if failed { FAILURE_PAUSE } else { caller.pause });
                     }
-                    let call = caller.call(count, address);
-                    let failed = matches!(call.outcome, CallOutcome::Failed(_));
-                    sync::lock(&calls).push(call);
-                    thread::sleep(if failed { FAILURE_PAUSE } else { REQUEST_PAUSE });
-                }
-            }));
-        }
+                })
+            })
+            .collect();
         Self {
             stop,
             calls,
@@ -129,7 +151,11 @@
     fn call(&mut self, count: u32, address: SocketAddr) -> CallRecord {
         let id = format!("{}-{count}", self.name);
         let newest_route = newest_route_number(&self.newest_route);
-        let (method, path, keyed, route) = match self.rng.random_range(0..10) {
+        let kinds = match self.hot_keys {
+            Some(_) => 0..KEYED_KINDS,
+            None => 0..KINDS,
+        };
+        let (method, path, keyed, route) = match self.rng.random_range(kinds) {
             0..=2 => ("GET", "/look/".to_owned(), true, None),
             3..=5 => ("POST", "/book/".to_owned(), true, None),
             6 => ("GET", "/peek/".to_owned(), false, None),
@@ -147,7 +173,11 @@
         headers.push("Request-Id", id.as_str());
         headers.push("Deadline-Ms", DEADLINE_MS.to_string());
         if keyed {
-            headers.push("Shard-Key", self.rng.random::<u16>().to_string());
+            let key = match &self.hot_keys {
+                Some(hot_keys) => hot_keys.draw(&mut self.rng),
+                None => self.rng.random(),
+            };
+            headers.push("Shard-Key", key.to_string());
         }
         let body = match method {
             "POST" => id.clone().into_bytes(),
--- /dev/null
+++ b/crates/bench/src/soak/grant_faults.rs
@@ -0,0 +1,81 @@
+//! Faults that make grants reach their upstream late or take effect at the wrong process. They have
+//! draws of their own and overlap with those of [`crate::soak::faults`].
+
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::args::BenchError;
+use crate::host_cluster::HostCluster;
+use crate::soak::pause_series::PauseSeries;
+
+/// The number of daemons that are paused in series at the same time.
+const OVERLAPPING_SERIES: usize = 2;
+/// Separates these draws from other draws of the same seed.
+const SEED_MASK: u64 = 0x0067_7261_6e74_7321;
+
+/// Draws, injects and reverts these faults.
+pub struct GrantFaults {
+    rng: SmallRng,
+    started: Instant,
+    series: Vec<PauseSeries>,
+    history: Vec<(Duration, String)>,
+}
+
+impl GrantFaults {
+    /// Creates the faults of a seed; none is active.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(seed ^ SEED_MASK),
+            started: Instant::now(),
+            series: Vec::new(),
+            history: Vec::new(),
+        }
+    }
+
+    /// Injects and reverts the faults that are due.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process can't be signalled.
+    pub fn advance(&mut self, cluster: &mut HostCluster) -> Result<(), BenchError> {
+        let now = Instant::now();
+        self.series.retain(|s| !s.is_over());
+        while self.series.len() < OVERLAPPING_SERIES {
+            let host = self.rng.random_range(0..cluster.hosts.len());
+            self.series
+                .push(PauseSeries::draw(&mut self.rng, host, now));
+        }
+        for series in &mut self.series {
+            let done = series.advance(&mut self.rng, now, cluster)?;
+            let entry = done.map(|d| (now - self.started, d));
+            self.history.extend(entry);
+        }
+        Ok(())
+    }
+
+    /// Resumes the daemons that are paused.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a daemon can't be signalled.
+    pub fn revert_all(&mut self, cluster: &mut HostCluster) -> Result<(), BenchError> {
+        for mut series in std::mem::take(&mut self.series) {
+            series.resume(cluster)?;
+        }
+        Ok(())
+    }
+
+    /// Returns how many faults were injected or reverted.
+    pub fn count(&self) -> usize {
+        self.history.len()
+    }
+
+    /// Returns what was injected and reverted, each after its time in seconds since the start.
+    pub fn history(&self) -> String {
+        let entries = self.history.iter();
+        let entries = entries.map(|(at, what)| format!("{:.2} {what}", at.as_secs_f64()));
+        entries.collect::<Vec<_>>().join(", ")
+    }
+}
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -5,6 +5,8 @@
 //! |---|---|
 //! | [`callers`] | sends requests on persistent connections and records the outcomes |
 //! | [`faults`] | draws, injects and reverts overlapping faults |
+//! | [`grant_faults`], [`pause_series`] | faults that delay grants, beside the others |
+//! | [`hot_keys`] | chooses the keys that callers use most for some time |
 //! | [`verdict`] | compares what callers received with what upstreams ran |
 //!
 //! After the faults come planned stops under load, without other faults; then the run prints a line
@@ -12,6 +14,9 @@
 
 pub mod callers;
 pub mod faults;
+pub mod grant_faults;
+pub mod hot_keys;
+pub mod pause_series;
 pub mod verdict;
 
 use std::path::Path;
@@ -28,6 +33,7 @@
 use crate::network::Network;
 use crate::soak::callers::Callers;
 use crate::soak::faults::FaultSchedule;
+use crate::soak::grant_faults::GrantFaults;
 use crate::soak::verdict::SoakVerdict;
 
 /// How long an environment may take to start.
@@ -121,12 +127,15 @@
     let callers = Callers::start(cluster, spec.seed, &newest_route);
     let rng = SmallRng::seed_from_u64(spec.seed);
     let mut faults = FaultSchedule::new(rng, Arc::clone(network), newest_route);
+    let mut grant_faults = GrantFaults::new(spec.seed);
     let started = Instant::now();
     while started.elapsed() < spec.fault_time {
         faults.advance(cluster)?;
+        grant_faults.advance(cluster)?;
         thread::sleep(POLL_INTERVAL);
     }
     faults.revert_all(cluster)?;
+    grant_faults.revert_all(cluster)?;
     let repaired_at = Instant::now();
     await_service(cluster, RECOVERY_TIME_MAX)?;
     let served_again = repaired_at.elapsed();
@@ -136,11 +145,12 @@
     let calls = callers.stop();
     let verdict = SoakVerdict::of(cluster, &calls, planned_stops_from);
     println!(
-        "RESULT soak seed={} hosts={} faults={} requests={} ran={} \
+        "RESULT soak seed={} hosts={} faults={} grant_faults={} requests={} ran={} \
          refused={} unknown={} unanswered={} transfers={} served_again_ms={} targets={}",
         spec.seed,
         spec.hosts,
         faults.count(),
+        grant_faults.count(),
         calls.len(),
         verdict.ran,
         verdict.refused,
@@ -157,9 +167,10 @@
     match verdict.violations.first() {
         None => Ok(()),
         Some(first) => Err(BenchError(format!(
-            "{} promises broken, the first: {first}; faults: {}",
+            "{} promises broken, the first: {first}; faults: {}; of grants: {}",
             verdict.violations.len(),
-            faults.history()
+            faults.history(),
+            grant_faults.history()
         ))),
     }
 }
