Let upstreams of the soak carry out some grants late

Change: while faults are injected, upstreams leave a drawn share of the grants, up to 0.3, unanswered and carry them out 0.3 to 2 s later. The share is set at the stand-ins (`/stand-in/late-grants`) when the faults begin, and to zero once all are reverted, as the promises on takeover at the end of the soak hold for upstreams that answer; it also applies to upstreams that are started meanwhile.

--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -23,6 +23,7 @@
 use crate::journal;
 use crate::network::Network;
 use crate::ownership_event::OwnershipEvent;
+use crate::ranged_upstream;
 use crate::upstream_options::UpstreamOptions;
 
 /// The timeout of an HTTP request to a daemon or the store.
@@ -352,6 +353,30 @@
         }
     }
 
+    /// Changes the fraction of the grants that get no answer and are carried out later, for all
+    /// upstreams that run and for those started after this call.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an upstream that runs does not accept the change within
+    /// [`CALL_TIMEOUT`].
+    pub fn set_late_grants(&mut self, share: f64) -> Result<(), BenchError> {
+        self.upstream_options.late_grants = share;
+        for number in 0..self.hosts.len() {
+            if !self.has_upstream(number) {
+                continue;
+            }
+            self.wait_until("the upstream accepts calls", CALL_TIMEOUT, |c| {
+                let to = c.upstream_address(number);
+                let target = ranged_upstream::LATE_GRANTS_PATH;
+                let body = share.to_string();
+                let response = call(to, "POST", target, Headers::default(), body.as_bytes());
+                response.is_ok_and(|r| r.status == 200)
+            })?;
+        }
+        Ok(())
+    }
+
     /// Returns the address from which a host's daemon connects to other daemons and the store.
     pub fn ip(&self, number: usize) -> IpAddr {
         self.hosts[number].caller_address.ip()
--- a/crates/bench/src/late_grants.rs
+++ b/crates/bench/src/late_grants.rs
@@ -14,24 +14,36 @@
 
 /// Draws which grants are late.
 pub struct LateGrants {
+    choice: Mutex<Choice>,
+}
+
+struct Choice {
     /// The fraction of the grants that are late.
     share: f64,
-    rng: Mutex<SmallRng>,
+    rng: SmallRng,
 }
 
 impl LateGrants {
     /// Creates the choice with the share and the seed of `options`.
     pub fn new(options: &UpstreamOptions) -> Self {
         Self {
-            share: options.late_grants,
-            rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
+            choice: Mutex::new(Choice {
+                share: options.late_grants,
+                rng: SmallRng::seed_from_u64(options.seed),
+            }),
         }
     }
 
+    /// Changes the fraction of the grants that are late; it must be from 0 to 1.
+    pub fn set_share(&self, share: f64) {
+        sync::lock(&self.choice).share = share;
+    }
+
     /// Returns how long after its arrival the next grant is carried out; `None` if it is not late.
     pub fn draw_delay(&self) -> Option<Duration> {
-        let mut rng = sync::lock(&self.rng);
-        let is_late = rng.random_bool(self.share);
-        is_late.then(|| Duration::from_millis(rng.random_range(DELAY_MS)))
+        let mut choice = sync::lock(&self.choice);
+        let share = choice.share;
+        let is_late = choice.rng.random_bool(share);
+        is_late.then(|| Duration::from_millis(choice.rng.random_range(DELAY_MS)))
     }
 }
--- a/crates/bench/src/ranged_upstream.rs
+++ b/crates/bench/src/ranged_upstream.rs
@@ -44,6 +44,9 @@
 /// How often a call without an answer checks whether its client has closed the connection.
 const CLIENT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The path under which the fraction of late grants is set.
+pub const LATE_GRANTS_PATH: &str = "/stand-in/late-grants";
+
 /// A granted range of keys, both ends included.
 struct Grant {
     first: u64,
@@ -265,6 +268,17 @@
         }
     }
 
+    /// Changes the fraction of the grants that are late.
+    fn set_late_grants(&self, body: &Value) -> HttpResponse {
+        match body.as_f64().filter(|s| (0.0..=1.0).contains(s)) {
+            Some(share) => {
+                self.late_grants.set_share(share);
+                HttpResponse::text(200, "")
+            }
+            None => HttpResponse::text(400, "not from 0 to 1"),
+        }
+    }
+
     /// Releases the grants of a range of keys, and responds once no request is running.
     fn release(&self, body: &Value) -> HttpResponse {
         let number = |name: &str| body[name].as_u64().unwrap_or(0);
@@ -392,6 +406,7 @@
             "/grant" if self.sharded => self.handle_grant(&request, recipient),
             "/release" if self.sharded => self.release(&parse_body(&request)),
             "/grant" | "/release" => HttpResponse::text(400, "no keys"),
+            LATE_GRANTS_PATH => self.set_late_grants(&parse_body(&request)),
             _ => {
                 let id = request
                     .head
--- a/crates/bench/src/soak/grant_faults.rs
+++ b/crates/bench/src/soak/grant_faults.rs
@@ -12,6 +12,8 @@
 
 /// The number of daemons that are paused in series at the same time.
 const OVERLAPPING_SERIES: usize = 2;
+/// The largest fraction of the grants that are late.
+const LATE_SHARE_MAX: f64 = 0.3;
 /// Separates these draws from other draws of the same seed.
 const SEED_MASK: u64 = 0x0067_7261_6e74_7321;
 
@@ -34,6 +36,19 @@
         }
     }
 
+    /// Lets the upstreams carry out a drawn share of the grants late, until all is reverted.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an upstream does not respond.
+    pub fn begin(&mut self, cluster: &mut HostCluster) -> Result<(), BenchError> {
+        let share = self.rng.random_range(0.0..LATE_SHARE_MAX);
+        cluster.set_late_grants(share)?;
+        let entry = (self.started.elapsed(), format!("late grants {share:.2}"));
+        self.history.push(entry);
+        Ok(())
+    }
+
     /// Injects and reverts the faults that are due.
     ///
     /// # Errors
@@ -55,16 +70,17 @@
         Ok(())
     }
 
-    /// Resumes the daemons that are paused.
+    /// Resumes the daemons that are paused, and ends the late grants. All upstreams that run must be
+    /// able to respond.
     ///
     /// # Errors
     ///
-    /// Returns an error if a daemon can't be signalled.
+    /// Returns an error if a daemon can't be signalled or an upstream does not respond.
     pub fn revert_all(&mut self, cluster: &mut HostCluster) -> Result<(), BenchError> {
         for mut series in std::mem::take(&mut self.series) {
             series.resume(cluster)?;
         }
-        Ok(())
+        cluster.set_late_grants(0.0)
     }
 
     /// Returns how many faults were injected or reverted.
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -128,6 +128,7 @@
     let rng = SmallRng::seed_from_u64(spec.seed);
     let mut faults = FaultSchedule::new(rng, Arc::clone(network), newest_route);
     let mut grant_faults = GrantFaults::new(spec.seed);
+    grant_faults.begin(cluster)?;
     let started = Instant::now();
     while started.elapsed() < spec.fault_time {
         faults.advance(cluster)?;
