Restart upstreams of the soak at once, without a report for some time

Cause: an upstream that the soak had killed came back when the fault was over and reported its state at once. Its daemon never met a new process on the address of which it had heard nothing. Change: at drawn times an upstream is killed and started again at once; it sends its first report 1 to 3 s later (`--first-report-ms` of the stand-in). A soak that fails before its verdict names its faults too.

--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -247,6 +247,33 @@
     ///
     /// Returns an error if the process can't be started.
     pub fn start_upstream(&mut self, number: usize) -> Result<(), BenchError> {
+        self.start_upstream_with_options(number, &self.upstream_options.clone())
+    }
+
+    /// Kills the upstream of a host and starts it again at once; it reports its state only after
+    /// `first_report_ms` milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process can't be started, or its journal can't be read or written.
+    pub fn restart_upstream(
+        &mut self,
+        number: usize,
+        first_report_ms: u64,
+    ) -> Result<(), BenchError> {
+        self.kill_upstream(number)?;
+        let options = UpstreamOptions {
+            first_report_ms,
+            ..self.upstream_options.clone()
+        };
+        self.start_upstream_with_options(number, &options)
+    }
+
+    fn start_upstream_with_options(
+        &mut self,
+        number: usize,
+        options: &UpstreamOptions,
+    ) -> Result<(), BenchError> {
         let host = &self.hosts[number];
         let sharded = self.sharded_services.iter().any(|s| s == host.service);
         let at = |port| SocketAddr::new(host.caller_address.ip(), port).to_string();
@@ -269,7 +296,7 @@
         if sharded {
             args.push("--divided");
         }
-        let options = self.upstream_options.to_args(number);
+        let options = options.to_args(number);
         args.extend(options.iter().map(String::as_str));
         let child = self.spawn(&format!("upstream-{number}"), &args)?;
         self.hosts[number].upstream = Some(child);
--- a/crates/bench/src/ranged_upstream.rs
+++ b/crates/bench/src/ranged_upstream.rs
@@ -147,6 +147,7 @@
     let client = HttpClient::new(reports, Some(address.ip()));
     let info =
         json!({"Service": text("service")?, "Version": "v1", "Zone": text("domain")?, "Slots": 8});
+    thread::sleep(Duration::from_millis(options.first_report_ms));
     for sequence in 1u64.. {
         let status = json!({"State": "ready", "Sequence": sequence, "WarmupRemainingMs": 0});
         let body = json!({"Address": address.to_string(), "born": started_ms, "Info": info, "Status": status});
--- a/crates/bench/src/soak/grant_faults.rs
+++ b/crates/bench/src/soak/grant_faults.rs
@@ -14,6 +14,10 @@
 const OVERLAPPING_SERIES: usize = 2;
 /// The largest fraction of the grants that are late.
 const LATE_SHARE_MAX: f64 = 0.3;
+/// The time between two restarts of upstreams, in milliseconds.
+const RESTART_INTERVAL_MS: std::ops::Range<u64> = 500..3000;
+/// How long after its restart an upstream reports its state, in milliseconds.
+const FIRST_REPORT_MS: std::ops::Range<u64> = 1000..3000;
 /// Separates these draws from other draws of the same seed.
 const SEED_MASK: u64 = 0x0067_7261_6e74_7321;
 
@@ -22,16 +26,19 @@
     rng: SmallRng,
     started: Instant,
     series: Vec<PauseSeries>,
+    next_restart_at: Instant,
     history: Vec<(Duration, String)>,
 }
 
 impl GrantFaults {
     /// Creates the faults of a seed; none is active.
     pub fn new(seed: u64) -> Self {
+        let now = Instant::now();
         Self {
             rng: SmallRng::seed_from_u64(seed ^ SEED_MASK),
-            started: Instant::now(),
+            started: now,
             series: Vec::new(),
+            next_restart_at: now,
             history: Vec::new(),
         }
     }
@@ -53,9 +60,10 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if a process can't be signalled.
+    /// Returns an error if a process can't be started or signalled.
     pub fn advance(&mut self, cluster: &mut HostCluster) -> Result<(), BenchError> {
         let now = Instant::now();
+        self.restart_upstream_if_due(now, cluster)?;
         self.series.retain(|s| !s.is_over());
         while self.series.len() < OVERLAPPING_SERIES {
             let host = self.rng.random_range(0..cluster.hosts.len());
@@ -70,6 +78,24 @@
         Ok(())
     }
 
+    fn restart_upstream_if_due(
+        &mut self,
+        now: Instant,
+        cluster: &mut HostCluster,
+    ) -> Result<(), BenchError> {
+        if now < self.next_restart_at {
+            return Ok(());
+        }
+        self.next_restart_at =
+            now + Duration::from_millis(self.rng.random_range(RESTART_INTERVAL_MS));
+        let host = self.rng.random_range(0..cluster.hosts.len());
+        let first_report_ms = self.rng.random_range(FIRST_REPORT_MS);
+        cluster.restart_upstream(host, first_report_ms)?;
+        let entry = format!("restart upstream {host}, first report after {first_report_ms} ms");
+        self.history.push((now - self.started, entry));
+        Ok(())
+    }
+
     /// Resumes the daemons that are paused, and ends the late grants. All upstreams that run must be
     /// able to respond.
     ///
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -138,11 +138,17 @@
     faults.revert_all(cluster)?;
     grant_faults.revert_all(cluster)?;
     let repaired_at = Instant::now();
-    await_service(cluster, RECOVERY_TIME_MAX)?;
+    let history = format!(
+        "faults: {}; of grants: {}",
+        faults.history(),
+        grant_faults.history()
+    );
+    let with_history = |e| BenchError(format!("{e}; {history}"));
+    await_service(cluster, RECOVERY_TIME_MAX).map_err(with_history)?;
     let served_again = repaired_at.elapsed();
     thread::sleep(SETTLE_TIME.saturating_sub(served_again));
     let planned_stops_from = Instant::now();
-    stop_as_planned(cluster, &mut faults)?;
+    stop_as_planned(cluster, &mut faults).map_err(with_history)?;
     let calls = callers.stop();
     let verdict = SoakVerdict::of(cluster, &calls, planned_stops_from);
     println!(
@@ -168,10 +174,8 @@
     match verdict.violations.first() {
         None => Ok(()),
         Some(first) => Err(BenchError(format!(
-            "{} promises broken, the first: {first}; faults: {}; of grants: {}",
-            verdict.violations.len(),
-            faults.history(),
-            grant_faults.history()
+            "{} promises broken, the first: {first}; {history}",
+            verdict.violations.len()
         ))),
     }
 }
--- a/crates/bench/src/upstream_options.rs
+++ b/crates/bench/src/upstream_options.rs
@@ -20,6 +20,8 @@
     pub seed: u64,
     /// Whether a grant is refused also for the higher fencing token of a release.
     pub fences_by_releases: bool,
+    /// How long after its start an upstream begins to report its state, in milliseconds.
+    pub first_report_ms: u64,
 }
 
 impl Default for UpstreamOptions {
@@ -30,6 +32,7 @@
             late_connections: 0.0,
             seed: 0,
             fences_by_releases: false,
+            first_report_ms: 0,
         }
     }
 }
@@ -66,6 +69,12 @@
             "fence-by-releases",
             "refuse a grant also for the higher fencing token of a release",
         );
+        options.optopt(
+            "",
+            "first-report-ms",
+            "how long after the start the first report is sent, in milliseconds (default 0)",
+            "N",
+        );
     }
 
     /// Returns the options of a command line.
@@ -80,6 +89,7 @@
             late_connections: share(matches, "late-connections")?,
             seed: args::value(matches, "seed", 0)?,
             fences_by_releases: matches.opt_present("fence-by-releases"),
+            first_report_ms: args::value(matches, "first-report-ms", 0)?,
         })
     }
 
@@ -96,6 +106,8 @@
             self.late_connections.to_string(),
             "--seed".to_owned(),
             seed.to_string(),
+            "--first-report-ms".to_owned(),
+            self.first_report_ms.to_string(),
         ];
         if self.fences_by_releases {
             args.push("--fence-by-releases".to_owned());
