--- a/src/connection/control_pool.rs
+++ b/src/connection/control_pool.rs
@@ -83,7 +83,7 @@
         sync::lock(&self.idle).clear();
     }
 
-    /// Sends a request that may take effect late, and waits up to `timeout` for its response.
+    /// Sends a request that may take effect late, as a release, and waits up to `timeout` for its response.
     ///
     /// # Errors
     ///
--- a/src/process/host/grant_sender.rs
+++ b/src/process/host/grant_sender.rs
@@ -76,14 +76,13 @@
         let begun: Vec<BegunGrant> = due
             .iter()
             .zip(connections)
-            .map(|((range, handover), connection)| {
+            .map(|(due, connection)| {
                 let mut sent = None;
                 let pending = connection.and_then(|connection| {
-                    let order = (*range, handover.clone());
-                    self.write_grant(connection, target, order, live_until, deadline, &mut sent)
+                    self.write_grant(connection, target, due, live_until, deadline, &mut sent)
                 });
                 BegunGrant {
-                    range: *range,
+                    range: due.0,
                     began_at,
                     written_at: self.clock.now(),
                     sent,
@@ -100,17 +99,16 @@
 
     /// Writes a grant, unless its duration would be too short. The duration is determined once the
     /// upstream serves the connection, as it counts from the arrival there; if the process stands still
-    /// before the grant is written, it is withdrawn.
+    /// before the grant is written, it is withdrawn. Sets `sent` unless nothing was written.
     fn write_grant(
         &self,
         connection: ReadyConnection,
         target: &mut GrantTarget,
-        order: (OwnedRange, Option<String>),
+        (range, handover): &(OwnedRange, Option<String>),
         live_until: Moment,
         deadline: Instant,
         sent: &mut Option<SentGrant>,
     ) -> Result<PendingControlRequest, UpstreamRequestFailure> {
-        let (range, handover) = order;
         let sent_at = self.clock.now();
         let build = |group| {
             let grant = Grant {
@@ -118,7 +116,7 @@
                 keys: range.keys(),
                 fencing_token: owned_range::pack_fencing_token(range.token),
                 duration: self.grant_duration(sent_at, live_until)?,
-                handover,
+                handover: handover.clone(),
             };
             if !target.admits(group) {
                 return None;
