--- a/src/connection/control_pool.rs
+++ b/src/connection/control_pool.rs
@@ -15,6 +15,7 @@
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::connection_group::ConnectionGroup;
 use crate::connection::http1::{self, Framing, ResponseHead};
+use crate::connection::idle_connection::IdleConnection;
 use crate::connection::protocol::{OutgoingRequest, ResponseMetadata, UpstreamProtocol};
 use crate::connection::recipient::Recipient;
 use crate::connection::upstream_connection::UpstreamConnection;
@@ -50,13 +51,6 @@
     method: &'static str,
 }
 
-/// A connection without a request in progress.
-struct IdleConnection {
-    connection: UpstreamConnection,
-    /// When it must not be reused any more.
-    expires_at: Instant,
-}
-
 /// The connections for requests of the daemon itself to one address.
 pub struct ControlPool {
     connector: Arc<UpstreamConnector>,
@@ -197,6 +191,7 @@
             return Err(withdrawn());
         };
         let bytes = encode(&request);
+        // What follows the answer to the ping would be taken for the response.
         if !connection.conn.is_reusable() {
             connection.conn.reset();
             let reason = "something followed the answer to the ping";
@@ -258,7 +253,7 @@
         let mut idle = sync::lock(&self.idle);
         let now = Instant::now();
         while let Some(last) = idle.pop() {
-            if last.expires_at > now && last.connection.conn.is_reusable() {
+            if last.is_usable(now) {
                 return Some(last.connection);
             }
         }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -25,6 +25,7 @@
 pub mod http_client;
 pub mod http_listener;
 pub mod http_server;
+pub mod idle_connection;
 pub mod peer_call;
 pub mod peer_error;
 pub mod peer_frame;
--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -9,6 +9,7 @@
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::control_pool::ControlPool;
 use crate::connection::http1::{self, Framing, ResponseHead};
+use crate::connection::idle_connection::IdleConnection;
 use crate::connection::protocol::{ResponseMetadata, UpstreamProtocol};
 use crate::connection::recipient::Recipient;
 use crate::connection::upstream_connection::UpstreamConnection;
@@ -85,13 +86,6 @@
     }
 }
 
-/// A connection without a request in progress.
-struct IdleConnection {
-    connection: UpstreamConnection,
-    /// When it must not be reused any more.
-    expires_at: Instant,
-}
-
 /// The pooled connections to one address.
 pub struct UpstreamPool {
     connector: Arc<UpstreamConnector>,
@@ -285,7 +279,7 @@
     ) -> Result<UpstreamConnection, UpstreamRequestFailure> {
         let now = Instant::now();
         while let Some(idle) = self.take_idle(request_id) {
-            if idle.expires_at > now && idle.connection.conn.is_reusable() {
+            if idle.is_usable(now) {
                 return Ok(idle.connection);
             }
         }
