Admit by kind of request, deadline and objective, with a bound for one busy key

Cause: the queue of an upstream was ordered by arrival and judged by one mean run time. Short calls were refused by the run time of long requests, work was begun that couldn't end in time, in overload each request was served late, and one key busier than its owner had the other keys refused with it. A caller that returned after a refusal was treated as a new one. Change: run times by kind and present slowdown (run_times); a queue with requests on time before late ones, which keep one turn in eight (admission_queue); a busy key fills at most a third of the time to the objective; retry delays are spread; the objective of a returning caller counts from its first attempt (returning_callers).

--- a/src/process/host/admission.rs
+++ b/src/process/host/admission.rs
@@ -2,35 +2,29 @@
 //! admitted, and at what rate while the upstream is cold. Performs no I/O: callers pass in the
 //! time.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::process::host::admission_queue::{
+    AdmissionQueue, Arrival, REQUIRED_TIME_FRACTION, Ticket,
+};
+use crate::process::host::run_times::RunTimes;
 use crate::process::moment::Moment;
+use crate::request::request_kind::RequestKind;
 use crate::request::upstream_outcome::NotRunCause;
 
-/// Weight of a new run time in the exponential moving average.
-const NEW_TIME_WEIGHT: f64 = 0.05;
-/// Assumed mean run time before any was measured, in microseconds.
-const INITIAL_MEAN_MICROS: f64 = 100_000.0;
-/// Fraction of the mean run time that a request must have left when it is admitted.
-const REQUIRED_TIME_FRACTION: f64 = 0.6;
-/// Longest expected wait at which a request is queued although its response would miss the
-/// objective.
+/// Longest expected wait at which a request that would miss its objective is queued as one on time.
 const LATE_WAIT_MAX: Duration = Duration::from_millis(40);
+/// The requests of one key may fill the time left to their objective divided by this, while others
+/// wait: a key busier than the upstream would otherwise take the other keys with it.
+const KEY_WAIT_DIVISOR: u32 = 3;
 /// Shortest retry delay returned with a refusal.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(60);
+/// Step between the retry delays of consecutive refusals, as a fraction of their range. With this
+/// fraction, the golden ratio's, any number of consecutive delays is spread evenly.
+const RETRY_SPREAD_STEP: f64 = 0.618;
 /// Factor on the configured rate of a cold upstream.
 const COLD_RATE_FACTOR: f64 = 1.1;
 
-/// Position in the queue: ordered by priority, then by arrival.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket {
-    /// Priority of the request; 0 is the most urgent.
-    pub priority: u8,
-    /// Sequence number of the arrival.
-    pub sequence: u64,
-}
-
 /// Result of [`Admission::admit`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -47,6 +41,15 @@
     },
 }
 
+/// Queued requests whose wait is over.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Turns {
+    /// Requests that may be sent now.
+    pub admitted: Vec<Ticket>,
+    /// Requests that can't end before their deadline any more; they have not run.
+    pub expired: Vec<Ticket>,
+}
+
 /// Rate limit of a cold upstream: one start per `interval` up to `until`.
 #[derive(Clone, Copy, Debug)]
 struct ColdPacing {
@@ -60,10 +63,9 @@
 pub struct Admission {
     slots: u32,
     in_flight: u32,
-    /// Queued requests with their arrival times.
-    queue: BTreeMap<Ticket, Moment>,
-    last_sequence: u64,
-    mean_micros: f64,
+    queue: AdmissionQueue,
+    run_times: RunTimes,
+    refusals: u32,
     cold: Option<ColdPacing>,
 }
 
@@ -72,9 +74,9 @@
         Self {
             slots: 1,
             in_flight: 0,
-            queue: BTreeMap::new(),
-            last_sequence: 0,
-            mean_micros: INITIAL_MEAN_MICROS,
+            queue: AdmissionQueue::default(),
+            run_times: RunTimes::default(),
+            refusals: 0,
             cold: None,
         }
     }
@@ -117,68 +119,66 @@
         self.slots
     }
 
-    /// Returns the mean run time of a request, in microseconds.
-    pub fn mean_micros(&self) -> f64 {
-        self.mean_micros
+    /// Returns the run times of the requests.
+    pub fn run_times(&self) -> &RunTimes {
+        &self.run_times
     }
 
-    /// Admits, queues or refuses a request that must complete by `deadline` and counts as slow
-    /// after `objective`.
-    pub fn admit(
-        &mut self,
-        now: Moment,
-        priority: u8,
-        deadline: Moment,
-        objective: Moment,
-    ) -> Decision {
-        if self.queue.is_empty() && self.can_start(now) {
+    /// Admits, queues or refuses a request.
+    pub fn admit(&mut self, now: Moment, arrival: &Arrival) -> Decision {
+        let run_time = self.run_times.estimate(now, arrival.kind);
+        let required = run_time.mul_f64(REQUIRED_TIME_FRACTION);
+        // An idle upstream gets the request in any case: a wrong estimate is corrected only by
+        // requests that run.
+        let can_end = self.in_flight == 0 || now + required <= arrival.deadline;
+        if can_end && self.queue.is_empty() && self.can_start(now) {
             self.start(now);
             return Decision::Admitted;
         }
-        let wait = self.expected_wait(now, priority);
-        let required = Duration::from_micros((self.mean_micros * REQUIRED_TIME_FRACTION) as u64);
+        let wait = self.expected_wait(now, arrival);
+        if self.exceeds_key_share(now, arrival) {
+            return self.refuse(now, wait);
+        }
         let end = now + wait + required;
-        let too_late = end > deadline || (end > objective && wait > LATE_WAIT_MAX);
-        if too_late {
-            let cause = match self.cold {
-                Some(_) => NotRunCause::Cold,
-                None => NotRunCause::Overloaded,
-            };
-            let retry_after = (wait / 2).max(RETRY_AFTER_MIN);
-            return Decision::Refused { cause, retry_after };
+        let is_late = end > arrival.objective && wait > LATE_WAIT_MAX;
+        let end = match is_late {
+            true => end + self.queue.late_work() / self.slots,
+            false => end,
+        };
+        if end > arrival.deadline {
+            return self.refuse(now, wait);
         }
-        self.last_sequence += 1;
-        let sequence = self.last_sequence;
-        let ticket = Ticket { priority, sequence };
-        self.queue.insert(ticket, now);
-        Decision::Queued(ticket)
+        Decision::Queued(self.queue.push(*arrival, run_time, is_late))
     }
 
     /// Removes a request from the queue; returns whether it was still queued.
     pub fn abandon(&mut self, ticket: Ticket) -> bool {
-        self.queue.remove(&ticket).is_some()
+        self.queue.remove(ticket)
     }
 
-    /// Records that an admitted request ended; `duration` is its run time, if it ran.
-    pub fn complete(&mut self, duration: Option<Duration>) {
+    /// Records that an admitted request ended; `ran` is its kind and run time, if it ran.
+    pub fn complete(&mut self, now: Moment, ran: Option<(RequestKind, Duration)>) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        if let Some(duration) = duration {
-            let micros = duration.as_micros() as f64;
-            self.mean_micros += (micros - self.mean_micros) * NEW_TIME_WEIGHT;
+        if let Some((kind, run_time)) = ran {
+            self.run_times.record(now, kind, run_time);
         }
     }
 
-    /// Admits queued requests as far as slots and pacing allow, and returns their tickets.
-    pub fn admit_waiting(&mut self, now: Moment) -> Vec<Ticket> {
-        let mut admitted = Vec::new();
+    /// Admits queued requests as far as slots and pacing allow, and takes out those that can't end
+    /// before their deadline any more.
+    pub fn admit_waiting(&mut self, now: Moment) -> Turns {
+        let mut turns = Turns {
+            admitted: Vec::new(),
+            expired: self.queue.take_expired(now),
+        };
         while self.can_start(now) {
-            let Some((ticket, _)) = self.queue.pop_first() else {
+            let Some(ticket) = self.queue.pop(now) else {
                 break;
             };
             self.start(now);
-            admitted.push(ticket);
+            turns.admitted.push(ticket);
         }
-        admitted
+        turns
     }
 
     /// Returns how long until the pacing of a cold upstream allows the next start.
@@ -187,25 +187,46 @@
         Some(cold.next_start.since(now))
     }
 
-    /// Returns how long a request of `priority` that arrives now is expected to wait.
-    pub fn expected_wait(&self, now: Moment, priority: u8) -> Duration {
-        let last_ahead = Ticket {
-            priority,
-            sequence: u64::MAX,
+    /// Returns how long a request that arrives now is expected to wait.
+    pub fn expected_wait(&self, now: Moment, arrival: &Arrival) -> Duration {
+        let work_ahead = self.queue.work_ahead(arrival);
+        let is_free = self.in_flight < self.slots && work_ahead.is_zero();
+        let mean = Duration::from_micros(self.run_times.mean_micros() as u64);
+        let slot_wait = match is_free {
+            true => Duration::ZERO,
+            false => (work_ahead + mean) / self.slots,
         };
-        let queued_ahead = self.queue.range(..=last_ahead).count();
-        let free = self.slots.saturating_sub(self.in_flight);
-        let excess = (queued_ahead + 1).saturating_sub(usize::try_from(free).unwrap_or(usize::MAX));
-        let rounds = excess as f64 / f64::from(self.slots);
-        let slot_wait = Duration::from_micros((rounds * self.mean_micros) as u64);
         let Some(cold) = self.cold.filter(|c| c.until > now) else {
             return slot_wait;
         };
-        let intervals = u32::try_from(queued_ahead).unwrap_or(u32::MAX);
+        let intervals = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         let pacing_wait = cold.next_start.since(now) + cold.interval.saturating_mul(intervals);
         slot_wait.max(pacing_wait)
     }
 
+    /// Returns whether the key of the request fills its part of the queue already.
+    fn exceeds_key_share(&self, now: Moment, arrival: &Arrival) -> bool {
+        let Some(key) = arrival.key else {
+            return false;
+        };
+        let (of_key, of_others) = self.queue.work_of_key(key);
+        let share = arrival.objective.since(now) / KEY_WAIT_DIVISOR;
+        !of_others.is_zero() && of_key / self.slots > share
+    }
+
+    /// Refuses a request that would wait for `wait`. Consecutive refusals get different delays, so
+    /// that the callers don't return at the same moment.
+    fn refuse(&mut self, now: Moment, wait: Duration) -> Decision {
+        self.refusals = self.refusals.wrapping_add(1);
+        let spread = 0.5 + (f64::from(self.refusals) * RETRY_SPREAD_STEP).fract();
+        let retry_after = (wait / 2).max(RETRY_AFTER_MIN).mul_f64(spread);
+        let cause = match self.cold.filter(|c| c.until > now) {
+            Some(_) => NotRunCause::Cold,
+            None => NotRunCause::Overloaded,
+        };
+        Decision::Refused { cause, retry_after }
+    }
+
     fn can_start(&self, now: Moment) -> bool {
         let paced = self
             .cold
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -11,7 +11,8 @@
 use crate::connection::upstream_request_failure::UpstreamRequestFailure;
 use crate::process::clock::Clock;
 use crate::process::datagram::Message;
-use crate::process::host::admission::{Admission, Decision, Ticket};
+use crate::process::host::admission::{Admission, Decision};
+use crate::process::host::admission_queue::{Arrival, Ticket};
 use crate::process::host::departures::DepartedProcess;
 use crate::process::host::grant_wait::GrantWait;
 use crate::process::host::local_upstream::{
@@ -23,6 +24,7 @@
 use crate::process::sync;
 use crate::request::fingerprint::Fingerprint;
 use crate::request::quarantine::{CrashSuspect, Quarantine, QuarantineState};
+use crate::request::request_kind::RequestKind;
 use crate::request::shard_key::ShardKey;
 use crate::request::upstream_load::UpstreamLoad;
 use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
@@ -53,14 +55,28 @@
     ran: Duration,
 }
 
+/// Why a request leaves the queue.
+enum Turn {
+    /// It may be sent.
+    Admitted,
+    /// It can't end before its deadline any more.
+    Expired,
+}
+
+/// Request at the upstream.
+struct InFlight {
+    fingerprint: Fingerprint,
+    kind: RequestKind,
+}
+
 #[derive(Default)]
 struct State {
     upstream: LocalUpstream,
     admission: Admission,
     /// Channels that wake the threads of queued requests.
-    waiting: HashMap<Ticket, SyncSender<()>>,
+    waiting: HashMap<Ticket, SyncSender<Turn>>,
     /// Requests at the upstream, by dispatch number.
-    in_flight: HashMap<u64, Fingerprint>,
+    in_flight: HashMap<u64, InFlight>,
     last_dispatch: u64,
     quarantine: Quarantine,
     /// Ranges that are certainly granted to the upstream, each with the end of its grant.
@@ -207,7 +223,7 @@
             in_flight: state.admission.in_flight(),
             waiting: u32::try_from(state.admission.waiting()).unwrap_or(u32::MAX),
             slots: state.admission.slots(),
-            mean_micros: state.admission.mean_micros() as u32,
+            mean_micros: state.admission.run_times().mean_micros() as u32,
             ..UpstreamLoad::default()
         }
     }
@@ -514,10 +530,14 @@
         if let Some(key) = request.key {
             *state.arrivals.entry(key.0).or_default() += 1;
         }
-        let ticket = match state
-            .admission
-            .admit(now, request.priority, deadline, objective)
-        {
+        let arrival = Arrival {
+            priority: request.priority,
+            kind: request.kind,
+            key: request.key,
+            deadline,
+            objective,
+        };
+        let ticket = match state.admission.admit(now, &arrival) {
             Decision::Admitted => return Ok(()),
             Decision::Refused { cause, retry_after } => {
                 return Err(UpstreamOutcome::not_run(cause, retry_after));
@@ -533,7 +553,10 @@
                 .unwrap_or(CALLER_POLL_INTERVAL)
                 .clamp(REQUEST_TIME_MIN, CALLER_POLL_INTERVAL);
             match rx.recv_timeout(timeout) {
-                Ok(()) => return Ok(()),
+                Ok(Turn::Admitted) => return Ok(()),
+                Ok(Turn::Expired) => {
+                    return Err(refusal(NotRunCause::Overloaded));
+                }
                 Err(RecvTimeoutError::Disconnected) => {
                     return Err(refusal(NotRunCause::Stopping));
                 }
@@ -570,7 +593,10 @@
         let process = process.ok_or(NotRunCause::Down)?;
         state.last_dispatch += 1;
         let dispatch = state.last_dispatch;
-        state.in_flight.insert(dispatch, fingerprint);
+        let kind = request.kind;
+        state
+            .in_flight
+            .insert(dispatch, InFlight { fingerprint, kind });
         Ok((dispatch, process))
     }
 
@@ -584,10 +610,9 @@
     ) {
         let now = self.clock.now();
         let mut state = sync::lock(&self.state);
-        if let Some(dispatch) = dispatch {
-            state.in_flight.remove(&dispatch);
-        }
-        state.admission.complete(duration);
+        let ended = dispatch.and_then(|d| state.in_flight.remove(&d));
+        let run = ended.zip(duration).map(|(ended, d)| (ended.kind, d));
+        state.admission.complete(now, run);
         let cleared = ran.filter(|&f| state.quarantine.clear(now, f));
         state.wake_admitted(now);
         drop(state);
@@ -643,18 +668,26 @@
 impl State {
     /// Admits queued requests and wakes their threads.
     fn wake_admitted(&mut self, now: Moment) {
-        for ticket in self.admission.admit_waiting(now) {
-            if let Some(tx) = self.waiting.remove(&ticket) {
-                // If the thread no longer waits, it ends its dispatch itself.
-                let _ = tx.try_send(());
-            }
+        let turns = self.admission.admit_waiting(now);
+        for ticket in turns.admitted {
+            self.wake(ticket, Turn::Admitted);
+        }
+        for ticket in turns.expired {
+            self.wake(ticket, Turn::Expired);
+        }
+    }
+
+    fn wake(&mut self, ticket: Ticket, turn: Turn) {
+        if let Some(tx) = self.waiting.remove(&ticket) {
+            // If the thread no longer waits, it ends its dispatch itself.
+            let _ = tx.try_send(turn);
         }
     }
 
     /// Records all requests in flight as suspects of the crash of the upstream process `boot`.
     fn suspect_in_flight(&mut self, now: Moment, boot: UpstreamBoot) -> Vec<CrashSuspect> {
         self.quarantine
-            .record_crash(now, boot, self.in_flight.values().copied())
+            .record_crash(now, boot, self.in_flight.values().map(|r| r.fingerprint))
     }
 }
 
--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -1,6 +1,6 @@
 //! Routes callers' requests to upstreams, and turns the outcomes into responses.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use crate::process::host::response_builder::ResponseBuilder;
 use crate::process::host::retry_budget_share::RetryBudgetConfig;
 use crate::process::host::retry_budgets::RetryBudgets;
+use crate::process::host::returning_callers::ReturningCallers;
 use crate::process::host::stop_schedule::StopSchedule;
 use crate::process::host::target_selector::TargetSelector;
 use crate::process::host::upstream_selector::{AttemptOutcome, UpstreamSelector};
@@ -27,8 +28,11 @@
 use crate::process::metrics::Metrics;
 use crate::process::moment::Moment;
 use crate::process::stop_flag::StopFlag;
+use crate::process::sync;
 use crate::request::body::Body;
+use crate::request::fingerprint::Fingerprint;
 use crate::request::outcome::Outcome;
+use crate::request::request_kind::RequestKind;
 use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 use crate::request::upstream_request::UpstreamRequest;
 use crate::version::domain_name::DomainName;
@@ -85,6 +89,7 @@
     retry_budgets: RetryBudgets,
     forwarder: RequestForwarder,
     responses: ResponseBuilder,
+    returning_callers: Mutex<ReturningCallers>,
 }
 
 impl HostRouter {
@@ -97,6 +102,7 @@
             retry_budgets: RetryBudgets::new(deps.retry_budget),
             forwarder: RequestForwarder::new(membership, peers),
             responses: ResponseBuilder::new(Arc::clone(&deps.protocol)),
+            returning_callers: Mutex::default(),
             deps,
         }
     }
@@ -105,6 +111,8 @@
     pub fn forget_former_members(&self) {
         let table = self.deps.membership.table();
         self.selector.retain(|i| table.member_of(i).is_some());
+        let now = self.deps.clock.now();
+        sync::lock(&self.returning_callers).remove_expired(now);
     }
 
     /// Routes a request and returns its outcome.
@@ -372,6 +380,7 @@
             headers: head.headers.end_to_end(),
             key: metadata.key,
             repeatable: rule.repeatable,
+            kind: RequestKind::of_route(&rule.name),
             priority: rule.priority,
             remaining: timeout.saturating_sub(elapsed),
             objective: rule.objective.saturating_sub(elapsed),
@@ -381,6 +390,37 @@
         Ok((request, rule.clone()))
     }
 
+    /// Returns when the caller's first attempt at a request arrived, which is now unless the caller
+    /// returns after a refusal.
+    fn first_attempt_at(&self, now: Moment, request: &UpstreamRequest) -> Moment {
+        let mut callers = sync::lock(&self.returning_callers);
+        if callers.is_empty() {
+            return now;
+        }
+        let fingerprint = Fingerprint::of_upstream_request(request);
+        callers.take_first_attempt(now, fingerprint).unwrap_or(now)
+    }
+
+    /// Remembers a refusal, so that the caller is recognised when it returns.
+    fn remember_refusal(
+        &self,
+        request: &UpstreamRequest,
+        first_at: Moment,
+        outcome: &UpstreamOutcome,
+    ) {
+        if let UpstreamOutcome::NotRun { retry_after, .. } = outcome {
+            let now = self.deps.clock.now();
+            let fingerprint = Fingerprint::of_upstream_request(request);
+            sync::lock(&self.returning_callers).record(
+                now,
+                fingerprint,
+                first_at,
+                *retry_after,
+                request.remaining,
+            );
+        }
+    }
+
     /// Records the metrics of a finished request.
     fn record_metrics(&self, service: &ServiceName, outcome: &UpstreamOutcome, duration: Duration) {
         let metric = match outcome {
@@ -426,7 +466,10 @@
             Ok(routed) => routed,
             Err(response) => return response,
         };
+        let first_at = self.first_attempt_at(started, &request);
+        request.objective = request.objective.saturating_sub(started.since(first_at));
         let (outcome, mut trace) = self.route(routing, &rule, &mut request, recipient);
+        self.remember_refusal(&request, first_at, &outcome);
         trace.queued = queued;
         let duration = self.deps.clock.now().since(started);
         self.record_metrics(&request.service, &outcome, duration);
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -11,7 +11,8 @@
 //! | `target_selector` | which of a route's weighted targets gets a request |
 //! | [`upstream_selector`] | which of several equivalent upstreams gets a request |
 //! | [`host_dispatcher`] | whether and when a request is sent to the local upstream |
-//! | [`admission`] | concurrency limit, queue order and pacing of the local upstream |
+//! | [`admission`] | concurrency limit, refusals and pacing of the local upstream |
+//! | [`admission_queue`] | the order in which requests wait for the local upstream |
 //! | [`local_upstream`] | current process of the local upstream, and its state |
 //! | [`departures`] | which processes of the local upstream have announced that they will stop |
 //! | `departure_store` | the departures in the store, for the next process of the daemon |
@@ -24,6 +25,8 @@
 //! | [`load_meter`] | load that each key range puts on the local upstream |
 //! | [`store_sync`] | routing and table in force, and which daemons watch the store |
 //! | `store_watch` | reads and watches of the keys with one prefix |
+//! | [`returning_callers`] | callers that return after a refusal as they were told |
+//! | [`run_times`] | how long a request of each kind runs on the local upstream now |
 //! | `routing_values` | operators' routing values in the store |
 //! | `stored_cell`, `stored_table` | table and join requests in the store, and who plans |
 //! | `table_planner` | writes of the next table and of join requests |
@@ -40,6 +43,7 @@
 //! | [`stop_schedule`] | times of a graceful stop |
 
 pub mod admission;
+pub mod admission_queue;
 pub mod body_reservations;
 mod departure_store;
 pub mod departures;
@@ -66,7 +70,9 @@
 mod response_builder;
 pub mod retry_budget_share;
 mod retry_budgets;
+pub mod returning_callers;
 mod routing_values;
+pub mod run_times;
 pub mod service;
 pub mod stop_schedule;
 mod store_health;
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -21,6 +21,7 @@
 pub mod records;
 pub mod refusal;
 pub mod request_id;
+pub mod request_kind;
 pub mod retry_budget;
 pub mod service_response;
 pub mod shard_key;
--- a/src/request/upstream_request.rs
+++ b/src/request/upstream_request.rs
@@ -9,6 +9,7 @@
 
 use crate::request::body::Body;
 use crate::request::headers::Headers;
+use crate::request::request_kind::RequestKind;
 use crate::request::shard_key::ShardKey;
 use crate::version::service_name::ServiceName;
 
@@ -36,6 +37,8 @@
     pub key: Option<ShardKey>,
     /// Whether the request is idempotent, so that it may run more than once.
     pub repeatable: bool,
+    /// The kind, by which run times are estimated.
+    pub kind: RequestKind,
     /// The priority; 0 is the most urgent.
     pub priority: u8,
     /// How much longer the caller waits for the response.
--- a/tests/testsuite/host/grants/late_requests.rs
+++ b/tests/testsuite/host/grants/late_requests.rs
@@ -15,6 +15,7 @@
 use foxtaildrift::process::wall_time::WallTime;
 use foxtaildrift::request::body::Body;
 use foxtaildrift::request::headers::Headers;
+use foxtaildrift::request::request_kind::RequestKind;
 use foxtaildrift::request::shard_key::ShardKey;
 use foxtaildrift::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 use foxtaildrift::request::upstream_request::UpstreamRequest;
@@ -155,6 +156,7 @@
         headers: Headers::default(),
         key: key.map(ShardKey),
         repeatable: true,
+        kind: RequestKind::default(),
         priority: 1,
         remaining,
         objective: remaining,
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -11,6 +11,8 @@
 mod ranges;
 mod recent_requests;
 mod retry_budget_share;
+mod returning_callers;
+mod run_times;
 mod settings;
 mod stop_schedule;
 mod store_sync;
--- a/tests/testsuite/peer_pool.rs
+++ b/tests/testsuite/peer_pool.rs
@@ -21,6 +21,7 @@
 use foxtaildrift::request::envelope::Envelope;
 use foxtaildrift::request::headers::Headers;
 use foxtaildrift::request::request_id::RequestId;
+use foxtaildrift::request::request_kind::RequestKind;
 use foxtaildrift::request::upstream_outcome::UpstreamOutcome;
 use foxtaildrift::request::upstream_request::UpstreamRequest;
 use foxtaildrift::version::instance_id::InstanceId;
@@ -51,6 +52,7 @@
         headers: Headers::default(),
         key: None,
         repeatable: false,
+        kind: RequestKind::default(),
         priority: 1,
         remaining: Duration::from_secs(2),
         objective: Duration::from_secs(1),
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -18,6 +18,7 @@
 use foxtaildrift::connection::upstream_request_failure::UpstreamRequestFailure;
 use foxtaildrift::request::body::Body;
 use foxtaildrift::request::headers::Headers;
+use foxtaildrift::request::request_kind::RequestKind;
 use foxtaildrift::request::upstream_outcome::NotRunCause;
 use foxtaildrift::request::upstream_request::UpstreamRequest;
 
@@ -77,6 +78,7 @@
         headers: Headers::default(),
         key: None,
         repeatable: true,
+        kind: RequestKind::default(),
         priority: 1,
         remaining: TIMEOUT,
         objective: TIMEOUT,
--- a/tests/testsuite/wire_properties.rs
+++ b/tests/testsuite/wire_properties.rs
@@ -28,6 +28,7 @@
 use foxtaildrift::request::headers::Headers;
 use foxtaildrift::request::quarantine::CrashSuspect;
 use foxtaildrift::request::records::SliceRecords;
+use foxtaildrift::request::request_kind::RequestKind;
 use foxtaildrift::request::shard_key::ShardKey;
 use foxtaildrift::request::upstream_load::UpstreamLoad;
 use foxtaildrift::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
@@ -340,6 +341,7 @@
         headers: Headers::default(),
         key: Some(ShardKey(77)),
         repeatable: true,
+        kind: RequestKind::default(),
         priority: 1,
         remaining: Duration::from_secs(2),
         objective: Duration::from_millis(400),
