--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -10,6 +10,7 @@
 //! | `response_builder` | responses to callers |
 //! | `target_selector` | which of a route's weighted targets gets a request |
 //! | [`upstream_selector`] | which of several equivalent upstreams gets a request |
+//! | `selection_report` | metrics and the log line of a selected upstream |
 //! | [`host_dispatcher`] | whether and when a request is sent to the local upstream |
 //! | [`admission`] | concurrency limit, refusals and pacing of the local upstream |
 //! | [`admission_queue`] | the order in which requests wait for the local upstream |
@@ -22,6 +23,7 @@
 //! | [`token_holder`] | which process of the local upstream has the present fencing tokens |
 //! | `key_releaser` | calls that release keys, and their handover to the next owner |
 //! | [`owned_range`] | arithmetic on key ranges, and the fencing tokens of grants |
+//! | [`load_estimate`] | load of one upstream, from its latest report and the age of it |
 //! | [`load_meter`] | load that each key range puts on the local upstream |
 //! | [`store_sync`] | routing and table in force, and which daemons watch the store |
 //! | `store_watch` | reads and watches of the keys with one prefix |
@@ -59,6 +61,7 @@
 pub mod host_settings;
 pub mod key_grants;
 mod key_releaser;
+pub mod load_estimate;
 pub mod load_meter;
 pub mod local_upstream;
 pub mod metered_store;
@@ -73,6 +76,7 @@
 pub mod returning_callers;
 mod routing_values;
 pub mod run_times;
+mod selection_report;
 pub mod service;
 pub mod stop_schedule;
 mod store_health;
