Add teams and API keys to the routing

Cause: the operators' document may list teams with API keys, priorities and rate limits, and public routes; the daemon knew none of them.

Change: version::team, team_name, teams, api_key (digest), request_rate and burst; RoutingConfig has the teams and finds the team of a key; RouteRule is public or not; CallMetadata has the digest of the caller's key and UpstreamRequest the team. Nothing authenticates yet.

--- a/src/connection/protocol.rs
+++ b/src/connection/protocol.rs
@@ -16,6 +16,7 @@
 use crate::request::headers::Headers;
 use crate::request::shard_key::ShardKey;
 use crate::request::upstream_request::UpstreamRequest;
+use crate::version::api_key::ApiKeyDigest;
 use crate::version::domain_name::DomainName;
 use crate::version::routing_config::RoutingConfig;
 use crate::version::service_name::ServiceName;
@@ -29,6 +30,8 @@
     pub timeout: Option<Duration>,
     /// The key that the request is routed by.
     pub key: Option<ShardKey>,
+    /// The digest of the caller's API key.
+    pub api_key: Option<ApiKeyDigest>,
 }
 
 /// The protocol of the callers.
@@ -36,6 +39,10 @@
     /// Returns the metadata in the head of a request.
     fn parse_head(&self, head: &RequestHead) -> CallMetadata;
 
+    /// Returns the names of the headers that state a caller's identity. Where teams are configured,
+    /// only the daemon sets them.
+    fn identity_headers(&self) -> &'static [&'static str];
+
     /// Returns the header that asks a caller to retry after `wait`.
     fn retry_after_header(&self, wait: Duration) -> (&'static str, String);
 
--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -370,6 +370,7 @@
             method: head.method.clone(),
             target: head.target.clone(),
             headers: head.headers.end_to_end(),
+            team: None,
             key: metadata.key,
             repeatable: rule.repeatable,
             priority: rule.priority,
--- a/src/request/upstream_request.rs
+++ b/src/request/upstream_request.rs
@@ -11,6 +11,7 @@
 use crate::request::headers::Headers;
 use crate::request::shard_key::ShardKey;
 use crate::version::service_name::ServiceName;
+use crate::version::team_name::TeamName;
 
 /// A request with all that other daemons and the upstream need to serve it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +33,8 @@
     pub attempt: u32,
     /// The complete body.
     pub body: Body,
+    /// The team of the caller, if it is known.
+    pub team: Option<TeamName>,
     /// The key, if the service is sharded.
     pub key: Option<ShardKey>,
     /// Whether the request is idempotent, so that it may run more than once.
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -9,7 +9,9 @@
 //! assert!(slice.is_some_and(|s| s.index() < 64));
 //! ```
 
+pub mod api_key;
 pub mod assignment;
+pub mod burst;
 pub mod configuration;
 pub mod digest;
 pub mod document;
@@ -25,6 +27,7 @@
 pub mod name_error;
 pub mod objective;
 pub mod rendezvous;
+pub mod request_rate;
 pub mod route;
 pub mod routing_config;
 pub mod service;
@@ -34,5 +37,8 @@
 pub mod table;
 pub mod table_delta;
 pub mod table_error;
+pub mod team;
+pub mod team_name;
+pub mod teams;
 pub mod upstream;
 pub mod witness_set;
--- a/src/version/routing_config.rs
+++ b/src/version/routing_config.rs
@@ -16,12 +16,16 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::version::api_key::ApiKeyDigest;
 use crate::version::document::Document;
 use crate::version::document_version::DocumentVersion;
 use crate::version::domain_name::DomainName;
 use crate::version::domain_state::DomainState;
 use crate::version::service::{Service, ServiceKind};
 use crate::version::service_name::ServiceName;
+use crate::version::team::Team;
+use crate::version::team_name::TeamName;
+use crate::version::teams::Teams;
 
 /// The initial number of key ranges of a sharded service; busy ranges are split later.
 pub const INITIAL_RANGES: u32 = 256;
@@ -52,6 +56,8 @@
     pub priority: u8,
     /// The maximum number of upstreams that one request is sent to.
     pub attempts: u32,
+    /// Whether the route also takes requests without an API key.
+    pub public: bool,
     /// The services that the requests are distributed to.
     pub targets: Vec<RouteTarget>,
 }
@@ -104,6 +110,8 @@
     pub limits: CallerLimits,
     /// The failure domains whose upstreams get no new requests.
     pub evacuated: BTreeSet<DomainName>,
+    /// The teams of callers; `None` if callers need no API key.
+    pub teams: Option<Teams>,
 }
 
 impl RoutingConfig {
@@ -116,6 +124,16 @@
         matching.max_by_key(|r| r.prefix.len())
     }
 
+    /// Returns the team that an API key belongs to.
+    pub fn team_of_key(&self, key: &ApiKeyDigest) -> Option<&Team> {
+        self.teams.as_ref()?.of_key(key)
+    }
+
+    /// Returns the team with this name.
+    pub fn team(&self, name: &TeamName) -> Option<&Team> {
+        self.teams.as_ref()?.get(name)
+    }
+
     /// Returns whether upstreams in `domain` get new requests.
     pub fn accepts_work(&self, domain: &DomainName) -> bool {
         !self.evacuated.contains(domain)
--- a/tests/testsuite/host/grants/late_requests.rs
+++ b/tests/testsuite/host/grants/late_requests.rs
@@ -153,6 +153,7 @@
         method: "GET".to_owned(),
         target: "/request/0/0/0".to_owned(),
         headers: Headers::default(),
+        team: None,
         key: key.map(ShardKey),
         repeatable: true,
         priority: 1,
--- a/tests/testsuite/peer_pool.rs
+++ b/tests/testsuite/peer_pool.rs
@@ -49,6 +49,7 @@
         method: "POST".to_owned(),
         target: "/book/".to_owned(),
         headers: Headers::default(),
+        team: None,
         key: None,
         repeatable: false,
         priority: 1,
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -75,6 +75,7 @@
         method: "GET".to_owned(),
         target: "/stock/".to_owned(),
         headers: Headers::default(),
+        team: None,
         key: None,
         repeatable: true,
         priority: 1,
--- a/tests/testsuite/wire_properties.rs
+++ b/tests/testsuite/wire_properties.rs
@@ -32,15 +32,20 @@
 use foxtaildrift::request::upstream_load::UpstreamLoad;
 use foxtaildrift::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 use foxtaildrift::request::upstream_request::UpstreamRequest;
+use foxtaildrift::version::api_key::ApiKeyDigest;
+use foxtaildrift::version::burst::Burst;
 use foxtaildrift::version::document_version::DocumentVersion;
 use foxtaildrift::version::epoch::Epoch;
 use foxtaildrift::version::instance_id::InstanceId;
 use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, MemberInfo, WEIGHT_FULL};
+use foxtaildrift::version::request_rate::RequestRate;
 use foxtaildrift::version::routing_config::{RoutingConfig, ServiceSettings};
 use foxtaildrift::version::service_name::ServiceName;
 use foxtaildrift::version::session_id::SessionId;
 use foxtaildrift::version::slice_id::SliceId;
 use foxtaildrift::version::table_delta::TableDelta;
+use foxtaildrift::version::team::Team;
+use foxtaildrift::version::teams::Teams;
 use foxtaildrift::version::upstream::{Upstream, UpstreamBoot};
 use proptest::collection;
 use proptest::prelude::{Just, Strategy, any, prop_oneof};
@@ -199,8 +204,15 @@
         sharded: true,
         ..ServiceSettings::default()
     };
+    let team = Team {
+        name: "hule930".parse().unwrap(),
+        priority: Some(1),
+        rate: RequestRate::try_from(387.5).ok(),
+        burst: Burst(9),
+    };
     RoutingConfig {
         version: DocumentVersion(5),
+        teams: Some(Teams::new([(team, vec![ApiKeyDigest::of(b"k")])])),
         services: BTreeMap::from([(service(), settings)]),
         ..RoutingConfig::default()
     }
@@ -338,6 +350,7 @@
         method: "GET".to_owned(),
         target: "/x/".to_owned(),
         headers: Headers::default(),
+        team: Some("hule930".parse().unwrap()),
         key: Some(ShardKey(77)),
         repeatable: true,
         priority: 1,
