Authenticate callers by API keys, and refuse keys that may be revoked

Cause: the routing had teams and keys, but nothing checked them, and a daemon that lost the store would have accepted a revoked key for ever.

Change: process::host::authentication decides the team of a request (401 without a valid key unless the route is public) and drops the headers that state an identity; a team's priority takes precedence. With strict_revocation, process::host::routing_freshness keeps the latest time at which the adopted routing is known to have been the newest: from store calls, and from grants, which carry the age of the witness's knowledge (its version is in each datagram's header already). A routing that may be older than the timeout refuses keyed requests with 503. Watches of the routing take an eighth of the timeout then, at most 1 s. A value that can't be read or is refused, and a store that went back, confirm nothing. A routing read in several pages gets the newest revision among its values, since daemons with equal versions confirm each other's routing.

--- a/crates/bench/src/explore/forged_datagram.rs
+++ b/crates/bench/src/explore/forged_datagram.rs
@@ -23,6 +23,7 @@
         session,
         sent,
         epoch,
+        routing_age: None,
     };
     Some(Datagram {
         from: witness.session.instance,
--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -1215,6 +1215,9 @@
         for (field, value) in &fields {
             text = text.replace(&format!("{{{{{field}}}}}"), value);
         }
+        // A section of a field that the platform does not have is rendered as nothing.
+        let lines = text.lines().filter(|line| !line.starts_with("{{#"));
+        let text = lines.collect::<Vec<_>>().join("\n");
         let settings = self.folder.join(format!("{name}.yaml"));
         fs::write(&settings, text).expect("settings");
         self.machines.push(Machine {
--- a/src/connection/protocol.rs
+++ b/src/connection/protocol.rs
@@ -43,6 +43,9 @@
     /// only the daemon sets them.
     fn identity_headers(&self) -> &'static [&'static str];
 
+    /// Returns the header that tells a caller how to send its API key.
+    fn challenge_header(&self) -> (&'static str, &'static str);
+
     /// Returns the header that asks a caller to retry after `wait`.
     fn retry_after_header(&self, wait: Duration) -> (&'static str, String);
 
@@ -207,6 +210,9 @@
     /// Returns the prefix of the operators' keys in the store.
     fn key_prefix(&self) -> &str;
 
+    /// Returns the key of the value that contains the teams.
+    fn teams_key(&self) -> &str;
+
     /// Parses the operators' values; does not set the version of the result.
     ///
     /// # Errors
--- a/src/process/datagram.rs
+++ b/src/process/datagram.rs
@@ -1,6 +1,7 @@
 //! The UDP datagrams that daemons exchange.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -61,6 +62,9 @@
         sent: Moment,
         /// The highest epoch granted.
         epoch: Epoch,
+        /// How long before this was sent the witness's document version is known to have been the
+        /// newest; `None` if nothing depends on that.
+        routing_age: Option<Duration>,
     },
     /// Facts about sessions.
     Facts(SessionFacts),
--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -13,6 +13,8 @@
 use crate::connection::protocol::CallerProtocol;
 use crate::connection::recipient::Recipient;
 use crate::process::clock::Clock;
+use crate::process::host::authentication;
+use crate::process::host::caller_authenticator::CallerAuthenticator;
 use crate::process::host::host_dispatcher::HostDispatcher;
 use crate::process::host::request_forwarder::RequestForwarder;
 use crate::process::host::request_log;
@@ -83,6 +85,7 @@
     selector: UpstreamSelector,
     target_selector: TargetSelector,
     retry_budgets: RetryBudgets,
+    authenticator: CallerAuthenticator,
     forwarder: RequestForwarder,
     responses: ResponseBuilder,
 }
@@ -95,6 +98,7 @@
             selector: UpstreamSelector::default(),
             target_selector: TargetSelector::default(),
             retry_budgets: RetryBudgets::new(deps.retry_budget),
+            authenticator: CallerAuthenticator::new(Arc::clone(&membership)),
             forwarder: RequestForwarder::new(membership, peers),
             responses: ResponseBuilder::new(Arc::clone(&deps.protocol)),
             deps,
@@ -342,10 +346,11 @@
         &self,
         routing: &RoutingConfig,
         http_request: HttpRequest,
+        is_routing_recent: bool,
     ) -> Result<(UpstreamRequest, RouteRule), HttpResponse> {
         let head = &http_request.head;
         let metadata = self.deps.protocol.parse_head(head);
-        let Some(id) = metadata.id else {
+        let Some(id) = metadata.id.clone() else {
             return Err(HttpResponse::text(400, "the request has no id\n"));
         };
         let Some(host) = head.headers.get_str("host") else {
@@ -355,6 +360,13 @@
             tracing::info!(event = "request", request = %id, status = 404, version = %routing.version, cause = "no-route");
             return Err(HttpResponse::text(404, "no route\n"));
         };
+        let team = self.authenticator.authenticate(
+            routing,
+            rule,
+            &metadata,
+            is_routing_recent,
+            &self.responses,
+        )?;
         let Some(target) = self.target_selector.select(rule) else {
             return Err(HttpResponse::text(503, "the route has no target\n"));
         };
@@ -369,11 +381,15 @@
             origin: self.deps.origin.clone(),
             method: head.method.clone(),
             target: head.target.clone(),
-            headers: head.headers.end_to_end(),
-            team: None,
+            headers: authentication::forwarded_headers(
+                routing,
+                &*self.deps.protocol,
+                &head.headers,
+            ),
+            team: team.map(|t| t.name.clone()),
             key: metadata.key,
             repeatable: rule.repeatable,
-            priority: rule.priority,
+            priority: team.and_then(|t| t.priority).unwrap_or(rule.priority),
             remaining: timeout.saturating_sub(elapsed),
             objective: rule.objective.saturating_sub(elapsed),
             attempt: 0,
@@ -417,13 +433,15 @@
     }
 
     fn handle(&self, http_request: HttpRequest, recipient: &Recipient) -> HttpResponse {
+        let is_routing_recent = self.authenticator.is_routing_recent();
         let active = self.deps.membership.active_configuration();
         let Some(routing) = &active.routing_config else {
             return self.responses.routing_unknown();
         };
         let started = self.deps.clock.now();
         let queued = http_request.received_at.elapsed();
-        let (mut request, rule) = match self.build_request(routing, http_request) {
+        let (mut request, rule) = match self.build_request(routing, http_request, is_routing_recent)
+        {
             Ok(routed) => routed,
             Err(response) => return response,
         };
--- a/src/process/host/host_settings.rs
+++ b/src/process/host/host_settings.rs
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::process::host::retry_budget_share::RetryBudgetConfig;
+use crate::process::host::routing_freshness::RoutingFreshness;
 use crate::process::lease_times::LeaseTimes;
 use crate::process::settings_error::SettingsError;
 use crate::process::settings_file;
@@ -73,6 +74,11 @@
     pub retry_slack: f64,
     /// Length of the retry window, in seconds.
     pub retry_window_s: f64,
+    /// Whether a revoked API key must not work later than `revoke_timeout_ms` after the store
+    /// acknowledged its removal, also where the store can't be reached.
+    pub strict_revocation: bool,
+    /// Time after which a revoked API key must not work, in milliseconds.
+    pub revoke_timeout_ms: u64,
     /// Processor share of the host, in cores; the daemons on hosts with the largest share come
     /// first in the planning order.
     pub cpu_share: f64,
@@ -107,6 +113,8 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_s: 10.0,
+            strict_revocation: false,
+            revoke_timeout_ms: 5000,
             cpu_share: 1.0,
             link_mbps: 1000.0,
             memory_mb: 256,
@@ -163,6 +171,14 @@
         usize::try_from(bytes).unwrap_or(usize::MAX)
     }
 
+    /// Returns the state of a daemon that does not know yet whether its routing is recent.
+    pub fn routing_freshness(&self) -> RoutingFreshness {
+        match self.strict_revocation {
+            true => RoutingFreshness::strict(Duration::from_millis(self.revoke_timeout_ms)),
+            false => RoutingFreshness::default(),
+        }
+    }
+
     /// Returns the configuration of the retry budget.
     pub fn retry_budget(&self) -> RetryBudgetConfig {
         RetryBudgetConfig {
@@ -208,6 +224,10 @@
                 "0.5 to 600",
             );
         }
+        if !(1000..=600_000).contains(&self.revoke_timeout_ms) {
+            let value = self.revoke_timeout_ms;
+            return settings_file::out_of_range("revoke_timeout_ms", value, "1000 to 600000");
+        }
         if !(0.001..=1024.0).contains(&self.cpu_share) {
             return settings_file::out_of_range(
                 "cpu_share",
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -4,6 +4,10 @@
 //! | module | responsibility |
 //! |---|---|
 //! | [`host_router`] | where a request is sent, its retries, and the response to its caller |
+//! | [`authentication`] | which team a request belongs to, and whether it may run |
+//! | `caller_authenticator` | responses to callers without a valid key |
+//! | [`routing_freshness`] | whether the routing is recent enough for keys that may have been revoked |
+//! | `recency_monitor` | log lines and metric of the routing's age |
 //! | `request_forwarder` | requests to the daemons beside other upstreams |
 //! | `request_progress` | how long a request waits, and whether it may have run |
 //! | `request_log` | log lines of finished requests |
@@ -40,7 +44,9 @@
 //! | [`stop_schedule`] | times of a graceful stop |
 
 pub mod admission;
+pub mod authentication;
 pub mod body_reservations;
+mod caller_authenticator;
 mod departure_store;
 pub mod departures;
 pub mod endpoints;
@@ -59,6 +65,7 @@
 pub mod local_upstream;
 pub mod metered_store;
 pub mod owned_range;
+mod recency_monitor;
 pub mod recent_requests;
 mod request_forwarder;
 mod request_log;
@@ -66,6 +73,7 @@
 mod response_builder;
 pub mod retry_budget_share;
 mod retry_budgets;
+pub mod routing_freshness;
 mod routing_values;
 pub mod service;
 pub mod stop_schedule;
--- a/src/process/host/response_builder.rs
+++ b/src/process/host/response_builder.rs
@@ -5,11 +5,16 @@
 
 use crate::connection::http_listener::HttpResponse;
 use crate::connection::protocol::CallerProtocol;
+use crate::process::host::authentication::AuthenticationRefusal;
 use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 
 /// Retry delay returned while the routing is unknown.
 const ROUTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Retry delay returned while the routing may be too old for keys: a store that answers again makes it
+/// recent within about this time.
+const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Builder of responses in the protocol of the callers.
 pub(super) struct ResponseBuilder {
     protocol: Arc<dyn CallerProtocol>,
@@ -28,6 +33,25 @@
         response
     }
 
+    /// Builds the response to a request with a key that may have been revoked.
+    pub(super) fn routing_stale(&self, id: &str) -> HttpResponse {
+        let reason = "not run: the routing may be too old for the key\n";
+        let mut response = HttpResponse::text(503, reason);
+        self.add_retry_after(&mut response, STALE_RETRY_AFTER);
+        self.add_id(&mut response, id);
+        response
+    }
+
+    /// Builds the response to a request without a valid key.
+    pub(super) fn unauthorized(&self, id: &str, refusal: AuthenticationRefusal) -> HttpResponse {
+        let reason = format!("not run: {}\n", refusal.as_str());
+        let mut response = HttpResponse::text(401, reason);
+        let (name, value) = self.protocol.challenge_header();
+        response.headers.push(name, value);
+        self.add_id(&mut response, id);
+        response
+    }
+
     /// Builds the response to the caller from an outcome.
     pub(super) fn build(&self, id: &str, outcome: UpstreamOutcome) -> HttpResponse {
         let mut response = match outcome {
@@ -56,9 +80,13 @@
                 HttpResponse::text(status, format!("may have run: {reason}\n"))
             }
         };
+        self.add_id(&mut response, id);
+        response
+    }
+
+    fn add_id(&self, response: &mut HttpResponse, id: &str) {
         let (name, value) = self.protocol.request_id_header(id);
         response.headers.push(name, value);
-        response
     }
 
     fn add_retry_after(&self, response: &mut HttpResponse, delay: Duration) {
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -24,6 +24,7 @@
 use crate::process::host::host_router::{HostRouter, HostRouterDeps};
 use crate::process::host::host_settings::HostSettings;
 use crate::process::host::metered_store::MeteredStore;
+use crate::process::host::recency_monitor::RecencyMonitor;
 use crate::process::host::recent_requests::RecentRequests;
 use crate::process::host::stop_schedule::StopSchedule;
 use crate::process::host::store_sync::StoreSync;
@@ -310,6 +311,7 @@
         clock.now(),
         rand::random(),
     )
+    .with_routing_freshness(settings.routing_freshness())
 }
 
 /// Starts the threads that run until the process stops.
@@ -398,7 +400,9 @@
     let started = Instant::now();
     let times = context.settings.lease_times();
     let (mut reported_at, mut traffic_at) = (started, started);
+    let mut recency = RecencyMonitor::default();
     while !context.stop.wait(PERIODIC_INTERVAL) {
+        recency.check(&context.membership);
         context.grant_manager.release_former_grants();
         context.grant_manager.reconcile();
         let former_leases_expired = started.elapsed() > times.former_process_delay();
--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -6,13 +6,14 @@
 
 use crate::connection::protocol::OperatorProtocol;
 use crate::process::host::routing_values::RoutingValues;
-use crate::process::host::store_watch::StoreWatch;
+use crate::process::host::store_watch::{ReadContent, StoreWatch, WatchedChanges};
 use crate::process::host::stored_cell::StoredCell;
 use crate::process::host::table_planner::TablePlanner;
 use crate::process::membership::Membership;
+use crate::process::moment::Moment;
 use crate::process::platform::Revision;
 use crate::process::stop_flag::StopFlag;
-use crate::process::store::{KEY_PREFIX, KeyChange, RangeResponse, Store};
+use crate::process::store::{KEY_PREFIX, RangeResponse, Store};
 use crate::process::sync;
 use crate::version::document_version::DocumentVersion;
 use crate::version::instance_id::InstanceId;
@@ -76,13 +77,11 @@
             store: &*self.store,
             name: "routing",
             prefix: self.protocol.key_prefix(),
+            now: &|| self.now(),
         };
         watch.run(
             stop,
-            || match self.cell.planner_position() < SHORT_ROUTING_WATCHERS {
-                true => Some(ROUTING_WATCH_TIMEOUT),
-                false => self.must_watch_routing().then_some(WATCH_TIMEOUT),
-            },
+            || self.routing_watch_timeout(),
             |range| self.replace_routing(range),
             |changes| self.apply_routing_changes(changes),
         );
@@ -94,13 +93,14 @@
             store: &*self.store,
             name: "table",
             prefix: KEY_PREFIX,
+            now: &|| self.now(),
         };
         watch.run(
             stop,
             || self.must_watch_table().then_some(WATCH_TIMEOUT),
-            |range| self.cell.replace(range),
+            |range| self.cell.replace(range.content),
             |changes| {
-                self.cell.apply(changes);
+                self.cell.apply(changes.content.changes);
                 if !self.cell.is_member() {
                     stop.wait(match self.cell.planner_position() < FIRST_PLANNERS {
                         true => FIRST_PLANNERS_PAUSE,
@@ -112,18 +112,69 @@
     }
 
     /// Replaces the operators' routing values by those in `range`, and adopts them.
-    fn replace_routing(&self, range: RangeResponse) {
-        let as_of = range.as_of;
-        sync::lock(&self.routing).replace(range);
+    fn replace_routing(&self, read: ReadContent<RangeResponse>) {
+        let as_of = read.content.newest_revision();
+        sync::lock(&self.routing).replace(read.content, self.protocol.teams_key());
         self.adopt_routing(as_of);
+        self.record_freshness(read.started);
     }
 
     /// Applies changes of the operators' routing values, and adopts the result.
-    fn apply_routing_changes(&self, changes: Vec<KeyChange>) {
-        let newest = sync::lock(&self.routing).apply(changes);
+    fn apply_routing_changes(&self, watched: ReadContent<WatchedChanges>) {
+        let WatchedChanges {
+            changes,
+            unreadable,
+            is_after_known,
+        } = watched.content;
+        let teams_key = self.protocol.teams_key();
+        let newest = sync::lock(&self.routing).apply(changes, &unreadable, teams_key);
         if let Some(newest) = newest {
             self.adopt_routing(newest);
         }
+        if is_after_known {
+            self.record_freshness(watched.started);
+        }
+    }
+
+    /// Records that the routing in force was the newest at `started`, unless the store has values that
+    /// this daemon could not apply.
+    fn record_freshness(&self, started: Moment) {
+        if self.has_teams() && sync::lock(&self.routing).is_known() {
+            self.membership.with_ownership(|o, _| {
+                o.routing_freshness_mut().record_store_call(started);
+            });
+        }
+    }
+
+    /// Returns whether the routing in force has teams.
+    fn has_teams(&self) -> bool {
+        let active = self.membership.active_configuration();
+        let routing = active.routing_config.as_ref();
+        routing.is_some_and(|r| r.teams.is_some())
+    }
+
+    fn now(&self) -> Moment {
+        self.membership.with_ownership(|_, now| now)
+    }
+
+    /// Returns how long the next watch call of the routing may take, or `None` if this daemon need not
+    /// watch it.
+    fn routing_watch_timeout(&self) -> Option<Duration> {
+        let timeout = match self.cell.planner_position() < SHORT_ROUTING_WATCHERS {
+            true => Some(ROUTING_WATCH_TIMEOUT),
+            false => self.must_watch_routing().then_some(WATCH_TIMEOUT),
+        };
+        if !self.has_teams() {
+            return timeout;
+        }
+        self.membership.with_ownership(|o, now| {
+            let freshness = o.routing_freshness_mut();
+            let max = freshness.watch_max();
+            match timeout {
+                Some(timeout) => Some(max.map_or(timeout, |max| timeout.min(max))),
+                None => max.filter(|_| freshness.take_own_call(now)),
+            }
+        })
     }
 
     /// Adopts the operators' routing as of the revision `as_of`.
--- a/src/process/host/store_watch.rs
+++ b/src/process/host/store_watch.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::process::host::store_health::StoreHealth;
+use crate::process::moment::Moment;
 use crate::process::platform::Revision;
 use crate::process::stop_flag::StopFlag;
 use crate::process::store::{KeyChange, RangeResponse, Store, StoreError, WatchResponse};
@@ -16,6 +17,24 @@
 /// Interval at which a daemon that does not watch checks whether it should.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Content that the store had at some time after the start of a call.
+pub(super) struct ReadContent<T> {
+    /// Time at which the call started.
+    pub(super) started: Moment,
+    /// What the store returned.
+    pub(super) content: T,
+}
+
+/// Changes that a watch call returned.
+pub(super) struct WatchedChanges {
+    /// The changes, oldest first.
+    pub(super) changes: Vec<KeyChange>,
+    /// The changes that could not be read.
+    pub(super) unreadable: Vec<UnreadableEntry>,
+    /// Whether the store had the revision after which it was watched.
+    pub(super) is_after_known: bool,
+}
+
 /// Watch of the keys with one prefix.
 pub(super) struct StoreWatch<'a> {
     /// Store that has the keys.
@@ -24,6 +43,8 @@
     pub(super) name: &'static str,
     /// Prefix of the keys.
     pub(super) prefix: &'a str,
+    /// Returns the time.
+    pub(super) now: &'a dyn Fn() -> Moment,
 }
 
 impl StoreWatch<'_> {
@@ -33,8 +54,8 @@
         &self,
         stop: &StopFlag,
         watch_timeout: impl Fn() -> Option<Duration>,
-        replace: impl Fn(RangeResponse),
-        apply: impl Fn(Vec<KeyChange>),
+        replace: impl Fn(ReadContent<RangeResponse>),
+        apply: impl Fn(ReadContent<WatchedChanges>),
     ) {
         let mut health = StoreHealth::new(self.name);
         let mut after: Option<Revision> = None;
@@ -68,11 +89,18 @@
     }
 
     /// Reads the full content; returns the revision after which to watch.
-    fn read(&self, replace: impl Fn(RangeResponse)) -> Result<Option<Revision>, StoreError> {
+    fn read(
+        &self,
+        replace: impl Fn(ReadContent<RangeResponse>),
+    ) -> Result<Option<Revision>, StoreError> {
+        let started = (self.now)();
         let range = self.store.range(self.prefix)?;
         let as_of = range.as_of;
         log_unreadable(self.name, &range.unreadable);
-        replace(range);
+        replace(ReadContent {
+            started,
+            content: range,
+        });
         Ok(Some(as_of))
     }
 
@@ -82,8 +110,9 @@
         &self,
         revision: Revision,
         timeout: Duration,
-        apply: impl Fn(Vec<KeyChange>),
+        apply: impl Fn(ReadContent<WatchedChanges>),
     ) -> Result<Option<Revision>, StoreError> {
+        let started = (self.now)();
         match self.store.watch(self.prefix, revision, timeout)? {
             WatchResponse::Changes {
                 changes,
@@ -91,7 +120,12 @@
                 unreadable,
             } => {
                 log_unreadable(self.name, &unreadable);
-                apply(changes);
+                let content = WatchedChanges {
+                    changes,
+                    unreadable,
+                    is_after_known: as_of >= revision,
+                };
+                apply(ReadContent { started, content });
                 Ok(Some(as_of.max(revision)))
             }
             WatchResponse::HistoryLost => {
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -42,6 +42,7 @@
     waiting: Gauge<u64>,
     table_epoch: Gauge<u64>,
     configuration_version: Gauge<u64>,
+    routing_age: Gauge<u64>,
 }
 
 impl Metrics {
@@ -99,6 +100,10 @@
                 "configuration_version",
                 "Version of the configuration in force",
             ),
+            routing_age: gauge(
+                "routing_age_ms",
+                "Time since the routing in force is known to have been the newest",
+            ),
             registry,
             _provider: provider,
         })
@@ -180,6 +185,11 @@
         self.configuration_version.record(configuration, &[]);
     }
 
+    /// Sets how long ago the routing in force is known to have been the newest, in milliseconds.
+    pub fn record_routing_age(&self, age_ms: u64) {
+        self.routing_age.record(age_ms, &[]);
+    }
+
     /// Returns all metrics in Prometheus' text format.
     ///
     /// # Errors
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -14,6 +14,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::process::datagram::{Datagram, Message};
+use crate::process::host::routing_freshness::RoutingFreshness;
 use crate::process::join_request::JoinRequest;
 use crate::process::join_schedule::{JoinRecipients, JoinSchedule};
 use crate::process::lease_times::LeaseTimes;
@@ -65,6 +66,7 @@
     end_certificates: BTreeMap<SessionId, Epoch>,
     table: Arc<Table>,
     document_version: DocumentVersion,
+    routing_freshness: RoutingFreshness,
     /// The tokens of the slices that were served when the present table was adopted and still are;
     /// they stay in use until the witnesses confirm the epoch of a slice's new assignment.
     held_tokens: BTreeMap<(ServiceName, SliceId), FencingToken>,
@@ -101,6 +103,7 @@
             end_certificates: BTreeMap::new(),
             table: Arc::default(),
             document_version: DocumentVersion::default(),
+            routing_freshness: RoutingFreshness::default(),
             held_tokens: BTreeMap::new(),
             newest_assignment_epoch: Epoch::default(),
             renew_at: now,
@@ -114,6 +117,12 @@
         }
     }
 
+    /// Sets whether, and within which time, revoked API keys must stop working.
+    pub fn with_routing_freshness(mut self, freshness: RoutingFreshness) -> Self {
+        self.routing_freshness = freshness;
+        self
+    }
+
     /// Returns the table that the daemon has adopted.
     pub fn table(&self) -> &Arc<Table> {
         &self.table
@@ -160,6 +169,16 @@
         self.document_version
     }
 
+    /// Returns when the adopted routing is known to have been the newest.
+    pub fn routing_freshness(&self) -> &RoutingFreshness {
+        &self.routing_freshness
+    }
+
+    /// Returns when the adopted routing is known to have been the newest, to update it.
+    pub fn routing_freshness_mut(&mut self) -> &mut RoutingFreshness {
+        &mut self.routing_freshness
+    }
+
     /// Returns the time until which the daemon's session is live, or `None` if it has lapsed.
     pub fn live_until(&self, now: Moment) -> Option<Moment> {
         self.rules().live_until(now)
@@ -245,7 +264,12 @@
                 session,
                 sent,
                 epoch,
+                routing_age,
             } => {
+                if let Some(age) = routing_age.filter(|_| sent <= now) {
+                    let (witness, own) = (datagram.document_version, self.document_version);
+                    self.routing_freshness.record_grant(sent, age, witness, own);
+                }
                 self.handle_grant(now, datagram.from, session, sent, epoch);
             }
             Message::Facts(facts) => self.merge_received_facts(now, facts),
@@ -544,12 +568,14 @@
         let to = self.table.peer(session).unwrap_or(from);
         let known = epoch.min(self.table.epoch);
         if let Some(epoch) = self.witness.renew(now, session, known, &self.times) {
+            let routing_age = self.routing_freshness.shared_age(now);
             self.send(
                 to,
                 Message::Grant {
                     session,
                     sent,
                     epoch,
+                    routing_age,
                 },
             );
         } else {
--- a/src/process/store.rs
+++ b/src/process/store.rs
@@ -46,6 +46,13 @@
 }
 
 impl RangeResponse {
+    /// Returns the newest revision of the content. A value may have been written after the first one
+    /// was read.
+    pub fn newest_revision(&self) -> Revision {
+        let revisions = self.items.iter().map(|i| i.revision);
+        revisions.fold(self.as_of, Ord::max)
+    }
+
     /// Returns whether one of the entries that could not be read may be that of `key`.
     pub fn may_hide(&self, key: &str) -> bool {
         let mut keys = self.unreadable.iter().map(|entry| entry.key.as_deref());
--- a/tests/testsuite/host/give_up.rs
+++ b/tests/testsuite/host/give_up.rs
@@ -86,6 +86,7 @@
             session: own_session(),
             sent,
             epoch: Epoch(1),
+            routing_age: None,
         },
     }
 }
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision logic of the host daemon.
 
 mod admission;
+mod authentication;
 mod body_reservations;
 mod give_up;
 mod grant_wait;
@@ -11,6 +12,7 @@
 mod ranges;
 mod recent_requests;
 mod retry_budget_share;
+mod routing_freshness;
 mod settings;
 mod stop_schedule;
 mod store_sync;
--- a/tests/testsuite/host/settings.rs
+++ b/tests/testsuite/host/settings.rs
@@ -24,6 +24,8 @@
         ("retry_slack: -1", "retry_slack"),
         ("retry_window_s: .nan", "retry_window_s"),
         ("memory_mb: 15", "memory_mb"),
+        ("revoke_timeout_ms: 999", "revoke_timeout_ms"),
+        ("strict_revocation: maybe", "strict_revocation"),
         ("log_level: loud", "loud"),
         ("domain: Zarzis!", "Zarzis!"),
         ("callers: here", "callers"),
--- a/tests/testsuite/host/store_sync.rs
+++ b/tests/testsuite/host/store_sync.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, UdpSocket};
 use std::sync::mpsc;
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::Duration;
 
 use foxtaildrift::Table;
@@ -11,10 +12,12 @@
 use foxtaildrift::connection::protocol::{OperatorProtocol, RoutingConfigError};
 use foxtaildrift::connection::reactor::Reactor;
 use foxtaildrift::process::clock::{Clock, SystemClock};
+use foxtaildrift::process::host::routing_freshness::RoutingFreshness;
 use foxtaildrift::process::host::store_sync::StoreSync;
 use foxtaildrift::process::lease_times::LeaseTimes;
 use foxtaildrift::process::membership::Membership;
 use foxtaildrift::process::metrics::Metrics;
+use foxtaildrift::process::moment::Moment;
 use foxtaildrift::process::ownership::Ownership;
 use foxtaildrift::process::platform::Revision;
 use foxtaildrift::process::stop_flag::StopFlag;
@@ -23,17 +26,22 @@
     WatchResponse,
 };
 use foxtaildrift::process::unreadable_entry::UnreadableEntry;
+use foxtaildrift::version::document_version::DocumentVersion;
 use foxtaildrift::version::epoch::Epoch;
 use foxtaildrift::version::instance_id::InstanceId;
 use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, MemberInfo, WEIGHT_FULL};
 use foxtaildrift::version::routing_config::RoutingConfig;
 use foxtaildrift::version::session_id::SessionId;
+use foxtaildrift::version::teams::Teams;
 
 /// The key of the configuration in [`PlainOperators`].
 const CONFIG_KEY: &str = "op/config";
 /// The prefix of the keys of evacuated failure domains in [`PlainOperators`].
 const EVACUATE_PREFIX: &str = "op/evacuate/";
 
+/// The beginning of labels of configurations with teams in [`PlainOperators`].
+const WITH_TEAMS: &str = "teams";
+
 /// The value of [`CONFIG_KEY`] is the label; it must be UTF-8 text.
 struct PlainOperators;
 
@@ -42,6 +50,10 @@
         "op/"
     }
 
+    fn teams_key(&self) -> &str {
+        CONFIG_KEY
+    }
+
     fn parse(&self, items: &[KeyValue]) -> Result<RoutingConfig, RoutingConfigError> {
         let error = |reason: &str| RoutingConfigError {
             key: CONFIG_KEY.to_owned(),
@@ -55,6 +67,7 @@
             .iter()
             .filter_map(|i| i.key.strip_prefix(EVACUATE_PREFIX));
         Ok(RoutingConfig {
+            teams: label.starts_with(WITH_TEAMS).then(Teams::default),
             label,
             evacuated: evacuated.filter_map(|d| d.parse().ok()).collect(),
             ..RoutingConfig::default()
@@ -67,11 +80,18 @@
 struct PreparedStore {
     ranges: Mutex<VecDeque<RangeResponse>>,
     watches: Mutex<VecDeque<WatchResponse>>,
+    /// The times of all calls.
+    calls: Mutex<Vec<Moment>>,
+    /// The timeouts of the watch calls.
+    waits: Mutex<Vec<Duration>>,
     stop: Arc<StopFlag>,
 }
 
 impl PreparedStore {
     fn next<T>(&self, prepared: &Mutex<VecDeque<T>>) -> Result<T, StoreError> {
+        self.calls.lock().unwrap().push(SystemClock.now());
+        // Tells the times of two calls apart.
+        thread::sleep(Duration::from_millis(2));
         prepared.lock().unwrap().pop_front().ok_or_else(|| {
             self.stop.set();
             StoreError::Refused(503)
@@ -84,7 +104,8 @@
         self.next(&self.ranges)
     }
 
-    fn watch(&self, _: &str, _: Revision, _: Duration) -> Result<WatchResponse, StoreError> {
+    fn watch(&self, _: &str, _: Revision, wait: Duration) -> Result<WatchResponse, StoreError> {
+        self.waits.lock().unwrap().push(wait);
         self.next(&self.watches)
     }
 
@@ -112,7 +133,9 @@
         weight: WEIGHT_FULL,
         cpu_share: CPU_SHARE_DEFAULT,
     };
+    let freshness = RoutingFreshness::strict(Duration::from_secs(5));
     let ownership = Ownership::new(1, LeaseTimes::default(), info, clock.now(), 7);
+    let ownership = ownership.with_routing_freshness(freshness);
     let reactor = Reactor::start().unwrap();
     let timeouts = PeerTimeouts {
         acknowledge: Duration::from_millis(100),
@@ -180,11 +203,7 @@
     watch: impl FnOnce(&StoreSync, &StopFlag),
 ) -> Arc<Membership> {
     let membership = membership();
-    let store = Arc::new(PreparedStore {
-        ranges: Mutex::new(ranges.into()),
-        watches: Mutex::new(watches.into()),
-        stop: Arc::default(),
-    });
+    let store = prepared_store(ranges, watches);
     let stop = Arc::clone(&store.stop);
     let protocol = Arc::new(PlainOperators);
     let sync = StoreSync::new(store, protocol, Arc::clone(&membership), InstanceId(1));
@@ -192,6 +211,26 @@
     membership
 }
 
+fn prepared_store(ranges: Vec<RangeResponse>, watches: Vec<WatchResponse>) -> Arc<PreparedStore> {
+    Arc::new(PreparedStore {
+        ranges: Mutex::new(ranges.into()),
+        watches: Mutex::new(watches.into()),
+        ..PreparedStore::default()
+    })
+}
+
+/// Watches the routing until the store has no more prepared responses.
+fn watch_routing(store: &Arc<PreparedStore>, membership: &Arc<Membership>) {
+    let protocol = Arc::new(PlainOperators);
+    let sync = StoreSync::new(
+        Arc::clone(store) as Arc<dyn Store>,
+        protocol,
+        Arc::clone(membership),
+        InstanceId(1),
+    );
+    sync.sync_routing(&store.stop);
+}
+
 fn routing(membership: &Membership) -> (String, Vec<String>) {
     let active = membership.active_configuration();
     let routing = active.routing_config.as_ref().expect("no routing");
@@ -312,6 +351,115 @@
     assert_eq!(membership.table().epoch, Epoch(3));
 }
 
+/// Returns which call to the store is the last one that showed that the routing is the newest, counted
+/// from zero, or `None` if none did.
+fn newest_call(ranges: Vec<RangeResponse>, watches: Vec<WatchResponse>) -> Option<usize> {
+    let store = prepared_store(ranges, watches);
+    let membership = membership();
+    watch_routing(&store, &membership);
+    let newest = membership.with_ownership(|o, _| o.routing_freshness().newest_at())?;
+    // The time of a call is taken just before it.
+    let calls = store.calls.lock().unwrap();
+    Some(calls.iter().filter(|call| **call < newest).count())
+}
+
+/// A routing with a revoked key must not count as the newest while the store has one that this daemon
+/// can't apply.
+#[test]
+fn a_routing_counts_as_the_newest_only_if_the_daemon_could_apply_what_the_store_has() {
+    let first = |value: &[u8]| vec![range(vec![item(CONFIG_KEY, value, 4)], 4)];
+    let put = |value: &[u8], revision| KeyChange::Put(item(CONFIG_KEY, value, revision));
+    let unreadable = |key: Option<&str>| WatchResponse::Changes {
+        changes: Vec::new(),
+        as_of: Revision(5),
+        unreadable: unreadable_range(&[key], 5).unreadable,
+    };
+    assert_eq!(newest_call(first(b"no teams"), Vec::new()), None);
+    assert_eq!(newest_call(vec![range(Vec::new(), 4)], Vec::new()), None);
+    let none = || changes(Vec::new(), 5);
+    let cases = [
+        ("nothing changed", vec![none()], 1),
+        (
+            "a newer one is adopted",
+            vec![changes(vec![put(b"teams 2", 5)], 5)],
+            1,
+        ),
+        (
+            "refused",
+            vec![changes(vec![put(&[0xff], 5)], 5), none()],
+            0,
+        ),
+        (
+            "not readable",
+            vec![unreadable(Some(CONFIG_KEY)), none()],
+            0,
+        ),
+        ("perhaps not readable", vec![unreadable(None), none()], 0),
+        ("another value", vec![unreadable(Some("op/odd"))], 1),
+        (
+            "readable again",
+            vec![unreadable(None), changes(vec![put(b"teams 2", 6)], 6)],
+            2,
+        ),
+        ("the store went back", vec![changes(Vec::new(), 3)], 0),
+    ];
+    for (case, watches, expected) in cases {
+        let newest = newest_call(first(b"teams 1"), watches);
+        assert_eq!(newest, Some(expected), "{case}");
+    }
+}
+
+/// A daemon that has its routing from another one must not take a read that hides the configuration
+/// for a confirmation.
+#[test]
+fn a_read_without_the_configuration_confirms_no_routing() {
+    for key in [Some(CONFIG_KEY), None] {
+        let membership = membership();
+        let items = [item(CONFIG_KEY, b"teams 1", 4)];
+        let mut routing = PlainOperators.parse(&items).unwrap();
+        routing.version = DocumentVersion(4);
+        membership.adopt_routing_config(routing);
+        let hidden = RangeResponse {
+            unreadable: unreadable_range(&[key], 6).unreadable,
+            ..range(vec![item("op/evacuate/ajka", b"", 6)], 6)
+        };
+        watch_routing(&prepared_store(vec![hidden], Vec::new()), &membership);
+        let newest = membership.with_ownership(|o, _| o.routing_freshness().newest_at());
+        assert_eq!(newest, None, "{key:?}");
+    }
+}
+
+/// A configuration that was written while the values were read must not have the version of the one
+/// before: daemons with equal versions confirm each other's routing.
+#[test]
+fn the_version_of_a_routing_is_not_below_the_revision_of_its_values() {
+    let range = range(vec![item(CONFIG_KEY, b"second", 6)], 5);
+    let membership = after_routing(vec![range], Vec::new());
+    assert_eq!(
+        membership.active_configuration().version,
+        DocumentVersion(6)
+    );
+}
+
+/// With strict revocation the other daemons' knowledge is as old as these calls are long.
+#[test]
+fn watch_calls_are_short_only_where_keys_must_stop_working_in_time() {
+    for (label, limit) in [
+        (&b"teams 1"[..], Duration::from_secs(1)),
+        (b"one", Duration::MAX),
+    ] {
+        let store = prepared_store(
+            vec![range(vec![item(CONFIG_KEY, label, 4)], 4)],
+            vec![changes(Vec::new(), 4)],
+        );
+        watch_routing(&store, &membership());
+        let waits = store.waits.lock().unwrap();
+        assert!(waits.iter().all(|w| *w <= limit), "{waits:?}");
+        let is_long = waits.iter().all(|w| *w >= Duration::from_secs(3));
+        assert_eq!(is_long, limit == Duration::MAX, "{waits:?}");
+    }
+}
+
 /// A store whose first watch call fails; it records the timeouts of all, and stops the daemon with the
 /// third.
 #[derive(Default)]
--- a/tests/testsuite/ownership_messages.rs
+++ b/tests/testsuite/ownership_messages.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use foxtaildrift::process::datagram::{Datagram, Message};
+use foxtaildrift::process::host::routing_freshness::RoutingFreshness;
 use foxtaildrift::process::lease_times::LeaseTimes;
 use foxtaildrift::process::moment::Moment;
 use foxtaildrift::process::ownership::Ownership;
@@ -219,3 +220,85 @@
     daemon.tick(now);
     daemon.served_slices(now);
 }
+
+/// Returns what `daemon` answers to a renewal of the member `from`, sent at `sent`.
+fn answer(daemon: &mut Ownership, now: Moment, from: u64, sent: Moment) -> Message {
+    let renewal = Datagram {
+        message: Message::Renew {
+            session: session(from),
+            sent,
+            epoch: Epoch(1),
+        },
+        ..facts_from(from, SessionFacts::default())
+    };
+    daemon.take_actions();
+    daemon.receive(now, renewal);
+    let sent = daemon.take_actions().into_iter().find_map(|a| match a {
+        OwnershipAction::Send { datagram, .. } => Some(datagram.message),
+        _ => None,
+    });
+    sent.expect("an answer")
+}
+
+/// A daemon that is cut off from the store must learn from its witness's grants that its routing is
+/// recent, and no daemon sends an age where nothing depends on it.
+#[test]
+fn a_grant_carries_the_age_of_the_routing_only_where_keys_must_stop_working_in_time() {
+    let now = Moment::from_millis(10_000);
+    let sent = Moment::from_millis(9_990);
+    let witnessed = || {
+        let mut table = Arc::unwrap_or_clone(table(1, 0..3));
+        let set = WitnessSet(vec![WitnessAddress {
+            instance: InstanceId(1),
+            peer: peer(1),
+        }]);
+        if let Some(member) = table.members.get_mut(&session(2)) {
+            member.witnesses = vec![set];
+        }
+        Arc::new(table)
+    };
+    let strict = || RoutingFreshness::strict(Duration::from_secs(5));
+    let mut witness = daemon(1, 1);
+    witness.adopt_table(now, witnessed());
+    witness.routing_freshness_mut().record_store_call(sent);
+    let plain = answer(&mut witness, now, 2, sent);
+    assert!(
+        matches!(
+            plain,
+            Message::Grant {
+                routing_age: None,
+                ..
+            }
+        ),
+        "{plain:?}"
+    );
+    let mut witness = daemon(1, 1).with_routing_freshness(strict());
+    witness.adopt_table(now, witnessed());
+    witness
+        .routing_freshness_mut()
+        .record_store_call(now - Duration::from_millis(300));
+    let message = answer(&mut witness, now, 2, sent);
+    let age = Some(Duration::from_millis(300));
+    assert!(matches!(message, Message::Grant { routing_age, .. } if routing_age == age));
+
+    let mut holder = daemon(2, 2).with_routing_freshness(strict());
+    holder.adopt_table(now, witnessed());
+    let newer = Datagram {
+        document_version: DocumentVersion(4),
+        message: message.clone(),
+        ..facts_from(1, SessionFacts::default())
+    };
+    holder.receive(now, newer);
+    assert_eq!(
+        holder.routing_freshness().newest_at(),
+        None,
+        "of a newer routing"
+    );
+    let grant = Datagram {
+        message,
+        ..facts_from(1, SessionFacts::default())
+    };
+    holder.receive(now, grant);
+    let expected = Moment::from_millis(9_990 - 315);
+    assert_eq!(holder.routing_freshness().newest_at(), Some(expected));
+}
--- a/tests/testsuite/wire_properties.rs
+++ b/tests/testsuite/wire_properties.rs
@@ -320,6 +320,7 @@
             session: session(1),
             sent: Moment::from_millis(4900),
             epoch: Epoch(3),
+            routing_age: Some(Duration::from_millis(700)),
         },
         Message::Facts(facts(3)),
         Message::QueryAdopted,
