Test keys and their revocation on real processes

Cause: the decisions had tests, their effect on daemons behind a faulty network had none.

Change: the environment of the host daemon takes more settings and headers; the upstream's stand-in repeats the identity headers that it received.

--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -101,6 +101,8 @@
     network: Option<Arc<Network>>,
     sharded_services: Vec<String>,
     upstream_options: UpstreamOptions,
+    /// Settings of each daemon, in YAML.
+    more_settings: String,
     next_id: AtomicU32,
     block: AddressBlock,
 }
@@ -132,7 +134,7 @@
         services: &[&'static str],
         sharded: &[&str],
     ) -> Result<Self, BenchError> {
-        Self::start_cluster(None, upstream_options, program, services, sharded)
+        Self::start_cluster(None, "", upstream_options, program, services, sharded)
     }
 
     /// Like [`Self::start`], with all connections between daemons and to the store through the
@@ -147,13 +149,37 @@
         program: &Path,
         services: &[&'static str],
         sharded: &[&str],
+    ) -> Result<Self, BenchError> {
+        Self::start_with_settings(network, "", program, services, sharded)
+    }
+
+    /// Like [`Self::start_with_network`], with `settings` appended to those of each daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process can't be started, a file can't be written, or an address is in
+    /// use.
+    pub fn start_with_settings(
+        network: Option<Arc<Network>>,
+        settings: &str,
+        program: &Path,
+        services: &[&'static str],
+        sharded: &[&str],
     ) -> Result<Self, BenchError> {
         let upstream_options = UpstreamOptions::default();
-        Self::start_cluster(network, upstream_options, program, services, sharded)
+        Self::start_cluster(
+            network,
+            settings,
+            upstream_options,
+            program,
+            services,
+            sharded,
+        )
     }
 
     fn start_cluster(
         network: Option<Arc<Network>>,
+        more_settings: &str,
         upstream_options: UpstreamOptions,
         program: &Path,
         services: &[&'static str],
@@ -176,6 +202,7 @@
             network,
             sharded_services: sharded.iter().map(|&s| s.to_owned()).collect(),
             upstream_options,
+            more_settings: more_settings.to_owned(),
             next_id: AtomicU32::new(0),
             block,
         };
@@ -209,12 +236,13 @@
         let settings = self.folder.join(format!("{number}.yaml"));
         let text = format!(
             "node: host-{number}\ndomain: domain-{domain}\ncallers: {}\npeers: {peers}\npeers_bind: {}\n\
-             ready: {}\nreports: {}\nupstream: {}\nservice: {service}\nstore: {store}\n",
+             ready: {}\nreports: {}\nupstream: {}\nservice: {service}\nstore: {store}\n{}",
             at(CALLER_PORT),
             at(PEER_PORT),
             at(READY_PORT),
             at(REPORT_PORT),
             at(UPSTREAM_PORT),
+            self.more_settings,
         );
         fs::write(&settings, text).map_err(BenchError::with_context("settings"))?;
         Ok(Host {
@@ -492,14 +520,31 @@
         method: &'static str,
         target: &str,
         key: Option<u16>,
+    ) -> Result<CallerResponse, BenchError> {
+        let key = key.map(|k| k.to_string());
+        let header = key.as_ref().map(|k| ("Shard-Key", k.as_str()));
+        self.request_with_headers(number, method, target, header.as_slice())
+    }
+
+    /// Sends a request with a new id and `more_headers` to the daemon of a host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there was no response.
+    pub fn request_with_headers(
+        &self,
+        number: usize,
+        method: &'static str,
+        target: &str,
+        more_headers: &[(&str, &str)],
     ) -> Result<CallerResponse, BenchError> {
         let id = self.next_id.fetch_add(1, Ordering::SeqCst);
         let mut headers = Headers::default();
         headers.push("Host", "a.example");
         headers.push("Request-Id", format!("request-{id}"));
         headers.push("Deadline-Ms", "2000");
-        if let Some(key) = key {
-            headers.push("Shard-Key", key.to_string());
+        for (name, value) in more_headers {
+            headers.push(*name, *value);
         }
         call(
             self.hosts[number].caller_address,
--- a/crates/bench/src/ranged_upstream.rs
+++ b/crates/bench/src/ranged_upstream.rs
@@ -28,6 +28,11 @@
 use crate::ownership_event::{OwnershipChange, OwnershipEvent};
 use crate::upstream_options::UpstreamOptions;
 
+/// The headers of a request that its response repeats, each under another name.
+const RECEIVED_HEADERS: [(&str, &str); 2] = [
+    ("Tenant", "Received-Tenant"),
+    ("Authorization", "Received-Authorization"),
+];
 /// The limits of requests to the stand-in.
 const LIMITS: ListenerLimits = ListenerLimits {
     head_bytes: 16 * 1024,
@@ -379,6 +384,11 @@
             response.headers.push("Response-Signature", "s");
             response
         };
+        for (name, received) in RECEIVED_HEADERS {
+            if let Some(value) = head.headers.get(name) {
+                response.headers.push(received, value);
+            }
+        }
         response.headers.push("Request-Id", id);
         response
     }
