--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision logic of the host daemon.
 
 mod admission;
+mod authentication;
 mod body_reservations;
 mod even_load;
 mod fleet_model;
@@ -16,6 +17,7 @@
 mod retry_budget_share;
 mod returning_callers;
 mod run_times;
+mod routing_freshness;
 mod settings;
 mod stop_schedule;
 mod store_sync;
