Add fair queueing over teams

A team that queues more than all others together would get nearly all slots of a full upstream. fair_queue gives queued requests of equal priority start tags by start-time fair queueing. Nothing uses it yet.

--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -12,6 +12,7 @@
 //! | [`upstream_selector`] | which of several equivalent upstreams gets a request |
 //! | [`host_dispatcher`] | whether and when a request is sent to the local upstream |
 //! | [`admission`] | concurrency limit, queue order and pacing of the local upstream |
+//! | [`fair_queue`] | order of queued requests of equal priority, fair over teams |
 //! | [`quota_owner`] | token buckets of the teams whose requests this daemon counts |
 //! | [`team_quota`] | tokens of a team at this daemon, and which of its requests they admit |
 //! | [`quota_placement`] | which daemon counts the requests of a team, and the fixed shares |
@@ -48,6 +49,7 @@
 mod departure_store;
 pub mod departures;
 pub mod endpoints;
+pub mod fair_queue;
 mod grant_attempt;
 pub mod grant_manager;
 mod grant_sender;
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod body_reservations;
+mod fair_queue;
 mod give_up;
 mod grant_wait;
 mod grants;
