Apply the quotas of teams to callers' requests

The router asks for a permit before it routes a request whose team has a rate: a token of the team's quota owner, or one request of the fixed share while that owner doesn't answer. Over the quota the response is 429 with Retry-After, cause "quota". New datagrams quota-ask, quota-grant and quota-handover; settings quota_window_s, quota_overage and quota_slack; metrics quota_tokens, quota_refusals and quota_share. The handover lets the next owner begin at once after a planned change of the members. A request whose team has no rate costs one lookup and no message.

Not yet run with real processes.

--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -273,6 +273,9 @@
             MembershipEvent::SuspectCleared(fingerprint) => {
                 node.dispatcher.clear_suspect(fingerprint)
             }
+            MembershipEvent::QuotaAsked { .. }
+            | MembershipEvent::QuotaGranted { .. }
+            | MembershipEvent::QuotaHandedOver(_) => {}
             MembershipEvent::FetchTable { from, epoch } => fetchers.submit(move || {
                 if node.membership.table().epoch < epoch {
                     node.membership.fetch_table(from);
--- a/src/process/datagram.rs
+++ b/src/process/datagram.rs
@@ -8,6 +8,7 @@
 use crate::process::join_request::JoinRequest;
 use crate::process::load_report::LoadReport;
 use crate::process::moment::Moment;
+use crate::process::quota_message::{TeamGrant, TeamTokens};
 use crate::process::session_facts::SessionFacts;
 use crate::request::fingerprint::Fingerprint;
 use crate::request::quarantine::CrashSuspect;
@@ -74,6 +75,23 @@
     Suspects(Vec<CrashSuspect>),
     /// A suspected request that an upstream completed without a crash.
     Cleared(Fingerprint),
+    /// A daemon asks the quota owner of some teams for tokens.
+    QuotaAsk {
+        /// When the daemon sent this, by its own clock.
+        sent: Moment,
+        /// The numbers of tokens that it asks for.
+        teams: Vec<TeamTokens>,
+    },
+    /// A quota owner issues tokens.
+    QuotaGrant {
+        /// The `sent` time of the ask that this replies to.
+        sent: Moment,
+        /// The tokens of each team that the sender is the quota owner of.
+        teams: Vec<TeamGrant>,
+    },
+    /// A former quota owner issues no more tokens of some teams; the receiver is the next owner.
+    /// Contains the tokens that the former owner had left.
+    QuotaHandover(Vec<TeamTokens>),
 }
 
 impl Message {
@@ -89,6 +107,9 @@
             Message::Load(_) => "load",
             Message::Suspects(_) => "suspects",
             Message::Cleared(_) => "cleared",
+            Message::QuotaAsk { .. } => "quota-ask",
+            Message::QuotaGrant { .. } => "quota-grant",
+            Message::QuotaHandover(_) => "quota-handover",
         }
     }
 }
--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -16,6 +16,7 @@
 use crate::process::host::host_router::HostRouter;
 use crate::process::host::host_settings::HostSettings;
 use crate::process::host::local_upstream::ReportEffect;
+use crate::process::host::quota_gate::QuotaGate;
 use crate::process::host::recent_requests::{RecentRequests, RequestStatus};
 use crate::process::host::stop_schedule::StopSchedule;
 use crate::process::membership::Membership;
@@ -37,6 +38,7 @@
     pub(super) dispatcher: Arc<HostDispatcher>,
     pub(super) grant_manager: Arc<GrantManager>,
     pub(super) router: Arc<HostRouter>,
+    pub(super) quotas: Arc<QuotaGate>,
     pub(super) recent_requests: RecentRequests,
     pub(super) body_reservations: Mutex<BodyReservations>,
     pub(super) metrics: Arc<Metrics>,
--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -14,6 +14,7 @@
 use crate::connection::recipient::Recipient;
 use crate::process::clock::Clock;
 use crate::process::host::host_dispatcher::HostDispatcher;
+use crate::process::host::quota_gate::QuotaGate;
 use crate::process::host::request_forwarder::RequestForwarder;
 use crate::process::host::request_log;
 use crate::process::host::request_progress::{OWNER_RETRY_AFTER, RequestProgress, RequestTrace};
@@ -71,6 +72,8 @@
     pub origin: ServiceName,
     /// Retry budget that all daemons share.
     pub retry_budget: RetryBudgetConfig,
+    /// Quotas of teams.
+    pub quotas: Arc<QuotaGate>,
     /// Set when the process starts to stop.
     pub stop: Arc<StopFlag>,
     /// The times of the stop, once it has started.
@@ -122,6 +125,10 @@
             let refusal = UpstreamOutcome::not_run(NotRunCause::Stopping, STOPPING_RETRY_AFTER);
             return (refusal, progress.trace);
         }
+        let permit = match self.deps.quotas.admit(routing, request) {
+            Ok(permit) => permit,
+            Err(refusal) => return (refusal, progress.trace),
+        };
         let settings = routing.services.get(&request.service);
         let is_sharded = settings.is_some_and(|s| s.sharded);
         let outcome = match (is_sharded, request.key) {
@@ -132,10 +139,9 @@
                 self.route_shared(request, &mut progress, recipient)
             }
         };
-        (
-            account_for_earlier_attempts(outcome, progress.may_have_run),
-            progress.trace,
-        )
+        let outcome = account_for_earlier_attempts(outcome, progress.may_have_run);
+        self.deps.quotas.settle(request, permit, &outcome);
+        (outcome, progress.trace)
     }
 
     /// Returns whether this process stops so soon that a request with the given deadline must not be
--- a/src/process/host/host_settings.rs
+++ b/src/process/host/host_settings.rs
@@ -15,6 +15,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::process::host::quota_config::QuotaConfig;
 use crate::process::host::retry_budget_share::RetryBudgetConfig;
 use crate::process::lease_times::LeaseTimes;
 use crate::process::settings_error::SettingsError;
@@ -73,6 +74,12 @@
     pub retry_slack: f64,
     /// Length of the retry window, in seconds.
     pub retry_window_s: f64,
+    /// Length of the window in which the rate limits of teams hold, in seconds.
+    pub quota_window_s: f64,
+    /// Fraction by which all daemons together may exceed the rate limit of a team.
+    pub quota_overage: f64,
+    /// Requests of a team per window that all daemons together may send in addition.
+    pub quota_slack: f64,
     /// Processor share of the host, in cores; the daemons on hosts with the largest share come
     /// first in the planning order.
     pub cpu_share: f64,
@@ -107,6 +114,9 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_s: 10.0,
+            quota_window_s: 5.0,
+            quota_overage: 0.1,
+            quota_slack: 20.0,
             cpu_share: 1.0,
             link_mbps: 1000.0,
             memory_mb: 256,
@@ -172,6 +182,15 @@
         }
     }
 
+    /// Returns the allowance over the rate limits of teams.
+    pub fn quota(&self) -> QuotaConfig {
+        QuotaConfig {
+            window: Duration::from_secs_f64(self.quota_window_s),
+            overage: self.quota_overage,
+            slack: self.quota_slack,
+        }
+    }
+
     /// Validates the settings.
     ///
     /// # Errors
@@ -208,6 +227,7 @@
                 "0.5 to 600",
             );
         }
+        self.validate_quota()?;
         if !(0.001..=1024.0).contains(&self.cpu_share) {
             return settings_file::out_of_range(
                 "cpu_share",
@@ -228,4 +248,20 @@
         settings_file::check_log_level(&self.log_level)?;
         Ok(())
     }
+
+    fn validate_quota(&self) -> Result<(), SettingsError> {
+        if !(0.5..=600.0).contains(&self.quota_window_s) {
+            let value = self.quota_window_s as u64;
+            return settings_file::out_of_range("quota_window_s", value, "0.5 to 600");
+        }
+        if !(0.0..=10.0).contains(&self.quota_overage) {
+            let value = self.quota_overage as u64;
+            return settings_file::out_of_range("quota_overage", value, "0 to 10");
+        }
+        if !(0.0..=1e6).contains(&self.quota_slack) {
+            let value = self.quota_slack as u64;
+            return settings_file::out_of_range("quota_slack", value, "0 to 1000000");
+        }
+        Ok(())
+    }
 }
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -15,6 +15,7 @@
 //! | [`fair_queue`] | order of queued requests of equal priority, fair over teams |
 //! | [`quota_owner`] | token buckets of the teams whose requests this daemon counts |
 //! | [`team_quota`] | tokens of a team at this daemon, and which of its requests they admit |
+//! | [`quota_state`], [`quota_gate`] | quotas of all teams at this daemon, and the datagrams for them |
 //! | [`quota_placement`] | which daemon counts the requests of a team, and the fixed shares |
 //! | [`quota_config`], [`quota_terms`], [`team_limit`] | limits of teams, and how the allowance over them is divided |
 //! | [`local_upstream`] | current process of the local upstream, and its state |
@@ -66,8 +67,10 @@
 pub mod metered_store;
 pub mod owned_range;
 pub mod quota_config;
+pub mod quota_gate;
 pub mod quota_owner;
 pub mod quota_placement;
+pub mod quota_state;
 pub mod quota_terms;
 pub mod recent_requests;
 mod request_forwarder;
--- a/src/process/host/quota_config.rs
+++ b/src/process/host/quota_config.rs
@@ -85,13 +85,20 @@
 
     /// Returns the capacity that takes nothing from the validity of tokens.
     fn free_capacity(&self, limit: &TeamLimit) -> f64 {
-        limit.burst + self.slack * BUCKET_SLACK_FRACTION
+        let unpaid = self.longest_validity().saturating_sub(self.paid_validity());
+        let capacity = limit.burst + self.slack * BUCKET_SLACK_FRACTION;
+        (capacity - limit.rate * unpaid.as_secs_f64()).max(0.0)
     }
 
     fn longest_validity(&self) -> Duration {
+        self.paid_validity()
+            .clamp(TOKEN_VALIDITY_MIN, TOKEN_VALIDITY_MAX)
+    }
+
+    /// Returns the validity for which the overage allows.
+    fn paid_validity(&self) -> Duration {
         // Tokens are issued at the refill rate.
         let overage = self.overage / (1.0 + self.overage * REFILL_FRACTION);
-        let validity = self.window.mul_f64(overage * VALIDITY_FRACTION);
-        validity.clamp(TOKEN_VALIDITY_MIN, TOKEN_VALIDITY_MAX)
+        self.window.mul_f64(overage * VALIDITY_FRACTION)
     }
 }
--- a/src/process/host/request_log.rs
+++ b/src/process/host/request_log.rs
@@ -18,7 +18,7 @@
 ) {
     let (label, cause, status) = match outcome {
         UpstreamOutcome::Ran(r) => ("ran", String::new(), r.status),
-        UpstreamOutcome::NotRun { cause, .. } => ("not-run", cause.to_string(), 503),
+        UpstreamOutcome::NotRun { cause, .. } => ("not-run", cause.to_string(), cause.status()),
         UpstreamOutcome::Unknown { reason, timed_out } => (
             "unknown",
             reason.clone(),
--- a/src/process/host/response_builder.rs
+++ b/src/process/host/response_builder.rs
@@ -47,7 +47,8 @@
                 ..HttpResponse::default()
             },
             UpstreamOutcome::NotRun { cause, retry_after } => {
-                let mut response = HttpResponse::text(503, format!("not run: {cause}\n"));
+                let mut response =
+                    HttpResponse::text(cause.status(), format!("not run: {cause}\n"));
                 self.add_retry_after(&mut response, retry_after);
                 response
             }
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -24,6 +24,7 @@
 use crate::process::host::host_router::{HostRouter, HostRouterDeps};
 use crate::process::host::host_settings::HostSettings;
 use crate::process::host::metered_store::MeteredStore;
+use crate::process::host::quota_gate::QuotaGate;
 use crate::process::host::recent_requests::RecentRequests;
 use crate::process::host::stop_schedule::StopSchedule;
 use crate::process::host::store_sync::StoreSync;
@@ -254,6 +255,12 @@
     ));
     let stopping = Arc::new(StopFlag::default());
     let stop_schedule = Arc::new(OnceLock::new());
+    let quotas = Arc::new(QuotaGate::new(
+        Arc::clone(&clock),
+        Arc::clone(&membership),
+        settings.quota(),
+        settings.lease_times(),
+    ));
     let router = Arc::new(HostRouter::new(HostRouterDeps {
         clock: Arc::clone(&clock),
         membership: Arc::clone(&membership),
@@ -265,6 +272,7 @@
         domain: settings.domain.clone(),
         origin: settings.service.clone(),
         retry_budget: settings.retry_budget(),
+        quotas: Arc::clone(&quotas),
         stop: Arc::clone(&stopping),
         stop_schedule: Arc::clone(&stop_schedule),
     }));
@@ -277,6 +285,7 @@
         dispatcher,
         grant_manager,
         router,
+        quotas,
         recent_requests: RecentRequests::default(),
         body_reservations,
         metrics,
@@ -367,6 +376,7 @@
                 let version = context.membership.active_configuration().version;
                 context.metrics.record_versions(epoch.0, version.0);
                 context.router.forget_former_members();
+                context.quotas.refresh();
                 releasers.submit(move || context.grant_manager.release_lost_keys());
             }
             MembershipEvent::LeaseLapsed | MembershipEvent::SessionEnded(_) => {
@@ -379,6 +389,14 @@
             MembershipEvent::SuspectCleared(fingerprint) => {
                 context.dispatcher.clear_suspect(fingerprint)
             }
+            MembershipEvent::QuotaAsked {
+                from,
+                epoch,
+                sent,
+                teams,
+            } => context.quotas.answer(from, epoch, sent, &teams),
+            MembershipEvent::QuotaGranted { sent, teams } => context.quotas.receive(sent, &teams),
+            MembershipEvent::QuotaHandedOver(teams) => context.quotas.accept_handovers(&teams),
             MembershipEvent::FetchTable { from, epoch } => fetchers.submit(move || {
                 if context.membership.table().epoch < epoch {
                     context.membership.fetch_table(from);
@@ -399,6 +417,7 @@
     let times = context.settings.lease_times();
     let (mut reported_at, mut traffic_at) = (started, started);
     while !context.stop.wait(PERIODIC_INTERVAL) {
+        context.quotas.tick();
         context.grant_manager.release_former_grants();
         context.grant_manager.reconcile();
         let former_leases_expired = started.elapsed() > times.former_process_delay();
--- a/src/process/host/team_quota.rs
+++ b/src/process/host/team_quota.rs
@@ -65,6 +65,8 @@
     Refused {
         /// When a request is expected to be within the quota.
         retry_after: Duration,
+        /// Whether the quota owner has answered; else the fixed share is used up.
+        answered: bool,
     },
 }
 
@@ -151,8 +153,10 @@
             self.fixed_uses.pop_front();
         }
         if self.fixed_uses.len() as u64 >= terms.fixed_share {
-            let retry_after = SILENT_RETRY_AFTER;
-            return QuotaDecision::Refused { retry_after };
+            return QuotaDecision::Refused {
+                retry_after: SILENT_RETRY_AFTER,
+                answered: false,
+            };
         }
         self.fixed_uses.push_back(now);
         QuotaDecision::Admitted(QuotaPermit::FixedShare { taken: now })
@@ -296,7 +300,10 @@
         let delay = self.next_token_at.since(now) + Duration::from_secs_f64(others);
         self.refused += 1;
         let retry_after = delay.clamp(RETRY_AFTER_MIN, terms.window.max(RETRY_AFTER_MIN));
-        QuotaDecision::Refused { retry_after }
+        QuotaDecision::Refused {
+            retry_after,
+            answered: true,
+        }
     }
 
     /// Returns the number of valid tokens.
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -20,6 +20,7 @@
 use crate::process::moment::Moment;
 use crate::process::ownership::Ownership;
 use crate::process::ownership_action::OwnershipAction;
+use crate::process::quota_message::{TeamGrant, TeamTokens};
 use crate::process::stop_flag::StopFlag;
 use crate::process::sync;
 use crate::process::table_history::{TableHistory, TableUpdate};
@@ -55,6 +56,26 @@
     SuspectsReported(Vec<CrashSuspect>),
     /// An upstream completed a suspected request without a crash.
     SuspectCleared(Fingerprint),
+    /// Another daemon asked for tokens of teams.
+    QuotaAsked {
+        /// The peer address of that daemon.
+        from: SocketAddr,
+        /// The epoch of its table.
+        epoch: Epoch,
+        /// When it sent the ask, by its own clock.
+        sent: Moment,
+        /// The numbers of tokens that it asked for.
+        teams: Vec<TeamTokens>,
+    },
+    /// A quota owner issued tokens.
+    QuotaGranted {
+        /// When the ask was sent, by this daemon's clock.
+        sent: Moment,
+        /// The tokens.
+        teams: Vec<TeamGrant>,
+    },
+    /// The former quota owner of teams issues no more tokens, and had these left.
+    QuotaHandedOver(Vec<TeamTokens>),
     /// Another daemon has a newer table.
     FetchTable {
         /// The peer address of that daemon.
@@ -415,6 +436,19 @@
             Message::Cleared(fingerprint) => {
                 self.emit(MembershipEvent::SuspectCleared(*fingerprint))
             }
+            Message::QuotaAsk { sent, teams } => self.emit(MembershipEvent::QuotaAsked {
+                from: datagram.peer,
+                epoch: datagram.epoch,
+                sent: *sent,
+                teams: teams.clone(),
+            }),
+            Message::QuotaGrant { sent, teams } => self.emit(MembershipEvent::QuotaGranted {
+                sent: *sent,
+                teams: teams.clone(),
+            }),
+            Message::QuotaHandover(teams) => {
+                self.emit(MembershipEvent::QuotaHandedOver(teams.clone()))
+            }
             _ => {}
         }
         self.with_ownership(|o, now| o.receive(now, datagram));
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -31,6 +31,9 @@
     datagram_bytes: Counter<u64>,
     malformed: Counter<u64>,
     retries: Counter<u64>,
+    quota_tokens: Counter<u64>,
+    quota_refusals: Counter<u64>,
+    quota_share: Counter<u64>,
     hedges: Counter<u64>,
     refusals: Counter<u64>,
     order_wait: Histogram<f64>,
@@ -87,6 +90,18 @@
             datagram_bytes: counter("datagram_bytes", "Bytes of datagrams by direction"),
             malformed: counter("malformed", "Datagrams and frames that could not be read"),
             retries: counter("retries", "Requests tried again"),
+            quota_tokens: counter(
+                "quota_tokens",
+                "Tokens of teams that this daemon issued to others as their quota owner",
+            ),
+            quota_refusals: counter(
+                "quota_refusals",
+                "Requests refused over a team's quota, by cause",
+            ),
+            quota_share: counter(
+                "quota_share",
+                "Requests sent under the fixed share, without an answer of the quota owner",
+            ),
             hedges: counter("hedges", "Requests sent to a second upstream"),
             in_flight: gauge("upstream_in_flight", "Orders in flight to the upstream"),
             limit: gauge(
@@ -160,6 +175,21 @@
         self.retries.add(1, &[]);
     }
 
+    /// Counts tokens that were issued to another daemon.
+    pub fn record_quota_tokens(&self, tokens: u64) {
+        self.quota_tokens.add(tokens, &[]);
+    }
+
+    /// Counts a request that was refused over a quota: at the `limit`, or with `no-answer`.
+    pub fn record_quota_refusal(&self, cause: &'static str) {
+        self.quota_refusals.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts a request of the fixed share.
+    pub fn record_quota_share(&self) {
+        self.quota_share.add(1, &[]);
+    }
+
     /// Counts a hedged request: one that was also sent to a second upstream.
     pub fn record_hedge(&self) {
         self.hedges.add(1, &[]);
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -48,6 +48,7 @@
 mod planning_order;
 pub mod platform;
 pub mod platform_sync;
+pub mod quota_message;
 pub mod recent_shared_requests;
 pub mod release_tracker;
 pub mod router;
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -251,6 +251,7 @@
             Message::Facts(facts) => self.merge_received_facts(now, facts),
             Message::QueryAdopted => self.send_adopted_epoch(datagram.peer),
             Message::Join(_) | Message::Load(_) | Message::Suspects(_) | Message::Cleared(_) => {}
+            Message::QuotaAsk { .. } | Message::QuotaGrant { .. } | Message::QuotaHandover(_) => {}
         }
     }
 
--- a/src/request/upstream_outcome.rs
+++ b/src/request/upstream_outcome.rs
@@ -50,9 +50,19 @@
     Stopping,
     /// The daemon has no routing configuration yet.
     NoRoutes,
+    /// The caller's team has used its quota.
+    Quota,
 }
 
 impl NotRunCause {
+    /// Returns the HTTP status of the response to the caller.
+    pub fn status(self) -> u16 {
+        match self {
+            NotRunCause::Quota => 429,
+            _ => 503,
+        }
+    }
+
     /// Returns the name of the cause in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -70,6 +80,7 @@
             NotRunCause::CallerLeft => "caller-left",
             NotRunCause::Stopping => "stopping",
             NotRunCause::NoRoutes => "no-routes",
+            NotRunCause::Quota => "quota",
         }
     }
 }
--- a/tests/testsuite/host/quotas/fleet.rs
+++ b/tests/testsuite/host/quotas/fleet.rs
@@ -241,7 +241,7 @@
             };
             match decision {
                 QuotaDecision::Admitted(_) => self.admitted.push(now),
-                QuotaDecision::Refused { retry_after } => self.refused.push((now, retry_after)),
+                QuotaDecision::Refused { retry_after, .. } => self.refused.push((now, retry_after)),
                 QuotaDecision::Wait => {
                     daemon.waiting.push(arrived);
                     continue;
--- a/tests/testsuite/wire_properties.rs
+++ b/tests/testsuite/wire_properties.rs
@@ -22,6 +22,7 @@
 use foxtaildrift::process::moment::Moment;
 use foxtaildrift::process::ownership::Ownership;
 use foxtaildrift::process::planner::{self, PlanInput};
+use foxtaildrift::process::quota_message::{TeamGrant, TeamTokens};
 use foxtaildrift::process::session_facts::SessionFacts;
 use foxtaildrift::request::body::Body;
 use foxtaildrift::request::fingerprint::Fingerprint;
@@ -307,6 +308,11 @@
     }
 }
 
+fn team_tokens() -> TeamTokens {
+    let team = "hule930".parse().expect("a name");
+    TeamTokens { team, tokens: 7 }
+}
+
 fn datagrams() -> Vec<Vec<u8>> {
     let fingerprint = Fingerprint::default();
     let boot = UpstreamBoot(9);
@@ -330,6 +336,19 @@
         Message::Load(Box::new(load_report(2))),
         Message::Suspects(vec![CrashSuspect { fingerprint, boot }]),
         Message::Cleared(fingerprint),
+        Message::QuotaAsk {
+            sent: Moment::from_millis(4000),
+            teams: vec![team_tokens()],
+        },
+        Message::QuotaGrant {
+            sent: Moment::from_millis(4000),
+            teams: vec![TeamGrant {
+                team: team_tokens().team,
+                tokens: 3,
+                next_token_in: Duration::from_millis(2),
+            }],
+        },
+        Message::QuotaHandover(vec![team_tokens()]),
     ];
     let datagrams = messages.into_iter().map(|message| Datagram {
         cell_hash: CELL_HASH,
