Queue requests of equal priority fairly over teams

A team that filled the queue of a full upstream delayed all others until its requests had run, or had them refused as too late. The queue is now ordered by priority, then by the start tag of fair_queue, then by arrival; the expected wait counts the requests before a request's own place.

--- a/src/process/host/admission.rs
+++ b/src/process/host/admission.rs
@@ -5,8 +5,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::process::host::fair_queue::{FairQueue, StartTag};
 use crate::process::moment::Moment;
 use crate::request::upstream_outcome::NotRunCause;
+use crate::version::team_name::TeamName;
 
 /// Weight of a new run time in the exponential moving average.
 const NEW_TIME_WEIGHT: f64 = 0.05;
@@ -22,11 +24,13 @@
 /// Factor on the configured rate of a cold upstream.
 const COLD_RATE_FACTOR: f64 = 1.1;
 
-/// Position in the queue: ordered by priority, then by arrival.
+/// Position in the queue: ordered by priority, then fairly over teams, then by arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket {
     /// Priority of the request; 0 is the most urgent.
     pub priority: u8,
+    /// Position among the requests of the same priority.
+    pub start_tag: StartTag,
     /// Sequence number of the arrival.
     pub sequence: u64,
 }
@@ -60,8 +64,9 @@
 pub struct Admission {
     slots: u32,
     in_flight: u32,
-    /// Queued requests with their arrival times.
-    queue: BTreeMap<Ticket, Moment>,
+    /// Queued requests with their teams.
+    queue: BTreeMap<Ticket, Option<TeamName>>,
+    fair_queue: FairQueue,
     last_sequence: u64,
     mean_micros: f64,
     cold: Option<ColdPacing>,
@@ -73,6 +78,7 @@
             slots: 1,
             in_flight: 0,
             queue: BTreeMap::new(),
+            fair_queue: FairQueue::default(),
             last_sequence: 0,
             mean_micros: INITIAL_MEAN_MICROS,
             cold: None,
@@ -122,12 +128,13 @@
         self.mean_micros
     }
 
-    /// Admits, queues or refuses a request that must complete by `deadline` and counts as slow
-    /// after `objective`.
+    /// Admits, queues or refuses a request of `team` that must complete by `deadline` and counts as
+    /// slow after `objective`.
     pub fn admit(
         &mut self,
         now: Moment,
         priority: u8,
+        team: Option<&TeamName>,
         deadline: Moment,
         objective: Moment,
     ) -> Decision {
@@ -135,7 +142,12 @@
             self.start(now);
             return Decision::Admitted;
         }
-        let wait = self.expected_wait(now, priority);
+        let ticket = Ticket {
+            priority,
+            start_tag: self.fair_queue.next_tag(priority, team),
+            sequence: self.last_sequence + 1,
+        };
+        let wait = self.expected_wait(now, ticket);
         let required = Duration::from_micros((self.mean_micros * REQUIRED_TIME_FRACTION) as u64);
         let end = now + wait + required;
         let too_late = end > deadline || (end > objective && wait > LATE_WAIT_MAX);
@@ -148,15 +160,18 @@
             return Decision::Refused { cause, retry_after };
         }
         self.last_sequence += 1;
-        let sequence = self.last_sequence;
-        let ticket = Ticket { priority, sequence };
-        self.queue.insert(ticket, now);
+        self.fair_queue.add(priority, team, ticket.start_tag);
+        self.queue.insert(ticket, team.cloned());
         Decision::Queued(ticket)
     }
 
     /// Removes a request from the queue; returns whether it was still queued.
     pub fn abandon(&mut self, ticket: Ticket) -> bool {
-        self.queue.remove(&ticket).is_some()
+        let Some(team) = self.queue.remove(&ticket) else {
+            return false;
+        };
+        self.fair_queue.remove(ticket.priority, team.as_ref());
+        true
     }
 
     /// Records that an admitted request ended; `duration` is its run time, if it ran.
@@ -175,6 +190,7 @@
             let Some((ticket, _)) = self.queue.pop_first() else {
                 break;
             };
+            self.fair_queue.start(ticket.priority, ticket.start_tag);
             self.start(now);
             admitted.push(ticket);
         }
@@ -187,13 +203,9 @@
         Some(cold.next_start.since(now))
     }
 
-    /// Returns how long a request of `priority` that arrives now is expected to wait.
-    pub fn expected_wait(&self, now: Moment, priority: u8) -> Duration {
-        let last_ahead = Ticket {
-            priority,
-            sequence: u64::MAX,
-        };
-        let queued_ahead = self.queue.range(..=last_ahead).count();
+    /// Returns how long a request that arrives now and would get `ticket` is expected to wait.
+    fn expected_wait(&self, now: Moment, ticket: Ticket) -> Duration {
+        let queued_ahead = self.queue.range(..ticket).count();
         let free = self.slots.saturating_sub(self.in_flight);
         let excess = (queued_ahead + 1).saturating_sub(usize::try_from(free).unwrap_or(usize::MAX));
         let rounds = excess as f64 / f64::from(self.slots);
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -514,10 +514,13 @@
         if let Some(key) = request.key {
             *state.arrivals.entry(key.0).or_default() += 1;
         }
-        let ticket = match state
-            .admission
-            .admit(now, request.priority, deadline, objective)
-        {
+        let ticket = match state.admission.admit(
+            now,
+            request.priority,
+            request.team.as_ref(),
+            deadline,
+            objective,
+        ) {
             Decision::Admitted => return Ok(()),
             Decision::Refused { cause, retry_after } => {
                 return Err(UpstreamOutcome::not_run(cause, retry_after));
--- a/tests/testsuite/host/admission.rs
+++ b/tests/testsuite/host/admission.rs
@@ -19,7 +19,7 @@
 }
 
 fn admit(admission: &mut Admission, now: u64, priority: u8) -> Decision {
-    admission.admit(at(now), priority, at(now + 2000), at(now + 1000))
+    admission.admit(at(now), priority, None, at(now + 2000), at(now + 1000))
 }
 
 #[test]
@@ -58,7 +58,7 @@
     let mut admission = admission();
     let mut refused = 0;
     for _ in 0..100 {
-        let decision = admission.admit(at(0), 1, at(300), at(300));
+        let decision = admission.admit(at(0), 1, None, at(300), at(300));
         refused += u32::from(matches!(
             decision,
             Decision::Refused {
@@ -71,6 +71,29 @@
     assert!((85..100).contains(&refused), "{refused}");
 }
 
+/// Guards against a team that fills the queue, so that the requests of others are refused or wait for
+/// all of its requests.
+#[test]
+fn a_busy_team_does_not_take_the_slots_from_the_others() {
+    let mut admission = admission();
+    let (busy, calm) = ("busy".parse().unwrap(), "calm".parse().unwrap());
+    let mut admit = |team| admission.admit(at(0), 1, Some(team), at(400), at(400));
+    // The busy team gets what the slots can finish in time, and is refused the rest.
+    let refused = (0..100).filter(|_| matches!(admit(&busy), Decision::Refused { .. }));
+    assert!(refused.count() >= 80);
+    let tickets = [admit(&calm), admit(&calm)];
+    for _ in 0..SLOTS {
+        admission.complete(None);
+    }
+    let admitted = admission.admit_waiting(at(100));
+    for ticket in tickets {
+        let Decision::Queued(ticket) = ticket else {
+            panic!("{ticket:?}");
+        };
+        assert!(admitted.contains(&ticket), "{admitted:?}");
+    }
+}
+
 /// Returns the number of requests that a cold upstream gets within each sliding second of
 /// `seconds`.
 fn admitted_per_second(admission: &mut Admission, rate: f64, seconds: u64) -> Vec<usize> {
