--- a/src/process/host/host_settings.rs
+++ b/src/process/host/host_settings.rs
@@ -17,6 +17,7 @@
 
 use crate::process::host::quota_config::QuotaConfig;
 use crate::process::host::retry_budget_share::RetryBudgetConfig;
+use crate::process::host::routing_freshness::RoutingFreshness;
 use crate::process::lease_times::LeaseTimes;
 use crate::process::settings_error::SettingsError;
 use crate::process::settings_file;
@@ -80,6 +81,11 @@
     pub quota_overage: f64,
     /// Requests of a team per window that all daemons together may send in addition.
     pub quota_slack: f64,
+    /// Whether a revoked API key must not work later than `revoke_timeout_ms` after the store
+    /// acknowledged its removal, also where the store can't be reached.
+    pub strict_revocation: bool,
+    /// Time after which a revoked API key must not work, in milliseconds.
+    pub revoke_timeout_ms: u64,
     /// Processor share of the host, in cores; the daemons on hosts with the largest share come
     /// first in the planning order.
     pub cpu_share: f64,
@@ -117,6 +123,8 @@
             quota_window_s: 5.0,
             quota_overage: 0.1,
             quota_slack: 20.0,
+            strict_revocation: false,
+            revoke_timeout_ms: 5000,
             cpu_share: 1.0,
             link_mbps: 1000.0,
             memory_mb: 256,
@@ -173,6 +181,14 @@
         usize::try_from(bytes).unwrap_or(usize::MAX)
     }
 
+    /// Returns the state of a daemon that does not know yet whether its routing is recent.
+    pub fn routing_freshness(&self) -> RoutingFreshness {
+        match self.strict_revocation {
+            true => RoutingFreshness::strict(Duration::from_millis(self.revoke_timeout_ms)),
+            false => RoutingFreshness::default(),
+        }
+    }
+
     /// Returns the configuration of the retry budget.
     pub fn retry_budget(&self) -> RetryBudgetConfig {
         RetryBudgetConfig {
@@ -228,6 +244,10 @@
             );
         }
         self.validate_quota()?;
+        if !(1000..=600_000).contains(&self.revoke_timeout_ms) {
+            let value = self.revoke_timeout_ms;
+            return settings_file::out_of_range("revoke_timeout_ms", value, "1000 to 600000");
+        }
         if !(0.001..=1024.0).contains(&self.cpu_share) {
             return settings_file::out_of_range(
                 "cpu_share",
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -25,6 +25,7 @@
 use crate::process::host::host_settings::HostSettings;
 use crate::process::host::metered_store::MeteredStore;
 use crate::process::host::quota_gate::QuotaGate;
+use crate::process::host::recency_monitor::RecencyMonitor;
 use crate::process::host::recent_requests::RecentRequests;
 use crate::process::host::stop_schedule::StopSchedule;
 use crate::process::host::store_sync::StoreSync;
@@ -319,6 +320,7 @@
         clock.now(),
         rand::random(),
     )
+    .with_routing_freshness(settings.routing_freshness())
 }
 
 /// Starts the threads that run until the process stops.
@@ -416,8 +418,10 @@
     let started = Instant::now();
     let times = context.settings.lease_times();
     let (mut reported_at, mut traffic_at) = (started, started);
+    let mut recency = RecencyMonitor::default();
     while !context.stop.wait(PERIODIC_INTERVAL) {
         context.quotas.tick();
+        recency.check(&context.membership);
         context.grant_manager.release_former_grants();
         context.grant_manager.reconcile();
         let former_leases_expired = started.elapsed() > times.former_process_delay();
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision logic of the host daemon.
 
 mod admission;
+mod authentication;
 mod body_reservations;
 mod fair_queue;
 mod give_up;
@@ -13,6 +14,7 @@
 mod ranges;
 mod recent_requests;
 mod retry_budget_share;
+mod routing_freshness;
 mod settings;
 mod stop_schedule;
 mod store_sync;
