--- a/src/process/host/admission.rs
+++ b/src/process/host/admission.rs
@@ -148,7 +148,7 @@
         if end > arrival.deadline {
             return self.refuse(now, wait);
         }
-        Decision::Queued(self.queue.push(*arrival, run_time, is_late))
+        Decision::Queued(self.queue.push(arrival.clone(), run_time, is_late))
     }
 
     /// Removes a request from the queue; returns whether it was still queued.
--- a/src/process/host/admission_queue.rs
+++ b/src/process/host/admission_queue.rs
@@ -3,16 +3,19 @@
 //!
 //! Answers an upstream that gets more work than it can finish. The requests that can still meet
 //! their objective go first, the most urgent priority before the others, and among equals the one
-//! whose objective ends first. Requests that can't meet it any more wait behind them, and get a
+//! whose objective ends first; where teams have requests queued, their shares of the turns are equal.
+//! Requests that can't meet it any more wait behind them, and get a
 //! fixed part of the turns so that none starves. One that can't end before its deadline is taken
 //! out at once.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use crate::process::host::fair_queue::{FairQueue, StartTag};
 use crate::process::moment::Moment;
 use crate::request::request_kind::RequestKind;
 use crate::request::shard_key::ShardKey;
+use crate::version::team_name::TeamName;
 
 /// Of this many turns, late requests get one while others wait.
 const LATE_TURN_INTERVAL: u32 = 8;
@@ -25,10 +28,12 @@
 pub struct Ticket(pub u64);
 
 /// A request that asks for admission.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Arrival {
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// Team of the caller, if it is known.
+    pub team: Option<TeamName>,
     /// Kind, by which the run time is estimated.
     pub kind: RequestKind,
     /// Key, if the service is sharded.
@@ -43,11 +48,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Position {
     priority: u8,
+    start_tag: StartTag,
     objective: Moment,
     ticket: Ticket,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Waiting {
     arrival: Arrival,
     run_time: Duration,
@@ -66,6 +72,7 @@
     on_time: BTreeMap<Position, Waiting>,
     late: BTreeMap<Position, Waiting>,
     positions: HashMap<Ticket, Position>,
+    fair_queue: FairQueue,
     last_ticket: u64,
     /// Turns of requests on time since the last one of a late request.
     turns: u32,
@@ -87,11 +94,9 @@
     pub fn push(&mut self, arrival: Arrival, run_time: Duration, is_late: bool) -> Ticket {
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
-        let position = Position {
-            priority: arrival.priority,
-            objective: arrival.objective,
-            ticket,
-        };
+        let position = self.position_of(&arrival, ticket);
+        self.fair_queue
+            .add(arrival.priority, arrival.team.as_ref(), position.start_tag);
         let waiting = Waiting { arrival, run_time };
         match is_late {
             true => self.late.insert(position, waiting),
@@ -106,8 +111,10 @@
         let Some(position) = self.positions.remove(&ticket) else {
             return false;
         };
-        if self.on_time.remove(&position).is_none() {
-            self.late.remove(&position);
+        let removed = self.on_time.remove(&position);
+        let removed = removed.or_else(|| self.late.remove(&position));
+        if let Some(waiting) = removed {
+            self.leave_fair_queue(&waiting);
         }
         true
     }
@@ -117,11 +124,12 @@
         self.demote(now);
         let is_expired = |_: &Position, w: &mut Waiting| !w.can_end_by(now, w.arrival.deadline);
         let expired = self.late.extract_if(.., is_expired);
-        let expired: Vec<Ticket> = expired.map(|(p, _)| p.ticket).collect();
-        for ticket in &expired {
-            self.positions.remove(ticket);
+        let expired: Vec<(Position, Waiting)> = expired.collect();
+        for (position, waiting) in &expired {
+            self.positions.remove(&position.ticket);
+            self.leave_fair_queue(waiting);
         }
-        expired
+        expired.into_iter().map(|(p, _)| p.ticket).collect()
     }
 
     /// Removes and returns the request whose turn it is.
@@ -140,16 +148,13 @@
         };
         let (position, _) = popped?;
         self.positions.remove(&position.ticket);
+        self.fair_queue.start(position.priority, position.start_tag);
         Some(position.ticket)
     }
 
     /// Returns the run time of the requests on time that go before one that arrives now.
     pub fn work_ahead(&self, arrival: &Arrival) -> Duration {
-        let position = Position {
-            priority: arrival.priority,
-            objective: arrival.objective,
-            ticket: Ticket(u64::MAX),
-        };
+        let position = self.position_of(arrival, Ticket(u64::MAX));
         self.on_time
             .range(..position)
             .map(|(_, w)| w.run_time)
@@ -176,6 +181,24 @@
         (of_key, of_others)
     }
 
+    /// Returns the position of a request that arrives now.
+    fn position_of(&self, arrival: &Arrival, ticket: Ticket) -> Position {
+        let team = arrival.team.as_ref();
+        Position {
+            priority: arrival.priority,
+            start_tag: self.fair_queue.next_tag(arrival.priority, team),
+            objective: arrival.objective,
+            ticket,
+        }
+    }
+
+    /// Records that a request leaves the queue without having started.
+    fn leave_fair_queue(&mut self, waiting: &Waiting) {
+        let arrival = &waiting.arrival;
+        self.fair_queue
+            .remove(arrival.priority, arrival.team.as_ref());
+    }
+
     /// Moves requests that can't meet their objective any more to the late ones.
     fn demote(&mut self, now: Moment) {
         let is_late = |_: &Position, w: &mut Waiting| !w.can_end_by(now, w.arrival.objective);
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -532,6 +532,7 @@
         }
         let arrival = Arrival {
             priority: request.priority,
+            team: request.team.clone(),
             kind: request.kind,
             key: request.key,
             deadline,
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -18,6 +18,12 @@
 //! | [`host_dispatcher`] | whether and when a request is sent to the local upstream |
 //! | [`admission`] | concurrency limit, refusals and pacing of the local upstream |
 //! | [`admission_queue`] | the order in which requests wait for the local upstream |
+//! | [`fair_queue`] | order of queued requests of equal priority, fair over teams |
+//! | [`quota_owner`] | token buckets of the teams whose requests this daemon counts |
+//! | [`team_quota`] | tokens of a team at this daemon, and which of its requests they admit |
+//! | [`quota_state`], [`quota_gate`] | quotas of all teams at this daemon, and the datagrams for them |
+//! | [`quota_placement`] | which daemon counts the requests of a team, and the fixed shares |
+//! | [`quota_config`], [`quota_terms`], [`team_limit`] | limits of teams, and how the allowance over them is divided |
 //! | [`local_upstream`] | current process of the local upstream, and its state |
 //! | [`departures`] | which processes of the local upstream have announced that they will stop |
 //! | `departure_store` | the departures in the store, for the next process of the daemon |
@@ -56,6 +62,7 @@
 mod departure_store;
 pub mod departures;
 pub mod endpoints;
+pub mod fair_queue;
 mod grant_attempt;
 pub mod grant_manager;
 mod grant_sender;
@@ -72,6 +79,12 @@
 pub mod local_upstream;
 pub mod metered_store;
 pub mod owned_range;
+pub mod quota_config;
+pub mod quota_gate;
+pub mod quota_owner;
+pub mod quota_placement;
+pub mod quota_state;
+pub mod quota_terms;
 mod recency_monitor;
 pub mod recent_requests;
 mod request_forwarder;
@@ -94,5 +107,7 @@
 mod stored_table;
 mod table_planner;
 mod target_selector;
+pub mod team_limit;
+pub mod team_quota;
 pub mod token_holder;
 pub mod upstream_selector;
--- a/src/process/host/stop_schedule.rs
+++ b/src/process/host/stop_schedule.rs
@@ -4,8 +4,10 @@
 
 use crate::process::moment::Moment;
 
-/// Fraction of the grace period after which no request is taken that may outlast it.
-const LAST_ADMISSION_FRACTION: f64 = 0.5;
+/// Fraction of the grace period after which no request is taken that may outlast it. A caller's
+/// request of the second half must not be cut off, and this process learns of its stop later than
+/// the caller.
+const LAST_ADMISSION_FRACTION: f64 = 0.45;
 /// Fraction of the grace period after which no new connections are accepted.
 const CLOSE_FRACTION: f64 = 0.55;
 /// Part of the grace period that is left when the last connections are closed.
--- a/tests/testsuite/host/admission.rs
+++ b/tests/testsuite/host/admission.rs
@@ -25,6 +25,7 @@
 fn arrival(priority: u8, objective: u64, deadline: u64) -> Arrival {
     Arrival {
         priority,
+        team: None,
         kind: RequestKind(0),
         key: None,
         deadline: at(deadline),
@@ -292,3 +293,28 @@
     let widest = delays.windows(2).map(|d| d[1] - d[0]).max();
     assert!(widest < Some((last - first) / 8), "{widest:?}");
 }
+
+/// Guards against a team that fills the queue, so that the requests of others are refused or wait for
+/// all of its requests.
+#[test]
+fn a_busy_team_does_not_take_the_slots_from_the_others() {
+    let mut admission = admission();
+    let mut admit_team = |team: &str| {
+        let request = Arrival {
+            team: Some(team.parse().unwrap()),
+            ..arrival(1, 400, 400)
+        };
+        admission.admit(at(0), &request)
+    };
+    // The busy team gets what the slots can finish in time, and is refused the rest.
+    let refused = (0..100).filter(|_| matches!(admit_team("busy"), Decision::Refused { .. }));
+    assert!(refused.count() >= 80);
+    let calm = [ticket(admit_team("calm")), ticket(admit_team("calm"))];
+    for _ in 0..SLOTS {
+        admission.complete(at(100), None);
+    }
+    let admitted = admission.admit_waiting(at(100)).admitted;
+    for ticket in calm {
+        assert!(admitted.contains(&ticket), "{admitted:?}");
+    }
+}
--- a/tests/testsuite/host/fleet_model.rs
+++ b/tests/testsuite/host/fleet_model.rs
@@ -6,9 +6,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use foxtaildrift::process::host::admission::{Admission, Decision, Ticket};
+use foxtaildrift::process::host::admission::{Admission, Decision};
+use foxtaildrift::process::host::admission_queue::{Arrival, Ticket};
 use foxtaildrift::process::host::upstream_selector::AttemptOutcome;
 use foxtaildrift::process::moment::Moment;
+use foxtaildrift::request::request_kind::RequestKind;
 use foxtaildrift::request::upstream_load::UpstreamLoad;
 use foxtaildrift::version::domain_name::DomainName;
 use foxtaildrift::version::epoch::Epoch;
@@ -238,7 +240,7 @@
             in_flight: self.admission.in_flight(),
             waiting: self.admission.waiting() as u32,
             slots: self.admission.slots(),
-            mean_micros: self.admission.mean_micros() as u32,
+            mean_micros: self.admission.run_times().mean_micros() as u32,
             ..UpstreamLoad::default()
         }
     }
@@ -367,8 +369,16 @@
         let is_counted = self.requests[r].arrived >= WARM_UP_MICROS;
         self.requests[r].queued_at = self.now;
         self.requests[r].avoidable = false;
+        let arrival = Arrival {
+            priority: 1,
+            team: None,
+            kind: RequestKind::default(),
+            key: None,
+            deadline,
+            objective,
+        };
         let admission = &mut self.upstreams[u].admission;
-        match admission.admit(Moment(self.now), 1, deadline, objective) {
+        match admission.admit(Moment(self.now), &arrival) {
             Decision::Admitted => self.start(r),
             Decision::Queued(ticket) => {
                 self.upstreams[u].queued.insert(ticket, r);
@@ -380,14 +390,19 @@
                 let is_new = u + 1 == self.members.len() && joined_for < JOIN_WINDOW_MICROS;
                 self.findings.refused_by_joined +=
                     f64::from(u8::from(self.deployment.late_join && is_new));
-                self.requests[r].refused = true;
-                self.requests[r].load = self.upstreams[u].load();
-                let delay = self.hop_micros(r);
-                self.schedule(self.now + delay, Event::Reply(r));
+                self.refuse(r);
             }
         }
     }
 
+    /// Replies that the upstream's daemon refuses a request.
+    fn refuse(&mut self, r: usize) {
+        self.requests[r].refused = true;
+        self.requests[r].load = self.upstreams[self.requests[r].upstream].load();
+        let delay = self.hop_micros(r);
+        self.schedule(self.now + delay, Event::Reply(r));
+    }
+
     fn start(&mut self, r: usize) {
         let request = &mut self.requests[r];
         request.admitted_at = self.now;
@@ -400,15 +415,18 @@
             self.requests[r].upstream,
             self.now - self.requests[r].admitted_at,
         );
+        let now = Moment(self.now);
         let upstream = &mut self.upstreams[u];
-        upstream
-            .admission
-            .complete(Some(Duration::from_micros(ran)));
-        let admitted = upstream.admission.admit_waiting(Moment(self.now));
-        let next: Vec<usize> = admitted
-            .iter()
-            .filter_map(|t| upstream.queued.remove(t))
-            .collect();
+        upstream.admission.complete(
+            now,
+            Some((RequestKind::default(), Duration::from_micros(ran))),
+        );
+        let turns = upstream.admission.admit_waiting(now);
+        let mut take = |tickets: Vec<Ticket>| -> Vec<usize> {
+            let queued = tickets.iter().filter_map(|t| upstream.queued.remove(t));
+            queued.collect()
+        };
+        let (next, expired) = (take(turns.admitted), take(turns.expired));
         let waited = self.requests[r].admitted_at - self.requests[r].queued_at;
         self.requests[r].load = UpstreamLoad {
             waited_ms: (waited / 1000) as u32,
@@ -420,6 +438,9 @@
         for r in next {
             self.start(r);
         }
+        for r in expired {
+            self.refuse(r);
+        }
     }
 
     fn receive_reply(&mut self, r: usize) {
--- a/tests/testsuite/host/stop_schedule.rs
+++ b/tests/testsuite/host/stop_schedule.rs
@@ -5,6 +5,8 @@
 use foxtaildrift::process::host::stop_schedule::StopSchedule;
 use foxtaildrift::process::moment::Moment;
 
+/// A request that came 3.03 s after the signal, and 3 s after the process had learned of it, was passed
+/// on and cut off at the end of the stop.
 #[test]
 fn late_in_a_stop_only_requests_are_taken_that_end_before_it() {
     let at = Moment::from_millis;
@@ -13,7 +15,9 @@
     assert_eq!(schedule.deadline(), at(6700));
     for (now_ms, remaining_ms, is_admitted) in [
         (1000, 10_000, true),
-        (3999, 3000, true),
+        (3699, 3002, true),
+        (3700, 3000, true),
+        (3700, 3001, false),
         (4000, 2700, true),
         (4000, 2701, false),
         (6500, 200, true),
