Confirm a routing only by store calls without changes, and hide credentials

Cause: a watch that returns a part of the changes would have confirmed a routing that is not the newest; the debug output of headers showed the value of Authorization; each request took the lock of the ownership state even where the age of the routing does not matter.

Change: a watch with changes confirms nothing and is followed by another call; Debug of Headers leaves out credentials; the lock is taken with strict_revocation only.

--- a/src/process/host/caller_authenticator.rs
+++ b/src/process/host/caller_authenticator.rs
@@ -13,19 +13,27 @@
 /// Authenticator of the callers of one host.
 pub(super) struct CallerAuthenticator {
     membership: Arc<Membership>,
+    /// Whether the age of the routing matters.
+    is_strict: bool,
 }
 
 impl CallerAuthenticator {
     /// Creates the authenticator of the daemon with this membership.
     pub(super) fn new(membership: Arc<Membership>) -> Self {
-        Self { membership }
+        let is_strict = membership.with_ownership(|o, _| o.routing_freshness().is_strict());
+        Self {
+            membership,
+            is_strict,
+        }
     }
 
     /// Returns whether the routing in force is known to be recent enough for keys. It must be called
     /// before the routing is read: the answer then holds for that one, or for a newer one.
     pub(super) fn is_routing_recent(&self) -> bool {
-        self.membership
-            .with_ownership(|o, now| o.routing_freshness().is_recent(now))
+        !self.is_strict
+            || self
+                .membership
+                .with_ownership(|o, now| o.routing_freshness().is_recent(now))
     }
 
     /// Returns the team of a request, or `None` for a request without one.
--- a/src/process/host/routing_freshness.rs
+++ b/src/process/host/routing_freshness.rs
@@ -53,6 +53,11 @@
         self.record(started);
     }
 
+    /// Records a store call that returned changes: the next one may follow at once.
+    pub fn record_changes(&mut self) {
+        self.own_call_at = None;
+    }
+
     /// Records the answer of a witness to a renewal that this daemon sent at `sent`: `age` before the
     /// answer was sent, `witness_version` was the newest. It counts only if this daemon has adopted
     /// that version or a later one.
--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -126,13 +126,20 @@
             unreadable,
             is_after_known,
         } = watched.content;
+        // A store may return a part of the changes only, so a call confirms the routing if there are
+        // none.
+        let is_unchanged = changes.is_empty() && unreadable.is_empty();
         let teams_key = self.protocol.teams_key();
         let newest = sync::lock(&self.routing).apply(changes, &unreadable, teams_key);
         if let Some(newest) = newest {
             self.adopt_routing(newest);
         }
-        if is_after_known {
-            self.record_freshness(watched.started);
+        match is_unchanged {
+            true if is_after_known => self.record_freshness(watched.started),
+            true => {}
+            false => self
+                .membership
+                .with_ownership(|o, _| o.routing_freshness_mut().record_changes()),
         }
     }
 
--- a/src/request/headers.rs
+++ b/src/request/headers.rs
@@ -1,5 +1,7 @@
 //! The headers of an HTTP message, in the order received.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 /// Headers that concern only one connection and are never forwarded (RFC 9110, section 7.6.1).
@@ -15,10 +17,27 @@
     "upgrade",
 ];
 
+/// Headers whose values are secrets (RFC 9110, section 11); debug output does not show them.
+const SECRET: [&str; 2] = ["authorization", "proxy-authorization"];
+
 /// The headers of a message; names are compared case-insensitively.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Headers(Vec<(String, Vec<u8>)>);
 
+impl fmt::Debug for Headers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let shown = self.0.iter().map(|(name, value)| {
+            let is_secret = SECRET.iter().any(|s| name.eq_ignore_ascii_case(s));
+            let value = match is_secret {
+                true => "..".into(),
+                false => String::from_utf8_lossy(value),
+            };
+            (name, value)
+        });
+        f.debug_list().entries(shown).finish()
+    }
+}
+
 impl Headers {
     /// Appends a header.
     pub fn push(&mut self, name: impl Into<String>, value: impl Into<Vec<u8>>) {
--- a/tests/testsuite/host/authentication.rs
+++ b/tests/testsuite/host/authentication.rs
@@ -99,6 +99,19 @@
     assert_eq!(outcome(&closed, false, None, false), no_key);
 }
 
+/// Debug output ends up in logs and test reports.
+#[test]
+fn the_debug_output_of_headers_shows_no_key() {
+    let mut headers = Headers::default();
+    headers.push("AUTHORIZATION", "Bearer right");
+    headers.push("Host", "a.example");
+    let shown = format!("{headers:?}");
+    assert!(
+        !shown.contains("right") && shown.contains("a.example"),
+        "{shown}"
+    );
+}
+
 /// An upstream trusts the header with the team, so a caller must not set it.
 #[test]
 fn identity_headers_are_dropped_only_where_teams_are_configured() {
--- a/tests/testsuite/host/routing_freshness.rs
+++ b/tests/testsuite/host/routing_freshness.rs
@@ -90,6 +90,12 @@
     let calls: Vec<u64> = calls.filter(|&t| freshness.take_own_call(at(t))).collect();
     assert_eq!(calls.first(), Some(&12_500));
     assert_eq!(calls.len(), 11);
+    assert!(!freshness.take_own_call(at(39_000)));
+    freshness.record_changes();
+    assert!(
+        freshness.take_own_call(at(39_000)),
+        "what follows the changes is not known"
+    );
 }
 
 #[test]
