Test the quotas of teams on real processes

Two tests with five daemons: a team over its limit at all daemons and at one, and the loss of its quota owner. They check the limit in each window of the caller's clock, that the rate is served, and that requests below it are not refused.

--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod journal;
 mod late_connections;
 mod ownership_check;
+mod quotas;
 mod runs;
 mod soak;
 mod teams;
