--- a/src/process/host/admission.rs
+++ b/src/process/host/admission.rs
@@ -114,6 +114,11 @@
         self.queue.len()
     }
 
+    /// Returns the number of queued requests that will miss their objective.
+    pub fn late_waiting(&self) -> usize {
+        self.queue.late_len()
+    }
+
     /// Returns how many requests the upstream may run at once.
     pub fn slots(&self) -> u32 {
         self.slots
--- a/src/process/host/admission_queue.rs
+++ b/src/process/host/admission_queue.rs
@@ -84,6 +84,11 @@
         self.positions.len()
     }
 
+    /// Returns the number of queued requests that will miss their objective.
+    pub fn late_len(&self) -> usize {
+        self.late.len()
+    }
+
     /// Returns whether no request is queued.
     pub fn is_empty(&self) -> bool {
         self.positions.is_empty()
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -228,6 +228,16 @@
         }
     }
 
+    /// Records the metrics of the queue.
+    pub fn record_queue(&self) {
+        let now = self.clock.now();
+        let state = sync::lock(&self.state);
+        let late = state.admission.late_waiting();
+        let slowdown = state.admission.run_times().slowdown(now);
+        drop(state);
+        self.membership.metrics().record_queue(late, slowdown);
+    }
+
     /// Returns the number of requests for each key since the last call.
     pub fn take_arrivals(&self) -> BTreeMap<u16, u32> {
         std::mem::take(&mut sync::lock(&self.state).arrivals)
--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -424,7 +424,11 @@
             return now;
         }
         let fingerprint = Fingerprint::of_upstream_request(request);
-        callers.take_first_attempt(now, fingerprint).unwrap_or(now)
+        let Some(first_at) = callers.take_first_attempt(now, fingerprint) else {
+            return now;
+        };
+        self.deps.metrics.record_return();
+        first_at
     }
 
     /// Remembers a refusal, so that the caller is recognised when it returns.
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -454,6 +454,7 @@
     context
         .metrics
         .record_upstream_load(load.in_flight, load.slots, waiting);
+    context.dispatcher.record_queue();
     if let Some(process) = context.dispatcher.upstream_process() {
         let report = context.grant_manager.load_report(&process, &load, period);
         context.membership.report_load(report);
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -31,6 +31,7 @@
     datagram_bytes: Counter<u64>,
     malformed: Counter<u64>,
     retries: Counter<u64>,
+    returns: Counter<u64>,
     quota_tokens: Counter<u64>,
     quota_refusals: Counter<u64>,
     quota_share: Counter<u64>,
@@ -47,6 +48,8 @@
     waiting: Gauge<u64>,
     table_epoch: Gauge<u64>,
     configuration_version: Gauge<u64>,
+    late_waiting: Gauge<u64>,
+    slowdown: Gauge<u64>,
     routing_age: Gauge<u64>,
 }
 
@@ -101,6 +104,10 @@
             datagram_bytes: counter("datagram_bytes", "Bytes of datagrams by direction"),
             malformed: counter("malformed", "Datagrams and frames that could not be read"),
             retries: counter("retries", "Requests tried again"),
+            returns: counter(
+                "returns",
+                "Requests whose callers returned as told after a refusal",
+            ),
             quota_tokens: counter(
                 "quota_tokens",
                 "Tokens of teams that this daemon issued to others as their quota owner",
@@ -120,6 +127,14 @@
                 "Orders that may be in flight to the upstream",
             ),
             waiting: gauge("upstream_waiting", "Requests that wait for the upstream"),
+            late_waiting: gauge(
+                "upstream_late_waiting",
+                "Requests that wait for the upstream and will miss their objective",
+            ),
+            slowdown: gauge(
+                "upstream_slowdown_percent",
+                "Present run times of the upstream relative to the usual ones",
+            ),
             table_epoch: gauge("table_epoch", "Epoch of the table in force"),
             configuration_version: gauge(
                 "configuration_version",
@@ -206,6 +221,11 @@
         self.retries.add(1, &[]);
     }
 
+    /// Counts a request whose caller returned as told after a refusal.
+    pub fn record_return(&self) {
+        self.returns.add(1, &[]);
+    }
+
     /// Counts tokens that were issued to another daemon.
     pub fn record_quota_tokens(&self, tokens: u64) {
         self.quota_tokens.add(tokens, &[]);
@@ -235,6 +255,14 @@
             .record(u64::try_from(waiting).unwrap_or(u64::MAX), &[]);
     }
 
+    /// Sets how many of the waiting requests will miss their objective, and the present run times of
+    /// the upstream relative to the usual ones.
+    pub fn record_queue(&self, late_waiting: usize, slowdown: f64) {
+        self.late_waiting
+            .record(u64::try_from(late_waiting).unwrap_or(u64::MAX), &[]);
+        self.slowdown.record((slowdown * 100.0) as u64, &[]);
+    }
+
     /// Sets the versions of the table and of the configuration that are in force.
     pub fn record_versions(&self, epoch: u64, configuration: u64) {
         self.table_epoch.record(epoch, &[]);
