Test the quotas of several teams at one daemon

Shared datagrams, an owner's own requests, lapsed and new sessions, and dropped state, which the tests of fleets with one team don't reach.

--- a/tests/testsuite/host/quotas/mod.rs
+++ b/tests/testsuite/host/quotas/mod.rs
@@ -1,6 +1,7 @@
 //! Quotas of teams over all daemons: the limit holds in each window, and a team within it is served.
 
 mod fleet;
+mod state;
 
 use std::time::Duration;
 
