Never fulfil a join request from the store twice

A daemon that has ended was made a member again eight seconds after its loss, until its lease had expired once more. Cause: daemons that don't watch the store keep the join requests that they read at their start. One that becomes the planner reads the table, but learns of removed requests only from its first watch, and plans before that; the ended session is no longer in the table, so its end is forgotten. Now a daemon remembers which of the requests it has seen fulfilled in an adopted table.

--- a/src/process/host/stored_cell.rs
+++ b/src/process/host/stored_cell.rs
@@ -1,6 +1,6 @@
 //! The table and the join requests that the store has, and this daemon's place among the planners.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 
 use crate::process::host::stored_table::StoredTable;
@@ -9,6 +9,7 @@
 use crate::process::sync;
 use crate::version::instance_id::InstanceId;
 use crate::version::member::MemberInfo;
+use crate::version::session_id::SessionId;
 use crate::version::table::Table;
 
 #[derive(Default)]
@@ -17,6 +18,9 @@
     stored: Option<StoredTable>,
     /// Join requests by key.
     join_requests: BTreeMap<String, MemberInfo>,
+    /// Sessions of these requests that were members in an adopted table. One that is none any more has
+    /// ended; a daemon that does not watch the store learns late that its request was removed.
+    admitted: BTreeSet<SessionId>,
 }
 
 /// Cell of this daemon as the store has it.
@@ -135,11 +139,23 @@
 
     /// Returns the join requests and updated member infos of all daemons.
     pub(super) fn all_join_requests(&self) -> BTreeMap<InstanceId, MemberInfo> {
-        let state = sync::lock(&self.state);
-        let stored = state.join_requests.values();
-        let mut join_requests: BTreeMap<InstanceId, MemberInfo> = stored
-            .map(|info| (info.session.instance, info.clone()))
-            .collect();
+        let table = self.membership.table();
+        let mut state = sync::lock(&self.state);
+        let stored = state.join_requests.values().cloned();
+        let stored: Vec<MemberInfo> = stored.collect();
+        let sessions: BTreeSet<SessionId> = stored.iter().map(|i| i.session).collect();
+        state.admitted.retain(|s| sessions.contains(s));
+        let mut join_requests = BTreeMap::new();
+        for info in stored {
+            let session = info.session;
+            let is_member = table.members.contains_key(&session);
+            if is_member {
+                state.admitted.insert(session);
+            }
+            if is_member || !state.admitted.contains(&session) {
+                join_requests.insert(session.instance, info);
+            }
+        }
         drop(state);
         join_requests.extend(self.membership.join_requests());
         join_requests
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -4,6 +4,7 @@
 mod authentication;
 mod body_reservations;
 mod fair_queue;
+mod fulfilled_joins;
 mod give_up;
 mod grant_wait;
 mod grants;
--- a/tests/testsuite/host/store_sync.rs
+++ b/tests/testsuite/host/store_sync.rs
@@ -43,7 +43,7 @@
 const WITH_TEAMS: &str = "teams";
 
 /// The value of [`CONFIG_KEY`] is the label; it must be UTF-8 text.
-struct PlainOperators;
+pub struct PlainOperators;
 
 impl OperatorProtocol for PlainOperators {
     fn key_prefix(&self) -> &str {
@@ -116,7 +116,7 @@
     fn close(&self) {}
 }
 
-fn membership() -> Arc<Membership> {
+pub fn membership() -> Arc<Membership> {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
     let address = socket.local_addr().unwrap();
@@ -151,7 +151,7 @@
     Arc::new(Membership::new(clock, ownership, socket, pool, metrics, events).unwrap())
 }
 
-fn item(key: &str, value: &[u8], revision: u64) -> KeyValue {
+pub fn item(key: &str, value: &[u8], revision: u64) -> KeyValue {
     KeyValue {
         key: key.to_owned(),
         value: value.to_vec(),
@@ -159,7 +159,7 @@
     }
 }
 
-fn range(items: Vec<KeyValue>, as_of: u64) -> RangeResponse {
+pub fn range(items: Vec<KeyValue>, as_of: u64) -> RangeResponse {
     RangeResponse {
         items,
         as_of: Revision(as_of),
@@ -167,7 +167,7 @@
     }
 }
 
-fn changes(changes: Vec<KeyChange>, as_of: u64) -> WatchResponse {
+pub fn changes(changes: Vec<KeyChange>, as_of: u64) -> WatchResponse {
     WatchResponse::Changes {
         changes,
         as_of: Revision(as_of),
