--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -6,6 +6,7 @@
 mod even_load;
 mod fair_queue;
 mod fleet_model;
+mod fulfilled_joins;
 mod give_up;
 mod grant_wait;
 mod grants;
