Explain where a request would go, without sending it

Cause: an operator could see where requests had gone, but not where a daemon would send one now, and by which reports.

Change: POST /explain on the ready address of foxtaildrift-host, and foxtaildrift explain: route and version of the routing, the owner of the key, or each upstream with its share, cost, expected load and the age of its report. A request is described without headers, so no caller's key is in question or answer.

--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -475,6 +475,11 @@
         Ok(response.body)
     }
 
+    /// Returns the address at which the daemon of a host serves readiness, metrics and explanations.
+    pub fn ready_address(&self, number: usize) -> SocketAddr {
+        self.hosts[number].ready_address
+    }
+
     /// Returns whether the daemon of a host reports that it is ready.
     pub fn is_ready(&self, number: usize) -> bool {
         let address = self.hosts[number].ready_address;
--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod daemon_stops;
 mod endless_responses;
+mod explain;
 mod explore;
 mod fault_proxy;
 mod host;
--- a/src/cmd/command.rs
+++ b/src/cmd/command.rs
@@ -9,7 +9,7 @@
 use getopts::{Matches, Options};
 use thiserror::Error;
 
-use crate::cmd::{burn, check, drain, history, promote, show, status, trial};
+use crate::cmd::{burn, check, drain, explain, history, promote, show, status, trial};
 use crate::process::clock::SystemClock;
 use crate::process::http_platform::HttpPlatform;
 use crate::process::operations::{OperationError, Operations, PRODUCTION};
@@ -25,8 +25,8 @@
 const EXIT_CONFLICT: u8 = 3;
 /// The exit code of a change that may or may not be in force.
 const EXIT_IN_DOUBT: u8 = 4;
-/// The timeout of a request for the status of a daemon.
-const STATUS_TIMEOUT: Duration = Duration::from_secs(3);
+/// The timeout of a request to a daemon.
+pub(super) const STATUS_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Why a command failed.
 #[derive(Debug, Error)]
@@ -93,6 +93,7 @@
         drain::drain_command(),
         drain::return_command(),
         burn::command(),
+        explain::command(),
     ]
 }
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -13,6 +13,7 @@
 pub mod daemon;
 mod daemon_command;
 pub mod drain;
+pub mod explain;
 pub mod history;
 pub mod host;
 pub mod promote;
--- a/src/process/host/endpoints.rs
+++ b/src/process/host/endpoints.rs
@@ -10,6 +10,7 @@
 use crate::connection::http1::RequestHead;
 use crate::connection::protocol::Discovery;
 use crate::connection::recipient::Recipient;
+use crate::process::host::explanation::{self, DescribedRequest, ExplainError};
 use crate::process::host::host_context::HostContext;
 
 /// Limits of these endpoints.
@@ -20,7 +21,7 @@
     idle_timeout: Duration::from_secs(30),
 };
 
-/// Serves `/ready` and `/metrics`.
+/// Serves `/ready`, `/metrics` and `/explain`.
 pub struct ReadinessHandler(pub Arc<HostContext>);
 
 impl ListenerHandler for ReadinessHandler {
@@ -40,6 +41,7 @@
                 Ok(text) => HttpResponse::text(200, text),
                 Err(e) => HttpResponse::text(500, format!("{e}\n")),
             },
+            "/explain" => explain(&self.0, &request.body),
             _ => HttpResponse::text(404, "no such page\n"),
         }
     }
@@ -53,6 +55,26 @@
     }
 }
 
+/// Returns where the request that `body` describes would go now, as JSON.
+fn explain(context: &HostContext, body: &[u8]) -> HttpResponse {
+    let described: DescribedRequest = match serde_json::from_slice(body) {
+        Ok(described) => described,
+        Err(e) => return HttpResponse::text(400, format!("{e}\n")),
+    };
+    let explained = explanation::explain(context, &described);
+    let status = match &explained {
+        Ok(_) => 200,
+        Err(ExplainError::NoRoute { .. }) => 404,
+        Err(ExplainError::RoutingUnknown) => 503,
+    };
+    let text = explained.map(|e| serde_json::to_string(&e));
+    match text {
+        Ok(Ok(json)) => HttpResponse::text(status, json + "\n"),
+        Ok(Err(e)) => HttpResponse::text(500, format!("{e}\n")),
+        Err(e) => HttpResponse::text(status, format!("{e}\n")),
+    }
+}
+
 /// Accepts the reports of the upstream.
 pub struct ReportHandler {
     /// Shared state of the daemon.
--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -108,6 +108,11 @@
         self.selector.retain(|i| table.member_of(i).is_some());
     }
 
+    /// Returns what is known of the upstreams of services that aren't sharded.
+    pub(super) fn selector(&self) -> &UpstreamSelector {
+        &self.selector
+    }
+
     /// Routes a request and returns its outcome.
     fn route(
         &self,
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -10,6 +10,7 @@
 //! | `response_builder` | responses to callers |
 //! | `target_selector` | which of a route's weighted targets gets a request |
 //! | [`upstream_selector`] | which of several equivalent upstreams gets a request |
+//! | [`explanation`] | where a request would go now, and why |
 //! | `selection_report` | metrics and the log line of a selected upstream |
 //! | [`host_dispatcher`] | whether and when a request is sent to the local upstream |
 //! | [`admission`] | concurrency limit, queue order and pacing of the local upstream |
@@ -46,6 +47,7 @@
 mod departure_store;
 pub mod departures;
 pub mod endpoints;
+pub mod explanation;
 mod grant_attempt;
 pub mod grant_manager;
 mod grant_sender;
--- a/src/process/host/upstream_selector.rs
+++ b/src/process/host/upstream_selector.rs
@@ -155,6 +155,25 @@
         chosen.min_by(|a, b| a.cost_micros.total_cmp(&b.cost_micros))
     }
 
+    /// Returns all upstreams as candidates for a request with a body of `bytes` from the failure domain
+    /// `domain`: those in that domain first, and the most likely ones first.
+    pub fn candidates<'m>(
+        &self,
+        now: Moment,
+        members: &'m [Member],
+        domain: &DomainName,
+        bytes: usize,
+    ) -> Vec<Candidate<'m>> {
+        let state = sync::lock(&self.state);
+        let members: Vec<_> = members.iter().collect();
+        let mut candidates = state.candidates(&members, &SelectedFor::new(now, domain, bytes));
+        candidates.sort_by(|a, b| {
+            let by_weight = b.weight.total_cmp(&a.weight);
+            a.is_remote.cmp(&b.is_remote).then(by_weight)
+        });
+        candidates
+    }
+
     /// Records that a request is sent to an upstream.
     pub fn call_started(&self, instance: InstanceId) {
         let mut state = sync::lock(&self.state);
--- a/tests/testsuite/command.rs
+++ b/tests/testsuite/command.rs
@@ -26,13 +26,25 @@
 
 #[test]
 fn invalid_arguments_are_usage_errors() {
-    let lines: [&[&str]; 6] = [
+    let lines: [&[&str]; 8] = [
         &["check"],
         &["check", "a", "b"],
         &["show", "--colour"],
         &["drain"],
         &["drain", "--domain", "a", "--upstream", "127.0.0.1:1"],
         &["promote", "latest"],
+        &["explain", "--host", "a.example", "--path", "/x/"],
+        &[
+            "explain",
+            "--ready",
+            "127.0.0.1:1",
+            "--host",
+            "a",
+            "--path",
+            "/",
+            "--key",
+            "70000",
+        ],
     ];
     for line in lines {
         assert_eq!(execute(line).unwrap_err().exit_code(), 2, "{line:?}");
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod body_reservations;
 mod even_load;
+mod explanation;
 mod fleet_model;
 mod give_up;
 mod grant_wait;
