--- a/src/process/host/upstream_selector.rs
+++ b/src/process/host/upstream_selector.rs
@@ -28,7 +28,8 @@
 /// Largest number of upstreams in the caller's failure domain that are compared; of more, a random
 /// sample is. Samples of 4 and 8 gave up to 2.3 and 1.6 times as many overruns.
 const LOCAL_SAMPLES: usize = 16;
-/// Largest number of upstreams in other failure domains that are compared.
+/// Largest number of upstreams in other failure domains that are compared, if there are any in the
+/// caller's.
 const REMOTE_SAMPLES: usize = 8;
 /// Exponent of the share of free slots in the weight of an upstream. With 1, there were
 /// about twice as many overruns.
@@ -285,7 +286,11 @@
 ) -> Vec<&'m Member> {
     let (local, remote): (Vec<_>, Vec<_>) = members.partition(|m| m.info.domain == *domain);
     let mut sampled = local.into_iter().sample(rng, LOCAL_SAMPLES);
-    sampled.extend(remote.into_iter().sample(rng, REMOTE_SAMPLES));
+    let remote_samples = match sampled.is_empty() {
+        true => LOCAL_SAMPLES,
+        false => REMOTE_SAMPLES,
+    };
+    sampled.extend(remote.into_iter().sample(rng, remote_samples));
     sampled
 }
 
--- a/tests/testsuite/host/explanation.rs
+++ b/tests/testsuite/host/explanation.rs
@@ -14,13 +14,13 @@
 use foxtaildrift::version::instance_id::InstanceId;
 use foxtaildrift::version::member::Member;
 
-use crate::host::fleet_model;
+use crate::host::model_upstream;
 
 const NOW: Moment = Moment(1_000_000);
 
 /// Returns the candidates of a selector that has a report of each of four upstreams but the last.
 fn candidates() -> Vec<CandidateExplanation> {
-    let members: Vec<Member> = (0..4).map(|n| fleet_model::member(n, 2, 10)).collect();
+    let members: Vec<Member> = (0..4).map(|n| model_upstream::member(n, 2, 10)).collect();
     let selector = UpstreamSelector::with_seed(1);
     for (n, in_flight) in [2, 9, 8].into_iter().enumerate() {
         let instance = InstanceId(n as u64);
--- a/tests/testsuite/host/fleet_model.rs
+++ b/tests/testsuite/host/fleet_model.rs
@@ -2,29 +2,21 @@
 //! learn of their load from replies only. Admission is that of the daemons beside the upstreams.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
-use std::net::SocketAddr;
+use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use foxtaildrift::process::host::admission::{Admission, Decision, Ticket};
+use foxtaildrift::process::host::admission::Decision;
 use foxtaildrift::process::host::upstream_selector::AttemptOutcome;
 use foxtaildrift::process::moment::Moment;
 use foxtaildrift::request::upstream_load::UpstreamLoad;
 use foxtaildrift::version::domain_name::DomainName;
-use foxtaildrift::version::epoch::Epoch;
 use foxtaildrift::version::instance_id::InstanceId;
-use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, Member, MemberInfo, WEIGHT_FULL};
-use foxtaildrift::version::session_id::SessionId;
-use foxtaildrift::version::upstream::{Upstream, UpstreamBoot};
+use foxtaildrift::version::member::Member;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-/// Duration of a period in which an upstream is slow or not.
-const PERIOD_MICROS: u64 = 400_000;
-/// Probability that an upstream is slow during a period.
-const SLOW_PROBABILITY: f64 = 0.2;
-/// Factor on the run times of a slow upstream.
-const SLOW_FACTOR: f64 = 3.0;
+use crate::host::model_upstream::{self, ModelUpstream};
+
 /// Time before the measurements begin: the selectors have had reports by then.
 const WARM_UP_MICROS: u64 = 2_000_000;
 /// Time between two measurements of the loads.
@@ -101,14 +93,6 @@
     }
 }
 
-struct ModelUpstream {
-    admission: Admission,
-    speed: f64,
-    /// Whether the upstream is slow, by period.
-    slow: Vec<bool>,
-    queued: HashMap<Ticket, usize>,
-}
-
 struct Request {
     daemon: usize,
     upstream: usize,
@@ -167,92 +151,6 @@
     fleet.findings()
 }
 
-fn domain_name(index: usize) -> DomainName {
-    format!("domain-{index}").parse().unwrap()
-}
-
-/// Returns an upstream with `slots` slots.
-pub fn member(n: usize, domains: usize, slots: u32) -> Member {
-    let upstream = Upstream {
-        service: "service".parse().unwrap(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9000)),
-        boot: UpstreamBoot(1),
-        slots,
-        cold_slots: 1,
-        connections: 1,
-        checks_grants: true,
-    };
-    Member {
-        info: MemberInfo {
-            session: SessionId {
-                instance: InstanceId(n as u64),
-                tenure: 1,
-            },
-            peer: SocketAddr::from(([127, 0, 0, 1], 7400)),
-            entry: SocketAddr::from(([127, 0, 0, 1], 8080)),
-            domain: domain_name(n % domains),
-            upstream: Some(upstream),
-            leaving: false,
-            weight: WEIGHT_FULL,
-            cpu_share: CPU_SHARE_DEFAULT,
-        },
-        witnesses: Vec::new(),
-        witnesses_since: Epoch::default(),
-        witnesses_confirming: false,
-    }
-}
-
-impl ModelUpstream {
-    fn new(slots: u32, seconds: u64, rng: &mut SmallRng) -> Self {
-        let mut admission = Admission::default();
-        admission.set_slots(slots);
-        let periods = seconds * 1_000_000 / PERIOD_MICROS + 100;
-        Self {
-            admission,
-            speed: rng.random_range(0.5..1.6),
-            slow: (0..periods)
-                .map(|_| rng.random_bool(SLOW_PROBABILITY))
-                .collect(),
-            queued: HashMap::new(),
-        }
-    }
-
-    /// Returns when a request ends that starts at `start`.
-    fn end_of(&self, start: u64, work_micros: f64) -> u64 {
-        let (mut now, mut left) = (start as f64, work_micros / self.speed);
-        loop {
-            let period = (now / PERIOD_MICROS as f64) as usize;
-            let is_slow = self.slow.get(period).copied().unwrap_or_default();
-            let factor = if is_slow { SLOW_FACTOR } else { 1.0 };
-            let period_end = (period + 1) as f64 * PERIOD_MICROS as f64;
-            if now + left * factor <= period_end {
-                return (now + left * factor) as u64;
-            }
-            left -= (period_end - now) / factor;
-            now = period_end;
-        }
-    }
-
-    fn load(&self) -> UpstreamLoad {
-        UpstreamLoad {
-            in_flight: self.admission.in_flight(),
-            waiting: self.admission.waiting() as u32,
-            slots: self.admission.slots(),
-            mean_micros: self.admission.mean_micros() as u32,
-            ..UpstreamLoad::default()
-        }
-    }
-
-    fn load_per_slot(&self) -> f64 {
-        let load = f64::from(self.admission.in_flight()) + self.admission.waiting() as f64;
-        load / f64::from(self.admission.slots())
-    }
-
-    fn has_free_slots(&self) -> bool {
-        self.admission.in_flight() < self.admission.slots()
-    }
-}
-
 impl<'s> Fleet<'s> {
     fn new(deployment: Deployment, selections: &'s [Box<dyn Selection>]) -> Self {
         let mut rng = SmallRng::seed_from_u64(deployment.seed);
@@ -265,15 +163,17 @@
             .collect();
         let speeds = upstreams.iter().zip(&slots);
         let capacity: f64 = speeds.map(|(u, &s)| u.speed * f64::from(s)).sum();
-        let available = 1.0 - SLOW_PROBABILITY + SLOW_PROBABILITY / SLOW_FACTOR;
+        let available = model_upstream::MEAN_AVAILABILITY;
         let members = slots.iter().enumerate();
         Self {
             deployment,
             selections,
             members: members
-                .map(|(n, &s)| member(n, deployment.domains, s))
+                .map(|(n, &s)| model_upstream::member(n, deployment.domains, s))
+                .collect(),
+            domains: (0..deployment.domains)
+                .map(model_upstream::domain_name)
                 .collect(),
-            domains: (0..deployment.domains).map(domain_name).collect(),
             upstreams,
             requests: Vec::new(),
             events: BinaryHeap::new(),
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -12,6 +12,7 @@
 mod load_estimate;
 mod load_meter;
 mod local_upstream;
+mod model_upstream;
 mod ranges;
 mod recent_requests;
 mod retry_budget_share;
--- a/tests/testsuite/host/upstream_selector.rs
+++ b/tests/testsuite/host/upstream_selector.rs
@@ -12,7 +12,7 @@
 use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, Member, MemberInfo, WEIGHT_FULL};
 use foxtaildrift::version::session_id::SessionId;
 
-use crate::host::fleet_model;
+use crate::host::model_upstream;
 
 const NOW: Moment = Moment(1_000_000);
 
@@ -160,7 +160,7 @@
 #[test]
 fn an_upstream_that_fails_at_once_gets_little_and_is_tried_again() {
     // It looks idle and fast: without the failures it would get most requests.
-    let members: Vec<Member> = (0..6).map(|n| fleet_model::member(n, 1, 10)).collect();
+    let members: Vec<Member> = (0..6).map(|n| model_upstream::member(n, 1, 10)).collect();
     let selector = UpstreamSelector::with_seed(1);
     for member in &members {
         let failed = member.info.session.instance == InstanceId(0);
@@ -191,7 +191,7 @@
     let members: Vec<Member> = [4, 8, 12]
         .iter()
         .enumerate()
-        .map(|(n, &slots)| fleet_model::member(n, 1, slots))
+        .map(|(n, &slots)| model_upstream::member(n, 1, slots))
         .collect();
     let chosen = chosen_of_1000(&UpstreamSelector::with_seed(1), NOW, &members, 0);
     let counts: Vec<u32> = chosen.into_values().collect();
@@ -200,7 +200,7 @@
 
 #[test]
 fn large_bodies_stay_in_the_domain_unless_it_is_full() {
-    let members: Vec<Member> = (0..4).map(|n| fleet_model::member(n, 2, 10)).collect();
+    let members: Vec<Member> = (0..4).map(|n| model_upstream::member(n, 2, 10)).collect();
     let selector = UpstreamSelector::with_seed(1);
     let report = |waiting: u32| {
         for member in &members {
