Answer asks for tokens whatever table the sender has adopted

Cause: an owner left asks unanswered whose sender had adopted a newer table. Tables change several times a second while keys move, so requests within their quota waited 60 ms and got 429. Change: the sender's newer table names this daemon as the owner, or it would not ask; so the ask is answered.

--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -123,6 +123,11 @@
         sync::lock(&self.returning_callers).remove_expired(now);
     }
 
+    /// Returns what is known of the upstreams of services that aren't sharded.
+    pub(super) fn selector(&self) -> &UpstreamSelector {
+        &self.selector
+    }
+
     /// Routes a request and returns its outcome.
     fn route(
         &self,
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -391,12 +391,9 @@
             MembershipEvent::SuspectCleared(fingerprint) => {
                 context.dispatcher.clear_suspect(fingerprint)
             }
-            MembershipEvent::QuotaAsked {
-                from,
-                epoch,
-                sent,
-                teams,
-            } => context.quotas.answer(from, epoch, sent, &teams),
+            MembershipEvent::QuotaAsked { from, sent, teams } => {
+                context.quotas.answer(from, sent, &teams)
+            }
             MembershipEvent::QuotaGranted { sent, teams } => context.quotas.receive(sent, &teams),
             MembershipEvent::QuotaHandedOver(teams) => context.quotas.accept_handovers(&teams),
             MembershipEvent::FetchTable { from, epoch } => fetchers.submit(move || {
--- a/src/process/host/upstream_selector.rs
+++ b/src/process/host/upstream_selector.rs
@@ -28,7 +28,8 @@
 /// Largest number of upstreams in the caller's failure domain that are compared; of more, a random
 /// sample is. Samples of 4 and 8 gave up to 2.3 and 1.6 times as many overruns.
 const LOCAL_SAMPLES: usize = 16;
-/// Largest number of upstreams in other failure domains that are compared.
+/// Largest number of upstreams in other failure domains that are compared, if there are any in the
+/// caller's.
 const REMOTE_SAMPLES: usize = 8;
 /// Exponent of the share of free slots in the weight of an upstream. With 1, there were
 /// about twice as many overruns.
@@ -155,6 +156,25 @@
         chosen.min_by(|a, b| a.cost_micros.total_cmp(&b.cost_micros))
     }
 
+    /// Returns all upstreams as candidates for a request with a body of `bytes` from the failure domain
+    /// `domain`: those in that domain first, and the most likely ones first.
+    pub fn candidates<'m>(
+        &self,
+        now: Moment,
+        members: &'m [Member],
+        domain: &DomainName,
+        bytes: usize,
+    ) -> Vec<Candidate<'m>> {
+        let state = sync::lock(&self.state);
+        let members: Vec<_> = members.iter().collect();
+        let mut candidates = state.candidates(&members, &SelectedFor::new(now, domain, bytes));
+        candidates.sort_by(|a, b| {
+            let by_weight = b.weight.total_cmp(&a.weight);
+            a.is_remote.cmp(&b.is_remote).then(by_weight)
+        });
+        candidates
+    }
+
     /// Records that a request is sent to an upstream.
     pub fn call_started(&self, instance: InstanceId) {
         let mut state = sync::lock(&self.state);
@@ -266,7 +286,11 @@
 ) -> Vec<&'m Member> {
     let (local, remote): (Vec<_>, Vec<_>) = members.partition(|m| m.info.domain == *domain);
     let mut sampled = local.into_iter().sample(rng, LOCAL_SAMPLES);
-    sampled.extend(remote.into_iter().sample(rng, REMOTE_SAMPLES));
+    let remote_samples = match sampled.is_empty() {
+        true => LOCAL_SAMPLES,
+        false => REMOTE_SAMPLES,
+    };
+    sampled.extend(remote.into_iter().sample(rng, remote_samples));
     sampled
 }
 
