Let daemons wait for grants before they call the store about new teams

Cause: a daemon that does not watch the store and has never known its routing to be recent would have called the store at once; when operators write teams for the first time, that is the whole fleet.

Change: such a daemon waits half of the timeout for its witnesses' grants first.

--- a/src/process/host/routing_freshness.rs
+++ b/src/process/host/routing_freshness.rs
@@ -55,7 +55,7 @@
 
     /// Records a store call that returned changes: the next one may follow at once.
     pub fn record_changes(&mut self) {
-        self.own_call_at = None;
+        self.own_call_at = Some(Moment::default());
     }
 
     /// Records the answer of a witness to a renewal that this daemon sent at `sent`: `age` before the
@@ -107,8 +107,13 @@
         let Some(interval) = self.timeout.map(|t| t / OWN_CALL_DIVISOR) else {
             return false;
         };
-        let is_past = |at: Option<Moment>| at.is_none_or(|at| now.since(at) >= interval);
-        let due = is_past(self.newest_at) && is_past(self.own_call_at);
+        let is_past = |at: Moment| now.since(at) >= interval;
+        // The first teams of a routing reach all daemons at once, so these first wait for grants.
+        let called_at = *self.own_call_at.get_or_insert(match self.newest_at {
+            Some(_) => Moment::default(),
+            None => now,
+        });
+        let due = self.newest_at.is_none_or(is_past) && is_past(called_at);
         if due {
             self.own_call_at = Some(now);
         }
--- a/tests/testsuite/host/routing_freshness.rs
+++ b/tests/testsuite/host/routing_freshness.rs
@@ -98,6 +98,15 @@
     );
 }
 
+/// When operators write teams for the first time, a large fleet must not call the store all at once.
+#[test]
+fn a_daemon_that_never_knew_its_routing_waits_for_grants_before_it_calls_the_store() {
+    let mut freshness = RoutingFreshness::strict(TIMEOUT);
+    let calls = (10_000..20_000).step_by(100);
+    let calls: Vec<u64> = calls.filter(|&t| freshness.take_own_call(at(t))).collect();
+    assert_eq!(calls, [12_500, 15_000, 17_500]);
+}
+
 #[test]
 fn watch_calls_are_an_eighth_of_the_timeout_and_at_most_a_second() {
     let watch_max = |timeout| RoutingFreshness::strict(timeout).watch_max();
