--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -361,7 +361,8 @@
     ])
 }
 
-/// Handles the events of the membership until the process stops.
+/// Handles the events of the membership until the process stops. Queued fetches are skipped then: no
+/// reply can arrive any more, and each would wait for its timeout.
 fn handle_events(
     context: &Arc<HostContext>,
     events: &Receiver<MembershipEvent>,
@@ -397,12 +398,13 @@
             MembershipEvent::QuotaGranted { sent, teams } => context.quotas.receive(sent, &teams),
             MembershipEvent::QuotaHandedOver(teams) => context.quotas.accept_handovers(&teams),
             MembershipEvent::FetchTable { from, epoch } => fetchers.submit(move || {
-                if context.membership.table().epoch < epoch {
+                if !context.stop.is_set() && context.membership.table().epoch < epoch {
                     context.membership.fetch_table(from);
                 }
             }),
             MembershipEvent::FetchConfiguration { from, version } => fetchers.submit(move || {
-                if context.membership.active_configuration().version < version {
+                let known = context.membership.active_configuration().version;
+                if !context.stop.is_set() && known < version {
                     context.membership.fetch_routing_config(from);
                 }
             }),
