--- a/tests/testsuite/host/fleet_model.rs
+++ b/tests/testsuite/host/fleet_model.rs
@@ -2,11 +2,11 @@
 //! learn of their load from replies only. Admission is that of the daemons beside the upstreams.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use foxtaildrift::process::host::admission::{Admission, Decision};
+use foxtaildrift::process::host::admission::Decision;
 use foxtaildrift::process::host::admission_queue::{Arrival, Ticket};
 use foxtaildrift::process::host::upstream_selector::AttemptOutcome;
 use foxtaildrift::process::moment::Moment;
@@ -21,12 +21,8 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-/// Duration of a period in which an upstream is slow or not.
-const PERIOD_MICROS: u64 = 400_000;
-/// Probability that an upstream is slow during a period.
-const SLOW_PROBABILITY: f64 = 0.2;
-/// Factor on the run times of a slow upstream.
-const SLOW_FACTOR: f64 = 3.0;
+use crate::host::model_upstream::{ModelUpstream, SLOW_FACTOR, SLOW_PROBABILITY};
+
 /// Time before the measurements begin: the selectors have had reports by then.
 const WARM_UP_MICROS: u64 = 2_000_000;
 /// Time between two measurements of the loads.
@@ -108,14 +104,6 @@
     }
 }
 
-struct ModelUpstream {
-    admission: Admission,
-    speed: f64,
-    /// Whether the upstream is slow, by period.
-    slow: Vec<bool>,
-    queued: HashMap<Ticket, usize>,
-}
-
 struct Request {
     daemon: usize,
     upstream: usize,
@@ -209,57 +197,6 @@
     }
 }
 
-impl ModelUpstream {
-    fn new(slots: u32, seconds: u64, rng: &mut SmallRng) -> Self {
-        let mut admission = Admission::default();
-        admission.set_slots(slots);
-        let periods = seconds * 1_000_000 / PERIOD_MICROS + 100;
-        Self {
-            admission,
-            speed: rng.random_range(0.5..1.6),
-            slow: (0..periods)
-                .map(|_| rng.random_bool(SLOW_PROBABILITY))
-                .collect(),
-            queued: HashMap::new(),
-        }
-    }
-
-    /// Returns when a request ends that starts at `start`.
-    fn end_of(&self, start: u64, work_micros: f64) -> u64 {
-        let (mut now, mut left) = (start as f64, work_micros / self.speed);
-        loop {
-            let period = (now / PERIOD_MICROS as f64) as usize;
-            let is_slow = self.slow.get(period).copied().unwrap_or_default();
-            let factor = if is_slow { SLOW_FACTOR } else { 1.0 };
-            let period_end = (period + 1) as f64 * PERIOD_MICROS as f64;
-            if now + left * factor <= period_end {
-                return (now + left * factor) as u64;
-            }
-            left -= (period_end - now) / factor;
-            now = period_end;
-        }
-    }
-
-    fn load(&self) -> UpstreamLoad {
-        UpstreamLoad {
-            in_flight: self.admission.in_flight(),
-            waiting: self.admission.waiting() as u32,
-            slots: self.admission.slots(),
-            mean_micros: self.admission.run_times().mean_micros() as u32,
-            ..UpstreamLoad::default()
-        }
-    }
-
-    fn load_per_slot(&self) -> f64 {
-        let load = f64::from(self.admission.in_flight()) + self.admission.waiting() as f64;
-        load / f64::from(self.admission.slots())
-    }
-
-    fn has_free_slots(&self) -> bool {
-        self.admission.in_flight() < self.admission.slots()
-    }
-}
-
 impl<'s> Fleet<'s> {
     fn new(deployment: Deployment, selections: &'s [Box<dyn Selection>]) -> Self {
         let mut rng = SmallRng::seed_from_u64(deployment.seed);
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -13,6 +13,7 @@
 mod load_estimate;
 mod load_meter;
 mod local_upstream;
+mod model_upstream;
 mod quotas;
 mod ranges;
 mod recent_requests;
