--- a/src/process/host/quota_placement.rs
+++ b/src/process/host/quota_placement.rs
@@ -26,6 +26,10 @@
     pub peer: SocketAddr,
     /// Whether the daemon is about to stop; it then owns no team, unless all are.
     pub leaving: bool,
+    /// CPU share of the host, in per mille of a core. Only daemons on the hosts with the highest share
+    /// own teams: a busy team's owner answers hundreds of asks a second, which took longer than requests
+    /// may wait on a host with a tenth of a core.
+    pub cpu_share: u32,
 }
 
 impl QuotaMember {
@@ -35,6 +39,7 @@
             session,
             peer: member.info.peer,
             leaving: member.info.leaving,
+            cpu_share: member.info.cpu_share,
         });
         members.collect()
     }
@@ -62,17 +67,17 @@
         };
         let own_score = members.iter().any(|m| m.session == own).then(|| score(own));
         let mut before = 0;
-        let mut first: Option<(bool, f64, QuotaMember)> = None;
+        let mut first: Option<((bool, u32, f64), QuotaMember)> = None;
         for member in members {
             let member_score = score(member.session);
             before += u64::from(own_score.is_some_and(|own| member_score > own));
-            let stays = !member.leaving;
-            if first.is_none_or(|(s, best, _)| (stays, member_score) > (s, best)) {
-                first = Some((stays, member_score, *member));
+            let rank = (!member.leaving, member.cpu_share, member_score);
+            if first.is_none_or(|(best, _)| rank > best) {
+                first = Some((rank, *member));
             }
         }
         Self {
-            owner: first.map(|(_, _, member)| member),
+            owner: first.map(|(_, member)| member),
             members: members.len() as u64,
             rank: own_score.map(|_| before),
         }
--- a/tests/testsuite/host/fleet_model.rs
+++ b/tests/testsuite/host/fleet_model.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use foxtaildrift::process::host::admission::Decision;
@@ -12,12 +13,15 @@
 use foxtaildrift::request::request_kind::RequestKind;
 use foxtaildrift::request::upstream_load::UpstreamLoad;
 use foxtaildrift::version::domain_name::DomainName;
+use foxtaildrift::version::epoch::Epoch;
 use foxtaildrift::version::instance_id::InstanceId;
-use foxtaildrift::version::member::Member;
+use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, Member, MemberInfo, WEIGHT_FULL};
+use foxtaildrift::version::session_id::SessionId;
+use foxtaildrift::version::upstream::{Upstream, UpstreamBoot};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::host::model_upstream::{self, ModelUpstream};
+use crate::host::model_upstream::{ModelUpstream, SLOW_FACTOR, SLOW_PROBABILITY};
 
 /// Time before the measurements begin: the selectors have had reports by then.
 const WARM_UP_MICROS: u64 = 2_000_000;
@@ -80,6 +84,10 @@
     pub remote: f64,
     /// Refusals by the upstream that joined late, in the second after it joined.
     pub refused_by_joined: f64,
+    /// Refusals by the upstream that joined late, and late responses after queueing there while another
+    /// upstream had free slots, in the second after it joined. Late requests are queued, so refusals
+    /// alone are rare.
+    pub overruns_at_joined: f64,
 }
 
 impl Findings {
@@ -92,6 +100,7 @@
         self.mean_ms += run.mean_ms / runs;
         self.remote += run.remote / runs;
         self.refused_by_joined += run.refused_by_joined / runs;
+        self.overruns_at_joined += run.overruns_at_joined / runs;
     }
 }
 
@@ -153,6 +162,41 @@
     fleet.findings()
 }
 
+fn domain_name(index: usize) -> DomainName {
+    format!("domain-{index}").parse().unwrap()
+}
+
+/// Returns an upstream with `slots` slots.
+pub fn member(n: usize, domains: usize, slots: u32) -> Member {
+    let upstream = Upstream {
+        service: "service".parse().unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9000)),
+        boot: UpstreamBoot(1),
+        slots,
+        cold_slots: 1,
+        connections: 1,
+        checks_grants: true,
+    };
+    Member {
+        info: MemberInfo {
+            session: SessionId {
+                instance: InstanceId(n as u64),
+                tenure: 1,
+            },
+            peer: SocketAddr::from(([127, 0, 0, 1], 7400)),
+            entry: SocketAddr::from(([127, 0, 0, 1], 8080)),
+            domain: domain_name(n % domains),
+            upstream: Some(upstream),
+            leaving: false,
+            weight: WEIGHT_FULL,
+            cpu_share: CPU_SHARE_DEFAULT,
+        },
+        witnesses: Vec::new(),
+        witnesses_since: Epoch::default(),
+        witnesses_confirming: false,
+    }
+}
+
 impl<'s> Fleet<'s> {
     fn new(deployment: Deployment, selections: &'s [Box<dyn Selection>]) -> Self {
         let mut rng = SmallRng::seed_from_u64(deployment.seed);
@@ -165,17 +209,15 @@
             .collect();
         let speeds = upstreams.iter().zip(&slots);
         let capacity: f64 = speeds.map(|(u, &s)| u.speed * f64::from(s)).sum();
-        let available = model_upstream::MEAN_AVAILABILITY;
+        let available = 1.0 - SLOW_PROBABILITY + SLOW_PROBABILITY / SLOW_FACTOR;
         let members = slots.iter().enumerate();
         Self {
             deployment,
             selections,
             members: members
-                .map(|(n, &s)| model_upstream::member(n, deployment.domains, s))
-                .collect(),
-            domains: (0..deployment.domains)
-                .map(model_upstream::domain_name)
+                .map(|(n, &s)| member(n, deployment.domains, s))
                 .collect(),
+            domains: (0..deployment.domains).map(domain_name).collect(),
             upstreams,
             requests: Vec::new(),
             events: BinaryHeap::new(),
@@ -286,15 +328,22 @@
             }
             Decision::Refused { .. } => {
                 self.findings.overruns += f64::from(u8::from(others_free && is_counted));
-                let joined_for = self.now.saturating_sub(JOIN_MICROS);
-                let is_new = u + 1 == self.members.len() && joined_for < JOIN_WINDOW_MICROS;
-                self.findings.refused_by_joined +=
-                    f64::from(u8::from(self.deployment.late_join && is_new));
+                let at_joined = f64::from(u8::from(self.is_at_joined(r)));
+                self.findings.refused_by_joined += at_joined;
+                self.findings.overruns_at_joined += at_joined;
                 self.refuse(r);
             }
         }
     }
 
+    /// Returns whether a request reached the upstream that joined late in the second after it joined.
+    fn is_at_joined(&self, r: usize) -> bool {
+        let request = &self.requests[r];
+        let joined_for = request.queued_at.saturating_sub(JOIN_MICROS);
+        let is_new = request.upstream + 1 == self.members.len() && joined_for < JOIN_WINDOW_MICROS;
+        self.deployment.late_join && is_new
+    }
+
     /// Replies that the upstream's daemon refuses a request.
     fn refuse(&mut self, r: usize) {
         self.requests[r].refused = true;
@@ -366,7 +415,10 @@
         let is_remote = self.hop_micros(r) > 500;
         let queued_late = is_late && request.avoidable && request.queued_at < request.admitted_at;
         let count = |yes: bool| f64::from(u8::from(yes));
-        self.findings.overruns += count(queued_late && !request.refused);
+        let is_overrun = queued_late && !request.refused;
+        let is_at_joined = self.is_at_joined(r);
+        self.findings.overruns += count(is_overrun);
+        self.findings.overruns_at_joined += count(is_overrun && is_at_joined);
         self.findings.late += count(is_late || request.refused);
         self.findings.lost += count(request.refused);
         self.findings.remote += count(is_remote);
@@ -391,6 +443,7 @@
             mean_ms: self.findings.mean_ms / self.counted,
             remote: self.findings.remote * per_mille,
             refused_by_joined: self.findings.refused_by_joined,
+            overruns_at_joined: self.findings.overruns_at_joined,
         }
     }
 }
--- a/tests/testsuite/host/model_upstream.rs
+++ b/tests/testsuite/host/model_upstream.rs
@@ -1,77 +1,31 @@
-//! An upstream in the model of a fleet.
+//! An upstream of the fleet model: its speed, and the admission of the daemon beside it.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 
 use foxtaildrift::process::host::admission::Admission;
 use foxtaildrift::process::host::admission_queue::Ticket;
 use foxtaildrift::request::upstream_load::UpstreamLoad;
-use foxtaildrift::version::domain_name::DomainName;
-use foxtaildrift::version::epoch::Epoch;
-use foxtaildrift::version::instance_id::InstanceId;
-use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, Member, MemberInfo, WEIGHT_FULL};
-use foxtaildrift::version::session_id::SessionId;
-use foxtaildrift::version::upstream::{Upstream, UpstreamBoot};
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
 /// Duration of a period in which an upstream is slow or not.
 const PERIOD_MICROS: u64 = 400_000;
 /// Probability that an upstream is slow during a period.
-const SLOW_PROBABILITY: f64 = 0.2;
+pub const SLOW_PROBABILITY: f64 = 0.2;
 /// Factor on the run times of a slow upstream.
-const SLOW_FACTOR: f64 = 3.0;
-/// Mean capacity of an upstream as a fraction of that outside its slow periods.
-pub const MEAN_AVAILABILITY: f64 = 1.0 - SLOW_PROBABILITY + SLOW_PROBABILITY / SLOW_FACTOR;
+pub const SLOW_FACTOR: f64 = 3.0;
 
-/// An upstream with the admission of the daemon beside it.
+/// An upstream of the model, with the admission of the daemon beside it.
 pub struct ModelUpstream {
     pub admission: Admission,
     pub speed: f64,
     /// Whether the upstream is slow, by period.
     slow: Vec<bool>,
-    /// The requests that wait, by their tickets.
     pub queued: HashMap<Ticket, usize>,
 }
 
-/// Returns the name of a failure domain.
-pub fn domain_name(index: usize) -> DomainName {
-    format!("domain-{index}").parse().unwrap()
-}
-
-/// Returns an upstream with `slots` slots.
-pub fn member(n: usize, domains: usize, slots: u32) -> Member {
-    let upstream = Upstream {
-        service: "service".parse().unwrap(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9000)),
-        boot: UpstreamBoot(1),
-        slots,
-        cold_slots: 1,
-        connections: 1,
-        checks_grants: true,
-    };
-    Member {
-        info: MemberInfo {
-            session: SessionId {
-                instance: InstanceId(n as u64),
-                tenure: 1,
-            },
-            peer: SocketAddr::from(([127, 0, 0, 1], 7400)),
-            entry: SocketAddr::from(([127, 0, 0, 1], 8080)),
-            domain: domain_name(n % domains),
-            upstream: Some(upstream),
-            leaving: false,
-            weight: WEIGHT_FULL,
-            cpu_share: CPU_SHARE_DEFAULT,
-        },
-        witnesses: Vec::new(),
-        witnesses_since: Epoch::default(),
-        witnesses_confirming: false,
-    }
-}
-
 impl ModelUpstream {
-    /// Returns an upstream with a random speed and random slow periods.
+    /// Creates an upstream for a run of `seconds`.
     pub fn new(slots: u32, seconds: u64, rng: &mut SmallRng) -> Self {
         let mut admission = Admission::default();
         admission.set_slots(slots);
@@ -102,7 +56,7 @@
         }
     }
 
-    /// Returns the load that its daemon reports.
+    /// Returns the load that the daemon reports.
     pub fn load(&self) -> UpstreamLoad {
         UpstreamLoad {
             in_flight: self.admission.in_flight(),
@@ -113,13 +67,13 @@
         }
     }
 
-    /// Returns the requests in flight and in the queue, for each slot.
+    /// Returns the requests in progress and queued, per slot.
     pub fn load_per_slot(&self) -> f64 {
         let load = f64::from(self.admission.in_flight()) + self.admission.waiting() as f64;
         load / f64::from(self.admission.slots())
     }
 
-    /// Returns whether another request could start now.
+    /// Returns whether a request could start at once.
     pub fn has_free_slots(&self) -> bool {
         self.admission.in_flight() < self.admission.slots()
     }
--- a/tests/testsuite/host/quotas/fleet.rs
+++ b/tests/testsuite/host/quotas/fleet.rs
@@ -79,6 +79,7 @@
         },
         peer: SocketAddr::from(([127, 0, 0, 1], 1 + index as u16)),
         leaving: false,
+        cpu_share: 100,
     }
 }
 
--- a/tests/testsuite/host/quotas/mod.rs
+++ b/tests/testsuite/host/quotas/mod.rs
@@ -371,3 +371,25 @@
     view.remove(index);
     view
 }
+
+/// The owner of the busiest team was on a host with a tenth of a core, and answered after requests had
+/// given up waiting.
+#[test]
+fn daemons_on_the_hosts_with_the_highest_share_own_the_teams() {
+    let mut members: Vec<QuotaMember> = (0..20).map(fleet::member).collect();
+    for strong in [3, 11] {
+        members[strong].cpu_share = 500;
+    }
+    let owner_of = |members: &[QuotaMember], team: usize| {
+        let team: TeamName = format!("team-{team}").parse().unwrap();
+        let placement = TeamPlacement::new(&team, members, members[0].session);
+        placement.owner.unwrap().session
+    };
+    let strong = [members[3].session, members[11].session];
+    let owners: Vec<_> = (0..40).map(|team| owner_of(&members, team)).collect();
+    assert!(owners.iter().all(|o| strong.contains(o)));
+    assert!(strong.iter().all(|s| owners.contains(s)), "both own teams");
+    members[3].leaving = true;
+    members[11].leaving = true;
+    assert!(!strong.contains(&owner_of(&members, 0)));
+}
--- a/tests/testsuite/host/upstream_selector.rs
+++ b/tests/testsuite/host/upstream_selector.rs
@@ -12,7 +12,7 @@
 use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, Member, MemberInfo, WEIGHT_FULL};
 use foxtaildrift::version::session_id::SessionId;
 
-use crate::host::model_upstream;
+use crate::host::fleet_model;
 
 const NOW: Moment = Moment(1_000_000);
 
@@ -56,7 +56,7 @@
     let selector = UpstreamSelector::default();
     for member in &members {
         let instance = member.info.session.instance;
-        selector.call_started(instance);
+        selector.call_started(NOW, instance);
         let load = load(30_000 + 1000 * instance.0 as u32);
         let outcome = AttemptOutcome {
             failed: false,
@@ -86,7 +86,7 @@
     for (member, network_ms) in members.iter().zip([200, 5]) {
         let instance = member.info.session.instance;
         for _ in 0..4 {
-            selector.call_started(instance);
+            selector.call_started(NOW, instance);
             let outcome = AttemptOutcome {
                 failed: false,
                 duration: Duration::from_millis(network_ms),
@@ -118,7 +118,7 @@
         ran_ms: u32::MAX,
     };
     let busy = InstanceId(0);
-    selector.call_started(busy);
+    selector.call_started(NOW, busy);
     let outcome = AttemptOutcome {
         failed: false,
         duration: Duration::MAX,
@@ -160,12 +160,12 @@
 #[test]
 fn an_upstream_that_fails_at_once_gets_little_and_is_tried_again() {
     // It looks idle and fast: without the failures it would get most requests.
-    let members: Vec<Member> = (0..6).map(|n| model_upstream::member(n, 1, 10)).collect();
+    let members: Vec<Member> = (0..6).map(|n| fleet_model::member(n, 1, 10)).collect();
     let selector = UpstreamSelector::with_seed(1);
     for member in &members {
         let failed = member.info.session.instance == InstanceId(0);
         for _ in 0..20 {
-            selector.call_started(member.info.session.instance);
+            selector.call_started(NOW, member.info.session.instance);
             let load = UpstreamLoad {
                 in_flight: if failed { 0 } else { 5 },
                 ..load(if failed { 200 } else { 40_000 })
@@ -191,7 +191,7 @@
     let members: Vec<Member> = [4, 8, 12]
         .iter()
         .enumerate()
-        .map(|(n, &slots)| model_upstream::member(n, 1, slots))
+        .map(|(n, &slots)| fleet_model::member(n, 1, slots))
         .collect();
     let chosen = chosen_of_1000(&UpstreamSelector::with_seed(1), NOW, &members, 0);
     let counts: Vec<u32> = chosen.into_values().collect();
@@ -200,13 +200,13 @@
 
 #[test]
 fn large_bodies_stay_in_the_domain_unless_it_is_full() {
-    let members: Vec<Member> = (0..4).map(|n| model_upstream::member(n, 2, 10)).collect();
+    let members: Vec<Member> = (0..4).map(|n| fleet_model::member(n, 2, 10)).collect();
     let selector = UpstreamSelector::with_seed(1);
     let report = |waiting: u32| {
         for member in &members {
             let instance = member.info.session.instance;
             let is_local = instance.0.is_multiple_of(2);
-            selector.call_started(instance);
+            selector.call_started(NOW, instance);
             let load = UpstreamLoad {
                 in_flight: if is_local { 10 } else { 0 },
                 waiting: if is_local { waiting } else { 0 },
