Let the store's stand-in come back from an older copy

The drill: /control/restore takes the age of the copy in milliseconds. Revisions go back, the history is gone, watches from a revision above the store's get 410, and Store-Era rises by one; without a drill there is no such header. /control/rewrite writes again what operators wrote and the store lost.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod ranged_upstream;
 pub mod runs;
 pub mod soak;
+pub mod store_copies;
 pub mod store_stand_in;
 pub mod upstream_options;
 pub mod upstream_stand_in;
--- a/crates/bench/src/store_stand_in.rs
+++ b/crates/bench/src/store_stand_in.rs
@@ -1,7 +1,7 @@
 //! A stand-in for the users' store: range reads, watches and transactions, with faults that can be
 //! set under `/control/`.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::net::TcpListener;
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -20,6 +20,7 @@
 use serde_json::{Value, json};
 
 use crate::args::{self, BenchError};
+use crate::store_copies::{Items, StoreCopies, StoreCopy};
 
 /// The limits of requests to the stand-in.
 const LIMITS: ListenerLimits = ListenerLimits {
@@ -36,8 +37,10 @@
 #[derive(Default)]
 struct State {
     revision: u64,
-    /// The value and revision of each key.
-    items: BTreeMap<String, (String, u64)>,
+    items: Items,
+    copies: StoreCopies,
+    /// How often the store came back from an older copy; responses have no era while it is zero.
+    era: u64,
     history: VecDeque<Value>,
     /// The highest revision that the history no longer contains.
     compacted_revision: u64,
@@ -99,12 +102,12 @@
     }
 
     /// Waits for changes of keys with a prefix after the revision `after`; status 410 says that the
-    /// history no longer contains them.
+    /// history does not contain them.
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> HttpResponse {
         let deadline = Instant::now() + wait;
         let mut state = sync::lock(&self.state);
         loop {
-            if after < state.compacted_revision {
+            if after < state.compacted_revision || after > state.revision {
                 return json_response(410, &json!({}));
             }
             let is_new = |e: &&Value| {
@@ -157,11 +160,39 @@
                 state.record_event(json!({"Key": key, "Revision": revision, "Removed": true}));
             }
         }
+        state.record_copy();
         drop(state);
         self.changed.notify_all();
         json_response(200, &json!({"Revision": revision}))
     }
 
+    /// Comes back, in a new era, from a copy of the content as it was `age` ago.
+    fn restore(&self, age: Duration) {
+        let mut state = sync::lock(&self.state);
+        let copy = state.copies.take(Instant::now(), age);
+        state.items = copy.items;
+        state.revision = copy.revision;
+        state.compacted_revision = copy.revision;
+        state.history.clear();
+        state.era += 1;
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// Writes the operators' values again that the store has lost; returns how many.
+    fn rewrite(&self) -> usize {
+        let state = sync::lock(&self.state);
+        let lost = state.copies.lost_operator_values(&state.items);
+        drop(state);
+        for (key, value) in &lost {
+            match value {
+                Some(value) => self.commit(&json!({"Puts": [{"Key": key, "Value": value}]})),
+                None => self.commit(&json!({"Remove": [key]})),
+            };
+        }
+        lost.len()
+    }
+
     /// Sets a fault, returns the number of requests, or writes a key in place of an operator.
     fn control(&self, path: &str, body: &[u8]) -> HttpResponse {
         match path {
@@ -185,17 +216,29 @@
                 state.compacted_revision = state.revision;
                 state.history.clear();
             }
+            "/control/restore" => {
+                let text = String::from_utf8_lossy(body);
+                let Ok(age_ms) = text.parse::<u64>() else {
+                    return HttpResponse::text(400, "no number");
+                };
+                self.restore(Duration::from_millis(age_ms));
+            }
+            "/control/rewrite" => return HttpResponse::text(200, self.rewrite().to_string()),
             "/control/calls" => {
                 let calls = sync::lock(&self.state).calls;
                 return HttpResponse::text(200, calls.to_string());
             }
             _ if path.starts_with("/control/remove/") => {
                 let key = path.trim_start_matches("/control/remove/");
+                sync::lock(&self.state).copies.record_operator(key, None);
                 return self.commit(&json!({"Remove": [key]}));
             }
             _ => {
                 let key = path.trim_start_matches("/control/put/");
                 let value = STANDARD.encode(body);
+                let mut state = sync::lock(&self.state);
+                state.copies.record_operator(key, Some(&value));
+                drop(state);
                 return self.commit(&json!({"Puts": [{"Key": key, "Value": value}]}));
             }
         }
@@ -204,6 +247,14 @@
 }
 
 impl State {
+    fn record_copy(&mut self) {
+        let copy = StoreCopy {
+            items: self.items.clone(),
+            revision: self.revision,
+        };
+        self.copies.record(Instant::now(), copy);
+    }
+
     fn record_event(&mut self, event: Value) {
         self.history.push_back(event);
         while self.history.len() > HISTORY_MAX {
@@ -224,6 +275,26 @@
     }
 
     fn handle(&self, request: HttpRequest, _recipient: &Recipient) -> HttpResponse {
+        let mut response = self.respond(&request);
+        let era = sync::lock(&self.state).era;
+        if era > 0 {
+            response.headers.push("Store-Era", era.to_string());
+        }
+        response
+    }
+
+    fn error_response(&self, error: &ConnectionError) -> HttpResponse {
+        HttpResponse::text(400, error.to_string())
+    }
+
+    fn is_shutting_down(&self) -> bool {
+        false
+    }
+}
+
+impl StoreStandIn {
+    /// Responds to a request, without the era.
+    fn respond(&self, request: &HttpRequest) -> HttpResponse {
         let path = request.head.path().to_owned();
         if path.starts_with("/control/") {
             return self.control(&path, &request.body);
@@ -267,14 +338,6 @@
             _ => HttpResponse::text(404, "no such call"),
         }
     }
-
-    fn error_response(&self, error: &ConnectionError) -> HttpResponse {
-        HttpResponse::text(400, error.to_string())
-    }
-
-    fn is_shutting_down(&self) -> bool {
-        false
-    }
 }
 
 /// Returns the JSON of an item in range reads and watches.
