--- a/crates/bench/tests/testsuite/host.rs
+++ b/crates/bench/tests/testsuite/host.rs
@@ -60,7 +60,7 @@
 const RESTART_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Returns the operators' routing with `more_rules`, a JSON fragment that begins with a comma.
-fn config(version: u32, more_rules: &str) -> String {
+pub(crate) fn config(version: u32, more_rules: &str) -> String {
     format!(
         r#"{{"Version":"{version:08x}","Listeners":[{{"Host":"a.example","Rules":[
         {{"Name":"look","Kind":"safe","TargetLatencyMs":400,"Priority":2,"Match":{{"PathPrefix":"/look/"}},
@@ -103,7 +103,7 @@
 }
 
 /// Returns whether the daemon of host `entry` serves all keys.
-fn serves_all_keys(cluster: &HostCluster, entry: usize) -> bool {
+pub(crate) fn serves_all_keys(cluster: &HostCluster, entry: usize) -> bool {
     KEYS.iter().all(|&key| {
         let response = cluster.request(entry, "POST", "/book/x", Some(key));
         response.is_ok_and(|r| r.status == 200)
--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -13,3 +13,4 @@
 mod ownership_check;
 mod runs;
 mod soak;
+mod store_eras;
