Measure the return of the store, and draw it in the soak

store-return: ten hosts; the lost 4 s have 29 versions of the routing and the restart of a daemon; operators write again after 1 s. The soak's draws of other faults are as before.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod runs;
 pub mod soak;
 pub mod store_copies;
+pub mod store_return;
 pub mod store_stand_in;
 pub mod upstream_options;
 pub mod upstream_stand_in;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,7 +4,8 @@
 
 use foxtaildrift_bench::args::BenchError;
 use foxtaildrift_bench::{
-    explore, platform_stand_in, ranged_upstream, runs, soak, store_stand_in, upstream_stand_in,
+    explore, platform_stand_in, ranged_upstream, runs, soak, store_return, store_stand_in,
+    upstream_stand_in,
 };
 
 fn main() -> ExitCode {
@@ -24,6 +25,7 @@
         "ranged-upstream" => ranged_upstream::run(rest),
         "explore" => explore::run(rest),
         "soak" => soak::run(rest),
+        "store-return" => store_return::run(rest),
         _ => match runs::RUNS.iter().find(|(n, _)| n == name) {
             Some((_, run)) => run(rest),
             None => Err(BenchError(format!("unknown command `{name}`"))),
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -7,6 +7,7 @@
 //! | [`faults`] | draws, injects and reverts overlapping faults |
 //! | [`grant_faults`], [`pause_series`] | faults that delay grants, beside the others |
 //! | [`hot_keys`] | chooses the keys that callers use most for some time |
+//! | [`store_returns`] | lets the store come back from older copies |
 //! | [`verdict`] | compares what callers received with what upstreams ran |
 //!
 //! After the faults come planned stops under load, without other faults; then the run prints a line
@@ -17,6 +18,7 @@
 pub mod grant_faults;
 pub mod hot_keys;
 pub mod pause_series;
+pub mod store_returns;
 pub mod verdict;
 
 use std::path::Path;
@@ -34,6 +36,7 @@
 use crate::soak::callers::Callers;
 use crate::soak::faults::FaultSchedule;
 use crate::soak::grant_faults::GrantFaults;
+use crate::soak::store_returns::StoreReturns;
 use crate::soak::verdict::SoakVerdict;
 
 /// How long an environment may take to start.
@@ -129,19 +132,23 @@
     let mut faults = FaultSchedule::new(rng, Arc::clone(network), newest_route);
     let mut grant_faults = GrantFaults::new(spec.seed);
     grant_faults.begin(cluster)?;
+    let mut store_returns = StoreReturns::new(spec.seed);
     let started = Instant::now();
     while started.elapsed() < spec.fault_time {
         faults.advance(cluster)?;
         grant_faults.advance(cluster)?;
+        store_returns.advance(cluster)?;
         thread::sleep(POLL_INTERVAL);
     }
     faults.revert_all(cluster)?;
     grant_faults.revert_all(cluster)?;
+    store_returns.revert_all(cluster)?;
     let repaired_at = Instant::now();
     let history = format!(
-        "faults: {}; of grants: {}",
+        "faults: {}; of grants: {}; of the store: {}",
         faults.history(),
-        grant_faults.history()
+        grant_faults.history(),
+        store_returns.history()
     );
     let with_history = |e| BenchError(format!("{e}; {history}"));
     await_service(cluster, RECOVERY_TIME_MAX).map_err(with_history)?;
@@ -152,12 +159,13 @@
     let calls = callers.stop();
     let verdict = SoakVerdict::of(cluster, &calls, planned_stops_from);
     println!(
-        "RESULT soak seed={} hosts={} faults={} grant_faults={} requests={} ran={} \
+        "RESULT soak seed={} hosts={} faults={} grant_faults={} store_returns={} requests={} ran={} \
          refused={} unknown={} unanswered={} transfers={} served_again_ms={} targets={}",
         spec.seed,
         spec.hosts,
         faults.count(),
         grant_faults.count(),
+        store_returns.count(),
         calls.len(),
         verdict.ran,
         verdict.refused,
--- a/src/process/era_knowledge.rs
+++ b/src/process/era_knowledge.rs
@@ -14,7 +14,7 @@
 
 /// How long routing that the store has lost stays in force without being written again. Operators
 /// rewrite what was lost within seconds; what they have not rewritten by then they have withdrawn.
-pub const HOLD_TIME: Duration = Duration::from_secs(60);
+pub const HOLD_TIME: Duration = Duration::from_secs(30);
 
 /// The newest era of the store that is known, and the daemons heard since.
 #[derive(Debug, Default)]
