--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -1,6 +1,6 @@
 //! Routes callers' requests to upstreams, and turns the outcomes into responses.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::Duration;
 
@@ -13,13 +13,18 @@
 use crate::connection::protocol::CallerProtocol;
 use crate::connection::recipient::Recipient;
 use crate::process::clock::Clock;
+use crate::process::host::authentication;
+use crate::process::host::caller_authenticator::CallerAuthenticator;
 use crate::process::host::host_dispatcher::HostDispatcher;
+use crate::process::host::quota_gate::QuotaGate;
 use crate::process::host::request_forwarder::RequestForwarder;
 use crate::process::host::request_log;
 use crate::process::host::request_progress::{OWNER_RETRY_AFTER, RequestProgress, RequestTrace};
 use crate::process::host::response_builder::ResponseBuilder;
 use crate::process::host::retry_budget_share::RetryBudgetConfig;
 use crate::process::host::retry_budgets::RetryBudgets;
+use crate::process::host::returning_callers::ReturningCallers;
+use crate::process::host::selection_report;
 use crate::process::host::stop_schedule::StopSchedule;
 use crate::process::host::target_selector::TargetSelector;
 use crate::process::host::upstream_selector::{AttemptOutcome, UpstreamSelector};
@@ -27,8 +32,11 @@
 use crate::process::metrics::Metrics;
 use crate::process::moment::Moment;
 use crate::process::stop_flag::StopFlag;
+use crate::process::sync;
 use crate::request::body::Body;
+use crate::request::fingerprint::Fingerprint;
 use crate::request::outcome::Outcome;
+use crate::request::request_kind::RequestKind;
 use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 use crate::request::upstream_request::UpstreamRequest;
 use crate::version::domain_name::DomainName;
@@ -71,6 +79,8 @@
     pub origin: ServiceName,
     /// Retry budget that all daemons share.
     pub retry_budget: RetryBudgetConfig,
+    /// Quotas of teams.
+    pub quotas: Arc<QuotaGate>,
     /// Set when the process starts to stop.
     pub stop: Arc<StopFlag>,
     /// The times of the stop, once it has started.
@@ -83,8 +93,10 @@
     selector: UpstreamSelector,
     target_selector: TargetSelector,
     retry_budgets: RetryBudgets,
+    authenticator: CallerAuthenticator,
     forwarder: RequestForwarder,
     responses: ResponseBuilder,
+    returning_callers: Mutex<ReturningCallers>,
 }
 
 impl HostRouter {
@@ -95,8 +107,10 @@
             selector: UpstreamSelector::default(),
             target_selector: TargetSelector::default(),
             retry_budgets: RetryBudgets::new(deps.retry_budget),
+            authenticator: CallerAuthenticator::new(Arc::clone(&membership)),
             forwarder: RequestForwarder::new(membership, peers),
             responses: ResponseBuilder::new(Arc::clone(&deps.protocol)),
+            returning_callers: Mutex::default(),
             deps,
         }
     }
@@ -105,6 +119,8 @@
     pub fn forget_former_members(&self) {
         let table = self.deps.membership.table();
         self.selector.retain(|i| table.member_of(i).is_some());
+        let now = self.deps.clock.now();
+        sync::lock(&self.returning_callers).remove_expired(now);
     }
 
     /// Routes a request and returns its outcome.
@@ -122,6 +138,10 @@
             let refusal = UpstreamOutcome::not_run(NotRunCause::Stopping, STOPPING_RETRY_AFTER);
             return (refusal, progress.trace);
         }
+        let permit = match self.deps.quotas.admit(routing, request) {
+            Ok(permit) => permit,
+            Err(refusal) => return (refusal, progress.trace),
+        };
         let settings = routing.services.get(&request.service);
         let is_sharded = settings.is_some_and(|s| s.sharded);
         let outcome = match (is_sharded, request.key) {
@@ -132,10 +152,9 @@
                 self.route_shared(request, &mut progress, recipient)
             }
         };
-        (
-            account_for_earlier_attempts(outcome, progress.may_have_run),
-            progress.trace,
-        )
+        let outcome = account_for_earlier_attempts(outcome, progress.may_have_run);
+        self.deps.quotas.settle(request, permit, &outcome);
+        (outcome, progress.trace)
     }
 
     /// Returns whether this process stops so soon that a request with the given deadline must not be
@@ -221,7 +240,7 @@
             let members = self.deps.membership.members_taking_work(&request.service);
             let body_bytes = request.body.0.len();
             let domain = &self.deps.domain;
-            let Some(member) = self
+            let Some(selected) = self
                 .selector
                 .select(now, &members, &tried, domain, body_bytes)
             else {
@@ -230,17 +249,19 @@
                 }
                 return outcome;
             };
-            let instance = member.info.session.instance;
+            let instance = selected.member.info.session.instance;
             tried.push(instance);
             self.selector.call_started(instance);
             let started = self.deps.clock.now();
-            outcome = self.attempt_on(member, request, progress, recipient);
+            outcome = self.attempt_on(selected.member, request, progress, recipient);
+            let load = progress.trace.load;
+            selection_report::record(&self.deps.metrics, request, &selected, &outcome, load);
             let failed = !matches!(&outcome, UpstreamOutcome::Ran(r) if r.status < 500);
             let now = self.deps.clock.now();
             let attempt = AttemptOutcome {
                 failed,
                 duration: now.since(started),
-                load: progress.trace.load,
+                load,
             };
             self.selector.call_ended(now, instance, attempt);
             if !self.should_retry(&outcome, request, progress) || recipient.has_disconnected() {
@@ -342,10 +363,11 @@
         &self,
         routing: &RoutingConfig,
         http_request: HttpRequest,
+        is_routing_recent: bool,
     ) -> Result<(UpstreamRequest, RouteRule), HttpResponse> {
         let head = &http_request.head;
         let metadata = self.deps.protocol.parse_head(head);
-        let Some(id) = metadata.id else {
+        let Some(id) = metadata.id.clone() else {
             return Err(HttpResponse::text(400, "the request has no id\n"));
         };
         let Some(host) = head.headers.get_str("host") else {
@@ -355,6 +377,13 @@
             tracing::info!(event = "request", request = %id, status = 404, version = %routing.version, cause = "no-route");
             return Err(HttpResponse::text(404, "no route\n"));
         };
+        let team = self.authenticator.authenticate(
+            routing,
+            rule,
+            &metadata,
+            is_routing_recent,
+            &self.responses,
+        )?;
         let Some(target) = self.target_selector.select(rule) else {
             return Err(HttpResponse::text(503, "the route has no target\n"));
         };
@@ -369,10 +398,16 @@
             origin: self.deps.origin.clone(),
             method: head.method.clone(),
             target: head.target.clone(),
-            headers: head.headers.end_to_end(),
+            headers: authentication::forwarded_headers(
+                routing,
+                &*self.deps.protocol,
+                &head.headers,
+            ),
+            team: team.map(|t| t.name.clone()),
             key: metadata.key,
             repeatable: rule.repeatable,
-            priority: rule.priority,
+            kind: RequestKind::of_route(&rule.name),
+            priority: team.and_then(|t| t.priority).unwrap_or(rule.priority),
             remaining: timeout.saturating_sub(elapsed),
             objective: rule.objective.saturating_sub(elapsed),
             attempt: 0,
@@ -381,6 +416,37 @@
         Ok((request, rule.clone()))
     }
 
+    /// Returns when the caller's first attempt at a request arrived, which is now unless the caller
+    /// returns after a refusal.
+    fn first_attempt_at(&self, now: Moment, request: &UpstreamRequest) -> Moment {
+        let mut callers = sync::lock(&self.returning_callers);
+        if callers.is_empty() {
+            return now;
+        }
+        let fingerprint = Fingerprint::of_upstream_request(request);
+        callers.take_first_attempt(now, fingerprint).unwrap_or(now)
+    }
+
+    /// Remembers a refusal, so that the caller is recognised when it returns.
+    fn remember_refusal(
+        &self,
+        request: &UpstreamRequest,
+        first_at: Moment,
+        outcome: &UpstreamOutcome,
+    ) {
+        if let UpstreamOutcome::NotRun { retry_after, .. } = outcome {
+            let now = self.deps.clock.now();
+            let fingerprint = Fingerprint::of_upstream_request(request);
+            sync::lock(&self.returning_callers).record(
+                now,
+                fingerprint,
+                first_at,
+                *retry_after,
+                request.remaining,
+            );
+        }
+    }
+
     /// Records the metrics of a finished request.
     fn record_metrics(&self, service: &ServiceName, outcome: &UpstreamOutcome, duration: Duration) {
         let metric = match outcome {
@@ -416,17 +482,22 @@
     }
 
     fn handle(&self, http_request: HttpRequest, recipient: &Recipient) -> HttpResponse {
+        let is_routing_recent = self.authenticator.is_routing_recent();
         let active = self.deps.membership.active_configuration();
         let Some(routing) = &active.routing_config else {
             return self.responses.routing_unknown();
         };
         let started = self.deps.clock.now();
         let queued = http_request.received_at.elapsed();
-        let (mut request, rule) = match self.build_request(routing, http_request) {
+        let (mut request, rule) = match self.build_request(routing, http_request, is_routing_recent)
+        {
             Ok(routed) => routed,
             Err(response) => return response,
         };
+        let first_at = self.first_attempt_at(started, &request);
+        request.objective = request.objective.saturating_sub(started.since(first_at));
         let (outcome, mut trace) = self.route(routing, &rule, &mut request, recipient);
+        self.remember_refusal(&request, first_at, &outcome);
         trace.queued = queued;
         let duration = self.deps.clock.now().since(started);
         self.record_metrics(&request.service, &outcome, duration);
--- a/src/process/host/host_settings.rs
+++ b/src/process/host/host_settings.rs
@@ -15,7 +15,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::process::host::quota_config::QuotaConfig;
 use crate::process::host::retry_budget_share::RetryBudgetConfig;
+use crate::process::host::routing_freshness::RoutingFreshness;
 use crate::process::lease_times::LeaseTimes;
 use crate::process::settings_error::SettingsError;
 use crate::process::settings_file;
@@ -73,6 +75,17 @@
     pub retry_slack: f64,
     /// Length of the retry window, in seconds.
     pub retry_window_s: f64,
+    /// Length of the window in which the rate limits of teams hold, in seconds.
+    pub quota_window_s: f64,
+    /// Fraction by which all daemons together may exceed the rate limit of a team.
+    pub quota_overage: f64,
+    /// Requests of a team per window that all daemons together may send in addition.
+    pub quota_slack: f64,
+    /// Whether a revoked API key must not work later than `revoke_timeout_ms` after the store
+    /// acknowledged its removal, also where the store can't be reached.
+    pub strict_revocation: bool,
+    /// Time after which a revoked API key must not work, in milliseconds.
+    pub revoke_timeout_ms: u64,
     /// Processor share of the host, in cores; the daemons on hosts with the largest share come
     /// first in the planning order.
     pub cpu_share: f64,
@@ -107,6 +120,11 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_s: 10.0,
+            quota_window_s: 5.0,
+            quota_overage: 0.1,
+            quota_slack: 20.0,
+            strict_revocation: false,
+            revoke_timeout_ms: 5000,
             cpu_share: 1.0,
             link_mbps: 1000.0,
             memory_mb: 256,
@@ -163,6 +181,14 @@
         usize::try_from(bytes).unwrap_or(usize::MAX)
     }
 
+    /// Returns the state of a daemon that does not know yet whether its routing is recent.
+    pub fn routing_freshness(&self) -> RoutingFreshness {
+        match self.strict_revocation {
+            true => RoutingFreshness::strict(Duration::from_millis(self.revoke_timeout_ms)),
+            false => RoutingFreshness::default(),
+        }
+    }
+
     /// Returns the configuration of the retry budget.
     pub fn retry_budget(&self) -> RetryBudgetConfig {
         RetryBudgetConfig {
@@ -172,6 +198,15 @@
         }
     }
 
+    /// Returns the allowance over the rate limits of teams.
+    pub fn quota(&self) -> QuotaConfig {
+        QuotaConfig {
+            window: Duration::from_secs_f64(self.quota_window_s),
+            overage: self.quota_overage,
+            slack: self.quota_slack,
+        }
+    }
+
     /// Validates the settings.
     ///
     /// # Errors
@@ -208,6 +243,11 @@
                 "0.5 to 600",
             );
         }
+        self.validate_quota()?;
+        if !(1000..=600_000).contains(&self.revoke_timeout_ms) {
+            let value = self.revoke_timeout_ms;
+            return settings_file::out_of_range("revoke_timeout_ms", value, "1000 to 600000");
+        }
         if !(0.001..=1024.0).contains(&self.cpu_share) {
             return settings_file::out_of_range(
                 "cpu_share",
@@ -228,4 +268,20 @@
         settings_file::check_log_level(&self.log_level)?;
         Ok(())
     }
+
+    fn validate_quota(&self) -> Result<(), SettingsError> {
+        if !(0.5..=600.0).contains(&self.quota_window_s) {
+            let value = self.quota_window_s as u64;
+            return settings_file::out_of_range("quota_window_s", value, "0.5 to 600");
+        }
+        if !(0.0..=10.0).contains(&self.quota_overage) {
+            let value = self.quota_overage as u64;
+            return settings_file::out_of_range("quota_overage", value, "0 to 10");
+        }
+        if !(0.0..=1e6).contains(&self.quota_slack) {
+            let value = self.quota_slack as u64;
+            return settings_file::out_of_range("quota_slack", value, "0 to 1000000");
+        }
+        Ok(())
+    }
 }
--- a/src/process/host/known_values.rs
+++ b/src/process/host/known_values.rs
@@ -47,10 +47,17 @@
         }
     }
 
+    /// Returns whether an item of a new era was written in that era, or later than `kept`, the value of
+    /// its key that is in force. One with a higher revision than `kept` was not replaced by it.
+    pub(super) fn is_new(&self, item: &KeyValue, kept: Option<&KeyValue>) -> bool {
+        let is_later = kept.is_some_and(|k| !item.position.is_revision_at_most(k.position));
+        !self.is_copied(item) || is_later && !self.has_seen(item)
+    }
+
     /// Returns whether an item of a new era was in the copy from which the store came back: it was
     /// known before, or its revision is from before the first read. A revision given out again
     /// for other content is not.
-    pub(super) fn is_copied(&self, item: &KeyValue) -> bool {
+    fn is_copied(&self, item: &KeyValue) -> bool {
         let is_older = |from: StorePosition| item.position.is_revision_at_most(from);
         self.has_seen(item) || self.from.is_some_and(is_older) && !self.has_revision(item)
     }
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -4,14 +4,26 @@
 //! | module | responsibility |
 //! |---|---|
 //! | [`host_router`] | where a request is sent, its retries, and the response to its caller |
+//! | [`authentication`] | which team a request belongs to, and whether it may run |
+//! | `caller_authenticator` | responses to callers without a valid key |
+//! | [`routing_freshness`] | whether the routing is recent enough for keys that may have been revoked |
+//! | `recency_monitor` | log lines and metric of the routing's age |
 //! | `request_forwarder` | requests to the daemons beside other upstreams |
 //! | `request_progress` | how long a request waits, and whether it may have run |
 //! | `request_log` | log lines of finished requests |
 //! | `response_builder` | responses to callers |
 //! | `target_selector` | which of a route's weighted targets gets a request |
 //! | [`upstream_selector`] | which of several equivalent upstreams gets a request |
+//! | `selection_report` | metrics and the log line of a selected upstream |
 //! | [`host_dispatcher`] | whether and when a request is sent to the local upstream |
-//! | [`admission`] | concurrency limit, queue order and pacing of the local upstream |
+//! | [`admission`] | concurrency limit, refusals and pacing of the local upstream |
+//! | [`admission_queue`] | the order in which requests wait for the local upstream |
+//! | [`fair_queue`] | order of queued requests of equal priority, fair over teams |
+//! | [`quota_owner`] | token buckets of the teams whose requests this daemon counts |
+//! | [`team_quota`] | tokens of a team at this daemon, and which of its requests they admit |
+//! | [`quota_state`], [`quota_gate`] | quotas of all teams at this daemon, and the datagrams for them |
+//! | [`quota_placement`] | which daemon counts the requests of a team, and the fixed shares |
+//! | [`quota_config`], [`quota_terms`], [`team_limit`] | limits of teams, and how the allowance over them is divided |
 //! | [`local_upstream`] | current process of the local upstream, and its state |
 //! | [`departures`] | which processes of the local upstream have announced that they will stop |
 //! | `departure_store` | the departures in the store, for the next process of the daemon |
@@ -21,9 +33,12 @@
 //! | [`token_holder`] | which process of the local upstream has the present fencing tokens |
 //! | `key_releaser` | calls that release keys, and their handover to the next owner |
 //! | [`owned_range`] | arithmetic on key ranges, and the fencing tokens of grants |
+//! | [`load_estimate`] | load of one upstream, from its latest report and the age of it |
 //! | [`load_meter`] | load that each key range puts on the local upstream |
 //! | [`store_sync`] | routing and table in force, and which daemons watch the store |
 //! | `store_watch` | reads and watches of the keys with one prefix |
+//! | [`returning_callers`] | callers that return after a refusal as they were told |
+//! | [`run_times`] | how long a request of each kind runs on the local upstream now |
 //! | `routing_values` | operators' routing values in the store |
 //! | `stored_cell`, `stored_table` | table and join requests in the store, and who plans |
 //! | `table_planner` | writes of the next table and of join requests |
@@ -40,10 +55,14 @@
 //! | [`stop_schedule`] | times of a graceful stop |
 
 pub mod admission;
+pub mod admission_queue;
+pub mod authentication;
 pub mod body_reservations;
+mod caller_authenticator;
 mod departure_store;
 pub mod departures;
 pub mod endpoints;
+pub mod fair_queue;
 mod grant_attempt;
 pub mod grant_manager;
 mod grant_sender;
@@ -56,10 +75,18 @@
 pub mod key_grants;
 mod key_releaser;
 mod known_values;
+pub mod load_estimate;
 pub mod load_meter;
 pub mod local_upstream;
 pub mod metered_store;
 pub mod owned_range;
+pub mod quota_config;
+pub mod quota_gate;
+pub mod quota_owner;
+pub mod quota_placement;
+pub mod quota_state;
+pub mod quota_terms;
+mod recency_monitor;
 pub mod recent_requests;
 mod request_forwarder;
 mod request_log;
@@ -67,7 +94,11 @@
 mod response_builder;
 pub mod retry_budget_share;
 mod retry_budgets;
+pub mod returning_callers;
+pub mod routing_freshness;
 mod routing_values;
+pub mod run_times;
+mod selection_report;
 pub mod service;
 pub mod stop_schedule;
 mod store_health;
@@ -78,5 +109,7 @@
 mod table_planner;
 pub mod table_restorer;
 mod target_selector;
+pub mod team_limit;
+pub mod team_quota;
 pub mod token_holder;
 pub mod upstream_selector;
--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -6,17 +6,19 @@
 
 use crate::connection::protocol::OperatorProtocol;
 use crate::process::host::routing_values::RoutingValues;
-use crate::process::host::store_watch::StoreWatch;
+use crate::process::host::store_watch::{ReadContent, StoreWatch, WatchedChanges};
 use crate::process::host::stored_cell::StoredCell;
 use crate::process::host::table_planner::TablePlanner;
 use crate::process::membership::Membership;
+use crate::process::moment::Moment;
 use crate::process::stop_flag::StopFlag;
-use crate::process::store::{KEY_PREFIX, KeyChange, RangeResponse, Store};
+use crate::process::store::{KEY_PREFIX, RangeResponse, Store};
 use crate::process::store_position::StorePosition;
 use crate::process::sync;
 use crate::version::document_version::DocumentVersion;
 use crate::version::instance_id::InstanceId;
 use crate::version::routing_config::RoutingConfig;
+use crate::version::store_era::StoreEra;
 
 /// Timeout of one watch call.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
@@ -77,15 +79,13 @@
             name: "routing",
             prefix: self.protocol.key_prefix(),
             metrics: self.membership.metrics(),
+            now: &|| self.now(),
         };
         watch.run(
             stop,
-            || match self.cell.planner_position() < SHORT_ROUTING_WATCHERS {
-                true => Some(ROUTING_WATCH_TIMEOUT),
-                false => self.must_watch_routing().then_some(WATCH_TIMEOUT),
-            },
+            || self.routing_watch_timeout(),
             |range| self.replace_routing(range),
-            |changes, as_of| self.apply_routing_changes(changes, as_of),
+            |changes| self.apply_routing_changes(changes),
         );
     }
 
@@ -96,13 +96,14 @@
             name: "table",
             prefix: KEY_PREFIX,
             metrics: self.membership.metrics(),
+            now: &|| self.now(),
         };
         watch.run(
             stop,
             || self.must_watch_table().then_some(WATCH_TIMEOUT),
-            |range| self.cell.replace(range),
-            |changes, _| {
-                self.cell.apply(changes);
+            |range| self.cell.replace(range.content),
+            |changes| {
+                self.cell.apply(changes.content.changes);
                 if !self.cell.is_member() {
                     stop.wait(match self.cell.planner_position() < FIRST_PLANNERS {
                         true => FIRST_PLANNERS_PAUSE,
@@ -114,27 +115,115 @@
     }
 
     /// Replaces the operators' routing values by those in `range`, and adopts them.
-    fn replace_routing(&self, range: RangeResponse) {
-        let as_of = range.as_of;
+    fn replace_routing(&self, read: ReadContent<RangeResponse>) {
+        let era = read.content.as_of.era();
+        let as_of = read.content.newest_position();
         self.membership
-            .with_ownership(|o, now| o.observe_store_era(now, as_of.era()));
+            .with_ownership(|o, now| o.observe_store_era(now, era));
         let in_force = self.version_in_force();
-        sync::lock(&self.routing).replace(Instant::now(), range, in_force);
+        let teams_key = self.protocol.teams_key();
+        let now = self.now();
+        sync::lock(&self.routing).replace(now, read.content, teams_key, in_force);
         self.adopt_routing(as_of);
+        self.record_freshness(read.started, era);
     }
 
     /// Applies changes of the operators' routing values, and adopts the result.
-    fn apply_routing_changes(&self, changes: Vec<KeyChange>, as_of: StorePosition) {
-        let in_force = self.version_in_force();
+    fn apply_routing_changes(&self, watched: ReadContent<WatchedChanges>) {
+        // A store may return a part of the changes only, so a call confirms the routing if there are
+        // none.
+        let is_unchanged =
+            watched.content.changes.is_empty() && watched.content.unreadable.is_empty();
+        let WatchedChanges {
+            as_of,
+            is_after_known,
+            ..
+        } = watched.content;
+        let (now, in_force) = (self.now(), self.version_in_force());
         let mut values = sync::lock(&self.routing);
-        let newest = values.apply(changes, as_of, in_force);
-        let has_expired = values.expire_lost(Instant::now());
+        let newest = values.apply(watched.content, self.protocol.teams_key(), in_force);
+        // Without a later position the routing without the lost values could not replace the one in force.
+        let is_later = in_force.is_none_or(|version| version < as_of.document_version());
+        let has_expired = is_later && values.expire_lost(now);
+        let is_refused = in_force.is_some_and(|version| !values.is_applied(version));
         drop(values);
+        // A routing that was refused for the sake of what the store lost may be adopted now.
+        let retries = is_refused && !self.is_holding_routing();
         match newest {
-            _ if has_expired => self.adopt_routing(as_of),
+            _ if has_expired || retries => self.adopt_routing(as_of),
             Some(newest) => self.adopt_routing(newest),
             None => {}
         }
+        match is_unchanged {
+            true if is_after_known => self.record_freshness(watched.started, as_of.era()),
+            true => {}
+            false => self
+                .membership
+                .with_ownership(|o, _| o.routing_freshness_mut().record_changes()),
+        }
+    }
+
+    /// Records that the routing in force was the newest at `started`, as a store call of `era` showed,
+    /// unless the store has values that this daemon could not apply, or may have lost a revocation.
+    fn record_freshness(&self, started: Moment, era: StoreEra) {
+        let active = self.membership.active_configuration();
+        let Some(routing) = active.routing_config.as_ref() else {
+            return;
+        };
+        let teams_key = self.protocol.teams_key();
+        let values = sync::lock(&self.routing);
+        let is_applied = values.is_known(teams_key) && values.is_applied(routing.version);
+        let is_written = values.are_teams_written_in(era);
+        drop(values);
+        if routing.teams.is_none() || routing.version.era != era || !is_applied {
+            return;
+        }
+        self.membership.with_ownership(|o, now| {
+            if is_written {
+                o.routing_freshness_mut().resume();
+            }
+            // Until the operators had time to write again what the store lost, nobody knows whether
+            // it lost a revocation.
+            if is_written || !o.is_holding_routing(now) {
+                o.routing_freshness_mut().record_store_call(started);
+            }
+        });
+    }
+
+    /// Returns whether the routing in force has teams.
+    fn has_teams(&self) -> bool {
+        let active = self.membership.active_configuration();
+        let routing = active.routing_config.as_ref();
+        routing.is_some_and(|r| r.teams.is_some())
+    }
+
+    fn is_holding_routing(&self) -> bool {
+        self.membership
+            .with_ownership(|o, now| o.is_holding_routing(now))
+    }
+
+    fn now(&self) -> Moment {
+        self.membership.with_ownership(|_, now| now)
+    }
+
+    /// Returns how long the next watch call of the routing may take, or `None` if this daemon need not
+    /// watch it.
+    fn routing_watch_timeout(&self) -> Option<Duration> {
+        let timeout = match self.cell.planner_position() < SHORT_ROUTING_WATCHERS {
+            true => Some(ROUTING_WATCH_TIMEOUT),
+            false => self.must_watch_routing().then_some(WATCH_TIMEOUT),
+        };
+        if !self.has_teams() {
+            return timeout;
+        }
+        self.membership.with_ownership(|o, now| {
+            let freshness = o.routing_freshness_mut();
+            let max = freshness.watch_max();
+            match timeout {
+                Some(timeout) => Some(max.map_or(timeout, |max| timeout.min(max))),
+                None => max.filter(|_| freshness.take_own_call(now)),
+            }
+        })
     }
 
     /// Returns the version of the routing in force, if there is any.
@@ -172,9 +261,9 @@
             // In a new era the version also tells the others what it takes into account.
             unversioned == **current && current.version.era == as_of.era()
         });
-        if !is_unchanged {
-            self.membership.adopt_routing_config(routing);
-        }
+        let version = routing.version;
+        let is_applied = is_unchanged || self.membership.adopt_routing_config(routing);
+        sync::lock(&self.routing).record_adoption(version, is_applied);
     }
 
     /// Writes tables that are due, and join requests while this daemon is not a member, until the
--- a/src/process/host/store_watch.rs
+++ b/src/process/host/store_watch.rs
@@ -4,6 +4,7 @@
 
 use crate::process::host::store_health::StoreHealth;
 use crate::process::metrics::Metrics;
+use crate::process::moment::Moment;
 use crate::process::stop_flag::StopFlag;
 use crate::process::store::{KeyChange, RangeResponse, Store, StoreError, WatchResponse};
 use crate::process::store_position::StorePosition;
@@ -20,6 +21,26 @@
 /// cell of 4,400 hosts in 3 domains at most a dozen daemons watch, but those that are no members watch too.
 const RESTORED_READ_DELAY: Duration = Duration::from_millis(500);
 
+/// Content that the store had at some time after the start of a call.
+pub(super) struct ReadContent<T> {
+    /// Time at which the call started.
+    pub(super) started: Moment,
+    /// What the store returned.
+    pub(super) content: T,
+}
+
+/// Changes that a watch call returned.
+pub(super) struct WatchedChanges {
+    /// The changes, oldest first.
+    pub(super) changes: Vec<KeyChange>,
+    /// The changes that could not be read.
+    pub(super) unreadable: Vec<UnreadableEntry>,
+    /// The position up to which the changes are known.
+    pub(super) as_of: StorePosition,
+    /// Whether the store had the position after which it was watched.
+    pub(super) is_after_known: bool,
+}
+
 /// Watch of the keys with one prefix.
 pub(super) struct StoreWatch<'a> {
     /// Store that has the keys.
@@ -30,6 +51,8 @@
     pub(super) prefix: &'a str,
     /// Metrics of the process.
     pub(super) metrics: &'a Metrics,
+    /// Returns the time.
+    pub(super) now: &'a dyn Fn() -> Moment,
 }
 
 impl StoreWatch<'_> {
@@ -40,8 +63,8 @@
         &self,
         stop: &StopFlag,
         watch_timeout: impl Fn() -> Option<Duration>,
-        replace: impl Fn(RangeResponse),
-        apply: impl Fn(Vec<KeyChange>, StorePosition),
+        replace: impl Fn(ReadContent<RangeResponse>),
+        apply: impl Fn(ReadContent<WatchedChanges>),
     ) {
         let mut health = StoreHealth::new(self.name);
         let mut after: Option<StorePosition> = None;
@@ -81,8 +104,9 @@
     fn read(
         &self,
         former: Option<StorePosition>,
-        replace: impl Fn(RangeResponse),
+        replace: impl Fn(ReadContent<RangeResponse>),
     ) -> Result<Option<StorePosition>, StoreError> {
+        let started = (self.now)();
         let range = self.store.range(self.prefix)?;
         let as_of = range.as_of;
         if let Some(former) = former.filter(|f| f.era() < as_of.era()) {
@@ -90,7 +114,10 @@
             self.metrics.record_store_restored();
         }
         log_unreadable(self.name, &range.unreadable);
-        replace(range);
+        replace(ReadContent {
+            started,
+            content: range,
+        });
         Ok(Some(as_of))
     }
 
@@ -100,9 +127,10 @@
         &self,
         after: StorePosition,
         timeout: Duration,
-        apply: impl Fn(Vec<KeyChange>, StorePosition),
+        apply: impl Fn(ReadContent<WatchedChanges>),
         stop: &StopFlag,
     ) -> Result<Option<StorePosition>, StoreError> {
+        let started = (self.now)();
         match self.store.watch(self.prefix, after, timeout)? {
             WatchResponse::Changes {
                 changes,
@@ -110,7 +138,13 @@
                 unreadable,
             } => {
                 log_unreadable(self.name, &unreadable);
-                apply(changes, as_of);
+                let content = WatchedChanges {
+                    changes,
+                    unreadable,
+                    as_of,
+                    is_after_known: as_of >= after,
+                };
+                apply(ReadContent { started, content });
                 Ok(Some(as_of.max(after)))
             }
             WatchResponse::HistoryLost => {
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -20,6 +20,7 @@
 use crate::process::moment::Moment;
 use crate::process::ownership::Ownership;
 use crate::process::ownership_action::OwnershipAction;
+use crate::process::quota_message::{TeamGrant, TeamTokens};
 use crate::process::stop_flag::StopFlag;
 use crate::process::sync;
 use crate::process::table_history::{TableHistory, TableUpdate};
@@ -36,6 +37,7 @@
 use crate::version::service_name::ServiceName;
 use crate::version::session_id::SessionId;
 use crate::version::table::Table;
+use crate::version::teams::Teams;
 
 /// The interval at which periodic work is checked.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -57,6 +59,26 @@
     SuspectsReported(Vec<CrashSuspect>),
     /// An upstream completed a suspected request without a crash.
     SuspectCleared(Fingerprint),
+    /// Another daemon asked for tokens of teams.
+    QuotaAsked {
+        /// The peer address of that daemon.
+        from: SocketAddr,
+        /// The epoch of its table.
+        epoch: Epoch,
+        /// When it sent the ask, by its own clock.
+        sent: Moment,
+        /// The numbers of tokens that it asked for.
+        teams: Vec<TeamTokens>,
+    },
+    /// A quota owner issued tokens.
+    QuotaGranted {
+        /// When the ask was sent, by this daemon's clock.
+        sent: Moment,
+        /// The tokens.
+        teams: Vec<TeamGrant>,
+    },
+    /// The former quota owner of teams issues no more tokens, and had these left.
+    QuotaHandedOver(Vec<TeamTokens>),
     /// Another daemon has a newer table.
     FetchTable {
         /// The peer address of that daemon.
@@ -273,12 +295,15 @@
         if version <= active.version {
             return false;
         }
-        if is_holding && config.carried < version_to_carry(&active, version) {
+        let drops_lost = config.carried < version_to_carry(&active, version);
+        if is_holding && drops_lost {
             drop(active);
             tracing::info!(event = "routing-not-taken", %version, carried = %config.carried);
             *sync::lock(&self.refused_routing) = Some((version, self.clock.now()));
             return false;
         }
+        // Before the routing takes effect, as requests are judged by the freshness read before it.
+        self.update_freshness(&active, &config.teams, drops_lost);
         let label = config.label.clone();
         *active = Arc::new(ActiveConfiguration {
             version,
@@ -292,6 +317,27 @@
         true
     }
 
+    /// Suspends the freshness of the routing if `teams` replace those in force without taking the latter
+    /// into account, and so make revoked keys valid; ends that with other teams.
+    fn update_freshness(
+        &self,
+        active: &ActiveConfiguration,
+        teams: &Option<Teams>,
+        drops_lost: bool,
+    ) {
+        let in_force = active.routing_config.as_ref();
+        let Some(former) = in_force.and_then(|routing| routing.teams.as_ref()) else {
+            return;
+        };
+        let adds_keys = teams.as_ref().is_some_and(|t| t.adds_keys_to(former));
+        if drops_lost && adds_keys {
+            tracing::warn!(event = "keys-suspended");
+            self.with_ownership(|o, _| o.routing_freshness_mut().suspend());
+        } else if !drops_lost && teams.as_ref() != Some(former) {
+            self.with_ownership(|o, _| o.routing_freshness_mut().resume());
+        }
+    }
+
     /// Returns whether to fetch the routing of `version` from another daemon: it is newer than the
     /// one in force, and has not been refused just now.
     pub fn should_fetch_routing(&self, version: DocumentVersion) -> bool {
@@ -443,6 +489,19 @@
             Message::Cleared(fingerprint) => {
                 self.emit(MembershipEvent::SuspectCleared(*fingerprint))
             }
+            Message::QuotaAsk { sent, teams } => self.emit(MembershipEvent::QuotaAsked {
+                from: datagram.peer,
+                epoch: datagram.epoch,
+                sent: *sent,
+                teams: teams.clone(),
+            }),
+            Message::QuotaGrant { sent, teams } => self.emit(MembershipEvent::QuotaGranted {
+                sent: *sent,
+                teams: teams.clone(),
+            }),
+            Message::QuotaHandover(teams) => {
+                self.emit(MembershipEvent::QuotaHandedOver(teams.clone()))
+            }
             _ => {}
         }
         self.with_ownership(|o, now| o.receive(now, datagram));
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -31,8 +31,13 @@
     datagram_bytes: Counter<u64>,
     malformed: Counter<u64>,
     retries: Counter<u64>,
+    quota_tokens: Counter<u64>,
+    quota_refusals: Counter<u64>,
+    quota_share: Counter<u64>,
     hedges: Counter<u64>,
     refusals: Counter<u64>,
+    selections: Counter<u64>,
+    report_age: Histogram<f64>,
     order_wait: Histogram<f64>,
     order_run: Histogram<f64>,
     store_calls: Counter<u64>,
@@ -43,6 +48,7 @@
     waiting: Gauge<u64>,
     table_epoch: Gauge<u64>,
     configuration_version: Gauge<u64>,
+    routing_age: Gauge<u64>,
 }
 
 impl Metrics {
@@ -80,6 +86,14 @@
                 "Time from a caller's request to its answer",
             ),
             refusals: counter("refusals", "Requests that did not run, by cause"),
+            selections: counter(
+                "selections",
+                "Upstreams selected among equivalent ones, by domain and result",
+            ),
+            report_age: duration(
+                "selection_report_age",
+                "Age of the load report of a selected upstream",
+            ),
             order_wait: duration("order_wait", "Time that orders wait for their turn here"),
             order_run: duration("order_run", "Time that orders take at the upstream here"),
             store_calls: counter("store_calls", "Calls to the store by kind and result"),
@@ -92,6 +106,18 @@
             datagram_bytes: counter("datagram_bytes", "Bytes of datagrams by direction"),
             malformed: counter("malformed", "Datagrams and frames that could not be read"),
             retries: counter("retries", "Requests tried again"),
+            quota_tokens: counter(
+                "quota_tokens",
+                "Tokens of teams that this daemon issued to others as their quota owner",
+            ),
+            quota_refusals: counter(
+                "quota_refusals",
+                "Requests refused over a team's quota, by cause",
+            ),
+            quota_share: counter(
+                "quota_share",
+                "Requests sent under the fixed share, without an answer of the quota owner",
+            ),
             hedges: counter("hedges", "Requests sent to a second upstream"),
             in_flight: gauge("upstream_in_flight", "Orders in flight to the upstream"),
             limit: gauge(
@@ -104,6 +130,10 @@
                 "configuration_version",
                 "Version of the configuration in force",
             ),
+            routing_age: gauge(
+                "routing_age_ms",
+                "Time since the routing in force is known to have been the newest",
+            ),
             registry,
             _provider: provider,
         })
@@ -123,6 +153,22 @@
         self.refusals.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts an upstream that was selected among equivalent ones, by failure domain and by what came
+    /// of the request, and records the age of its load report.
+    pub fn record_selection(
+        &self,
+        is_remote: bool,
+        result: &'static str,
+        report_age: Option<Duration>,
+    ) {
+        let domain = KeyValue::new("domain", if is_remote { "other" } else { "own" });
+        self.selections
+            .add(1, &[domain, KeyValue::new("result", result)]);
+        if let Some(age) = report_age {
+            self.report_age.record(age.as_secs_f64(), &[]);
+        }
+    }
+
     /// Records how long a request waited on this host, and how long it ran at the upstream.
     pub fn record_upstream_request(&self, wait: Duration, run: Duration) {
         self.order_wait.record(wait.as_secs_f64(), &[]);
@@ -170,6 +216,21 @@
         self.retries.add(1, &[]);
     }
 
+    /// Counts tokens that were issued to another daemon.
+    pub fn record_quota_tokens(&self, tokens: u64) {
+        self.quota_tokens.add(tokens, &[]);
+    }
+
+    /// Counts a request that was refused over a quota: at the `limit`, or with `no-answer`.
+    pub fn record_quota_refusal(&self, cause: &'static str) {
+        self.quota_refusals.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts a request of the fixed share.
+    pub fn record_quota_share(&self) {
+        self.quota_share.add(1, &[]);
+    }
+
     /// Counts a hedged request: one that was also sent to a second upstream.
     pub fn record_hedge(&self) {
         self.hedges.add(1, &[]);
@@ -190,6 +251,11 @@
         self.configuration_version.record(configuration, &[]);
     }
 
+    /// Sets how long ago the routing in force is known to have been the newest, in milliseconds.
+    pub fn record_routing_age(&self, age_ms: u64) {
+        self.routing_age.record(age_ms, &[]);
+    }
+
     /// Returns all metrics in Prometheus' text format.
     ///
     /// # Errors
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -15,6 +15,7 @@
 
 use crate::process::datagram::{Datagram, Message};
 use crate::process::era_knowledge::EraKnowledge;
+use crate::process::host::routing_freshness::RoutingFreshness;
 use crate::process::join_request::JoinRequest;
 use crate::process::join_schedule::{JoinRecipients, JoinSchedule};
 use crate::process::lease_times::LeaseTimes;
@@ -68,6 +69,7 @@
     table: Arc<Table>,
     document_version: DocumentVersion,
     eras: EraKnowledge,
+    routing_freshness: RoutingFreshness,
     /// The tokens of the slices that were served when the present table was adopted and still are;
     /// they stay in use until the witnesses confirm the epoch of a slice's new assignment.
     held_tokens: BTreeMap<(ServiceName, SliceId), FencingToken>,
@@ -105,6 +107,7 @@
             table: Arc::default(),
             document_version: DocumentVersion::default(),
             eras: EraKnowledge::default(),
+            routing_freshness: RoutingFreshness::default(),
             held_tokens: BTreeMap::new(),
             newest_assignment_epoch: Epoch::default(),
             renew_at: now,
@@ -118,6 +121,12 @@
         }
     }
 
+    /// Sets whether, and within which time, revoked API keys must stop working.
+    pub fn with_routing_freshness(mut self, freshness: RoutingFreshness) -> Self {
+        self.routing_freshness = freshness;
+        self
+    }
+
     /// Returns the table that the daemon has adopted.
     pub fn table(&self) -> &Arc<Table> {
         &self.table
@@ -198,6 +207,16 @@
         }
     }
 
+    /// Returns when the adopted routing is known to have been the newest.
+    pub fn routing_freshness(&self) -> &RoutingFreshness {
+        &self.routing_freshness
+    }
+
+    /// Returns when the adopted routing is known to have been the newest, to update it.
+    pub fn routing_freshness_mut(&mut self) -> &mut RoutingFreshness {
+        &mut self.routing_freshness
+    }
+
     /// Returns the time until which the daemon's session is live, or `None` if it has lapsed.
     pub fn live_until(&self, now: Moment) -> Option<Moment> {
         self.rules().live_until(now)
@@ -228,6 +247,9 @@
             version >= self.document_version,
             "a document version never decreases"
         );
+        if version.era > self.document_version.era {
+            self.routing_freshness.begin_era();
+        }
         self.document_version = version;
     }
 
@@ -286,12 +308,18 @@
                 session,
                 sent,
                 epoch,
+                routing_age,
             } => {
+                if let Some(age) = routing_age.filter(|_| sent <= now) {
+                    let (witness, own) = (datagram.document_version, self.document_version);
+                    self.routing_freshness.record_grant(sent, age, witness, own);
+                }
                 self.handle_grant(now, datagram.from, session, sent, epoch);
             }
             Message::Facts(facts) => self.merge_received_facts(now, facts),
             Message::QueryAdopted => self.send_adopted_epoch(datagram.peer),
             Message::Join(_) | Message::Load(_) | Message::Suspects(_) | Message::Cleared(_) => {}
+            Message::QuotaAsk { .. } | Message::QuotaGrant { .. } | Message::QuotaHandover(_) => {}
         }
     }
 
@@ -587,12 +615,14 @@
         let to = self.table.peer(session).unwrap_or(from);
         let known = epoch.min(self.table.epoch);
         if let Some(epoch) = self.witness.renew(now, session, known, &self.times) {
+            let routing_age = self.routing_freshness.shared_age(now);
             self.send(
                 to,
                 Message::Grant {
                     session,
                     sent,
                     epoch,
+                    routing_age,
                 },
             );
         } else {
--- a/tests/testsuite/host/grants/late_requests.rs
+++ b/tests/testsuite/host/grants/late_requests.rs
@@ -15,6 +15,7 @@
 use foxtaildrift::process::wall_time::WallTime;
 use foxtaildrift::request::body::Body;
 use foxtaildrift::request::headers::Headers;
+use foxtaildrift::request::request_kind::RequestKind;
 use foxtaildrift::request::shard_key::ShardKey;
 use foxtaildrift::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 use foxtaildrift::request::upstream_request::UpstreamRequest;
@@ -153,8 +154,10 @@
         method: "GET".to_owned(),
         target: "/request/0/0/0".to_owned(),
         headers: Headers::default(),
+        team: None,
         key: key.map(ShardKey),
         repeatable: true,
+        kind: RequestKind::default(),
         priority: 1,
         remaining,
         objective: remaining,
--- a/tests/testsuite/host/store_sync.rs
+++ b/tests/testsuite/host/store_sync.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, UdpSocket};
 use std::sync::mpsc;
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::Duration;
 
 use foxtaildrift::Table;
@@ -11,10 +12,13 @@
 use foxtaildrift::connection::protocol::{OperatorProtocol, RoutingConfigError};
 use foxtaildrift::connection::reactor::Reactor;
 use foxtaildrift::process::clock::{Clock, SystemClock};
+use foxtaildrift::process::era_knowledge::HOLD_TIME;
+use foxtaildrift::process::host::routing_freshness::RoutingFreshness;
 use foxtaildrift::process::host::store_sync::StoreSync;
 use foxtaildrift::process::lease_times::LeaseTimes;
 use foxtaildrift::process::membership::Membership;
 use foxtaildrift::process::metrics::Metrics;
+use foxtaildrift::process::moment::Moment;
 use foxtaildrift::process::ownership::Ownership;
 use foxtaildrift::process::platform::Revision;
 use foxtaildrift::process::stop_flag::StopFlag;
@@ -24,18 +28,27 @@
 };
 use foxtaildrift::process::store_position::StorePosition;
 use foxtaildrift::process::unreadable_entry::UnreadableEntry;
+use foxtaildrift::process::wall_time::WallTime;
+use foxtaildrift::version::api_key::ApiKeyDigest;
+use foxtaildrift::version::burst::Burst;
+use foxtaildrift::version::document_version::DocumentVersion;
 use foxtaildrift::version::epoch::Epoch;
 use foxtaildrift::version::instance_id::InstanceId;
 use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, MemberInfo, WEIGHT_FULL};
 use foxtaildrift::version::routing_config::RoutingConfig;
 use foxtaildrift::version::session_id::SessionId;
 use foxtaildrift::version::store_era::StoreEra;
+use foxtaildrift::version::team::Team;
+use foxtaildrift::version::teams::Teams;
 
 /// The key of the configuration in [`PlainOperators`].
 const CONFIG_KEY: &str = "op/config";
 /// The prefix of the keys of evacuated failure domains in [`PlainOperators`].
 const EVACUATE_PREFIX: &str = "op/evacuate/";
 
+/// The beginning of labels of configurations with teams in [`PlainOperators`].
+const WITH_TEAMS: &str = "teams";
+
 /// The value of [`CONFIG_KEY`] is the label; it must be UTF-8 text.
 struct PlainOperators;
 
@@ -44,6 +57,10 @@
         "op/"
     }
 
+    fn teams_key(&self) -> &str {
+        CONFIG_KEY
+    }
+
     fn parse(&self, items: &[KeyValue]) -> Result<RoutingConfig, RoutingConfigError> {
         let error = |reason: &str| RoutingConfigError {
             key: CONFIG_KEY.to_owned(),
@@ -57,6 +74,7 @@
             .iter()
             .filter_map(|i| i.key.strip_prefix(EVACUATE_PREFIX));
         Ok(RoutingConfig {
+            teams: label.starts_with(WITH_TEAMS).then(|| teams(&label)),
             label,
             evacuated: evacuated.filter_map(|d| d.parse().ok()).collect(),
             ..RoutingConfig::default()
@@ -64,16 +82,56 @@
     }
 }
 
+/// Returns one team with the key `key`.
+fn teams(key: &str) -> Teams {
+    let team = Team {
+        name: "hule930".parse().unwrap(),
+        priority: None,
+        rate: None,
+        burst: Burst::default(),
+    };
+    Teams::new([(team, vec![ApiKeyDigest::of(key.as_bytes())])])
+}
+
+/// The system's clock, put forward.
+#[derive(Default)]
+struct ForwardClock(Mutex<Duration>);
+
+impl Clock for ForwardClock {
+    fn now(&self) -> Moment {
+        SystemClock.now() + *self.0.lock().unwrap()
+    }
+
+    fn wall_time(&self) -> WallTime {
+        SystemClock.wall_time()
+    }
+}
+
 /// A store with prepared responses; after the last one it stops the daemon.
 #[derive(Default)]
 struct PreparedStore {
     ranges: Mutex<VecDeque<RangeResponse>>,
     watches: Mutex<VecDeque<WatchResponse>>,
+    /// The times of all calls.
+    calls: Mutex<Vec<Moment>>,
+    /// The timeouts of the watch calls.
+    waits: Mutex<Vec<Duration>>,
+    clock: Arc<ForwardClock>,
+    /// The call during which the clock is put forward by [`HOLD_TIME`], counted from zero.
+    forward_at: Option<usize>,
     stop: Arc<StopFlag>,
 }
 
 impl PreparedStore {
     fn next<T>(&self, prepared: &Mutex<VecDeque<T>>) -> Result<T, StoreError> {
+        let mut calls = self.calls.lock().unwrap();
+        calls.push(self.clock.now());
+        if self.forward_at == Some(calls.len() - 1) {
+            *self.clock.0.lock().unwrap() += HOLD_TIME;
+        }
+        drop(calls);
+        // Tells the times of two calls apart.
+        thread::sleep(Duration::from_millis(2));
         prepared.lock().unwrap().pop_front().ok_or_else(|| {
             self.stop.set();
             StoreError::Refused(503)
@@ -86,7 +144,13 @@
         self.next(&self.ranges)
     }
 
-    fn watch(&self, _: &str, _: StorePosition, _: Duration) -> Result<WatchResponse, StoreError> {
+    fn watch(
+        &self,
+        _: &str,
+        _: StorePosition,
+        wait: Duration,
+    ) -> Result<WatchResponse, StoreError> {
+        self.waits.lock().unwrap().push(wait);
         self.next(&self.watches)
     }
 
@@ -98,7 +162,10 @@
 }
 
 fn membership() -> Arc<Membership> {
-    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    membership_with(Arc::new(SystemClock))
+}
+
+fn membership_with(clock: Arc<dyn Clock>) -> Arc<Membership> {
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
     let address = socket.local_addr().unwrap();
     let info = MemberInfo {
@@ -114,7 +181,9 @@
         weight: WEIGHT_FULL,
         cpu_share: CPU_SHARE_DEFAULT,
     };
+    let freshness = RoutingFreshness::strict(Duration::from_secs(5));
     let ownership = Ownership::new(1, LeaseTimes::default(), info, clock.now(), 7);
+    let ownership = ownership.with_routing_freshness(freshness);
     let reactor = Reactor::start().unwrap();
     let timeouts = PeerTimeouts {
         acknowledge: Duration::from_millis(100),
@@ -203,11 +272,7 @@
     watch: impl FnOnce(&StoreSync, &StopFlag),
 ) -> Arc<Membership> {
     let membership = membership();
-    let store = Arc::new(PreparedStore {
-        ranges: Mutex::new(ranges.into()),
-        watches: Mutex::new(watches.into()),
-        stop: Arc::default(),
-    });
+    let store = prepared_store(ranges, watches);
     let stop = Arc::clone(&store.stop);
     let protocol = Arc::new(PlainOperators);
     let sync = StoreSync::new(store, protocol, Arc::clone(&membership), InstanceId(1));
@@ -215,6 +280,26 @@
     membership
 }
 
+fn prepared_store(ranges: Vec<RangeResponse>, watches: Vec<WatchResponse>) -> Arc<PreparedStore> {
+    Arc::new(PreparedStore {
+        ranges: Mutex::new(ranges.into()),
+        watches: Mutex::new(watches.into()),
+        ..PreparedStore::default()
+    })
+}
+
+/// Watches the routing until the store has no more prepared responses.
+fn watch_routing(store: &Arc<PreparedStore>, membership: &Arc<Membership>) {
+    let protocol = Arc::new(PlainOperators);
+    let sync = StoreSync::new(
+        Arc::clone(store) as Arc<dyn Store>,
+        protocol,
+        Arc::clone(membership),
+        InstanceId(1),
+    );
+    sync.sync_routing(&store.stop);
+}
+
 fn routing(membership: &Membership) -> (String, Vec<String>) {
     let active = membership.active_configuration();
     let routing = active.routing_config.as_ref().expect("no routing");
@@ -335,6 +420,128 @@
     assert_eq!(membership.table().epoch, Epoch(3));
 }
 
+/// Returns which call to the store is the last one that showed that the routing is the newest, counted
+/// from zero, or `None` if none did.
+fn newest_call(ranges: Vec<RangeResponse>, watches: Vec<WatchResponse>) -> Option<usize> {
+    let store = prepared_store(ranges, watches);
+    let membership = membership();
+    watch_routing(&store, &membership);
+    newest_call_of(&store, &membership)
+}
+
+fn newest_call_of(store: &PreparedStore, membership: &Membership) -> Option<usize> {
+    let newest = membership.with_ownership(|o, _| o.routing_freshness().newest_at())?;
+    // The time of a call is taken just before it.
+    let calls = store.calls.lock().unwrap();
+    Some(calls.iter().filter(|call| **call < newest).count())
+}
+
+/// A routing with a revoked key must not count as the newest while the store has one that this daemon
+/// can't apply.
+#[test]
+fn a_routing_counts_as_the_newest_only_if_the_daemon_could_apply_what_the_store_has() {
+    let first = |value: &[u8]| vec![range(vec![item(CONFIG_KEY, value, 4)], 4)];
+    let put = |value: &[u8], revision| KeyChange::Put(item(CONFIG_KEY, value, revision));
+    let unreadable = |key: Option<&str>| WatchResponse::Changes {
+        changes: Vec::new(),
+        as_of: first_era(5),
+        unreadable: unreadable_range(&[key], 5).unreadable,
+    };
+    assert_eq!(newest_call(first(b"no teams"), Vec::new()), None);
+    assert_eq!(newest_call(vec![range(Vec::new(), 4)], Vec::new()), None);
+    let none = || changes(Vec::new(), 5);
+    let cases = [
+        ("nothing changed", vec![none()], 1),
+        (
+            "a newer one is adopted",
+            vec![changes(vec![put(b"teams 2", 5)], 5), none()],
+            2,
+        ),
+        (
+            "perhaps only a part of the changes",
+            vec![changes(vec![put(b"teams 2", 5)], 5)],
+            0,
+        ),
+        (
+            "refused",
+            vec![changes(vec![put(&[0xff], 5)], 5), none()],
+            0,
+        ),
+        (
+            "not readable",
+            vec![unreadable(Some(CONFIG_KEY)), none()],
+            0,
+        ),
+        ("perhaps not readable", vec![unreadable(None), none()], 0),
+        ("another value", vec![unreadable(Some("op/odd")), none()], 2),
+        (
+            "readable again",
+            vec![
+                unreadable(None),
+                changes(vec![put(b"teams 2", 6)], 6),
+                changes(Vec::new(), 6),
+            ],
+            3,
+        ),
+        ("the store went back", vec![changes(Vec::new(), 3)], 0),
+    ];
+    for (case, watches, expected) in cases {
+        let newest = newest_call(first(b"teams 1"), watches);
+        assert_eq!(newest, Some(expected), "{case}");
+    }
+}
+
+/// A daemon that has its routing from another one must not take a read that hides the configuration
+/// for a confirmation.
+#[test]
+fn a_read_without_the_configuration_confirms_no_routing() {
+    for key in [Some(CONFIG_KEY), None] {
+        let membership = membership();
+        let items = [item(CONFIG_KEY, b"teams 1", 4)];
+        let mut routing = PlainOperators.parse(&items).unwrap();
+        routing.version = DocumentVersion::from(4_u64);
+        membership.adopt_routing_config(routing);
+        let hidden = RangeResponse {
+            unreadable: unreadable_range(&[key], 6).unreadable,
+            ..range(vec![item("op/evacuate/ajka", b"", 6)], 6)
+        };
+        watch_routing(&prepared_store(vec![hidden], Vec::new()), &membership);
+        let newest = membership.with_ownership(|o, _| o.routing_freshness().newest_at());
+        assert_eq!(newest, None, "{key:?}");
+    }
+}
+
+/// A configuration that was written while the values were read must not have the version of the one
+/// before: daemons with equal versions confirm each other's routing.
+#[test]
+fn the_version_of_a_routing_is_not_below_the_revision_of_its_values() {
+    let range = range(vec![item(CONFIG_KEY, b"second", 6)], 5);
+    let membership = after_routing(vec![range], Vec::new());
+    assert_eq!(
+        membership.active_configuration().version,
+        DocumentVersion::from(6_u64)
+    );
+}
+
+/// With strict revocation the other daemons' knowledge is as old as these calls are long.
+#[test]
+fn watch_calls_are_short_only_where_keys_must_stop_working_in_time() {
+    for (label, limit) in [
+        (&b"teams 1"[..], Duration::from_secs(1)),
+        (b"one", Duration::MAX),
+    ] {
+        let store = prepared_store(
+            vec![range(vec![item(CONFIG_KEY, label, 4)], 4)],
+            vec![changes(Vec::new(), 4)],
+        );
+        watch_routing(&store, &membership());
+        let waits = store.waits.lock().unwrap();
+        assert!(waits.iter().all(|w| *w <= limit), "{waits:?}");
+        let is_long = waits.iter().all(|w| *w >= Duration::from_secs(3));
+        assert_eq!(is_long, limit == Duration::MAX, "{waits:?}");
+    }
+}
+
 /// A store whose first watch call fails; it records the timeouts of all, and stops the daemon with the
 /// third.
 #[derive(Default)]
@@ -568,3 +775,176 @@
     );
     assert_eq!(membership.table().epoch, Epoch(43));
 }
+
+/// A key was revoked in the lost seconds ("teams 2"), and the store's copy has it again ("teams 1"). It
+/// must not work at a daemon that had adopted the revocation. Calls in the new era must not confirm a
+/// routing before the operators have written the teams again, or had time to: the store may have lost a
+/// revocation that this daemon has not seen.
+#[test]
+fn a_key_revoked_in_the_lost_seconds_does_not_work_again() {
+    let put = |value: &[u8], revision| KeyChange::Put(item_at(CONFIG_KEY, value, at(1, revision)));
+    let written = |value: &[u8], revision| changes_at(vec![put(value, revision)], at(1, revision));
+    let none = |revision| changes_at(Vec::new(), at(1, revision));
+    let revoked = || changes(vec![KeyChange::Put(item(CONFIG_KEY, b"teams 2", 95))], 95);
+    let evacuation = KeyChange::Put(item_at("op/evacuate/ajka", b"", at(1, 91)));
+    let evacuation = changes_at(vec![evacuation], at(1, 91));
+    // The calls: a read, two watches, and the read of the copy; then those of each case.
+    let cases = [
+        (
+            "kept",
+            revoked(),
+            vec![none(90), none(93)],
+            None,
+            "teams 2",
+            Some(0),
+        ),
+        (
+            "none seen",
+            changes(Vec::new(), 85),
+            vec![none(90)],
+            None,
+            "teams 1",
+            Some(1),
+        ),
+        (
+            "none written again",
+            changes(Vec::new(), 85),
+            vec![none(90), none(93)],
+            Some(4),
+            "teams 1",
+            Some(5),
+        ),
+        (
+            "another value",
+            revoked(),
+            vec![evacuation, none(91)],
+            None,
+            "teams 2",
+            Some(0),
+        ),
+        (
+            "written",
+            revoked(),
+            vec![written(b"teams 3", 91), none(91)],
+            None,
+            "teams 3",
+            Some(5),
+        ),
+        (
+            "refused",
+            revoked(),
+            vec![written(&[0xff], 91), none(91)],
+            None,
+            "teams 2",
+            Some(0),
+        ),
+        (
+            "dropped",
+            revoked(),
+            vec![none(90), none(93), none(94)],
+            Some(5),
+            "teams 1",
+            None,
+        ),
+        (
+            "written late",
+            revoked(),
+            vec![none(93), written(b"teams 1", 94), none(94)],
+            Some(4),
+            "teams 1",
+            Some(6),
+        ),
+    ];
+    for (case, lost, later, forward_at, label, newest) in cases {
+        let mut watches = vec![lost, came_back()];
+        watches.extend(later);
+        let copy = range_at(vec![item_at(CONFIG_KEY, b"teams 1", at(1, 80))], at(1, 90));
+        let store = Arc::new(PreparedStore {
+            ranges: Mutex::new([range(vec![item(CONFIG_KEY, b"teams 1", 80)], 85), copy].into()),
+            watches: Mutex::new(watches.into()),
+            forward_at,
+            ..PreparedStore::default()
+        });
+        let membership = membership_with(Arc::clone(&store.clock) as Arc<dyn Clock>);
+        watch_routing(&store, &membership);
+        assert_eq!(routing(&membership).0, label, "{case}");
+        assert_eq!(newest_call_of(&store, &membership), newest, "{case}");
+    }
+}
+
+/// A daemon that read the store first after the last revision of the copy: a configuration written after
+/// the return has a revision below that. It was taken for one that the kept one had replaced, so a key
+/// that it revokes would have worked for as long as lost values are held.
+#[test]
+fn a_configuration_written_before_the_first_read_of_the_new_era_replaces_the_one_before() {
+    let written = vec![item_at(CONFIG_KEY, b"teams 2", at(1, 91))];
+    let store = prepared_store(
+        vec![
+            range(vec![item(CONFIG_KEY, b"teams 1", 80)], 100),
+            range_at(written, at(1, 92)),
+        ],
+        vec![came_back()],
+    );
+    let membership = membership();
+    watch_routing(&store, &membership);
+    assert_eq!(routing(&membership).0, "teams 2");
+    assert_eq!(newest_call_of(&store, &membership), Some(2));
+}
+
+/// A daemon that got the routing in force from another one, and that does not know of a loss, must take
+/// what the store has once lost routing is no more held.
+#[test]
+fn routing_that_was_refused_is_adopted_after_the_time_in_which_lost_routing_is_held() {
+    let copy = range_at(vec![item_at(CONFIG_KEY, b"teams 1", at(1, 80))], at(1, 90));
+    let none = |revision| changes_at(Vec::new(), at(1, revision));
+    let store = Arc::new(PreparedStore {
+        ranges: Mutex::new([copy].into()),
+        watches: Mutex::new([none(90), none(93), none(93)].into()),
+        forward_at: Some(2),
+        ..PreparedStore::default()
+    });
+    let membership = membership_with(Arc::clone(&store.clock) as Arc<dyn Clock>);
+    membership.adopt_routing_config(RoutingConfig {
+        version: first_era(97).document_version(),
+        label: "teams 2".to_owned(),
+        teams: Some(teams("teams 2")),
+        ..RoutingConfig::default()
+    });
+    watch_routing(&store, &membership);
+    assert_eq!(routing(&membership).0, "teams 1");
+    assert_eq!(newest_call_of(&store, &membership), None);
+}
+
+/// A daemon that does not read the store gets the copy's teams, with the key that was revoked, from
+/// another one after the time in which lost routing is held. Neither its earlier knowledge nor a
+/// witness with the same routing may make that key work.
+#[test]
+fn teams_that_a_peer_read_from_the_copy_are_not_confirmed() {
+    let with_teams = |version: StorePosition, key: &str| RoutingConfig {
+        version: version.document_version(),
+        teams: Some(teams(key)),
+        ..RoutingConfig::default()
+    };
+    let clock = Arc::new(ForwardClock::default());
+    let membership = membership_with(Arc::clone(&clock) as Arc<dyn Clock>);
+    let confirm = |position: StorePosition| {
+        let version = position.document_version();
+        membership.with_ownership(|o, now| {
+            let own = o.document_version();
+            let freshness = o.routing_freshness_mut();
+            freshness.record_grant(now, Duration::ZERO, version, own);
+            freshness.is_recent(now)
+        })
+    };
+    assert!(membership.adopt_routing_config(with_teams(first_era(97), "after")));
+    assert!(confirm(first_era(97)));
+    assert!(!membership.adopt_routing_config(with_teams(at(1, 90), "before")));
+    *clock.0.lock().unwrap() += HOLD_TIME;
+    membership.with_ownership(|o, now| o.routing_freshness_mut().record_store_call(now));
+    assert!(membership.adopt_routing_config(with_teams(at(1, 120), "before")));
+    let is_recent = membership.with_ownership(|o, now| o.routing_freshness().is_recent(now));
+    assert!(!is_recent, "its earlier knowledge is of the other routing");
+    assert!(!confirm(at(1, 120)));
+    assert!(membership.adopt_routing_config(with_teams(at(1, 121), "written")));
+    assert!(confirm(at(1, 121)));
+}
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -18,6 +18,7 @@
 use foxtaildrift::connection::upstream_request_failure::UpstreamRequestFailure;
 use foxtaildrift::request::body::Body;
 use foxtaildrift::request::headers::Headers;
+use foxtaildrift::request::request_kind::RequestKind;
 use foxtaildrift::request::upstream_outcome::NotRunCause;
 use foxtaildrift::request::upstream_request::UpstreamRequest;
 
@@ -75,8 +76,10 @@
         method: "GET".to_owned(),
         target: "/stock/".to_owned(),
         headers: Headers::default(),
+        team: None,
         key: None,
         repeatable: true,
+        kind: RequestKind::default(),
         priority: 1,
         remaining: TIMEOUT,
         objective: TIMEOUT,
--- a/tests/testsuite/wire_properties.rs
+++ b/tests/testsuite/wire_properties.rs
@@ -22,25 +22,32 @@
 use foxtaildrift::process::moment::Moment;
 use foxtaildrift::process::ownership::Ownership;
 use foxtaildrift::process::planner::{self, PlanInput};
+use foxtaildrift::process::quota_message::{TeamGrant, TeamTokens};
 use foxtaildrift::process::session_facts::SessionFacts;
 use foxtaildrift::request::body::Body;
 use foxtaildrift::request::fingerprint::Fingerprint;
 use foxtaildrift::request::headers::Headers;
 use foxtaildrift::request::quarantine::CrashSuspect;
 use foxtaildrift::request::records::SliceRecords;
+use foxtaildrift::request::request_kind::RequestKind;
 use foxtaildrift::request::shard_key::ShardKey;
 use foxtaildrift::request::upstream_load::UpstreamLoad;
 use foxtaildrift::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 use foxtaildrift::request::upstream_request::UpstreamRequest;
+use foxtaildrift::version::api_key::ApiKeyDigest;
+use foxtaildrift::version::burst::Burst;
 use foxtaildrift::version::document_version::DocumentVersion;
 use foxtaildrift::version::epoch::Epoch;
 use foxtaildrift::version::instance_id::InstanceId;
 use foxtaildrift::version::member::{CPU_SHARE_DEFAULT, MemberInfo, WEIGHT_FULL};
+use foxtaildrift::version::request_rate::RequestRate;
 use foxtaildrift::version::routing_config::{RoutingConfig, ServiceSettings};
 use foxtaildrift::version::service_name::ServiceName;
 use foxtaildrift::version::session_id::SessionId;
 use foxtaildrift::version::slice_id::SliceId;
 use foxtaildrift::version::table_delta::TableDelta;
+use foxtaildrift::version::team::Team;
+use foxtaildrift::version::teams::Teams;
 use foxtaildrift::version::upstream::{Upstream, UpstreamBoot};
 use proptest::collection;
 use proptest::prelude::{Just, Strategy, any, prop_oneof};
@@ -199,8 +206,15 @@
         sharded: true,
         ..ServiceSettings::default()
     };
+    let team = Team {
+        name: "hule930".parse().unwrap(),
+        priority: Some(1),
+        rate: RequestRate::try_from(387.5).ok(),
+        burst: Burst(9),
+    };
     RoutingConfig {
         version: DocumentVersion::from(5_u64),
+        teams: Some(Teams::new([(team, vec![ApiKeyDigest::of(b"k")])])),
         services: BTreeMap::from([(service(), settings)]),
         ..RoutingConfig::default()
     }
@@ -295,6 +309,11 @@
     }
 }
 
+fn team_tokens() -> TeamTokens {
+    let team = "hule930".parse().expect("a name");
+    TeamTokens { team, tokens: 7 }
+}
+
 fn datagrams() -> Vec<Vec<u8>> {
     let fingerprint = Fingerprint::default();
     let boot = UpstreamBoot(9);
@@ -308,6 +327,7 @@
             session: session(1),
             sent: Moment::from_millis(4900),
             epoch: Epoch(3),
+            routing_age: Some(Duration::from_millis(700)),
         },
         Message::Facts(facts(3)),
         Message::QueryAdopted,
@@ -318,6 +338,19 @@
         Message::Load(Box::new(load_report(2))),
         Message::Suspects(vec![CrashSuspect { fingerprint, boot }]),
         Message::Cleared(fingerprint),
+        Message::QuotaAsk {
+            sent: Moment::from_millis(4000),
+            teams: vec![team_tokens()],
+        },
+        Message::QuotaGrant {
+            sent: Moment::from_millis(4000),
+            teams: vec![TeamGrant {
+                team: team_tokens().team,
+                tokens: 3,
+                next_token_in: Duration::from_millis(2),
+            }],
+        },
+        Message::QuotaHandover(vec![team_tokens()]),
     ];
     let datagrams = messages.into_iter().map(|message| Datagram {
         cell_hash: CELL_HASH,
@@ -338,8 +371,10 @@
         method: "GET".to_owned(),
         target: "/x/".to_owned(),
         headers: Headers::default(),
+        team: Some("hule930".parse().unwrap()),
         key: Some(ShardKey(77)),
         repeatable: true,
+        kind: RequestKind::default(),
         priority: 1,
         remaining: Duration::from_secs(2),
         objective: Duration::from_millis(400),
