--- a/src/process/host/routing_values.rs
+++ b/src/process/host/routing_values.rs
@@ -36,8 +36,10 @@
     may_be_outdated: bool,
     /// The era in which the value with the teams is known to have been written.
     teams_written_in: Option<StoreEra>,
-    /// The version that the daemon's routing would have with these values, if it was refused.
-    refused: Option<DocumentVersion>,
+    /// Whether the value with the teams is not older than the one that `carried` takes into account.
+    carries_teams: bool,
+    /// Position as of which the values were refused.
+    refused_at: Option<StorePosition>,
 }
 
 impl RoutingValues {
@@ -46,14 +48,51 @@
         self.items.is_empty()
     }
 
-    /// Returns the version of an earlier era that the values take into account.
-    pub(super) fn carried(&self) -> DocumentVersion {
-        self.carried
+    /// Returns whether values are in force that the store lost.
+    fn has_lost(&self) -> bool {
+        !self.lost.is_empty()
+    }
+
+    /// Returns whether these values are not in force, or not for long, without any further change.
+    pub(super) fn is_unsettled(&self) -> bool {
+        self.has_lost() || self.refused_at.is_some()
+    }
+
+    /// Records whether the values as of a position were refused, because routing of an earlier era
+    /// is held.
+    pub(super) fn record_refusal(&mut self, refused_at: Option<StorePosition>) {
+        self.refused_at = refused_at;
+    }
+
+    /// Returns the position as of which the values were refused, to try again.
+    pub(super) fn refused_at(&self) -> Option<StorePosition> {
+        self.refused_at
+    }
+
+    /// Returns the version of the values as of the position `as_of`. That with lost values is below the
+    /// one without them, which replaces it.
+    pub(super) fn version(&self, as_of: StorePosition) -> DocumentVersion {
+        let version = as_of.document_version();
+        match self.has_lost() {
+            true => version.previous(),
+            false => version,
+        }
+    }
+
+    /// Returns the version of an earlier era that the values take into account. Values that add keys to
+    /// those in force, and may have them from the copy, take none into account, so that every daemon
+    /// that adopts them notices it.
+    pub(super) fn carried(&self, adds_keys: bool) -> DocumentVersion {
+        match adds_keys && !self.carries_teams {
+            true => DocumentVersion::default(),
+            false => self.carried,
+        }
     }
 
     /// Returns whether the values contain the teams that the store had at the last call.
     pub(super) fn is_known(&self, teams_key: &str) -> bool {
-        !self.is_empty() && !self.may_be_outdated && !self.lost.contains_key(teams_key)
+        let is_refused = self.may_be_outdated || self.refused_at.is_some();
+        !self.is_empty() && !is_refused && !self.lost.contains_key(teams_key)
     }
 
     /// Returns whether the value with the teams is known to have been written in `era`, so that the
@@ -62,16 +101,6 @@
         self.teams_written_in == Some(era)
     }
 
-    /// Records whether the routing with these values, of `version`, was adopted.
-    pub(super) fn record_adoption(&mut self, version: DocumentVersion, is_adopted: bool) {
-        self.refused = (!is_adopted).then_some(version);
-    }
-
-    /// Returns whether a routing `in_force` is that of these values, or a later one.
-    pub(super) fn is_applied(&self, in_force: DocumentVersion) -> bool {
-        self.refused.is_none_or(|refused| in_force >= refused)
-    }
-
     /// Replaces the values by those in `range`. A value that could not be read keeps its former
     /// content, and so does one that the store lost by coming back from an older copy, if these values
     /// are those of the routing `in_force`.
@@ -90,11 +119,13 @@
         match in_force.filter(|version| *version <= known_up_to) {
             Some(version) if is_later_era => {
                 self.carried = version;
+                self.carries_teams = true;
                 self.merge_copy(now, range, teams_key);
             }
             _ => {
                 if is_later_era {
                     self.carried = DocumentVersion::default();
+                    self.carries_teams = false;
                     self.lost.clear();
                 } else {
                     self.record_teams_of(&range, teams_key);
@@ -118,6 +149,7 @@
         };
         if known.is_some_and(|known| known.position < item.position) {
             self.teams_written_in = Some(item.position.era());
+            self.carries_teams = true;
         }
     }
 
@@ -190,12 +222,13 @@
         }
     }
 
-    /// Applies changes; returns the position of the newest one, or `None` if there is none.
+    /// Applies changes; returns the position of the newest one, or `None` if there is none. An operator
+    /// who writes in this era replaces the routing of earlier ones up to `to_carry`.
     pub(super) fn apply(
         &mut self,
         watched: WatchedChanges,
         teams_key: &str,
-        in_force: Option<DocumentVersion>,
+        to_carry: DocumentVersion,
     ) -> Option<StorePosition> {
         self.as_of = self.as_of.max(watched.as_of);
         let mut newest = None;
@@ -207,6 +240,7 @@
                     if item.key == teams_key {
                         self.may_be_outdated = false;
                         self.teams_written_in = Some(item.position.era());
+                        self.carries_teams = true;
                     }
                     let position = item.position;
                     self.items.insert(item.key.clone(), item);
@@ -223,23 +257,26 @@
         // An entry that could not be read may be newer than the changes.
         let mut hidden = watched.unreadable.iter().map(|entry| entry.key.as_deref());
         self.may_be_outdated |= hidden.any(|key| key.is_none_or(|k| k == teams_key));
-        // An operator who writes in this era replaces the routing of earlier ones.
-        if let (Some(newest), Some(version)) = (newest, in_force)
-            && version.era < newest.era()
-        {
-            self.carried = self.carried.max(version);
+        if newest.is_some() {
+            self.carried = self.carried.max(to_carry);
         }
         newest
     }
 
-    /// Replaces what the store lost by its content, if nobody has written it again in time; returns
-    /// whether that changed anything.
-    pub(super) fn expire_lost(&mut self, now: Moment) -> bool {
-        if self.lost.is_empty() || self.lost_until.is_some_and(|until| now < until) {
+    /// Replaces what the store lost by its content, if nobody has written it again in time, and if the
+    /// result is newer than the routing `in_force`; returns whether that changed anything.
+    pub(super) fn expire_lost(
+        &mut self,
+        now: Moment,
+        teams_key: &str,
+        in_force: Option<DocumentVersion>,
+    ) -> bool {
+        let is_newer = Some(self.as_of.document_version()) > in_force;
+        let is_held = self.lost_until.is_some_and(|until| now < until);
+        if !self.has_lost() || is_held || !is_newer {
             return false;
         }
-        // Daemons with teams of the lost time must know that these values have them no more.
-        self.carried = DocumentVersion::default();
+        self.carries_teams &= !self.lost.contains_key(teams_key);
         for (key, copied) in std::mem::take(&mut self.lost) {
             tracing::warn!(event = "routing-dropped", key);
             match copied {
--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -25,6 +25,9 @@
 /// Timeout of the routing watches of the first daemons in the planning order. It is short because
 /// the other daemons get newer routing from them, and a connection may have failed silently.
 const ROUTING_WATCH_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout of the routing watches while values are in force that the store lost, or the values read are
+/// refused for their sake: both end in time.
+const UNSETTLED_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Number of daemons that watch the routing with the short timeout.
 const SHORT_ROUTING_WATCHERS: u32 = 2;
 /// Number of daemons in each failure domain that watch the routing; the others get it from them.
@@ -140,18 +143,16 @@
             ..
         } = watched.content;
         let (now, in_force) = (self.now(), self.version_in_force());
+        let to_carry = self.membership.version_to_carry(as_of.era());
+        let teams_key = self.protocol.teams_key();
         let mut values = sync::lock(&self.routing);
-        let newest = values.apply(watched.content, self.protocol.teams_key(), in_force);
-        // Without a later position the routing without the lost values could not replace the one in force.
-        let is_later = in_force.is_none_or(|version| version < as_of.document_version());
-        let has_expired = is_later && values.expire_lost(now);
-        let is_refused = in_force.is_some_and(|version| !values.is_applied(version));
+        let newest = values.apply(watched.content, teams_key, to_carry);
+        let has_expired = values.expire_lost(now, teams_key, in_force);
+        let refused_at = values.refused_at();
         drop(values);
-        // A routing that was refused for the sake of what the store lost may be adopted now.
-        let retries = is_refused && !self.is_holding_routing();
-        match newest {
-            _ if has_expired || retries => self.adopt_routing(as_of),
-            Some(newest) => self.adopt_routing(newest),
+        match newest.or(refused_at) {
+            _ if has_expired => self.adopt_routing(as_of),
+            Some(position) => self.adopt_routing(position),
             None => {}
         }
         match is_unchanged {
@@ -172,7 +173,7 @@
         };
         let teams_key = self.protocol.teams_key();
         let values = sync::lock(&self.routing);
-        let is_applied = values.is_known(teams_key) && values.is_applied(routing.version);
+        let is_applied = values.is_known(teams_key);
         let is_written = values.are_teams_written_in(era);
         drop(values);
         if routing.teams.is_none() || routing.version.era != era || !is_applied {
@@ -197,11 +198,6 @@
         routing.is_some_and(|r| r.teams.is_some())
     }
 
-    fn is_holding_routing(&self) -> bool {
-        self.membership
-            .with_ownership(|o, now| o.is_holding_routing(now))
-    }
-
     fn now(&self) -> Moment {
         self.membership.with_ownership(|_, now| now)
     }
@@ -210,6 +206,7 @@
     /// watch it.
     fn routing_watch_timeout(&self) -> Option<Duration> {
         let timeout = match self.cell.planner_position() < SHORT_ROUTING_WATCHERS {
+            _ if sync::lock(&self.routing).is_unsettled() => Some(UNSETTLED_WATCH_TIMEOUT),
             true => Some(ROUTING_WATCH_TIMEOUT),
             false => self.must_watch_routing().then_some(WATCH_TIMEOUT),
         };
@@ -242,16 +239,18 @@
             return;
         }
         let parsed = values.parse(&*self.protocol, as_of);
-        let carried = values.carried();
-        drop(values);
+        let version = values.version(as_of);
         let Some(mut routing) = parsed else {
             return;
         };
+        let active = self.membership.active_configuration();
+        let adds_keys = active.adds_keys(&routing);
+        let carried = values.carried(adds_keys);
+        drop(values);
         // The newest revision among the values can't serve as the version: a removal leaves no
         // value behind, so after a restart the version would be lower than the table's.
-        routing.version = as_of.document_version();
+        routing.version = version;
         routing.carried = carried;
-        let active = self.membership.active_configuration();
         let is_unchanged = active.routing_config.as_ref().is_some_and(|current| {
             let unversioned = RoutingConfig {
                 version: current.version,
@@ -261,9 +260,12 @@
             // In a new era the version also tells the others what it takes into account.
             unversioned == **current && current.version.era == as_of.era()
         });
-        let version = routing.version;
-        let is_applied = is_unchanged || self.membership.adopt_routing_config(routing);
-        sync::lock(&self.routing).record_adoption(version, is_applied);
+        if is_unchanged {
+            return;
+        }
+        self.membership.adopt_routing_config(routing);
+        let is_refused = self.membership.active_configuration().version < version;
+        sync::lock(&self.routing).record_refusal(is_refused.then_some(as_of));
     }
 
     /// Writes tables that are due, and join requests while this daemon is not a member, until the
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -36,6 +36,7 @@
 use crate::version::routing_config::RoutingConfig;
 use crate::version::service_name::ServiceName;
 use crate::version::session_id::SessionId;
+use crate::version::store_era::StoreEra;
 use crate::version::table::Table;
 use crate::version::teams::Teams;
 
@@ -108,6 +109,19 @@
     pub routing_config: Option<Arc<RoutingConfig>>,
 }
 
+impl ActiveConfiguration {
+    /// Returns the teams, if the routing in force has any.
+    fn teams(&self) -> Option<&Teams> {
+        self.routing_config.as_ref()?.teams.as_ref()
+    }
+
+    /// Returns whether API keys work with `routing` that don't with the one in force.
+    pub fn adds_keys(&self, routing: &RoutingConfig) -> bool {
+        let teams = self.teams().zip(routing.teams.as_ref());
+        teams.is_some_and(|(former, teams)| teams.adds_keys_to(former))
+    }
+}
+
 /// The membership of this process: the ownership state machine with its datagram socket, and the
 /// configuration in force.
 pub struct Membership {
@@ -295,7 +309,7 @@
         if version <= active.version {
             return false;
         }
-        let drops_lost = config.carried < version_to_carry(&active, version);
+        let drops_lost = config.carried < version_to_carry(&active, version.era);
         if is_holding && drops_lost {
             drop(active);
             tracing::info!(event = "routing-not-taken", %version, carried = %config.carried);
@@ -303,7 +317,7 @@
             return false;
         }
         // Before the routing takes effect, as requests are judged by the freshness read before it.
-        self.update_freshness(&active, &config.teams, drops_lost);
+        self.update_freshness(&active, &config, drops_lost);
         let label = config.label.clone();
         *active = Arc::new(ActiveConfiguration {
             version,
@@ -317,27 +331,28 @@
         true
     }
 
-    /// Suspends the freshness of the routing if `teams` replace those in force without taking the latter
-    /// into account, and so make revoked keys valid; ends that with other teams.
+    /// Suspends the freshness of the routing if the teams of `config` replace those in force without taking
+    /// the latter into account, and so may make revoked keys valid; ends that with other teams.
     fn update_freshness(
         &self,
         active: &ActiveConfiguration,
-        teams: &Option<Teams>,
+        config: &RoutingConfig,
         drops_lost: bool,
     ) {
-        let in_force = active.routing_config.as_ref();
-        let Some(former) = in_force.and_then(|routing| routing.teams.as_ref()) else {
-            return;
-        };
-        let adds_keys = teams.as_ref().is_some_and(|t| t.adds_keys_to(former));
-        if drops_lost && adds_keys {
-            tracing::warn!(event = "keys-suspended");
+        if drops_lost && active.adds_keys(config) {
+            tracing::warn!(event = "keys-suspended", version = %config.version);
             self.with_ownership(|o, _| o.routing_freshness_mut().suspend());
-        } else if !drops_lost && teams.as_ref() != Some(former) {
+        } else if !drops_lost && active.teams() != config.teams.as_ref() {
             self.with_ownership(|o, _| o.routing_freshness_mut().resume());
         }
     }
 
+    /// Returns the version of an earlier era that routing of `era` must take into account to replace the
+    /// one in force at once.
+    pub fn version_to_carry(&self, era: StoreEra) -> DocumentVersion {
+        version_to_carry(&self.active_configuration(), era)
+    }
+
     /// Returns whether to fetch the routing of `version` from another daemon: it is newer than the
     /// one in force, and has not been refused just now.
     pub fn should_fetch_routing(&self, version: DocumentVersion) -> bool {
@@ -561,11 +576,11 @@
     }
 }
 
-/// Returns the version of an earlier era that routing of `version` must take into account to replace
-/// the one in force.
-fn version_to_carry(active: &ActiveConfiguration, version: DocumentVersion) -> DocumentVersion {
+/// Returns the version of an earlier era that routing of `era` must take into account to replace the
+/// one in force.
+fn version_to_carry(active: &ActiveConfiguration, era: StoreEra) -> DocumentVersion {
     match &active.routing_config {
-        Some(_) if active.version.era < version.era => active.version,
+        Some(_) if active.version.era < era => active.version,
         Some(routing) => routing.carried,
         None => DocumentVersion::default(),
     }
