--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -123,6 +123,11 @@
         sync::lock(&self.returning_callers).remove_expired(now);
     }
 
+    /// Returns what is known of the upstreams of services that aren't sharded.
+    pub(super) fn selector(&self) -> &UpstreamSelector {
+        &self.selector
+    }
+
     /// Routes a request and returns its outcome.
     fn route(
         &self,
@@ -424,7 +429,11 @@
             return now;
         }
         let fingerprint = Fingerprint::of_upstream_request(request);
-        callers.take_first_attempt(now, fingerprint).unwrap_or(now)
+        let Some(first_at) = callers.take_first_attempt(now, fingerprint) else {
+            return now;
+        };
+        self.deps.metrics.record_return();
+        first_at
     }
 
     /// Remembers a refusal, so that the caller is recognised when it returns.
--- a/src/process/host/quota_gate.rs
+++ b/src/process/host/quota_gate.rs
@@ -158,15 +158,13 @@
         self.send(outgoing);
     }
 
-    /// Answers an ask for tokens of a daemon that has adopted `epoch`.
-    pub fn answer(&self, from: SocketAddr, epoch: Epoch, sent: Moment, asks: &[TeamTokens]) {
+    /// Answers an ask for tokens. The sender may have adopted a newer table: as it asks this daemon, that
+    /// table names no other owner. Tables change several times a second while keys move, so asks
+    /// left unanswered until the tables agree would be a good part of all.
+    pub fn answer(&self, from: SocketAddr, sent: Moment, asks: &[TeamTokens]) {
         self.refresh();
         let now = self.clock.now();
         let mut state = sync::lock(&self.state);
-        if epoch > state.epoch {
-            // The newer table may name another owner.
-            return;
-        }
         let teams = state.quotas.issue(now, asks);
         drop(state);
         if teams.is_empty() {
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -64,8 +64,6 @@
     QuotaAsked {
         /// The peer address of that daemon.
         from: SocketAddr,
-        /// The epoch of its table.
-        epoch: Epoch,
         /// When it sent the ask, by its own clock.
         sent: Moment,
         /// The numbers of tokens that it asked for.
@@ -506,7 +504,6 @@
             }
             Message::QuotaAsk { sent, teams } => self.emit(MembershipEvent::QuotaAsked {
                 from: datagram.peer,
-                epoch: datagram.epoch,
                 sent: *sent,
                 teams: teams.clone(),
             }),
