--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -15,4 +15,5 @@
 mod quotas;
 mod runs;
 mod soak;
+mod store_eras;
 mod teams;
--- a/src/process/host/routing_freshness.rs
+++ b/src/process/host/routing_freshness.rs
@@ -30,6 +30,10 @@
 pub struct RoutingFreshness {
     timeout: Option<Duration>,
     newest_at: Option<Moment>,
+    /// The same, for routings of the present era only.
+    shared_at: Option<Moment>,
+    /// Whether the routing has teams that may be older than those adopted before.
+    is_suspended: bool,
     own_call_at: Option<Moment>,
 }
 
@@ -48,6 +52,25 @@
         self.timeout.is_some()
     }
 
+    /// Records that a routing of a later era was adopted. What was known of the former one holds for this
+    /// daemon, but not for another that has a routing of the new era without what the store lost.
+    pub fn begin_era(&mut self) {
+        self.shared_at = None;
+    }
+
+    /// Records that the routing gets teams that may be older than those in force: no key counts as valid
+    /// until [`Self::resume`].
+    pub fn suspend(&mut self) {
+        self.is_suspended = true;
+        self.newest_at = None;
+        self.shared_at = None;
+    }
+
+    /// Records that the operators wrote the teams of the routing after those adopted before.
+    pub fn resume(&mut self) {
+        self.is_suspended = false;
+    }
+
     /// Records a store call, begun at `started`, that showed no newer routing than the adopted one.
     pub fn record_store_call(&mut self, started: Moment) {
         self.record(started);
@@ -60,7 +83,8 @@
 
     /// Records the answer of a witness to a renewal that this daemon sent at `sent`: `age` before the
     /// answer was sent, `witness_version` was the newest. It counts only if this daemon has adopted
-    /// that version or a later one.
+    /// that version or a later one of the same era: one of a later era may lack what the store lost
+    /// when it came back from an older copy.
     pub fn record_grant(
         &mut self,
         sent: Moment,
@@ -68,7 +92,7 @@
         witness_version: DocumentVersion,
         own_version: DocumentVersion,
     ) {
-        if own_version >= witness_version {
+        if own_version >= witness_version && own_version.era == witness_version.era {
             // The witness answered after `sent`, and its clock may have been slow.
             self.record(sent - age - drift(age));
         }
@@ -77,7 +101,7 @@
     /// Returns how long ago the adopted routing is known to have been the newest, for other daemons;
     /// `None` if that would not help them.
     pub fn shared_age(&self, now: Moment) -> Option<Duration> {
-        let age = now.since(self.newest_at?);
+        let age = now.since(self.shared_at?);
         (age < self.timeout?).then_some(age)
     }
 
@@ -121,8 +145,9 @@
     }
 
     fn record(&mut self, newest_at: Moment) {
-        if self.is_strict() {
+        if self.is_strict() && !self.is_suspended {
             self.newest_at = self.newest_at.max(Some(newest_at));
+            self.shared_at = self.shared_at.max(Some(newest_at));
         }
     }
 }
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -377,7 +377,7 @@
         match event {
             MembershipEvent::TableAdopted(epoch) => {
                 let version = context.membership.active_configuration().version;
-                context.metrics.record_versions(epoch.0, version.0);
+                context.metrics.record_versions(epoch.0, version.number);
                 context.router.forget_former_members();
                 context.quotas.refresh();
                 releasers.submit(move || context.grant_manager.release_lost_keys());
@@ -403,8 +403,7 @@
                 }
             }),
             MembershipEvent::FetchConfiguration { from, version } => fetchers.submit(move || {
-                let known = context.membership.active_configuration().version;
-                if !context.stop.is_set() && known < version {
+                if !context.stop.is_set() && context.membership.should_fetch_routing(version) {
                     context.membership.fetch_routing_config(from);
                 }
             }),
--- a/src/process/host/store_sync.rs
+++ b/src/process/host/store_sync.rs
@@ -11,19 +11,23 @@
 use crate::process::host::table_planner::TablePlanner;
 use crate::process::membership::Membership;
 use crate::process::moment::Moment;
-use crate::process::platform::Revision;
 use crate::process::stop_flag::StopFlag;
 use crate::process::store::{KEY_PREFIX, RangeResponse, Store};
+use crate::process::store_position::StorePosition;
 use crate::process::sync;
 use crate::version::document_version::DocumentVersion;
 use crate::version::instance_id::InstanceId;
 use crate::version::routing_config::RoutingConfig;
+use crate::version::store_era::StoreEra;
 
 /// Timeout of one watch call.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout of the routing watches of the first daemons in the planning order. It is short because
 /// the other daemons get newer routing from them, and a connection may have failed silently.
 const ROUTING_WATCH_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout of the routing watches while values are in force that the store lost, or the values read are
+/// refused for their sake: both end in time.
+const UNSETTLED_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Number of daemons that watch the routing with the short timeout.
 const SHORT_ROUTING_WATCHERS: u32 = 2;
 /// Number of daemons in each failure domain that watch the routing; the others get it from them.
@@ -77,6 +81,7 @@
             store: &*self.store,
             name: "routing",
             prefix: self.protocol.key_prefix(),
+            metrics: self.membership.metrics(),
             now: &|| self.now(),
         };
         watch.run(
@@ -93,6 +98,7 @@
             store: &*self.store,
             name: "table",
             prefix: KEY_PREFIX,
+            metrics: self.membership.metrics(),
             now: &|| self.now(),
         };
         watch.run(
@@ -113,29 +119,44 @@
 
     /// Replaces the operators' routing values by those in `range`, and adopts them.
     fn replace_routing(&self, read: ReadContent<RangeResponse>) {
-        let as_of = read.content.newest_revision();
-        sync::lock(&self.routing).replace(read.content, self.protocol.teams_key());
+        let era = read.content.as_of.era();
+        let as_of = read.content.newest_position();
+        self.membership
+            .with_ownership(|o, now| o.observe_store_era(now, era));
+        let in_force = self.version_in_force();
+        let teams_key = self.protocol.teams_key();
+        let now = self.now();
+        sync::lock(&self.routing).replace(now, read.content, teams_key, in_force);
         self.adopt_routing(as_of);
-        self.record_freshness(read.started);
+        self.record_freshness(read.started, era);
     }
 
     /// Applies changes of the operators' routing values, and adopts the result.
     fn apply_routing_changes(&self, watched: ReadContent<WatchedChanges>) {
+        // A store may return a part of the changes only, so a call confirms the routing if there are
+        // none.
+        let is_unchanged =
+            watched.content.changes.is_empty() && watched.content.unreadable.is_empty();
         let WatchedChanges {
-            changes,
-            unreadable,
+            as_of,
             is_after_known,
+            ..
         } = watched.content;
-        // A store may return a part of the changes only, so a call confirms the routing if there are
-        // none.
-        let is_unchanged = changes.is_empty() && unreadable.is_empty();
+        let (now, in_force) = (self.now(), self.version_in_force());
+        let to_carry = self.membership.version_to_carry(as_of.era());
         let teams_key = self.protocol.teams_key();
-        let newest = sync::lock(&self.routing).apply(changes, &unreadable, teams_key);
-        if let Some(newest) = newest {
-            self.adopt_routing(newest);
+        let mut values = sync::lock(&self.routing);
+        let newest = values.apply(watched.content, teams_key, to_carry);
+        let has_expired = values.expire_lost(now, teams_key, in_force);
+        let refused_at = values.refused_at();
+        drop(values);
+        match newest.or(refused_at) {
+            _ if has_expired => self.adopt_routing(as_of),
+            Some(position) => self.adopt_routing(position),
+            None => {}
         }
         match is_unchanged {
-            true if is_after_known => self.record_freshness(watched.started),
+            true if is_after_known => self.record_freshness(watched.started, as_of.era()),
             true => {}
             false => self
                 .membership
@@ -143,14 +164,31 @@
         }
     }
 
-    /// Records that the routing in force was the newest at `started`, unless the store has values that
-    /// this daemon could not apply.
-    fn record_freshness(&self, started: Moment) {
-        if self.has_teams() && sync::lock(&self.routing).is_known() {
-            self.membership.with_ownership(|o, _| {
-                o.routing_freshness_mut().record_store_call(started);
-            });
+    /// Records that the routing in force was the newest at `started`, as a store call of `era` showed,
+    /// unless the store has values that this daemon could not apply, or may have lost a revocation.
+    fn record_freshness(&self, started: Moment, era: StoreEra) {
+        let active = self.membership.active_configuration();
+        let Some(routing) = active.routing_config.as_ref() else {
+            return;
+        };
+        let teams_key = self.protocol.teams_key();
+        let values = sync::lock(&self.routing);
+        let is_applied = values.is_known(teams_key);
+        let is_written = values.are_teams_written_in(era);
+        drop(values);
+        if routing.teams.is_none() || routing.version.era != era || !is_applied {
+            return;
         }
+        self.membership.with_ownership(|o, now| {
+            if is_written {
+                o.routing_freshness_mut().resume();
+            }
+            // Until the operators had time to write again what the store lost, nobody knows whether
+            // it lost a revocation.
+            if is_written || !o.is_holding_routing(now) {
+                o.routing_freshness_mut().record_store_call(started);
+            }
+        });
     }
 
     /// Returns whether the routing in force has teams.
@@ -168,6 +206,7 @@
     /// watch it.
     fn routing_watch_timeout(&self) -> Option<Duration> {
         let timeout = match self.cell.planner_position() < SHORT_ROUTING_WATCHERS {
+            _ if sync::lock(&self.routing).is_unsettled() => Some(UNSETTLED_WATCH_TIMEOUT),
             true => Some(ROUTING_WATCH_TIMEOUT),
             false => self.must_watch_routing().then_some(WATCH_TIMEOUT),
         };
@@ -184,31 +223,49 @@
         })
     }
 
-    /// Adopts the operators' routing as of the revision `as_of`.
-    fn adopt_routing(&self, as_of: Revision) {
+    /// Returns the version of the routing in force, if there is any.
+    fn version_in_force(&self) -> Option<DocumentVersion> {
+        let active = self.membership.active_configuration();
+        active
+            .routing_config
+            .as_ref()
+            .map(|routing| routing.version)
+    }
+
+    /// Adopts the operators' routing as of the position `as_of`.
+    fn adopt_routing(&self, as_of: StorePosition) {
         let mut values = sync::lock(&self.routing);
         if values.is_empty() {
             return;
         }
         let parsed = values.parse(&*self.protocol, as_of);
-        drop(values);
+        let version = values.version(as_of);
         let Some(mut routing) = parsed else {
             return;
         };
+        let active = self.membership.active_configuration();
+        let adds_keys = active.adds_keys(&routing);
+        let carried = values.carried(adds_keys);
+        drop(values);
         // The newest revision among the values can't serve as the version: a removal leaves no
         // value behind, so after a restart the version would be lower than the table's.
-        routing.version = DocumentVersion(as_of.0);
-        let active = self.membership.active_configuration();
+        routing.version = version;
+        routing.carried = carried;
         let is_unchanged = active.routing_config.as_ref().is_some_and(|current| {
             let unversioned = RoutingConfig {
                 version: current.version,
+                carried: current.carried,
                 ..routing.clone()
             };
-            unversioned == **current
+            // In a new era the version also tells the others what it takes into account.
+            unversioned == **current && current.version.era == as_of.era()
         });
-        if !is_unchanged {
-            self.membership.adopt_routing_config(routing);
+        if is_unchanged {
+            return;
         }
+        self.membership.adopt_routing_config(routing);
+        let is_refused = self.membership.active_configuration().version < version;
+        sync::lock(&self.routing).record_refusal(is_refused.then_some(as_of));
     }
 
     /// Writes tables that are due, and join requests while this daemon is not a member, until the
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -36,12 +36,16 @@
 use crate::version::routing_config::RoutingConfig;
 use crate::version::service_name::ServiceName;
 use crate::version::session_id::SessionId;
+use crate::version::store_era::StoreEra;
 use crate::version::table::Table;
+use crate::version::teams::Teams;
 
 /// The interval at which periodic work is checked.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// The timeout for fetching a table or configuration from another daemon.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// How soon routing that was refused is fetched again. Each datagram announces it.
+const REFUSED_ROUTING_INTERVAL: Duration = Duration::from_secs(1);
 
 /// An event that the rest of the process must handle.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -103,6 +107,19 @@
     pub routing_config: Option<Arc<RoutingConfig>>,
 }
 
+impl ActiveConfiguration {
+    /// Returns the teams, if the routing in force has any.
+    fn teams(&self) -> Option<&Teams> {
+        self.routing_config.as_ref()?.teams.as_ref()
+    }
+
+    /// Returns whether API keys work with `routing` that don't with the one in force.
+    pub fn adds_keys(&self, routing: &RoutingConfig) -> bool {
+        let teams = self.teams().zip(routing.teams.as_ref());
+        teams.is_some_and(|(former, teams)| teams.adds_keys_to(former))
+    }
+}
+
 /// The membership of this process: the ownership state machine with its datagram socket, and the
 /// configuration in force.
 pub struct Membership {
@@ -117,6 +134,8 @@
     events: Sender<MembershipEvent>,
     platform_read: AtomicBool,
     table_history: Mutex<TableHistory>,
+    /// The version of the routing that was refused last, and when.
+    refused_routing: Mutex<Option<(DocumentVersion, Moment)>>,
 }
 
 impl Membership {
@@ -146,6 +165,7 @@
             events,
             platform_read: AtomicBool::new(false),
             table_history: Mutex::default(),
+            refused_routing: Mutex::default(),
         })
     }
 
@@ -274,12 +294,28 @@
     }
 
     /// Adopts a routing configuration if it is newer than the one in force; returns whether it is.
+    ///
+    /// One that a daemon read from an older copy of the store, without knowing what that lost, does
+    /// not replace the lost one as long as that is held.
     pub fn adopt_routing_config(&self, config: RoutingConfig) -> bool {
         let version = config.version;
+        let is_holding = self.with_ownership(|o, now| {
+            o.observe_store_era(now, version.era);
+            o.is_holding_routing(now)
+        });
         let mut active = sync::write(&self.active);
         if version <= active.version {
             return false;
         }
+        let drops_lost = config.carried < version_to_carry(&active, version.era);
+        if is_holding && drops_lost {
+            drop(active);
+            tracing::info!(event = "routing-not-taken", %version, carried = %config.carried);
+            *sync::lock(&self.refused_routing) = Some((version, self.clock.now()));
+            return false;
+        }
+        // Before the routing takes effect, as requests are judged by the freshness read before it.
+        self.update_freshness(&active, &config, drops_lost);
         let label = config.label.clone();
         *active = Arc::new(ActiveConfiguration {
             version,
@@ -293,6 +329,38 @@
         true
     }
 
+    /// Suspends the freshness of the routing if the teams of `config` replace those in force without taking
+    /// the latter into account, and so may make revoked keys valid; ends that with other teams.
+    fn update_freshness(
+        &self,
+        active: &ActiveConfiguration,
+        config: &RoutingConfig,
+        drops_lost: bool,
+    ) {
+        if drops_lost && active.adds_keys(config) {
+            tracing::warn!(event = "keys-suspended", version = %config.version);
+            self.with_ownership(|o, _| o.routing_freshness_mut().suspend());
+        } else if !drops_lost && active.teams() != config.teams.as_ref() {
+            self.with_ownership(|o, _| o.routing_freshness_mut().resume());
+        }
+    }
+
+    /// Returns the version of an earlier era that routing of `era` must take into account to replace the
+    /// one in force at once.
+    pub fn version_to_carry(&self, era: StoreEra) -> DocumentVersion {
+        version_to_carry(&self.active_configuration(), era)
+    }
+
+    /// Returns whether to fetch the routing of `version` from another daemon: it is newer than the
+    /// one in force, and has not been refused just now.
+    pub fn should_fetch_routing(&self, version: DocumentVersion) -> bool {
+        let refused = *sync::lock(&self.refused_routing);
+        let is_refused = refused.is_some_and(|(refused, at)| {
+            version <= refused && self.clock.now().since(at) < REFUSED_ROUTING_INTERVAL
+        });
+        !is_refused && self.active_configuration().version < version
+    }
+
     fn announce_document(&self, version: DocumentVersion) {
         self.with_ownership(|o, _| {
             if version > o.document_version() {
@@ -505,6 +573,16 @@
     }
 }
 
+/// Returns the version of an earlier era that routing of `era` must take into account to replace the
+/// one in force.
+fn version_to_carry(active: &ActiveConfiguration, era: StoreEra) -> DocumentVersion {
+    match &active.routing_config {
+        Some(_) if active.version.era < era => active.version,
+        Some(routing) => routing.carried,
+        None => DocumentVersion::default(),
+    }
+}
+
 /// Returns whether a read timed out.
 fn is_timeout(e: &io::Error) -> bool {
     matches!(
--- a/src/version/teams.rs
+++ b/src/version/teams.rs
@@ -30,6 +30,12 @@
 }
 
 impl Teams {
+    /// Returns whether a key identifies a team here that it did not identify in `former`.
+    pub fn adds_keys_to(&self, former: &Self) -> bool {
+        let mut keys = self.by_key.iter();
+        keys.any(|(key, name)| former.by_key.get(key) != Some(name))
+    }
+
     /// Returns the teams with their keys. If a name or a key is listed twice, the first one applies.
     pub fn new(teams: impl IntoIterator<Item = (Team, Vec<ApiKeyDigest>)>) -> Self {
         let mut all = Self::default();
--- a/tests/testsuite/host/explanation.rs
+++ b/tests/testsuite/host/explanation.rs
@@ -52,7 +52,7 @@
     };
     RouteExplanation {
         daemon: InstanceId(7),
-        version: DocumentVersion(12),
+        version: DocumentVersion::from(12_u64),
         route: "look".into(),
         prefix: "/look/".into(),
         priority: 2,
--- a/tests/testsuite/host/fulfilled_joins.rs
+++ b/tests/testsuite/host/fulfilled_joins.rs
@@ -7,12 +7,12 @@
 
 use foxtaildrift::Table;
 use foxtaildrift::process::host::store_sync::StoreSync;
-use foxtaildrift::process::platform::Revision;
 use foxtaildrift::process::stop_flag::StopFlag;
 use foxtaildrift::process::store::{
     CommitOutcome, JOIN_REQUEST_PREFIX, KeyValue, RangeResponse, Store, StoreError, TABLE_KEY,
     Transaction, WatchResponse,
 };
+use foxtaildrift::process::store_position::StorePosition;
 use foxtaildrift::version::document_version::DocumentVersion;
 use foxtaildrift::version::epoch::Epoch;
 use foxtaildrift::version::instance_id::InstanceId;
@@ -35,7 +35,12 @@
         Ok(range(matching.cloned().collect(), 5))
     }
 
-    fn watch(&self, _: &str, _: Revision, wait: Duration) -> Result<WatchResponse, StoreError> {
+    fn watch(
+        &self,
+        _: &str,
+        _: StorePosition,
+        wait: Duration,
+    ) -> Result<WatchResponse, StoreError> {
         thread::sleep(wait.min(Duration::from_millis(50)));
         Ok(changes(Vec::new(), 5))
     }
@@ -57,7 +62,7 @@
 fn a_join_request_that_was_fulfilled_is_not_fulfilled_again() {
     let membership = membership();
     membership.adopt_routing_config(RoutingConfig {
-        version: DocumentVersion(1),
+        version: DocumentVersion::from(1_u64),
         ..RoutingConfig::default()
     });
     let own = membership.with_ownership(|o, _| o.info().clone());
--- a/tests/testsuite/host/routing_freshness.rs
+++ b/tests/testsuite/host/routing_freshness.rs
@@ -5,12 +5,20 @@
 use foxtaildrift::process::host::routing_freshness::RoutingFreshness;
 use foxtaildrift::process::moment::Moment;
 use foxtaildrift::version::document_version::DocumentVersion;
+use foxtaildrift::version::store_era::StoreEra;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
-const SEVEN: DocumentVersion = DocumentVersion(7);
-const EIGHT: DocumentVersion = DocumentVersion(8);
+const SEVEN: DocumentVersion = version(0, 7);
+const EIGHT: DocumentVersion = version(0, 8);
+
+const fn version(era: u64, number: u64) -> DocumentVersion {
+    DocumentVersion {
+        era: StoreEra(era),
+        number,
+    }
+}
 
 fn at(ms: u64) -> Moment {
     Moment::from_millis(ms)
@@ -72,6 +80,22 @@
     assert!(freshness.is_recent(at(6000)));
 }
 
+/// After a return of the store a routing of the new era may lack a revocation that the store lost and
+/// that a daemon with the one before, or with another one of the new era, has.
+#[test]
+fn knowledge_of_one_era_is_not_taken_for_a_routing_of_another() {
+    let mut freshness = RoutingFreshness::strict(TIMEOUT);
+    freshness.record_grant(at(5000), ms(0), SEVEN, version(1, 90));
+    assert_eq!(freshness.newest_at(), None);
+    freshness.record_store_call(at(5000));
+    freshness.begin_era();
+    assert!(freshness.is_recent(at(6000)), "its own routing includes it");
+    assert_eq!(freshness.shared_age(at(6000)), None);
+    freshness.record_grant(at(4000), ms(0), version(1, 90), version(1, 90));
+    assert_eq!(freshness.shared_age(at(6000)), Some(ms(2000)));
+    assert_eq!(freshness.newest_at(), Some(at(5000)));
+}
+
 #[test]
 fn knowledge_as_old_as_the_timeout_is_not_passed_on() {
     let mut freshness = RoutingFreshness::strict(TIMEOUT);
--- a/tests/testsuite/ownership_messages.rs
+++ b/tests/testsuite/ownership_messages.rs
@@ -284,7 +284,7 @@
     let mut holder = daemon(2, 2).with_routing_freshness(strict());
     holder.adopt_table(now, witnessed());
     let newer = Datagram {
-        document_version: DocumentVersion(4),
+        document_version: DocumentVersion::from(4_u64),
         message: message.clone(),
         ..facts_from(1, SessionFacts::default())
     };
--- a/tests/testsuite/wire_properties.rs
+++ b/tests/testsuite/wire_properties.rs
@@ -213,7 +213,7 @@
         burst: Burst(9),
     };
     RoutingConfig {
-        version: DocumentVersion(5),
+        version: DocumentVersion::from(5_u64),
         teams: Some(Teams::new([(team, vec![ApiKeyDigest::of(b"k")])])),
         services: BTreeMap::from([(service(), settings)]),
         ..RoutingConfig::default()
@@ -264,7 +264,7 @@
     planner::plan(&PlanInput {
         table,
         document: &routing_config().document(),
-        document_version: DocumentVersion(5),
+        document_version: DocumentVersion::from(5_u64),
         join_requests: joins,
         facts,
         end_certificates: &BTreeMap::new(),
@@ -357,7 +357,7 @@
         from: InstanceId(2),
         peer: info(2).peer,
         epoch: Epoch(3),
-        document_version: DocumentVersion(5),
+        document_version: DocumentVersion::from(5_u64),
         message,
     });
     datagrams.map(|d| d.encode().unwrap()).collect()
