--- a/crates/bench/tests/testsuite/store_eras.rs
+++ b/crates/bench/tests/testsuite/store_eras.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use foxtaildrift_bench::host_cluster::HostCluster;
+use foxtaildrift_bench::host_run::HostRun;
 use foxtaildrift_bench::ownership_check::OwnershipCheck;
 use foxtaildrift_bench::upstream_options::UpstreamOptions;
 
@@ -152,3 +153,36 @@
     });
     assert_no_two_owners(&cluster);
 }
+
+// The next process of the daemon would have sent requests to an upstream that had announced its stop.
+#[test]
+fn a_departure_of_the_lost_seconds_is_stored_again() {
+    let cluster = start();
+    thread::sleep(Duration::from_secs(3));
+    let leaving = 4;
+    let is_used = |c: &HostCluster| {
+        status(c, leaving, "/pay/x") == 200 && !HostRun::read_all(&c.journal(leaving)).is_empty()
+    };
+    cluster
+        .wait_until("the upstream runs requests", START_TIME, is_used)
+        .unwrap();
+    let instance = HostRun::read_all(&cluster.journal(leaving))
+        .remove(0)
+        .upstream;
+    let started = instance.split('-').nth(1).unwrap();
+    let started_ms = u64::from_str_radix(started, 16).unwrap();
+    let target = format!("/Instances.Deregister/{instance}");
+    let body = format!("{{\"born\":{started_ms}}}");
+    let response = cluster.report(leaving, &target, &body).unwrap();
+    assert_eq!(response.status, 200, "{response:?}");
+    let stored = |c: &HostCluster| c.log(leaving).matches("departures-stored").count();
+    let is_stored = |c: &HostCluster| stored(c) == 1;
+    cluster
+        .wait_until("the departure is stored", START_TIME, is_stored)
+        .unwrap();
+    come_back(&cluster, Duration::from_secs(2));
+    let is_stored_again = |c: &HostCluster| stored(c) == 2;
+    cluster
+        .wait_until("it is stored again", RESTORED_TIME_MAX, is_stored_again)
+        .unwrap();
+}
