--- a/crates/bench/tests/testsuite/store_eras.rs
+++ b/crates/bench/tests/testsuite/store_eras.rs
@@ -186,3 +186,23 @@
         .wait_until("it is stored again", RESTORED_TIME_MAX, is_stored_again)
         .unwrap();
 }
+
+// The copy is from before all daemons of the cell were started again, so the table and the join
+// requests that admitted them are lost.
+#[test]
+fn joins_of_the_lost_seconds_are_kept_or_asked_again() {
+    let mut cluster = start();
+    thread::sleep(Duration::from_secs(3));
+    for number in 0..SERVICES.len() {
+        cluster.kill_daemon(number);
+    }
+    for number in 0..SERVICES.len() {
+        cluster.start_daemon(number).unwrap();
+    }
+    thread::sleep(Duration::from_millis(700));
+    come_back(&cluster, Duration::from_secs(2));
+    await_all(&cluster, "all keys are served", |c, n| {
+        c.is_ready(n) && serves_all_keys(c, n)
+    });
+    assert_no_two_owners(&cluster);
+}
