Test clients outside the limits on a real daemon

Cause: clients that send large bodies, read long responses slowly or send slowly made a daemon run out of memory or threads; no test showed that.

Change: five tests of a real daemon with memory_mb 64; crowd and bounds are fixed. HostCluster takes additional settings of its daemons.

--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -101,6 +101,8 @@
     network: Option<Arc<Network>>,
     sharded_services: Vec<String>,
     upstream_options: UpstreamOptions,
+    /// Lines that are added to the settings of the daemons.
+    daemon_settings: String,
     next_id: AtomicU32,
     block: AddressBlock,
 }
@@ -132,7 +134,29 @@
         services: &[&'static str],
         sharded: &[&str],
     ) -> Result<Self, BenchError> {
-        Self::start_cluster(None, upstream_options, program, services, sharded)
+        Self::start_cluster(None, upstream_options, "", program, services, sharded)
+    }
+
+    /// Like [`Self::start`] without sharded services, with the lines `daemon_settings` added to the
+    /// settings of the daemons.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process can't be started or a file can't be written.
+    pub fn start_with_settings(
+        daemon_settings: &str,
+        program: &Path,
+        services: &[&'static str],
+    ) -> Result<Self, BenchError> {
+        let upstream_options = UpstreamOptions::default();
+        Self::start_cluster(
+            None,
+            upstream_options,
+            daemon_settings,
+            program,
+            services,
+            &[],
+        )
     }
 
     /// Like [`Self::start`], with all connections between daemons and to the store through the
@@ -149,12 +173,13 @@
         sharded: &[&str],
     ) -> Result<Self, BenchError> {
         let upstream_options = UpstreamOptions::default();
-        Self::start_cluster(network, upstream_options, program, services, sharded)
+        Self::start_cluster(network, upstream_options, "", program, services, sharded)
     }
 
     fn start_cluster(
         network: Option<Arc<Network>>,
         upstream_options: UpstreamOptions,
+        daemon_settings: &str,
         program: &Path,
         services: &[&'static str],
         sharded: &[&str],
@@ -176,6 +201,7 @@
             network,
             sharded_services: sharded.iter().map(|&s| s.to_owned()).collect(),
             upstream_options,
+            daemon_settings: daemon_settings.to_owned(),
             next_id: AtomicU32::new(0),
             block,
         };
@@ -209,12 +235,13 @@
         let settings = self.folder.join(format!("{number}.yaml"));
         let text = format!(
             "node: host-{number}\ndomain: domain-{domain}\ncallers: {}\npeers: {peers}\npeers_bind: {}\n\
-             ready: {}\nreports: {}\nupstream: {}\nservice: {service}\nstore: {store}\n",
+             ready: {}\nreports: {}\nupstream: {}\nservice: {service}\nstore: {store}\n{}",
             at(CALLER_PORT),
             at(PEER_PORT),
             at(READY_PORT),
             at(REPORT_PORT),
             at(UPSTREAM_PORT),
+            self.daemon_settings,
         );
         fs::write(&settings, text).map_err(BenchError::with_context("settings"))?;
         Ok(Host {
@@ -414,6 +441,11 @@
         SocketAddr::new(self.ip(number), UPSTREAM_PORT)
     }
 
+    /// Returns the process id of the daemon of a host, or `None` if it does not run.
+    pub fn daemon_id(&self, number: usize) -> Option<u32> {
+        Some(self.hosts[number].daemon.as_ref()?.id())
+    }
+
     /// Returns the highest resident memory of the daemon of a host so far, in bytes, or `None` if it
     /// does not run.
     pub fn peak_memory(&self, number: usize) -> Option<u64> {
--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod endless_responses;
 mod explore;
 mod fault_proxy;
+mod hard_clients;
 mod host;
 mod journal;
 mod late_connections;
