--- a/crates/bench/tests/testsuite/daemon.rs
+++ b/crates/bench/tests/testsuite/daemon.rs
@@ -187,7 +187,7 @@
         repeatable: false,
         remaining: Duration::from_secs(1),
         content_type: None,
-        body: Body(b"a booking".to_vec()),
+        body: Body(b"a booking".to_vec().into()),
     };
     let now = SystemClock.wall_time();
     let call = |until| PeerRequest::DispatchShared {
--- a/crates/bench/tests/testsuite/hard_clients.rs
+++ b/crates/bench/tests/testsuite/hard_clients.rs
@@ -15,6 +15,10 @@
 
 /// The memory of the daemon, in MiB.
 const MEMORY_MB: u64 = 64;
+/// The memory of the smallest hosts, in MiB.
+const SMALLEST_MEMORY_MB: u64 = 160;
+/// The largest body of the large deployments, in bytes.
+const LARGEST_BODY_BYTES: usize = 64 * 1024 * 1024;
 /// The descriptors of the smallest hosts without those that are reserved for files.
 const DESCRIPTORS_MAX: usize = 4100 - 200;
 /// The largest request body that the routing allows, in bytes.
@@ -95,6 +99,45 @@
     run_clients_beside_ordinary(700, |site, _| send_body(site, 1, 1000));
 }
 
+/// Guards against a daemon that refuses, or has not enough memory for, a single body of the largest size
+/// on the smallest host.
+#[test]
+fn a_single_body_of_the_largest_size_is_served_on_the_smallest_host() {
+    let _lock = crate::daemon::lock_environment();
+    let mut cluster = start_daemon(SMALLEST_MEMORY_MB, LARGEST_BODY_BYTES);
+    let listener = TcpListener::bind(cluster.upstream_address(0)).unwrap();
+    let stopping = AtomicBool::new(false);
+    let response = thread::scope(|scope| {
+        let (cluster, stopping) = (&cluster, &stopping);
+        scope.spawn(move || serve_upstream(&listener, stopping));
+        scope.spawn(move || report(cluster, stopping));
+        let response = await_ordinary_response(cluster)
+            .and_then(|()| upload(cluster.hosts[0].caller_address).map_err(|e| e.to_string()));
+        stopping.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(cluster.upstream_address(0));
+        response
+    });
+    assert!(cluster.has_daemon(0), "the daemon has ended");
+    let peak = cluster.peak_memory(0).expect("the daemon runs");
+    println!("peak memory {} KiB", peak / 1024);
+    let response = response.expect("the upload gets a response");
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    assert!(peak < SMALLEST_MEMORY_MB * 1024 * 1024, "{peak} bytes");
+}
+
+/// Sends a body of the largest size; returns the begin of the response.
+fn upload(to: SocketAddr) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(to)?;
+    stream.set_read_timeout(Some(WAIT_MAX))?;
+    stream.write_all(head("POST", "/look/x", LARGEST_BODY_BYTES).as_bytes())?;
+    for _ in 0..LARGEST_BODY_BYTES / (64 * 1024) {
+        stream.write_all(&[b'x'; 64 * 1024])?;
+    }
+    let mut buf = [0; 1024];
+    let count = stream.read(&mut buf)?;
+    Ok(String::from_utf8_lossy(&buf[..count]).into_owned())
+}
+
 /// The addresses of the daemon, and when its clients end.
 struct Site {
     callers: SocketAddr,
@@ -122,7 +165,7 @@
 
 fn run_and_check(count: usize, beside_ordinary: bool, client: impl Fn(&Site, usize) + Sync) {
     let _lock = crate::daemon::lock_environment();
-    let mut cluster = start_daemon();
+    let mut cluster = start_daemon(MEMORY_MB, BODY_BYTES);
     let listener = TcpListener::bind(cluster.upstream_address(0)).unwrap();
     let site = Site {
         callers: cluster.hosts[0].caller_address,
@@ -173,15 +216,15 @@
 }
 
 /// Starts a host with little memory, whose upstream is then replaced by [`serve_upstream`].
-fn start_daemon() -> HostCluster {
+fn start_daemon(memory_mb: u64, body_bytes: usize) -> HostCluster {
     let program = env!("CARGO_BIN_EXE_foxtaildrift-bench");
-    let settings = format!("memory_mb: {MEMORY_MB}\n");
+    let settings = format!("memory_mb: {memory_mb}\n");
     let cluster = HostCluster::start_with_settings(&settings, program.as_ref(), &["office"]);
     let mut cluster = cluster.expect("the processes start");
     let routing = json!({
         "Version": "00000001",
         "Limits": {
-            "MaxHeaderBytes": HEAD_BYTES, "MaxBodyBytes": BODY_BYTES, "HeaderTimeoutMs": 3000,
+            "MaxHeaderBytes": HEAD_BYTES, "MaxBodyBytes": body_bytes, "HeaderTimeoutMs": 3000,
             "IdleTimeoutMs": 15000,
         },
         "Listeners": [{"Host": "a.example", "Rules": [{
--- a/src/connection/body_buffer.rs
+++ b/src/connection/body_buffer.rs
@@ -2,53 +2,76 @@
 
 use std::sync::Arc;
 
-use crate::connection::body_budget::{BodyBudget, BodyReservation, PIECE_BYTES};
+use bytes::Bytes;
+use memmap2::MmapMut;
+
 use crate::connection::buffered_connection::ConnectionError;
+use crate::connection::memory_budget::MemoryBudget;
+use crate::connection::memory_reservation::MemoryReservation;
+use crate::connection::transfer::Transfer;
+use crate::request::body::HEAP_BYTES_MAX;
+use crate::request::mapping;
 
-/// The largest body that needs no reservation, in bytes, so that large bodies never displace small
-/// ones.
-const UNRESERVED_BYTES_MAX: usize = 64 * 1024;
+/// The smallest mapping of a body whose length is not known, in bytes, unless its limit is lower. While a
+/// body is moved to a larger mapping it takes its memory twice, so the first one has room for all usual
+/// limits; it takes address space only.
+const MAPPING_BYTES_MIN: usize = 128 * 1024 * 1024;
 
 /// The limits on the size of a body.
 #[derive(Clone, Debug)]
 pub struct BodyLimits {
     /// The largest body, in bytes.
     pub bytes_max: usize,
-    /// The memory for all bodies of its kind.
-    pub budget: Arc<BodyBudget>,
+    /// The memory for all bodies.
+    pub budget: Arc<MemoryBudget>,
+    /// The transfer that the body is a part of, if its peer must keep to the minimum rate.
+    pub transfer: Option<Arc<Transfer>>,
+}
+
+/// A body that was received. Its part of the budget is returned when the bytes are dropped.
+#[derive(Debug)]
+struct OwnedBody {
+    storage: Storage,
+    length: usize,
+    _reservation: MemoryReservation,
+}
+
+impl AsRef<[u8]> for OwnedBody {
+    fn as_ref(&self) -> &[u8] {
+        match &self.storage {
+            Storage::Heap(bytes) => bytes,
+            Storage::Mapping(mapping) => &mapping[..self.length],
+        }
+    }
 }
 
-/// A body that was received, with its part of the memory for bodies.
 #[derive(Debug)]
-pub struct ReceivedBody {
-    /// The bytes of the body.
-    pub bytes: Vec<u8>,
-    /// The part of the budget that the body takes; `None` if its bytes were discarded.
-    pub reservation: Option<BodyReservation>,
+enum Storage {
+    Heap(Vec<u8>),
+    /// Takes memory only for the pages that were written.
+    Mapping(MmapMut),
 }
 
 /// A body that is being received.
 #[derive(Debug)]
 pub struct BodyBuffer {
-    /// The first bytes, at most [`UNRESERVED_BYTES_MAX`].
-    start: Vec<u8>,
-    /// The bytes after these.
-    pieces: Vec<Vec<u8>>,
+    storage: Storage,
     length: usize,
     bytes_max: usize,
     /// `None` if the bytes are only counted.
-    reservation: Option<BodyReservation>,
+    reservation: Option<MemoryReservation>,
+    transfer: Option<Arc<Transfer>>,
 }
 
 impl BodyBuffer {
-    /// Creates a buffer for a body within `limits`.
+    /// Creates an empty buffer.
     pub fn new(limits: &BodyLimits) -> Self {
         Self {
-            start: Vec::new(),
-            pieces: Vec::new(),
+            storage: Storage::Heap(Vec::new()),
             length: 0,
             bytes_max: limits.bytes_max,
-            reservation: Some(BodyReservation::new(&limits.budget)),
+            reservation: Some(MemoryReservation::new(&limits.budget)),
+            transfer: limits.transfer.clone(),
         }
     }
 
@@ -56,11 +79,11 @@
     /// counts its bytes and discards them.
     pub fn discarding(bytes_max: usize) -> Self {
         Self {
-            start: Vec::new(),
-            pieces: Vec::new(),
+            storage: Storage::Heap(Vec::new()),
             length: 0,
             bytes_max,
             reservation: None,
+            transfer: None,
         }
     }
 
@@ -74,66 +97,95 @@
         self.bytes_max - self.length
     }
 
+    /// Returns the transfer that the body is a part of.
+    pub fn transfer(&self) -> Option<&Arc<Transfer>> {
+        self.transfer.as_ref()
+    }
+
+    /// Makes room for a body of `length` bytes, without reserving the memory yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is too large.
+    pub fn expect_length(&mut self, length: usize) -> Result<(), ConnectionError> {
+        if length > self.bytes_max {
+            return Err(ConnectionError::TooLarge("body"));
+        }
+        match self.reservation.is_some() && length > HEAP_BYTES_MAX {
+            true => self.grow(length),
+            false => Ok(()),
+        }
+    }
+
     /// Appends `bytes`.
     ///
     /// # Errors
     ///
-    /// Returns an error if the body becomes too large, or if other bodies take the memory for it.
+    /// Returns an error if the body becomes too large, or if others take the memory for it.
     pub fn append(&mut self, bytes: &[u8]) -> Result<(), ConnectionError> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
         if bytes.len() > self.bytes_left() {
             return Err(ConnectionError::TooLarge("body"));
         }
         let length = self.length + bytes.len();
-        let Some(reservation) = &mut self.reservation else {
-            self.length = length;
-            return Ok(());
-        };
-        if length > UNRESERVED_BYTES_MAX && !reservation.raise_to(length) {
-            return Err(ConnectionError::OutOfMemory);
+        if let Some(reservation) = &mut self.reservation {
+            let transfer = self.transfer.as_deref();
+            if transfer.is_some_and(Transfer::is_shed)
+                || !reservation.raise_or_shed(length, transfer)
+            {
+                return Err(ConnectionError::OutOfMemory);
+            }
+            self.store(bytes, length)?;
         }
         self.length = length;
-        let (first, mut rest) =
-            bytes.split_at(bytes.len().min(UNRESERVED_BYTES_MAX - self.start.len()));
-        self.start.extend_from_slice(first);
-        while !rest.is_empty() {
-            if self.pieces.last().is_none_or(|p| p.len() == PIECE_BYTES) {
-                self.pieces.push(reservation.budget().take_piece());
-            }
-            let last = self.pieces.len() - 1;
-            let piece = &mut self.pieces[last];
-            let (fitting, others) = rest.split_at(rest.len().min(PIECE_BYTES - piece.len()));
-            piece.extend_from_slice(fitting);
-            rest = others;
+        if let Some(transfer) = &self.transfer {
+            transfer.set_held_bytes(length);
+            transfer.record(bytes.len());
         }
         Ok(())
     }
 
-    /// Returns the body with its reservation.
-    pub fn into_body(mut self) -> ReceivedBody {
-        let mut bytes = std::mem::take(&mut self.start);
-        bytes.reserve_exact(self.pieces.iter().map(Vec::len).sum());
-        for piece in &self.pieces {
-            bytes.extend_from_slice(piece);
-        }
-        self.return_pieces();
-        ReceivedBody {
-            bytes,
-            reservation: self.reservation.take(),
+    /// Returns the body.
+    pub fn into_body(self) -> Bytes {
+        match self.reservation {
+            Some(reservation) if self.length > 0 => Bytes::from_owner(OwnedBody {
+                storage: self.storage,
+                length: self.length,
+                _reservation: reservation,
+            }),
+            _ => Bytes::new(),
         }
     }
 
-    fn return_pieces(&mut self) {
-        let Some(reservation) = &self.reservation else {
-            return;
+    /// Stores `bytes` as the last of a body of `length` bytes.
+    fn store(&mut self, bytes: &[u8], length: usize) -> Result<(), ConnectionError> {
+        let capacity = match &self.storage {
+            Storage::Heap(_) => HEAP_BYTES_MAX,
+            Storage::Mapping(mapping) => mapping.len(),
         };
-        for piece in self.pieces.drain(..) {
-            reservation.budget().return_piece(piece);
+        if length > capacity {
+            let next = capacity.saturating_mul(2).max(MAPPING_BYTES_MIN);
+            self.grow(length.max(next.min(self.bytes_max)))?;
         }
+        match &mut self.storage {
+            Storage::Heap(stored) => stored.extend_from_slice(bytes),
+            Storage::Mapping(mapping) => mapping[self.length..length].copy_from_slice(bytes),
+        }
+        Ok(())
     }
-}
 
-impl Drop for BodyBuffer {
-    fn drop(&mut self) {
-        self.return_pieces();
+    /// Moves the stored bytes to a mapping of `capacity` bytes.
+    fn grow(&mut self, capacity: usize) -> Result<(), ConnectionError> {
+        let mapping = mapping::allocate(capacity);
+        let mut mapping = mapping.map_err(|_| ConnectionError::OutOfMemory)?;
+        let stored = match &self.storage {
+            Storage::Heap(stored) => &stored[..],
+            Storage::Mapping(mapping) => &mapping[..self.length],
+        };
+        mapping[..self.length].copy_from_slice(stored);
+        self.storage = Storage::Mapping(mapping);
+        Ok(())
     }
 }
--- a/src/connection/buffered_connection.rs
+++ b/src/connection/buffered_connection.rs
@@ -274,33 +274,8 @@
     }
 }
 
-/// Writes all of `bytes` to a non-blocking socket.
-///
-/// # Errors
-///
-/// Returns an error if the connection fails or `deadline` passes.
-pub fn write_all(
-    mut stream: &TcpStream,
-    bytes: &[u8],
-    deadline: Instant,
-) -> Result<(), ConnectionError> {
-    let mut written = 0;
-    while written < bytes.len() {
-        match stream.write(&bytes[written..]) {
-            Ok(0) => return Err(ConnectionError::Closed),
-            Ok(count) => written += count,
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                poll_until(stream, PollFlags::OUT, deadline)?;
-            }
-            Err(e) => return Err(e.into()),
-        }
-    }
-    Ok(())
-}
-
 /// Polls a socket for `events` until `deadline`; returns those that occurred.
-fn poll_until(
+pub(super) fn poll_until(
     stream: &TcpStream,
     events: PollFlags,
     deadline: Instant,
--- a/src/connection/caller_connection.rs
+++ b/src/connection/caller_connection.rs
@@ -14,17 +14,21 @@
 use std::time::{Duration, Instant};
 
 use crate::connection::body_buffer::BodyLimits;
-use crate::connection::buffered_connection::{self, BufferedConnection, ConnectionError};
+use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::http_listener::{HttpRequest, HttpResponse, ListenerShared};
 use crate::connection::http1;
+use crate::connection::memory_reservation::MemoryReservation;
 use crate::connection::reactor::{Readiness, Source, SourceNumber};
 use crate::connection::recipient::Recipient;
+use crate::connection::response_writer;
+use crate::connection::transfer::{Transfer, TransferKind};
 use crate::process::sync;
 
 /// The most requests of one connection that are handled beside each other.
 const PIPELINE_MAX: usize = 16;
-/// The timeout for writing a response.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// The memory of the work on a request, in bytes: the stack of its thread that is in use, its head and
+/// the buffer of the connection.
+const REQUEST_BYTES: usize = 32 * 1024;
 /// How long the caller may take to receive the last response and to close the connection.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long to wait for the first bytes of a request that has begun to arrive.
@@ -69,6 +73,8 @@
     /// Whether a thread writes responses.
     writing: bool,
     idle_since: Instant,
+    /// Whether the connection has ever sent a request.
+    was_used: bool,
 }
 
 impl State {
@@ -85,6 +91,7 @@
     shared: Arc<ListenerShared>,
     source: OnceLock<SourceNumber>,
     state: Mutex<State>,
+    _reservation: MemoryReservation,
     /// Itself, for the jobs of the threads.
     this: Weak<CallerConnection>,
 }
@@ -99,6 +106,7 @@
         shared: &Arc<ListenerShared>,
         number: u64,
         conn: BufferedConnection,
+        reservation: MemoryReservation,
     ) -> io::Result<Arc<Self>> {
         if shared.reactor.upgrade().is_none() {
             return Err(io::ErrorKind::NotConnected.into());
@@ -116,7 +124,9 @@
                 parked: None,
                 writing: false,
                 idle_since: Instant::now(),
+                was_used: false,
             }),
+            _reservation: reservation,
             this: Weak::clone(this),
         }))
     }
@@ -147,6 +157,19 @@
         }
     }
 
+    /// Returns how long the connection has been idle at `now`, and whether it has ever sent a request;
+    /// `None` if it is not idle.
+    pub(super) fn idle_time(&self, now: Instant) -> Option<(Duration, bool)> {
+        let state = sync::lock(&self.state);
+        let is_idle = state.phase == Phase::Waiting && state.is_answered();
+        is_idle.then(|| {
+            (
+                now.saturating_duration_since(state.idle_since),
+                state.was_used,
+            )
+        })
+    }
+
     /// Closes the connection if no request has arrived that is not answered.
     pub(super) fn close_if_idle(&self) {
         let state = sync::lock(&self.state);
@@ -206,7 +229,18 @@
             return;
         };
         drop(state);
-        let request = read_request(&mut conn, &self.shared, is_first);
+        let budget = &self.shared.budget;
+        let transfer = budget.begin_transfer(&self.stream, TransferKind::Request, Instant::now());
+        let mut reservation = MemoryReservation::new(budget);
+        let request = match reservation.raise_or_shed(REQUEST_BYTES, Some(transfer.transfer())) {
+            true => read_request(&mut conn, &self.shared, is_first, transfer.transfer()),
+            false => Err(ConnectionError::OutOfMemory),
+        };
+        let request = match transfer.transfer().is_shed() {
+            true => Err(ConnectionError::OutOfMemory),
+            false => request,
+        };
+        drop(transfer);
         let mut state = sync::lock(&self.state);
         state.conn = Some(conn);
         if state.phase != Phase::Reading {
@@ -215,6 +249,7 @@
         match request {
             Ok(None) => self.read_on(&mut state),
             Ok(Some(request)) => {
+                state.was_used = true;
                 let next = self.accept_request(&mut state, request);
                 drop(state);
                 if let Some((number, request, recipient)) = next {
@@ -352,9 +387,13 @@
         let Some(response) = exchange.response.filter(|r| !r.close_without_response) else {
             return false;
         };
-        let bytes = encode(&response, exchange.is_head, close);
-        let deadline = Instant::now() + WRITE_TIMEOUT;
-        match buffered_connection::write_all(&self.stream, &bytes, deadline) {
+        let length = response.body.len();
+        let head = http1::encode_response(response.status, &response.headers, length, close);
+        let body = match exchange.is_head {
+            true => &[][..],
+            false => &response.body[..],
+        };
+        match response_writer::write(&self.stream, &self.shared.budget, &head, body) {
             Ok(()) => true,
             Err(e) => {
                 tracing::debug!(event = "answer-not-written", error = %e);
@@ -425,7 +464,10 @@
         if ready.hung_up && (has_requests || !ready.readable) {
             self.close_locked(state);
         } else if ready.readable && state.phase == Phase::Waiting {
-            self.start_reading(&mut state);
+            match self.shared.admit_request() {
+                true => self.start_reading(&mut state),
+                false => self.close_locked(state),
+            }
         }
     }
 
@@ -451,6 +493,7 @@
     conn: &mut BufferedConnection,
     shared: &ListenerShared,
     is_first: bool,
+    transfer: &Arc<Transfer>,
 ) -> Result<Option<HttpRequest>, ConnectionError> {
     let handler = &shared.handler;
     let limits = handler.limits();
@@ -471,21 +514,13 @@
     let recipient = Recipient::none();
     let body_limits = BodyLimits {
         bytes_max: limits.body_bytes,
-        budget: Arc::clone(&shared.body_budget),
+        budget: Arc::clone(&shared.budget),
+        transfer: Some(Arc::clone(transfer)),
     };
     let body = http1::read_body(conn, framing, &body_limits, deadline, &recipient)?;
     Ok(Some(HttpRequest {
         head,
-        body: body.bytes,
+        body,
         received_at,
     }))
 }
-
-fn encode(response: &HttpResponse, is_head: bool, close: bool) -> Vec<u8> {
-    let length = response.body.len();
-    let mut bytes = http1::encode_response(response.status, &response.headers, length, close);
-    if !is_head {
-        bytes.extend_from_slice(&response.body);
-    }
-    bytes
-}
--- a/src/connection/caller_http.rs
+++ b/src/connection/caller_http.rs
@@ -183,7 +183,7 @@
     if content_length.is_some_and(|length| length != bytes.len()) {
         return Err(Refusal::Malformed("the body ended early".to_owned()));
     }
-    Ok(Body(bytes))
+    Ok(Body(bytes.into()))
 }
 
 /// Converts a service response, and adds the headers with the outcome and the request id.
--- a/src/connection/frame.rs
+++ b/src/connection/frame.rs
@@ -10,7 +10,7 @@
 /// The largest payload of a frame, in bytes.
 pub const FRAME_BYTES_MAX: usize = 32 * 1024 * 1024;
 /// The size of the length prefix, in bytes.
-const LENGTH_BYTES: usize = 4;
+pub(super) const LENGTH_BYTES: usize = 4;
 
 /// A frame that could not be sent or read.
 #[derive(Debug, Error)]
@@ -59,13 +59,9 @@
 ///
 /// Returns an error if the frame is malformed or too large.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<Option<(T, usize)>, FrameError> {
-    let Some(prefix) = bytes.first_chunk::<LENGTH_BYTES>() else {
+    let Some(length) = payload_length(bytes)? else {
         return Ok(None);
     };
-    let length = usize::try_from(u32::from_be_bytes(*prefix)).unwrap_or(usize::MAX);
-    if length > FRAME_BYTES_MAX {
-        return Err(FrameError::TooLarge(length));
-    }
     let end = LENGTH_BYTES + length;
     let Some(payload) = bytes.get(LENGTH_BYTES..end) else {
         return Ok(None);
@@ -73,8 +69,21 @@
     Ok(Some((decode_payload(payload)?, end)))
 }
 
+/// Returns the length of the payload of the frame at the start of `bytes`, or `None` while its prefix is
+/// incomplete.
+pub(super) fn payload_length(bytes: &[u8]) -> Result<Option<usize>, FrameError> {
+    let Some(prefix) = bytes.first_chunk::<LENGTH_BYTES>() else {
+        return Ok(None);
+    };
+    let length = usize::try_from(u32::from_be_bytes(*prefix)).unwrap_or(usize::MAX);
+    match length > FRAME_BYTES_MAX {
+        true => Err(FrameError::TooLarge(length)),
+        false => Ok(Some(length)),
+    }
+}
+
 /// Decodes a payload, which must consist of exactly one value.
-fn decode_payload<T: DeserializeOwned>(payload: &[u8]) -> Result<T, FrameError> {
+pub(super) fn decode_payload<T: DeserializeOwned>(payload: &[u8]) -> Result<T, FrameError> {
     let (value, rest) = postcard::take_from_bytes(payload)?;
     if !rest.is_empty() {
         return Err(FrameError::Malformed(
--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -3,7 +3,9 @@
 
 use std::time::Instant;
 
-use crate::connection::body_buffer::{BodyBuffer, BodyLimits, ReceivedBody};
+use bytes::Bytes;
+
+use crate::connection::body_buffer::{BodyBuffer, BodyLimits};
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::recipient::Recipient;
 use crate::request::headers::Headers;
@@ -96,15 +98,21 @@
         conn.fill(idle_deadline, &recipient)?;
     }
     let deadline = Instant::now() + timeout;
+    let mut parsed = 0;
     loop {
-        if let Some((head, used)) = parse_request(conn.buffered())? {
+        // A head can only become complete with the end of a line. Parsing after each byte of a slow
+        // sender would take time in the square of the head's size.
+        if (parsed == 0 || conn.buffered()[parsed..].contains(&b'\n'))
+            && let Some((head, used)) = parse_request(conn.buffered())?
+        {
             if used > bytes_max {
                 return Err(ConnectionError::TooLarge("head"));
             }
             conn.consume(used);
             return Ok(head);
         }
-        if conn.buffered().len() > bytes_max {
+        parsed = conn.buffered().len();
+        if parsed > bytes_max {
             return Err(ConnectionError::TooLarge("head"));
         }
         conn.fill(deadline, &recipient)?;
@@ -226,7 +234,7 @@
     limits: &BodyLimits,
     deadline: Instant,
     recipient: &Recipient,
-) -> Result<ReceivedBody, ConnectionError> {
+) -> Result<Bytes, ConnectionError> {
     let mut body = BodyBuffer::new(limits);
     read_into(conn, framing, &mut body, deadline, recipient)?;
     Ok(body.into_body())
@@ -258,7 +266,10 @@
     recipient: &Recipient,
 ) -> Result<(), ConnectionError> {
     match framing {
-        Framing::Length(length) => read_exact(conn, length, body, deadline, recipient),
+        Framing::Length(length) => {
+            body.expect_length(length)?;
+            read_exact(conn, length, body, deadline, recipient)
+        }
         Framing::Chunked => read_chunks(conn, body, deadline, recipient),
         Framing::UntilClose => loop {
             body.append(conn.buffered())?;
@@ -285,6 +296,7 @@
     }
     let end = body.length() + count;
     loop {
+        let deadline = progress_deadline(body, deadline);
         let available = conn.buffered().len().min(end - body.length());
         body.append(&conn.buffered()[..available])?;
         conn.consume(available);
@@ -295,6 +307,12 @@
     }
 }
 
+/// Returns the deadline for the next bytes of a body, whose peer may have to keep to a minimum rate.
+fn progress_deadline(body: &BodyBuffer, deadline: Instant) -> Instant {
+    let progress_deadline = body.transfer().map(|t| t.progress_deadline());
+    progress_deadline.map_or(deadline, |d| d.min(deadline))
+}
+
 fn read_chunks(
     conn: &mut BufferedConnection,
     body: &mut BodyBuffer,
@@ -302,6 +320,7 @@
     recipient: &Recipient,
 ) -> Result<(), ConnectionError> {
     loop {
+        let deadline = progress_deadline(body, deadline);
         let size = read_chunk_size(conn, deadline, recipient)?;
         if size == 0 {
             return skip_trailers(conn, deadline, recipient);
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -5,10 +5,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::connection::body_budget::BodyBudget;
 use crate::connection::body_buffer::BodyLimits;
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::http1::{self, Framing, ResponseHead};
+use crate::connection::memory_budget::MemoryBudget;
 use crate::connection::protocol::OutgoingRequest;
 use crate::connection::recipient::Recipient;
 use crate::process::sync;
@@ -50,7 +50,8 @@
             from,
             body_limits: BodyLimits {
                 bytes_max: BODY_BYTES_MAX,
-                budget: BodyBudget::new(BODY_BYTES_MAX),
+                budget: MemoryBudget::new(BODY_BYTES_MAX),
+                transfer: None,
             },
             state: Mutex::default(),
         }
@@ -142,5 +143,5 @@
     let body = http1::read_body(conn, framing, body_limits, deadline, &recipient)?;
     let reusable =
         head.keeps_alive() && framing != Framing::UntilClose && conn.buffered().is_empty();
-    Ok((head, body.bytes, reusable))
+    Ok((head, body.to_vec(), reusable))
 }
--- a/src/connection/http_listener.rs
+++ b/src/connection/http_listener.rs
@@ -10,19 +10,32 @@
 use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+
 use crate::connection::acceptor::{Acceptor, ConnectionHandler};
-use crate::connection::body_budget::BodyBudget;
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::caller_connection::CallerConnection;
 use crate::connection::http1::RequestHead;
+use crate::connection::memory_budget::{MemoryBudget, ShedReason};
+use crate::connection::memory_reservation::MemoryReservation;
 use crate::connection::reactor::Reactor;
 use crate::connection::recipient::Recipient;
 use crate::process::sync;
 use crate::process::thread_pool::ThreadPool;
 use crate::request::headers::Headers;
 
-/// The most connections of a listener at a time; further ones are closed immediately.
-const CONNECTIONS_MAX: usize = 2000;
+/// The most connections of a listener at a time. One that has never sent a request, or has been idle
+/// for longer than callers reuse connections, is closed for a new one.
+pub const CONNECTIONS_MAX: usize = 2000;
+/// The memory of an idle connection, in bytes: its state, the reactor's and the kernel's.
+const CONNECTION_BYTES: usize = 8 * 1024;
+/// How long a connection that has never sent a request is not closed for a new one.
+const UNUSED_TIME_MIN: Duration = Duration::from_secs(1);
+/// From how many requests in progress on the slowest transfer is ended for each new request. Half of
+/// [`REQUESTS_MAX`] stays for requests that make progress.
+const SHED_JOBS_MIN: usize = REQUESTS_MAX / 2;
+/// From how many requests in progress on a connection with a new one is closed without reading it.
+const JOBS_MAX: usize = REQUESTS_MAX + 8 * REFUSING_THREADS_MAX;
 /// The most requests that are handled at a time; further ones are refused.
 const REQUESTS_MAX: usize = 512;
 /// The most threads that read and refuse requests beyond [`REQUESTS_MAX`].
@@ -49,7 +62,7 @@
     /// The request line and the headers.
     pub head: RequestHead,
     /// The whole body, without transfer coding.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// When the head was complete.
     pub received_at: Instant,
 }
@@ -62,7 +75,7 @@
     /// The headers, without those that frame the body.
     pub headers: Headers,
     /// The whole body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// Whether to close the connection without a response.
     pub close_without_response: bool,
 }
@@ -75,7 +88,7 @@
         Self {
             status,
             headers,
-            body: text.into().into_bytes(),
+            body: text.into().into_bytes().into(),
             close_without_response: false,
         }
     }
@@ -109,10 +122,11 @@
     pub(super) handler: Arc<dyn ListenerHandler>,
     pub(super) reactor: Weak<Reactor>,
     pub(super) threads: ThreadPool,
-    /// The memory for the bodies of requests.
-    pub(super) body_budget: Arc<BodyBudget>,
+    /// The memory of the process.
+    pub(super) budget: Arc<MemoryBudget>,
     pub(super) stopping: AtomicBool,
     connections: Mutex<Connections>,
+    connections_max: usize,
     /// Itself, for its connections.
     this: Weak<ListenerShared>,
 }
@@ -131,6 +145,42 @@
         self.threads.jobs() > REQUESTS_MAX
     }
 
+    /// Makes room for the work on one more request; returns `false` if its connection must be closed
+    /// without reading it.
+    pub(super) fn admit_request(&self) -> bool {
+        let jobs = self.threads.jobs();
+        if jobs >= SHED_JOBS_MIN {
+            self.budget.shed_for_thread(Instant::now());
+        }
+        if jobs >= JOBS_MAX {
+            self.budget.record(ShedReason::Threads);
+        }
+        jobs < JOBS_MAX
+    }
+
+    /// Closes a connection that can be closed for a new one, if all allowed connections are open.
+    fn make_room(&self) {
+        if sync::lock(&self.connections).open.len() < self.connections_max {
+            return;
+        }
+        let now = Instant::now();
+        let open = self.all_connections();
+        let reuse_time = self.handler.limits().idle_timeout * 4 / 5;
+        let idle = open.iter().filter_map(|c| {
+            let (idle, was_used) = c.idle_time(now)?;
+            let idle_min = if was_used {
+                reuse_time
+            } else {
+                UNUSED_TIME_MIN
+            };
+            (idle > idle_min).then_some((idle, c))
+        });
+        if let Some((_, connection)) = idle.max_by_key(|(idle, _)| *idle) {
+            self.budget.record(ShedReason::Connections);
+            connection.close_if_idle();
+        }
+    }
+
     /// Returns whether connections must be closed after their responses.
     pub(super) fn is_shutting_down(&self) -> bool {
         self.stopping.load(Ordering::SeqCst) || self.handler.is_shutting_down()
@@ -164,15 +214,30 @@
         reactor: &Arc<Reactor>,
         listener: TcpListener,
         handler: Arc<dyn ListenerHandler>,
+    ) -> io::Result<Self> {
+        Self::start_with_limit(reactor, listener, handler, CONNECTIONS_MAX)
+    }
+
+    /// Starts accepting at most `connections_max` connections at a time on `listener`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the listener has no address or the reactor can't watch it.
+    pub fn start_with_limit(
+        reactor: &Arc<Reactor>,
+        listener: TcpListener,
+        handler: Arc<dyn ListenerHandler>,
+        connections_max: usize,
     ) -> io::Result<Self> {
         let threads = REQUESTS_MAX + REFUSING_THREADS_MAX;
         let shared = Arc::new_cyclic(|this| ListenerShared {
             handler,
             reactor: Arc::downgrade(reactor),
             threads: ThreadPool::with_stack("caller", threads, STACK_BYTES),
-            body_budget: BodyBudget::unlimited(),
+            budget: Arc::clone(reactor.budget()),
             stopping: AtomicBool::new(false),
             connections: Mutex::default(),
+            connections_max,
             this: Weak::clone(this),
         });
         let handler = Arc::clone(&shared) as Arc<dyn ConnectionHandler>;
@@ -230,15 +295,18 @@
         let Some(shared) = self.this.upgrade() else {
             return;
         };
+        self.make_room();
+        let mut reservation = MemoryReservation::new(&self.budget);
         let mut connections = sync::lock(&self.connections);
-        if connections.open.len() >= CONNECTIONS_MAX {
-            tracing::warn!(event = "connection-refused", open = connections.open.len());
+        let has_memory = reservation.raise_to(CONNECTION_BYTES);
+        if connections.open.len() >= self.connections_max || !has_memory {
+            self.budget.record(ShedReason::Connections);
             return;
         }
         connections.last_number += 1;
         let number = connections.last_number;
         let started = BufferedConnection::from_accepted(stream)
-            .and_then(|conn| CallerConnection::new(&shared, number, conn));
+            .and_then(|conn| CallerConnection::new(&shared, number, conn, reservation));
         match started {
             Ok(connection) => {
                 connections.open.insert(number, Arc::clone(&connection));
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -12,7 +12,6 @@
 //! ```
 
 pub mod acceptor;
-pub mod body_budget;
 pub mod body_buffer;
 pub mod buffered_connection;
 pub mod caller_connection;
@@ -21,11 +20,15 @@
 pub mod connection_group;
 pub mod control_pool;
 pub mod frame;
+pub mod frame_assembler;
 pub mod http1;
 pub mod http_client;
 pub mod http_listener;
 pub mod http_server;
 pub mod idle_connection;
+pub mod load_shedding;
+pub mod memory_budget;
+pub mod memory_reservation;
 pub mod peer_call;
 pub mod peer_error;
 pub mod peer_frame;
@@ -36,7 +39,9 @@
 pub mod protocol;
 pub mod reactor;
 pub mod recipient;
+pub mod response_writer;
 pub mod traffic;
+pub mod transfer;
 pub mod upstream_client;
 pub mod upstream_connection;
 pub mod upstream_connector;
--- a/src/connection/peer_frame.rs
+++ b/src/connection/peer_frame.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::connection::memory_reservation::MemoryReservation;
 use crate::connection::peer_message::{PeerReply, PeerRequest};
+use crate::request::upstream_outcome::UpstreamOutcome;
 
 /// A message on a connection between daemons. Many calls may be in progress on one connection; the
 /// daemon that connected numbers them.
@@ -38,6 +40,32 @@
 }
 
 impl PeerFrame<'_> {
+    /// Returns the message with the memory of its body accounted for by `reservation`, until the body is
+    /// dropped.
+    pub fn holding(self, reservation: Option<MemoryReservation>) -> Self {
+        match self {
+            PeerFrame::Call { number, request } => {
+                let mut request = request.into_owned();
+                if let PeerRequest::Dispatch { request, .. } = &mut request {
+                    request.body.hold(reservation);
+                }
+                let request = Cow::Owned(request);
+                PeerFrame::Call { number, request }
+            }
+            PeerFrame::Reply { number, reply } => {
+                let mut reply = reply.into_owned();
+                if let PeerReply::Completed { outcome, .. } = &mut reply
+                    && let UpstreamOutcome::Ran(response) = &mut **outcome
+                {
+                    response.body.hold(reservation);
+                }
+                let reply = Cow::Owned(reply);
+                PeerFrame::Reply { number, reply }
+            }
+            other => other,
+        }
+    }
+
     /// Returns the kind of the message, for counts.
     pub fn kind(&self) -> &'static str {
         match self {
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -16,6 +16,7 @@
 use crate::connection::buffered_connection::BufferedConnection;
 use crate::connection::calling_link::CallingLink;
 use crate::connection::frame::FrameError;
+use crate::connection::memory_budget::MemoryBudget;
 use crate::connection::peer_call::{CallEvent, PeerCall};
 use crate::connection::peer_error::PeerError;
 use crate::connection::peer_message::{PeerReply, PeerRequest};
@@ -173,6 +174,11 @@
         links.values().filter(|l| !l.is_closed()).count()
     }
 
+    /// Returns the memory that the connections take.
+    pub fn budget(&self) -> &Arc<MemoryBudget> {
+        self.reactor.budget()
+    }
+
     /// Closes all links; calls in progress fail.
     pub fn close(&self) {
         let links = std::mem::take(&mut *sync::lock(&self.links));
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -11,6 +11,8 @@
 use crate::connection::acceptor::{Acceptor, ConnectionHandler};
 use crate::connection::buffered_connection::BufferedConnection;
 use crate::connection::frame::FrameError;
+use crate::connection::memory_budget::{MemoryBudget, ShedReason};
+use crate::connection::memory_reservation::MemoryReservation;
 use crate::connection::peer_frame::PeerFrame;
 use crate::connection::peer_link::{LinkHandler, PeerLink};
 use crate::connection::peer_message::{PeerReply, PeerRequest};
@@ -20,11 +22,18 @@
 use crate::process::sync;
 use crate::process::thread_pool::ThreadPool;
 
-/// The most links at a time; further ones are closed immediately.
-const LINKS_MAX: usize = 4096;
+/// The most links at a time, unless the process has too few descriptors. The one without a whole frame
+/// for the longest time is closed for a new one.
+pub const LINKS_MAX: usize = 4096;
+/// How long a link without a whole frame is not closed for a new one.
+const LINK_TIME_MIN: Duration = Duration::from_secs(1);
+/// The most control requests that are processed or queued; further ones are refused.
+const CONTROL_JOBS_MAX: usize = 1024;
+/// The memory of a link, in bytes: its state, the reactor's and the kernel's.
+const LINK_BYTES: usize = 8 * 1024;
 /// The most requests that are processed at a time; further ones are refused.
 const REQUESTS_MAX: usize = 512;
-/// The most control requests that are processed at a time; further ones are queued.
+/// The most control requests that are processed at a time.
 const CONTROL_THREADS_MAX: usize = 4;
 /// The stack size of a thread, in bytes.
 const STACK_BYTES: usize = 512 * 1024;
@@ -47,6 +56,7 @@
     this: Weak<Shared>,
     stopping: AtomicBool,
     links: Mutex<Vec<Weak<PeerLink>>>,
+    links_max: usize,
     requests: ThreadPool,
     control: ThreadPool,
     /// The recipients of calls whose link broke, with the time of that.
@@ -59,6 +69,7 @@
     shared: Arc<Shared>,
     /// The recipients of the calls in progress, by number.
     running: Arc<Mutex<HashMap<u64, Recipient>>>,
+    _reservation: MemoryReservation,
 }
 
 /// The listener and its links; [`PeerServer::stop`] joins all threads.
@@ -78,6 +89,21 @@
         listener: TcpListener,
         handler: Arc<dyn PeerHandler>,
         traffic: &Arc<Traffic>,
+    ) -> io::Result<Self> {
+        Self::start_with_limit(reactor, listener, handler, traffic, LINKS_MAX)
+    }
+
+    /// Starts accepting at most `links_max` links at a time on `listener`; `traffic` counts the replies.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the reactor can't watch the listener.
+    pub fn start_with_limit(
+        reactor: &Arc<Reactor>,
+        listener: TcpListener,
+        handler: Arc<dyn PeerHandler>,
+        traffic: &Arc<Traffic>,
+        links_max: usize,
     ) -> io::Result<Self> {
         let shared = Arc::new_cyclic(|this| Shared {
             handler,
@@ -85,6 +111,7 @@
             this: Weak::clone(this),
             stopping: AtomicBool::new(false),
             links: Mutex::default(),
+            links_max,
             requests: ThreadPool::with_stack("peer", REQUESTS_MAX, STACK_BYTES),
             control: ThreadPool::with_stack("control", CONTROL_THREADS_MAX, STACK_BYTES),
             cut_off: Mutex::default(),
@@ -128,19 +155,41 @@
         };
         let mut links = sync::lock(&self.links);
         links.retain(|l| l.upgrade().is_some_and(|l| !l.is_closed()));
-        if links.len() >= LINKS_MAX || self.stopping.load(Ordering::SeqCst) {
+        if self.stopping.load(Ordering::SeqCst) {
+            return Ok(());
+        }
+        let mut reservation = MemoryReservation::new(reactor.budget());
+        if !reservation.raise_to(LINK_BYTES) || !self.make_room(&mut links, reactor.budget()) {
+            reactor.budget().record(ShedReason::Connections);
             return Ok(());
         }
         let conn = BufferedConnection::from_accepted(stream)?;
         let handler = Box::new(CallHandler {
             shared: this,
             running: Arc::default(),
+            _reservation: reservation,
         });
         let link = PeerLink::start(&reactor, conn, handler)?;
         links.push(Arc::downgrade(&link));
         Ok(())
     }
 
+    /// Returns whether one more link can be open, after closing one if that is necessary.
+    fn make_room(&self, links: &mut Vec<Weak<PeerLink>>, budget: &MemoryBudget) -> bool {
+        if links.len() < self.links_max {
+            return true;
+        }
+        let open = links.iter().filter_map(Weak::upgrade);
+        let oldest = open.min_by_key(|link| link.framed_at());
+        let Some(link) = oldest.filter(|l| l.framed_at().elapsed() >= LINK_TIME_MIN) else {
+            return false;
+        };
+        budget.record(ShedReason::Connections);
+        link.close();
+        links.retain(|l| l.upgrade().is_some_and(|l| !l.is_closed()));
+        true
+    }
+
     /// Cancels the calls whose link broke more than [`RECONNECT_TIME`] before `now`, or all if that
     /// is `None`.
     fn cancel_cut_off(&self, now: Option<Instant>) {
@@ -174,7 +223,11 @@
 impl CallHandler {
     fn start_call(&self, link: &Arc<PeerLink>, number: u64, request: PeerRequest) {
         let is_control = request.is_control();
-        if !is_control && self.shared.requests.jobs() >= REQUESTS_MAX {
+        let is_full = match is_control {
+            true => self.shared.control.jobs() >= CONTROL_JOBS_MAX,
+            false => self.shared.requests.jobs() >= REQUESTS_MAX,
+        };
+        if is_full {
             // Not "not run": an earlier copy of a request that was sent again may be running.
             let reason = "too many requests are in progress".to_owned();
             send_reply(link, number, PeerReply::NotServing(reason));
--- a/src/connection/reactor.rs
+++ b/src/connection/reactor.rs
@@ -15,6 +15,7 @@
 use rustix::event::epoll::{self, EventData, EventFlags};
 use rustix::event::{EventfdFlags, Timespec, eventfd};
 
+use crate::connection::memory_budget::MemoryBudget;
 use crate::process::sync;
 
 /// The interval at which the handlers are called to act on timeouts.
@@ -99,6 +100,7 @@
 /// The thread with its sources; [`Reactor::stop`] joins the thread.
 pub struct Reactor {
     shared: Arc<Shared>,
+    budget: Arc<MemoryBudget>,
     thread: Mutex<Option<JoinHandle<()>>>,
 }
 
@@ -109,6 +111,15 @@
     ///
     /// Returns an error if the descriptors can't be created or the thread can't be started.
     pub fn start() -> io::Result<Arc<Self>> {
+        Self::start_with_budget(MemoryBudget::unlimited())
+    }
+
+    /// Starts a reactor without sources, whose connections take their memory from `budget`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the descriptors can't be created or the thread can't be started.
+    pub fn start_with_budget(budget: Arc<MemoryBudget>) -> io::Result<Arc<Self>> {
         let shared = Arc::new(Shared {
             epoll: epoll::create(epoll::CreateFlags::CLOEXEC)?,
             waker: eventfd(0, EventfdFlags::CLOEXEC | EventfdFlags::NONBLOCK)?,
@@ -125,10 +136,16 @@
             .spawn(move || run(&thread_shared))?;
         Ok(Arc::new(Self {
             shared,
+            budget,
             thread: Mutex::new(Some(thread)),
         }))
     }
 
+    /// Returns the memory that the connections take.
+    pub fn budget(&self) -> &Arc<MemoryBudget> {
+        &self.budget
+    }
+
     /// Adds a source that gets events until it is removed. `assign` receives its number before the
     /// first event.
     ///
--- a/src/connection/upstream_client.rs
+++ b/src/connection/upstream_client.rs
@@ -7,8 +7,10 @@
 use ureq::http::{Request, Response};
 use ureq::{Agent, Body};
 
-use crate::connection::body_budget::BodyBudget;
-use crate::connection::body_buffer::{BodyBuffer, BodyLimits, ReceivedBody};
+use crate::connection::memory_budget::MemoryBudget;
+use bytes::Bytes;
+
+use crate::connection::body_buffer::{BodyBuffer, BodyLimits};
 use crate::connection::upstream_error::UpstreamError;
 use crate::process::wall_time::WallTime;
 use crate::request::body::BODY_BYTES_MAX;
@@ -81,7 +83,8 @@
             agent: config.new_agent(),
             body_limits: BodyLimits {
                 bytes_max: BODY_BYTES_MAX,
-                budget: BodyBudget::new(BODIES_BYTES_MAX),
+                budget: MemoryBudget::new(BODIES_BYTES_MAX),
+                transfer: None,
             },
         }
     }
@@ -124,7 +127,7 @@
         if let Some(content_type) = &envelope.content_type {
             request = request.header("content-type", content_type);
         }
-        let body = envelope.body.0.clone();
+        let body = envelope.body.0.to_vec();
         let request = request
             .body(body)
             .map_err(|e| UpstreamError::Malformed(e.to_string()))?;
@@ -233,7 +236,7 @@
 }
 
 /// Reads a whole body into `buffer`.
-fn read_body(body: Body, mut buffer: BodyBuffer) -> Result<ReceivedBody, UpstreamError> {
+fn read_body(body: Body, mut buffer: BodyBuffer) -> Result<Bytes, UpstreamError> {
     let cut = |e: &dyn std::fmt::Display| UpstreamError::MaybeSent(format!("cut answer: {e}"));
     let mut reader = body.into_reader();
     let mut bytes = vec![0; READ_BYTES];
@@ -260,7 +263,7 @@
     let content_type = text("content-type");
     let not_run = text(OUTCOME_HEADER).is_some_and(|o| o == Outcome::NotRun.to_string());
     let body = read_body(response.into_body(), BodyBuffer::new(body_limits))?;
-    let bytes = body.bytes;
+    let bytes = body.to_vec();
     if not_run && status == SHED_STATUS {
         return Ok(ServiceResponse::not_run(Refusal::UpstreamShed));
     }
--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -4,12 +4,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::connection::body_budget::BodyBudget;
+use bytes::Bytes;
+
 use crate::connection::body_buffer::BodyLimits;
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::control_pool::ControlPool;
 use crate::connection::http1::{self, Framing, ResponseHead};
 use crate::connection::idle_connection::IdleConnection;
+use crate::connection::memory_budget::MemoryBudget;
 use crate::connection::protocol::{ResponseMetadata, UpstreamProtocol};
 use crate::connection::recipient::Recipient;
 use crate::connection::upstream_connection::UpstreamConnection;
@@ -31,6 +33,8 @@
 const KEEP_ALIVE_MAX: Duration = Duration::from_secs(3600);
 /// The most idle connections in the pool.
 const IDLE_MAX: usize = 32;
+/// How much of a body is written together with the head, in bytes.
+const INLINE_BODY_BYTES_MAX: usize = 16 * 1024;
 /// The most response heads that are read on one connection to find the one with the request's id.
 const RESPONSE_HEADS_MAX: usize = 4;
 
@@ -47,7 +51,7 @@
 struct Exchange {
     head: ResponseHead,
     metadata: ResponseMetadata,
-    body: Vec<u8>,
+    body: Bytes,
     /// Whether the response states that the request did not run.
     not_run: bool,
     /// Whether the connection can carry another request.
@@ -97,12 +101,12 @@
 
 impl UpstreamPool {
     /// Creates a pool without connections, which connects to `to` from the address `from`.
-    /// `body_budget` is the memory for the bodies of responses.
+    /// `budget` is the memory for the bodies of responses.
     pub fn new(
         to: SocketAddr,
         from: Option<IpAddr>,
         protocol: Arc<dyn UpstreamProtocol>,
-        body_budget: Arc<BodyBudget>,
+        budget: Arc<MemoryBudget>,
     ) -> Self {
         let connector = Arc::new(UpstreamConnector::new(to, from));
         let control = ControlPool::new(Arc::clone(&connector), Arc::clone(&protocol));
@@ -112,7 +116,8 @@
             protocol,
             body_limits: BodyLimits {
                 bytes_max: BODY_BYTES_MAX,
-                budget: body_budget,
+                budget,
+                transfer: None,
             },
             idle: Mutex::default(),
         }
@@ -151,7 +156,10 @@
         let body = &request.body.0;
         let mut bytes =
             http1::encode_request(&request.method, &request.target, &headers, body.len());
-        bytes.extend_from_slice(body);
+        // A copy of a large body would take its memory a second time.
+        let inline = body.len().min(INLINE_BODY_BYTES_MAX);
+        bytes.extend_from_slice(&body[..inline]);
+        let parts = [&bytes[..], &body[inline..]];
         // Connecting may have taken long, and the process may have been paused.
         if recipient.has_disconnected() {
             return Err(UpstreamRequestFailure::RecipientDisconnected { sent: false });
@@ -161,7 +169,7 @@
             return Err(UpstreamRequestFailure::NotAllowed(cause));
         }
         let conn = &mut connection.conn;
-        let exchange = match self.exchange(conn, request, &bytes, deadline, recipient) {
+        let exchange = match self.exchange(conn, request, parts, deadline, recipient) {
             Ok(exchange) => exchange,
             Err(e) => {
                 connection.conn.reset();
@@ -177,17 +185,17 @@
         exchange.into_result()
     }
 
-    /// Writes the bytes of `request` and reads the response to it.
+    /// Writes the parts of `request` and reads the response to it.
     fn exchange(
         &self,
         conn: &mut BufferedConnection,
         request: &UpstreamRequest,
-        bytes: &[u8],
+        parts: [&[u8]; 2],
         deadline: Instant,
         recipient: &Recipient,
     ) -> Result<Exchange, UpstreamRequestFailure> {
-        let written = match conn.write(bytes, true, deadline, recipient) {
-            Ok(written) => written,
+        let is_written = match write_parts(conn, parts, deadline, recipient) {
+            Ok(is_written) => is_written,
             Err(ConnectionError::RecipientDisconnected) => {
                 return Err(UpstreamRequestFailure::RecipientDisconnected { sent: true });
             }
@@ -202,10 +210,10 @@
             .map_err(UpstreamRequestFailure::after_sending)?;
         let body = http1::read_body(conn, framing, &self.body_limits, deadline, recipient);
         let not_run = metadata.not_run || head.status == http1::STATUS_MISDIRECTED;
-        let is_reusable = body.is_ok() && written == bytes.len() && framing != Framing::UntilClose;
+        let is_reusable = body.is_ok() && is_written && framing != Framing::UntilClose;
         let body = match body {
-            Ok(body) => body.bytes,
-            Err(_) if not_run => Vec::new(),
+            Ok(body) => body,
+            Err(_) if not_run => Bytes::new(),
             Err(e) => return Err(UpstreamRequestFailure::after_sending(e)),
         };
         Ok(Exchange {
@@ -315,6 +323,21 @@
     }
 }
 
+/// Writes all of `parts`, or stops once the peer has sent something; returns whether all was written.
+fn write_parts(
+    conn: &mut BufferedConnection,
+    parts: [&[u8]; 2],
+    deadline: Instant,
+    recipient: &Recipient,
+) -> Result<bool, ConnectionError> {
+    for part in parts {
+        if conn.write(part, true, deadline, recipient)? < part.len() {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 /// Parses the timeout of a `Keep-Alive` header; a longer one than [`KEEP_ALIVE_MAX`] is reduced to it.
 fn keep_alive_timeout(text: &str) -> Option<Duration> {
     let mut parts = text.split(',');
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -44,6 +44,8 @@
 const ADMIN_QUEUE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How often the event thread checks the stop flag while no event arrives.
 const EVENT_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// The size of the socket buffers of an accepted connection, in bytes, each; the kernel doubles it.
+const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
 /// The maximum number of connections that wait to be accepted by a listener.
 const LISTEN_BACKLOG: i32 = 1024;
 
@@ -334,6 +336,9 @@
         socket.set_reuse_address(true)?;
         // Accepted connections inherit these options, such as TCP_NODELAY, from the listener.
         buffered_connection::set_socket_options(&socket)?;
+        // Without a limit, the kernel keeps up to 32 MiB for each connection that is not read.
+        socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
+        socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)?;
         socket.bind(&SockAddr::from(address))?;
         socket.listen(LISTEN_BACKLOG)?;
         Ok(TcpListener::from(socket))
--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
+use crate::connection::memory_budget::MemoryBudget;
 use crate::connection::peer_message::{PeerReply, PeerRequest};
 use crate::connection::peer_server::PeerHandler;
 use crate::connection::protocol::{StatusReport, UpstreamReport};
@@ -33,6 +34,7 @@
     pub(super) settings: HostSettings,
     pub(super) clock: Arc<dyn Clock>,
     pub(super) instance: InstanceId,
+    pub(super) budget: Arc<MemoryBudget>,
     pub(super) membership: Arc<Membership>,
     pub(super) dispatcher: Arc<HostDispatcher>,
     pub(super) grant_manager: Arc<GrantManager>,
--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -435,6 +435,9 @@
     }
 
     fn error_response(&self, error: &ConnectionError) -> HttpResponse {
+        if matches!(error, ConnectionError::OutOfMemory) {
+            return self.responses.overloaded();
+        }
         let status = match error {
             ConnectionError::TooLarge("body") => 413,
             ConnectionError::TooLarge(_) => 431,
--- a/src/process/host/host_settings.rs
+++ b/src/process/host/host_settings.rs
@@ -25,9 +25,12 @@
 
 /// Bytes of a mebibyte.
 const MIB: u64 = 1024 * 1024;
-/// Which part of the memory the bodies that arrive may take: one in this number. Copies of a body are
-/// made on its way.
-const BODIES_MEMORY_SHARE: u64 = 8;
+/// Which part of the memory the budget has: one in this number. The rest is for the program, its threads,
+/// what the allocator keeps and the kernel's socket buffers.
+const BUDGET_SHARE: u64 = 2;
+/// Which part of the memory the bodies of responses may take: one in this number. A response that waits
+/// for its caller can't be refused any more, so the rest of the budget is kept for requests.
+const RESPONSES_SHARE: u64 = 4;
 
 /// Settings from the daemon's YAML file; every field has a default.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -157,9 +160,15 @@
         (self.cpu_share * f64::from(CPU_SHARE_DEFAULT)) as u32
     }
 
-    /// Returns the memory for bodies of responses that arrive from the upstream, in bytes.
+    /// Returns the memory for everything that grows with the load, in bytes.
+    pub fn memory_budget_bytes(&self) -> usize {
+        let bytes = self.memory_mb * MIB / BUDGET_SHARE;
+        usize::try_from(bytes).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the part of the memory budget for the bodies of responses, in bytes.
     pub fn response_bodies_bytes(&self) -> usize {
-        let bytes = self.memory_mb * MIB / BODIES_MEMORY_SHARE;
+        let bytes = self.memory_mb * MIB / RESPONSES_SHARE;
         usize::try_from(bytes).unwrap_or(usize::MAX)
     }
 
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -43,6 +43,7 @@
 pub mod body_reservations;
 mod departure_store;
 pub mod departures;
+pub mod descriptors;
 pub mod endpoints;
 mod grant_attempt;
 pub mod grant_manager;
--- a/src/process/host/response_builder.rs
+++ b/src/process/host/response_builder.rs
@@ -10,6 +10,9 @@
 /// Retry delay returned while the routing is unknown.
 const ROUTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Retry delay returned to a request that was not read to its end.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Builder of responses in the protocol of the callers.
 pub(super) struct ResponseBuilder {
     protocol: Arc<dyn CallerProtocol>,
@@ -28,6 +31,14 @@
         response
     }
 
+    /// Builds the response to a request that was not read to its end, as its memory or its thread is
+    /// needed for others.
+    pub(super) fn overloaded(&self) -> HttpResponse {
+        let mut response = HttpResponse::text(503, "not run: too much is in progress\n");
+        self.add_retry_after(&mut response, OVERLOAD_RETRY_AFTER);
+        response
+    }
+
     /// Builds the response to the caller from an outcome.
     pub(super) fn build(&self, id: &str, outcome: UpstreamOutcome) -> HttpResponse {
         let mut response = match outcome {
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -6,8 +6,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use crate::connection::body_budget::BodyBudget;
 use crate::connection::http_listener::HttpListener;
+use crate::connection::memory_budget::MemoryBudget;
 use crate::connection::peer_pool::{PeerPool, PeerTimeouts};
 use crate::connection::peer_server::{PeerHandler, PeerServer};
 use crate::connection::protocol::{CallerProtocol, Discovery, OperatorProtocol, UpstreamProtocol};
@@ -17,6 +17,7 @@
 use crate::process::daemon::{self, DaemonError};
 use crate::process::host::body_reservations::BodyReservations;
 use crate::process::host::departure_store::DepartureStore;
+use crate::process::host::descriptors;
 use crate::process::host::endpoints::{ReadinessHandler, ReportHandler};
 use crate::process::host::grant_manager::GrantManager;
 use crate::process::host::host_context::HostContext;
@@ -43,6 +44,8 @@
     acknowledge: Duration::from_millis(120),
     reply: Duration::from_millis(600),
 };
+/// Largest number of connections to the readiness and to the report address at a time, each.
+const LOCAL_CONNECTIONS_MAX: usize = 256;
 /// Interval of the periodic tasks, among them the reconciliation of grants.
 const PERIODIC_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval of the load reports to the planner.
@@ -103,27 +106,40 @@
         let instance = InstanceId(rand::random());
         tracing::info!(event = "start", node = settings.node, %instance, peers = %settings.peers);
         let (event_tx, event_rx) = mpsc::channel();
-        let reactor = Reactor::start()?;
+        let budget = MemoryBudget::new(settings.memory_budget_bytes());
+        let reactor = Reactor::start_with_budget(Arc::clone(&budget))?;
         let pool = Arc::new(PeerPool::new(&reactor, listen_address.ip(), PEER_TIMEOUTS));
         let context = build_context(
             settings, &platform, clock, socket, &pool, instance, event_tx,
         )?;
         let threads = start_threads(&context, &platform, event_rx)?;
         let peer_handler = Arc::clone(&context) as Arc<dyn PeerHandler>;
-        let peers = PeerServer::start(&reactor, peer_listener, peer_handler, pool.traffic())?;
+        let peers = PeerServer::start_with_limit(
+            &reactor,
+            peer_listener,
+            peer_handler,
+            pool.traffic(),
+            descriptors::links_max(),
+        )?;
         let router = Arc::clone(&context.router);
         let callers = HttpListener::start(&reactor, caller_listener, router)?;
-        let ready = HttpListener::start(
+        let ready = HttpListener::start_with_limit(
             &reactor,
             ready_listener,
             Arc::new(ReadinessHandler(Arc::clone(&context))),
+            LOCAL_CONNECTIONS_MAX,
         )?;
         let discovery = Arc::clone(&platform.discovery);
         let report_handler = ReportHandler {
             context: Arc::clone(&context),
             discovery,
         };
-        let reports = HttpListener::start(&reactor, report_listener, Arc::new(report_handler))?;
+        let reports = HttpListener::start_with_limit(
+            &reactor,
+            report_listener,
+            Arc::new(report_handler),
+            LOCAL_CONNECTIONS_MAX,
+        )?;
         Ok(Self {
             context,
             reactor,
@@ -236,7 +252,7 @@
         settings.upstream,
         Some(settings.peers_listen_address().ip()),
         Arc::clone(&platform.upstream_protocol),
-        BodyBudget::new(settings.response_bodies_bytes()),
+        peers.budget().share(settings.response_bodies_bytes()),
     );
     let dispatcher = Arc::new(HostDispatcher::new(
         Arc::clone(&clock),
@@ -273,6 +289,7 @@
         settings,
         clock,
         instance,
+        budget: Arc::clone(peers.budget()),
         membership,
         dispatcher,
         grant_manager,
@@ -426,6 +443,7 @@
 
 /// Reports the load of the last `period` to the planner.
 fn report_load(context: &HostContext, period: Duration) {
+    context.metrics.record_memory(&context.budget);
     let load = context.dispatcher.load();
     let waiting = usize::try_from(load.waiting).unwrap_or(usize::MAX);
     context
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus::{Registry, TextEncoder};
 use thiserror::Error;
 
+use crate::connection::memory_budget::{MemoryBudget, ShedReason};
 use crate::request::outcome::Outcome;
 use crate::version::service_name::ServiceName;
 
@@ -42,6 +43,8 @@
     waiting: Gauge<u64>,
     table_epoch: Gauge<u64>,
     configuration_version: Gauge<u64>,
+    load_shed: Gauge<u64>,
+    memory_reserved: Gauge<u64>,
 }
 
 impl Metrics {
@@ -99,6 +102,11 @@
                 "configuration_version",
                 "Version of the configuration in force",
             ),
+            load_shed: gauge(
+                "load_shed",
+                "What was refused or closed for others, by reason",
+            ),
+            memory_reserved: gauge("memory_reserved", "Reserved bytes of the memory budget"),
             registry,
             _provider: provider,
         })
@@ -174,6 +182,16 @@
             .record(u64::try_from(waiting).unwrap_or(u64::MAX), &[]);
     }
 
+    /// Sets how much of the memory budget is reserved, and how often something was refused or ended.
+    pub fn record_memory(&self, budget: &MemoryBudget) {
+        let reserved = u64::try_from(budget.reserved()).unwrap_or(u64::MAX);
+        self.memory_reserved.record(reserved, &[]);
+        for reason in ShedReason::ALL {
+            let label = KeyValue::new("reason", reason.as_str());
+            self.load_shed.record(budget.count(reason), &[label]);
+        }
+    }
+
     /// Sets the versions of the table and of the configuration that are in force.
     pub fn record_versions(&self, epoch: u64, configuration: u64) {
         self.table_epoch.record(epoch, &[]);
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -16,6 +16,7 @@
 pub mod headers;
 pub mod idempotency_key;
 pub mod limiter;
+pub mod mapping;
 pub mod outcome;
 pub mod quarantine;
 pub mod records;
--- a/src/request/service_response.rs
+++ b/src/request/service_response.rs
@@ -32,7 +32,7 @@
 impl ServiceResponse {
     /// Returns the response of an upstream that ran the request.
     pub fn ran(status: u16, content_type: Option<String>, body: Vec<u8>) -> Self {
-        let body = Body(body);
+        let body = Body(body.into());
         Self {
             outcome: Outcome::Ran,
             status,
@@ -53,7 +53,7 @@
     }
 
     fn refused(outcome: Outcome, refusal: Refusal) -> Self {
-        let body = Body(format!("{outcome}: {refusal}\n").into_bytes());
+        let body = Body(format!("{outcome}: {refusal}\n").into_bytes().into());
         let content_type = Some("text/plain; charset=utf-8".to_owned());
         Self {
             outcome,
--- a/tests/testsuite/codec.rs
+++ b/tests/testsuite/codec.rs
@@ -31,7 +31,7 @@
         repeatable: false,
         remaining: Duration::from_millis(250),
         content_type: Some("text/plain".to_owned()),
-        body: Body(vec![0, 1, 2, 255]),
+        body: Body(vec![0, 1, 2, 255].into()),
     }
 }
 
--- a/tests/testsuite/host/grants/daemon.rs
+++ b/tests/testsuite/host/grants/daemon.rs
@@ -8,7 +8,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use foxtaildrift::connection::body_budget::BodyBudget;
+use foxtaildrift::connection::memory_budget::MemoryBudget;
 use foxtaildrift::connection::peer_pool::{PeerPool, PeerTimeouts};
 use foxtaildrift::connection::protocol::{StatusReport, UpstreamProtocol};
 use foxtaildrift::connection::reactor::Reactor;
@@ -182,7 +182,7 @@
             upstream.address,
             None,
             Arc::clone(&protocol),
-            BodyBudget::new(1 << 20),
+            MemoryBudget::new(1 << 20),
         );
         let dispatcher = Arc::new(HostDispatcher::new(
             Arc::clone(&clock),
--- a/tests/testsuite/host/grants/late_requests.rs
+++ b/tests/testsuite/host/grants/late_requests.rs
@@ -159,7 +159,7 @@
         remaining,
         objective: remaining,
         attempt: 1,
-        body: Body(Vec::new()),
+        body: Body::default(),
     }
 }
 
--- a/tests/testsuite/http1.rs
+++ b/tests/testsuite/http1.rs
@@ -5,10 +5,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use foxtaildrift::connection::body_budget::BodyBudget;
 use foxtaildrift::connection::body_buffer::BodyLimits;
 use foxtaildrift::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use foxtaildrift::connection::http1::{self, Framing};
+use foxtaildrift::connection::memory_budget::MemoryBudget;
 use foxtaildrift::connection::recipient::Recipient;
 use foxtaildrift::request::headers::Headers;
 use rand::{Rng, RngExt, SeedableRng};
@@ -49,7 +49,8 @@
 fn body_limits(bytes_max: usize) -> BodyLimits {
     BodyLimits {
         bytes_max,
-        budget: BodyBudget::unlimited(),
+        budget: MemoryBudget::unlimited(),
+        transfer: None,
     }
 }
 
@@ -62,7 +63,7 @@
         deadline(),
         &Recipient::none(),
     )?;
-    Ok(body.bytes)
+    Ok(body.to_vec())
 }
 
 #[test]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod http_listener;
 mod key_owner;
 mod limiter;
+mod load_shedding;
 mod log_buffer;
 mod log_events;
 mod names;
--- a/tests/testsuite/peer_pool.rs
+++ b/tests/testsuite/peer_pool.rs
@@ -55,7 +55,7 @@
         remaining: Duration::from_secs(2),
         objective: Duration::from_secs(1),
         attempt: 1,
-        body: Body(vec![0; body_bytes]),
+        body: Body(vec![0; body_bytes].into()),
     };
     PeerRequest::Dispatch {
         instance: InstanceId(1),
@@ -419,7 +419,7 @@
         repeatable: false,
         remaining: Duration::from_secs(2),
         content_type: None,
-        body: Body(Vec::new()),
+        body: Body::default(),
     };
     let shared = PeerRequest::DispatchShared {
         instance: InstanceId(1),
--- a/tests/testsuite/product_upstream.rs
+++ b/tests/testsuite/product_upstream.rs
@@ -102,6 +102,6 @@
         repeatable: true,
         remaining,
         content_type: None,
-        body: Body(Vec::new()),
+        body: Body::default(),
     })
 }
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -8,8 +8,8 @@
 
 use socket2::{Domain, Socket, Type};
 
-use foxtaildrift::connection::body_budget::BodyBudget;
 use foxtaildrift::connection::http1::ResponseHead;
+use foxtaildrift::connection::memory_budget::MemoryBudget;
 use foxtaildrift::connection::protocol::{
     Grant, KeyRange, OutgoingRequest, ResponseMetadata, UpstreamProtocol,
 };
@@ -81,7 +81,7 @@
         remaining: TIMEOUT,
         objective: TIMEOUT,
         attempt: 1,
-        body: Body(Vec::new()),
+        body: Body::default(),
     }
 }
 
@@ -94,7 +94,7 @@
         to,
         None,
         Arc::new(PlainProtocol),
-        BodyBudget::new(BODIES_BYTES_MAX),
+        MemoryBudget::new(BODIES_BYTES_MAX),
     )
 }
 
@@ -236,7 +236,7 @@
             }
         });
         let mut request = request("a");
-        request.body = Body(vec![b'x'; HELD_UP_BYTES]);
+        request.body = Body(vec![b'x'; HELD_UP_BYTES].into());
         let result = pool.send_request(&request, "i-1", timeout, &recipient, || Ok(()));
         assert!(result.is_err(), "{what}: {result:?}");
         leaving.join().expect("the caller panicked");
@@ -331,7 +331,7 @@
     });
     let pool = pool(to);
     let whole = send(&pool, "a").expect("the orderly close is the end of the body");
-    assert_eq!(whole.response.body.0, b"body");
+    assert_eq!(whole.response.body.0, b"body"[..]);
     let reset = send(&pool, "a");
     assert!(
         matches!(reset, Err(UpstreamRequestFailure::MaybeRun(_))),
@@ -377,7 +377,7 @@
     let not_run = matches!(refused, Err(UpstreamRequestFailure::NotRun { .. }));
     assert!(not_run, "{refused:?}");
     let second = send(&pool, "a").expect("the second attempt ran");
-    assert_eq!(second.response.body.0, b"ran");
+    assert_eq!(second.response.body.0, b"ran"[..]);
     drop(pool);
     let first = server.join().expect("the upstream panicked");
     first.join().expect("the upstream panicked");
@@ -448,10 +448,10 @@
             });
             let pool = pool(to);
             let first = send(&pool, "a").expect("the first answer is whole");
-            assert_eq!(first.response.body.0, b"first");
+            assert_eq!(first.response.body.0, b"first"[..]);
             thread::sleep(Duration::from_millis(10));
             match send(&pool, "b") {
-                Ok(second) => assert_eq!(second.response.body.0, b"second"),
+                Ok(second) => assert_eq!(second.response.body.0, b"second"[..]),
                 // An answer without an id can't be told apart, so the connection is given up.
                 Err(UpstreamRequestFailure::MaybeRun(_)) => {}
                 other => panic!("{copy_id:?} after {delay} ms: {other:?}"),
--- a/tests/testsuite/wire_properties.rs
+++ b/tests/testsuite/wire_properties.rs
@@ -344,7 +344,7 @@
         remaining: Duration::from_secs(2),
         objective: Duration::from_millis(400),
         attempt: 1,
-        body: Body(vec![1, 2, 3]),
+        body: Body(vec![1, 2, 3].into()),
     }
 }
 
