Refuse incomplete and malformed responses of upstreams

Cause: a response without a length that ended in an orderly way while the request was still being written was passed on as complete. Statuses 000 to 099 were skipped like interim responses, 600 to 999 passed on.

Change: a response without a length needs a request that was written whole and a connection that was not reset. Statuses outside 100 to 599 and invalid framing are errors of their own; the request may have run.

Ruled out on the unchanged code: a part with a reset, a close, chunks or a length was no success.

--- a/src/connection/buffered_connection.rs
+++ b/src/connection/buffered_connection.rs
@@ -45,6 +45,12 @@
     /// The received bytes are not a valid message of the protocol; names the invalid part.
     #[error("malformed message: {0}")]
     Malformed(&'static str),
+    /// The status of a response is not from 100 to 599.
+    #[error("invalid response: the status")]
+    InvalidStatus,
+    /// The headers that frame the body of a response are invalid; names the invalid part.
+    #[error("invalid response: {0}")]
+    InvalidFraming(&'static str),
     /// The named part, `head` or `body`, is larger than allowed.
     #[error("the {0} is too large")]
     TooLarge(&'static str),
@@ -152,6 +158,18 @@
         self.buffered().is_empty() && matches!(peeked, Err(rustix::io::Errno::AGAIN))
     }
 
+    /// Checks that the peer has not reset the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection has failed.
+    pub fn check_reset(&self) -> Result<(), ConnectionError> {
+        match self.stream.take_error()? {
+            Some(e) => Err(e.into()),
+            None => Ok(()),
+        }
+    }
+
     /// Reads more bytes into the buffer; returns how many.
     ///
     /// # Errors
--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -21,6 +21,9 @@
 /// The largest trailer section, in bytes.
 const TRAILER_BYTES_MAX: usize = 16 * 1024;
 
+/// The status codes of responses. The parser accepts all numbers of three digits.
+const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
+
 /// HTTP status of a request that reached another process than the one it was meant for.
 pub const STATUS_MISDIRECTED: u16 = 421;
 
@@ -153,10 +156,15 @@
     let used = match response.parse(bytes) {
         Ok(httparse::Status::Complete(used)) => used,
         Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::Status) => return Err(ConnectionError::InvalidStatus),
         Err(_) => return Err(ConnectionError::Malformed("the answer's head")),
     };
+    let status = response.code.unwrap_or_default();
+    if !STATUSES.contains(&status) {
+        return Err(ConnectionError::InvalidStatus);
+    }
     let head = ResponseHead {
-        status: response.code.unwrap_or_default(),
+        status,
         minor_version: response.version.unwrap_or(1),
         headers: to_headers(response.headers),
     };
@@ -214,11 +222,15 @@
     if method == "HEAD" || head.status == 204 || head.status == 304 {
         return Ok(Framing::Length(0));
     }
-    match (is_chunked(&head.headers)?, content_length(&head.headers)?) {
-        (true, Some(_)) => Err(ConnectionError::Malformed("a length and chunks")),
-        (true, None) => Ok(Framing::Chunked),
-        (false, Some(length)) => Ok(Framing::Length(length)),
-        (false, None) => Ok(Framing::UntilClose),
+    let headers = &head.headers;
+    let parsed = is_chunked(headers).and_then(|c| Ok((c, content_length(headers)?)));
+    match parsed {
+        Ok((true, Some(_))) => Err(ConnectionError::InvalidFraming("a length and chunks")),
+        Ok((true, None)) => Ok(Framing::Chunked),
+        Ok((false, Some(length))) => Ok(Framing::Length(length)),
+        Ok((false, None)) => Ok(Framing::UntilClose),
+        Err(ConnectionError::Malformed(part)) => Err(ConnectionError::InvalidFraming(part)),
+        Err(e) => Err(e),
     }
 }
 
@@ -276,7 +288,8 @@
             conn.consume(conn.buffered().len());
             match conn.fill(deadline, recipient) {
                 Ok(_) => {}
-                Err(ConnectionError::Closed) => return Ok(()),
+                // A reset that follows an orderly end is not an error of the read.
+                Err(ConnectionError::Closed) => return conn.check_reset(),
                 Err(e) => return Err(e),
             }
         },
--- a/src/connection/upstream_pool.rs
+++ b/src/connection/upstream_pool.rs
@@ -210,6 +210,12 @@
             .map_err(UpstreamRequestFailure::after_sending)?;
         let body = http1::read_body(conn, framing, &self.body_limits, deadline, recipient);
         let not_run = metadata.not_run || head.status == http1::STATUS_MISDIRECTED;
+        if framing == Framing::UntilClose && !is_written && !not_run {
+            // The end of the connection is the end of the response only if the upstream took the request.
+            return Err(UpstreamRequestFailure::MaybeRun(
+                "the connection ended before the request was written".to_owned(),
+            ));
+        }
         let is_reusable = body.is_ok() && is_written && framing != Framing::UntilClose;
         let body = match body {
             Ok(body) => body,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -35,4 +35,5 @@
 mod upstream_client;
 mod upstream_dispatcher;
 mod upstream_pool;
+mod upstream_responses;
 mod wire_properties;
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -67,7 +67,7 @@
     }
 }
 
-fn request(id: &str) -> UpstreamRequest {
+pub(crate) fn request(id: &str) -> UpstreamRequest {
     UpstreamRequest {
         id: id.to_owned(),
         service: "desk".parse().unwrap(),
@@ -85,11 +85,14 @@
     }
 }
 
-fn send(pool: &UpstreamPool, id: &str) -> Result<ReceivedResponse, UpstreamRequestFailure> {
+pub(crate) fn send(
+    pool: &UpstreamPool,
+    id: &str,
+) -> Result<ReceivedResponse, UpstreamRequestFailure> {
     pool.send_request(&request(id), "i-1", TIMEOUT, &Recipient::none(), || Ok(()))
 }
 
-fn pool(to: SocketAddr) -> UpstreamPool {
+pub(crate) fn pool(to: SocketAddr) -> UpstreamPool {
     UpstreamPool::new(
         to,
         None,
