End transfers for their threads only if they occupy half of them

Cause: with many requests waiting at upstreams, responses that are read slowly would be ended although that frees few threads.

--- a/src/connection/http_listener.rs
+++ b/src/connection/http_listener.rs
@@ -149,7 +149,8 @@
     /// without reading it.
     pub(super) fn admit_request(&self) -> bool {
         let jobs = self.threads.jobs();
-        if jobs >= SHED_JOBS_MIN {
+        // If most threads wait for upstreams, ending transfers would free few of them.
+        if jobs >= SHED_JOBS_MIN && self.budget.transfers() >= jobs / 2 {
             self.budget.shed_for_thread(Instant::now());
         }
         if jobs >= JOBS_MAX {
--- a/src/connection/load_shedding.rs
+++ b/src/connection/load_shedding.rs
@@ -12,7 +12,7 @@
 /// inside the limits that read slowly make progress within this time unless they read less than
 /// 16 KiB per second.
 pub const STALL_MIN: Duration = Duration::from_secs(1);
-/// How long a transfer must have made no progress before it is ended for its thread.
+/// How long a request that arrives must have made no progress before it is ended for its thread.
 pub const THREAD_STALL_MIN: Duration = Duration::from_millis(250);
 
 /// What the choice depends on for one transfer.
@@ -38,14 +38,15 @@
     stalled.max_by_key(|c| c.stalled).map(|c| c.number)
 }
 
-/// Returns the transfer that is ended so that another one gets its thread.
+/// Returns the transfer that is ended so that another one gets its thread. A response is given more time
+/// than a request, as its request has run.
 pub fn victim_for_thread(candidates: &[Candidate]) -> Option<u64> {
-    let threads: Vec<_> = candidates
-        .iter()
-        .filter(|c| c.has_thread)
-        .copied()
-        .collect();
-    slowest(&threads, THREAD_STALL_MIN)
+    let is_slow = |c: &&Candidate| match c.is_receiving {
+        true => c.stalled >= THREAD_STALL_MIN,
+        false => c.stalled >= STALL_MIN,
+    };
+    let slow = candidates.iter().filter(|c| c.has_thread).filter(is_slow);
+    slow.max_by_key(|c| c.stalled).map(|c| c.number)
 }
 
 /// Returns the transfer that is ended for the memory of one that began at `asker`, or of a response if
--- a/src/connection/memory_budget.rs
+++ b/src/connection/memory_budget.rs
@@ -140,6 +140,11 @@
         TransferGuard::new(Arc::clone(self), number, transfer)
     }
 
+    /// Returns how many transfers are in progress.
+    pub fn transfers(&self) -> usize {
+        sync::lock(&self.transfers).len()
+    }
+
     /// Removes a transfer that has ended.
     pub(super) fn end_transfer(&self, number: u64) {
         sync::lock(&self.transfers).remove(&number);
--- a/tests/testsuite/load_shedding.rs
+++ b/tests/testsuite/load_shedding.rs
@@ -69,4 +69,9 @@
     assert_eq!(load_shedding::victim_for_thread(&[head, frame]), Some(1));
     let quick = receiving(3, now, 200);
     assert_eq!(load_shedding::victim_for_thread(&[frame, quick]), None);
+    let response = Candidate {
+        is_receiving: false,
+        ..receiving(4, now, 900)
+    };
+    assert_eq!(load_shedding::victim_for_thread(&[response]), None);
 }
