--- a/crates/bench/src/host_cluster.rs
+++ b/crates/bench/src/host_cluster.rs
@@ -442,6 +442,11 @@
         SocketAddr::new(self.ip(number), UPSTREAM_PORT)
     }
 
+    /// Returns the process id of the daemon of a host, or `None` if it does not run.
+    pub fn daemon_id(&self, number: usize) -> Option<u32> {
+        Some(self.hosts[number].daemon.as_ref()?.id())
+    }
+
     /// Returns the highest resident memory of the daemon of a host so far, in bytes, or `None` if it
     /// does not run.
     pub fn peak_memory(&self, number: usize) -> Option<u64> {
--- a/crates/bench/tests/testsuite/main.rs
+++ b/crates/bench/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod explore;
 mod fault_proxy;
+mod hard_clients;
 mod host;
 mod journal;
 mod late_connections;
--- a/src/connection/buffered_connection.rs
+++ b/src/connection/buffered_connection.rs
@@ -45,6 +45,12 @@
     /// The received bytes are not a valid message of the protocol; names the invalid part.
     #[error("malformed message: {0}")]
     Malformed(&'static str),
+    /// The status of a response is not from 100 to 599.
+    #[error("invalid response: the status")]
+    InvalidStatus,
+    /// The headers that frame the body of a response are invalid; names the invalid part.
+    #[error("invalid response: {0}")]
+    InvalidFraming(&'static str),
     /// The named part, `head` or `body`, is larger than allowed.
     #[error("the {0} is too large")]
     TooLarge(&'static str),
@@ -152,6 +158,18 @@
         self.buffered().is_empty() && matches!(peeked, Err(rustix::io::Errno::AGAIN))
     }
 
+    /// Checks that the peer has not reset the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection has failed.
+    pub fn check_reset(&self) -> Result<(), ConnectionError> {
+        match self.stream.take_error()? {
+            Some(e) => Err(e.into()),
+            None => Ok(()),
+        }
+    }
+
     /// Reads more bytes into the buffer; returns how many.
     ///
     /// # Errors
@@ -274,33 +292,8 @@
     }
 }
 
-/// Writes all of `bytes` to a non-blocking socket.
-///
-/// # Errors
-///
-/// Returns an error if the connection fails or `deadline` passes.
-pub fn write_all(
-    mut stream: &TcpStream,
-    bytes: &[u8],
-    deadline: Instant,
-) -> Result<(), ConnectionError> {
-    let mut written = 0;
-    while written < bytes.len() {
-        match stream.write(&bytes[written..]) {
-            Ok(0) => return Err(ConnectionError::Closed),
-            Ok(count) => written += count,
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                poll_until(stream, PollFlags::OUT, deadline)?;
-            }
-            Err(e) => return Err(e.into()),
-        }
-    }
-    Ok(())
-}
-
 /// Polls a socket for `events` until `deadline`; returns those that occurred.
-fn poll_until(
+pub(super) fn poll_until(
     stream: &TcpStream,
     events: PollFlags,
     deadline: Instant,
--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -3,7 +3,9 @@
 
 use std::time::Instant;
 
-use crate::connection::body_buffer::{BodyBuffer, BodyLimits, ReceivedBody};
+use bytes::Bytes;
+
+use crate::connection::body_buffer::{BodyBuffer, BodyLimits};
 use crate::connection::buffered_connection::{BufferedConnection, ConnectionError};
 use crate::connection::recipient::Recipient;
 use crate::request::headers::Headers;
@@ -19,6 +21,9 @@
 /// The largest trailer section, in bytes.
 const TRAILER_BYTES_MAX: usize = 16 * 1024;
 
+/// The status codes of responses. The parser accepts all numbers of three digits.
+const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
+
 /// HTTP status of a request that reached another process than the one it was meant for.
 pub const STATUS_MISDIRECTED: u16 = 421;
 
@@ -96,15 +101,21 @@
         conn.fill(idle_deadline, &recipient)?;
     }
     let deadline = Instant::now() + timeout;
+    let mut parsed = 0;
     loop {
-        if let Some((head, used)) = parse_request(conn.buffered())? {
+        // A head can only become complete with the end of a line. Parsing after each byte of a slow
+        // sender would take time in the square of the head's size.
+        if (parsed == 0 || conn.buffered()[parsed..].contains(&b'\n'))
+            && let Some((head, used)) = parse_request(conn.buffered())?
+        {
             if used > bytes_max {
                 return Err(ConnectionError::TooLarge("head"));
             }
             conn.consume(used);
             return Ok(head);
         }
-        if conn.buffered().len() > bytes_max {
+        parsed = conn.buffered().len();
+        if parsed > bytes_max {
             return Err(ConnectionError::TooLarge("head"));
         }
         conn.fill(deadline, &recipient)?;
@@ -145,10 +156,15 @@
     let used = match response.parse(bytes) {
         Ok(httparse::Status::Complete(used)) => used,
         Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::Status) => return Err(ConnectionError::InvalidStatus),
         Err(_) => return Err(ConnectionError::Malformed("the answer's head")),
     };
+    let status = response.code.unwrap_or_default();
+    if !STATUSES.contains(&status) {
+        return Err(ConnectionError::InvalidStatus);
+    }
     let head = ResponseHead {
-        status: response.code.unwrap_or_default(),
+        status,
         minor_version: response.version.unwrap_or(1),
         headers: to_headers(response.headers),
     };
@@ -206,11 +222,15 @@
     if method == "HEAD" || head.status == 204 || head.status == 304 {
         return Ok(Framing::Length(0));
     }
-    match (is_chunked(&head.headers)?, content_length(&head.headers)?) {
-        (true, Some(_)) => Err(ConnectionError::Malformed("a length and chunks")),
-        (true, None) => Ok(Framing::Chunked),
-        (false, Some(length)) => Ok(Framing::Length(length)),
-        (false, None) => Ok(Framing::UntilClose),
+    let headers = &head.headers;
+    let parsed = is_chunked(headers).and_then(|c| Ok((c, content_length(headers)?)));
+    match parsed {
+        Ok((true, Some(_))) => Err(ConnectionError::InvalidFraming("a length and chunks")),
+        Ok((true, None)) => Ok(Framing::Chunked),
+        Ok((false, Some(length))) => Ok(Framing::Length(length)),
+        Ok((false, None)) => Ok(Framing::UntilClose),
+        Err(ConnectionError::Malformed(part)) => Err(ConnectionError::InvalidFraming(part)),
+        Err(e) => Err(e),
     }
 }
 
@@ -226,7 +246,7 @@
     limits: &BodyLimits,
     deadline: Instant,
     recipient: &Recipient,
-) -> Result<ReceivedBody, ConnectionError> {
+) -> Result<Bytes, ConnectionError> {
     let mut body = BodyBuffer::new(limits);
     read_into(conn, framing, &mut body, deadline, recipient)?;
     Ok(body.into_body())
@@ -258,14 +278,18 @@
     recipient: &Recipient,
 ) -> Result<(), ConnectionError> {
     match framing {
-        Framing::Length(length) => read_exact(conn, length, body, deadline, recipient),
+        Framing::Length(length) => {
+            body.expect_length(length)?;
+            read_exact(conn, length, body, deadline, recipient)
+        }
         Framing::Chunked => read_chunks(conn, body, deadline, recipient),
         Framing::UntilClose => loop {
             body.append(conn.buffered())?;
             conn.consume(conn.buffered().len());
             match conn.fill(deadline, recipient) {
                 Ok(_) => {}
-                Err(ConnectionError::Closed) => return Ok(()),
+                // A reset that follows an orderly end is not an error of the read.
+                Err(ConnectionError::Closed) => return conn.check_reset(),
                 Err(e) => return Err(e),
             }
         },
@@ -285,6 +309,7 @@
     }
     let end = body.length() + count;
     loop {
+        let deadline = progress_deadline(body, deadline);
         let available = conn.buffered().len().min(end - body.length());
         body.append(&conn.buffered()[..available])?;
         conn.consume(available);
@@ -295,6 +320,12 @@
     }
 }
 
+/// Returns the deadline for the next bytes of a body, whose peer may have to keep to a minimum rate.
+fn progress_deadline(body: &BodyBuffer, deadline: Instant) -> Instant {
+    let progress_deadline = body.transfer().map(|t| t.progress_deadline());
+    progress_deadline.map_or(deadline, |d| d.min(deadline))
+}
+
 fn read_chunks(
     conn: &mut BufferedConnection,
     body: &mut BodyBuffer,
@@ -302,6 +333,7 @@
     recipient: &Recipient,
 ) -> Result<(), ConnectionError> {
     loop {
+        let deadline = progress_deadline(body, deadline);
         let size = read_chunk_size(conn, deadline, recipient)?;
         if size == 0 {
             return skip_trailers(conn, deadline, recipient);
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -62,6 +62,7 @@
 mod caller_authenticator;
 mod departure_store;
 pub mod departures;
+pub mod descriptors;
 pub mod endpoints;
 pub mod explanation;
 pub mod fair_queue;
--- a/src/process/host/response_builder.rs
+++ b/src/process/host/response_builder.rs
@@ -14,6 +14,8 @@
 /// Retry delay returned while the routing may be too old for keys: a store that answers again makes it
 /// recent within about this time.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry delay returned to a request that was not read to its end.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Builder of responses in the protocol of the callers.
 pub(super) struct ResponseBuilder {
@@ -52,6 +54,14 @@
         response
     }
 
+    /// Builds the response to a request that was not read to its end, as its memory or its thread is
+    /// needed for others.
+    pub(super) fn overloaded(&self) -> HttpResponse {
+        let mut response = HttpResponse::text(503, "not run: too much is in progress\n");
+        self.add_retry_after(&mut response, OVERLOAD_RETRY_AFTER);
+        response
+    }
+
     /// Builds the response to the caller from an outcome.
     pub(super) fn build(&self, id: &str, outcome: UpstreamOutcome) -> HttpResponse {
         let mut response = match outcome {
--- a/tests/testsuite/upstream_pool.rs
+++ b/tests/testsuite/upstream_pool.rs
@@ -8,8 +8,8 @@
 
 use socket2::{Domain, Socket, Type};
 
-use foxtaildrift::connection::body_budget::BodyBudget;
 use foxtaildrift::connection::http1::ResponseHead;
+use foxtaildrift::connection::memory_budget::MemoryBudget;
 use foxtaildrift::connection::protocol::{
     Grant, KeyRange, OutgoingRequest, ResponseMetadata, UpstreamProtocol,
 };
@@ -68,7 +68,7 @@
     }
 }
 
-fn request(id: &str) -> UpstreamRequest {
+pub(crate) fn request(id: &str) -> UpstreamRequest {
     UpstreamRequest {
         id: id.to_owned(),
         service: "desk".parse().unwrap(),
@@ -84,20 +84,23 @@
         remaining: TIMEOUT,
         objective: TIMEOUT,
         attempt: 1,
-        body: Body(Vec::new()),
+        body: Body::default(),
     }
 }
 
-fn send(pool: &UpstreamPool, id: &str) -> Result<ReceivedResponse, UpstreamRequestFailure> {
+pub(crate) fn send(
+    pool: &UpstreamPool,
+    id: &str,
+) -> Result<ReceivedResponse, UpstreamRequestFailure> {
     pool.send_request(&request(id), "i-1", TIMEOUT, &Recipient::none(), || Ok(()))
 }
 
-fn pool(to: SocketAddr) -> UpstreamPool {
+pub(crate) fn pool(to: SocketAddr) -> UpstreamPool {
     UpstreamPool::new(
         to,
         None,
         Arc::new(PlainProtocol),
-        BodyBudget::new(BODIES_BYTES_MAX),
+        MemoryBudget::new(BODIES_BYTES_MAX),
     )
 }
 
@@ -239,7 +242,7 @@
             }
         });
         let mut request = request("a");
-        request.body = Body(vec![b'x'; HELD_UP_BYTES]);
+        request.body = Body(vec![b'x'; HELD_UP_BYTES].into());
         let result = pool.send_request(&request, "i-1", timeout, &recipient, || Ok(()));
         assert!(result.is_err(), "{what}: {result:?}");
         leaving.join().expect("the caller panicked");
@@ -334,7 +337,7 @@
     });
     let pool = pool(to);
     let whole = send(&pool, "a").expect("the orderly close is the end of the body");
-    assert_eq!(whole.response.body.0, b"body");
+    assert_eq!(whole.response.body.0, b"body"[..]);
     let reset = send(&pool, "a");
     assert!(
         matches!(reset, Err(UpstreamRequestFailure::MaybeRun(_))),
@@ -380,7 +383,7 @@
     let not_run = matches!(refused, Err(UpstreamRequestFailure::NotRun { .. }));
     assert!(not_run, "{refused:?}");
     let second = send(&pool, "a").expect("the second attempt ran");
-    assert_eq!(second.response.body.0, b"ran");
+    assert_eq!(second.response.body.0, b"ran"[..]);
     drop(pool);
     let first = server.join().expect("the upstream panicked");
     first.join().expect("the upstream panicked");
@@ -451,10 +454,10 @@
             });
             let pool = pool(to);
             let first = send(&pool, "a").expect("the first answer is whole");
-            assert_eq!(first.response.body.0, b"first");
+            assert_eq!(first.response.body.0, b"first"[..]);
             thread::sleep(Duration::from_millis(10));
             match send(&pool, "b") {
-                Ok(second) => assert_eq!(second.response.body.0, b"second"),
+                Ok(second) => assert_eq!(second.response.body.0, b"second"[..]),
                 // An answer without an id can't be told apart, so the connection is given up.
                 Err(UpstreamRequestFailure::MaybeRun(_)) => {}
                 other => panic!("{copy_id:?} after {delay} ms: {other:?}"),
