--- a/tests/testsuite/host/admission.rs
+++ b/tests/testsuite/host/admission.rs
@@ -187,12 +187,12 @@
 fn a_queued_request_that_can_not_end_in_time_any_more_is_taken_out() {
     let mut admission = admission();
     fill(&mut admission, 0);
-    let doomed = ticket(admission.admit(at(0), &arrival(1, 200, 200)));
-    let patient = ticket(admission.admit(at(0), &arrival(1, 200, 5000)));
+    let expiring = ticket(admission.admit(at(0), &arrival(1, 200, 200)));
+    let waiting = ticket(admission.admit(at(0), &arrival(1, 200, 5000)));
     admission.complete(at(150), None);
     let turns = admission.admit_waiting(at(150));
-    assert_eq!(turns.expired, [doomed]);
-    assert_eq!(turns.admitted, [patient]);
+    assert_eq!(turns.expired, [expiring]);
+    assert_eq!(turns.admitted, [waiting]);
 }
 
 #[test]
