Share two constants, and say plainly why three limits of quotas and memory stand

The longest token delay and the assumed run time stood twice; three comments told of measurements or of an earlier wait.

--- a/src/process/host/host_settings.rs
+++ b/src/process/host/host_settings.rs
@@ -30,8 +30,8 @@
 /// Which part of the memory the budget has: one in this number. The rest is for the program, its threads,
 /// what the allocator keeps and the kernel's socket buffers.
 const BUDGET_SHARE: u64 = 2;
-/// What the program takes beside the budget under a mixed load of 400 connections, in MiB; 25 to 30 were
-/// measured. Hosts with less memory than twice this have a smaller budget.
+/// What the program takes beside the budget, in MiB: code, threads, and what the allocator keeps. Hosts
+/// with less memory than twice this have a smaller budget.
 const PROGRAM_MB: u64 = 36;
 /// Which part of the memory the budget has at least: one in this number.
 const BUDGET_SHARE_MIN: u64 = 4;
--- a/src/process/host/load_estimate.rs
+++ b/src/process/host/load_estimate.rs
@@ -3,12 +3,11 @@
 
 use std::time::Duration;
 
+use crate::process::host::run_times;
 use crate::process::host::upstream_selector::AttemptOutcome;
 use crate::process::moment::Moment;
 use crate::request::upstream_load::UpstreamLoad;
 
-/// Assumed mean run time while no upstream of the service has reported one, in microseconds.
-const INITIAL_MEAN_MICROS: f64 = 100_000.0;
 /// Assumed run time of an upstream without a report, as a multiple of the typical one. Above 1, so
 /// that an upstream that joins gets its first requests slowly.
 const UNKNOWN_RUN_TIME_FACTOR: f64 = 2.0;
@@ -85,7 +84,7 @@
         if run_times.is_empty() {
             return Self {
                 utilization: 0.0,
-                run_micros: INITIAL_MEAN_MICROS,
+                run_micros: run_times::INITIAL_MEAN_MICROS,
             };
         }
         let utilization = utilizations / run_times.len() as f64;
--- a/src/process/host/quota_owner.rs
+++ b/src/process/host/quota_owner.rs
@@ -10,14 +10,12 @@
 use std::time::Duration;
 
 use crate::process::host::quota_config::QuotaConfig;
-use crate::process::host::team_limit::TeamLimit;
+use crate::process::host::team_limit::{self, TeamLimit};
 use crate::process::moment::Moment;
 use crate::version::team_name::TeamName;
 
 /// Part of a token that may be missing when one is issued: times are rounded to microseconds.
 const ROUNDING: f64 = 1e-6;
-/// Longest delay until the next token that is reported, in seconds.
-const TOKEN_DELAY_MAX_S: f64 = 3600.0;
 /// Most handovers that are kept until this daemon adopts the table that makes it the owner.
 const EARLY_HANDOVERS_MAX: usize = 1024;
 
@@ -169,7 +167,7 @@
         let delay = (1.0 - bucket.level).max(0.0) / bucket.refill;
         Some(IssuedTokens {
             tokens: issued,
-            next_token_in: Duration::from_secs_f64(delay.min(TOKEN_DELAY_MAX_S))
+            next_token_in: Duration::from_secs_f64(delay.min(team_limit::TOKEN_DELAY_MAX_S))
                 + Duration::from_micros(1),
         })
     }
--- a/src/process/host/quota_placement.rs
+++ b/src/process/host/quota_placement.rs
@@ -27,8 +27,7 @@
     /// Whether the daemon is about to stop; it then owns no team, unless all are.
     pub leaving: bool,
     /// CPU share of the host, in per mille of a core. Only daemons on the hosts with the highest share
-    /// own teams: a busy team's owner answers hundreds of asks a second, which took longer than requests
-    /// may wait on a host with a tenth of a core.
+    /// own teams: the owner of a busy team answers hundreds of asks a second, beside its other work.
     pub cpu_share: u32,
 }
 
--- a/src/process/host/run_times.rs
+++ b/src/process/host/run_times.rs
@@ -14,8 +14,8 @@
 const RUN_TIME_WEIGHT: f64 = 0.05;
 /// Number of run times of a kind up to which their plain mean is used.
 const PLAIN_MEAN_SAMPLES: u32 = 20;
-/// Mean run time before any was measured, in microseconds.
-const INITIAL_MEAN_MICROS: f64 = 100_000.0;
+/// Assumed mean run time of an upstream while none is known, in microseconds.
+pub(super) const INITIAL_MEAN_MICROS: f64 = 100_000.0;
 /// Weight of a new run time in the slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.15;
 /// Time constant of the decay of the slowdown: one that is not confirmed by new run times ends.
--- a/src/process/host/team_limit.rs
+++ b/src/process/host/team_limit.rs
@@ -3,7 +3,7 @@
 use crate::version::team::Team;
 
 /// Longest delay until a token that is computed from a rate, in seconds.
-const TOKEN_DELAY_MAX_S: f64 = 3600.0;
+pub(super) const TOKEN_DELAY_MAX_S: f64 = 3600.0;
 
 /// The rate limit of a team over all daemons together.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/process/host/team_quota.rs
+++ b/src/process/host/team_quota.rs
@@ -16,9 +16,8 @@
 /// unreachable for up to 100 ms at times; a request that runs after such a wait still meets its
 /// objective, while a refused one rarely does.
 pub const QUOTA_WAIT_DIVISOR: u32 = 3;
-/// Interval between two asks while requests wait for a token: with the shortest usual objective of
-/// 400 ms, a request waits 50 ms, in which two datagrams may be lost. At 20 ms, one of 6,000 requests
-/// was refused when 2 % of the datagrams were lost.
+/// Interval between two asks while requests wait for a token. It is short, so that several datagrams may
+/// be lost before a request with a short objective is refused.
 const WAITING_ASK_INTERVAL: Duration = Duration::from_millis(15);
 /// Number of asks without an answer after which the quota owner counts as silent.
 const SILENT_ASKS: u32 = 3;
