--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -1,7 +1,7 @@
 //! Dispatcher to the local upstream. All requests to the upstream pass through it.
 
-use std::collections::{BTreeMap, HashMap};
-use std::sync::mpsc::{self, RecvTimeoutError, SyncSender};
+use std::collections::BTreeMap;
+use std::sync::mpsc::{self, RecvTimeoutError};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -11,20 +11,18 @@
 use crate::connection::upstream_request_failure::UpstreamRequestFailure;
 use crate::process::clock::Clock;
 use crate::process::datagram::Message;
-use crate::process::host::admission::{Admission, Decision};
-use crate::process::host::admission_queue::{Arrival, Ticket};
+use crate::process::host::admission::Decision;
+use crate::process::host::admission_queue::Arrival;
 use crate::process::host::departures::DepartedProcess;
+use crate::process::host::dispatcher_state::{DispatcherState, InFlight, Turn};
 use crate::process::host::grant_wait::GrantWait;
-use crate::process::host::local_upstream::{
-    LocalUpstream, ReportEffect, UpstreamLoss, UpstreamProcess,
-};
+use crate::process::host::local_upstream::{ReportEffect, UpstreamLoss, UpstreamProcess};
 use crate::process::host::owned_range::OwnedRange;
 use crate::process::membership::Membership;
 use crate::process::moment::Moment;
 use crate::process::sync;
 use crate::request::fingerprint::Fingerprint;
-use crate::request::quarantine::{CrashSuspect, Quarantine, QuarantineState};
-use crate::request::request_kind::RequestKind;
+use crate::request::quarantine::{CrashSuspect, QuarantineState};
 use crate::request::shard_key::ShardKey;
 use crate::request::upstream_load::UpstreamLoad;
 use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
@@ -55,46 +53,13 @@
     ran: Duration,
 }
 
-/// Why a request leaves the queue.
-enum Turn {
-    /// It may be sent.
-    Admitted,
-    /// It can't end before its deadline any more.
-    Expired,
-}
-
-/// Request at the upstream.
-struct InFlight {
-    fingerprint: Fingerprint,
-    kind: RequestKind,
-}
-
-#[derive(Default)]
-struct State {
-    upstream: LocalUpstream,
-    admission: Admission,
-    /// Channels that wake the threads of queued requests.
-    waiting: HashMap<Ticket, SyncSender<Turn>>,
-    /// Requests at the upstream, by dispatch number.
-    in_flight: HashMap<u64, InFlight>,
-    last_dispatch: u64,
-    quarantine: Quarantine,
-    /// Ranges that are certainly granted to the upstream, each with the end of its grant.
-    granted: Vec<(OwnedRange, Moment)>,
-    /// Whether the dispatcher accepts no more requests.
-    closed: bool,
-    /// Requests for each granted key since the last load report, including those refused for lack
-    /// of capacity.
-    arrivals: BTreeMap<u16, u32>,
-}
-
 /// Dispatcher to the local upstream.
 pub struct HostDispatcher {
     clock: Arc<dyn Clock>,
     membership: Arc<Membership>,
     pool: UpstreamPool,
     drain_timeout: Duration,
-    state: Mutex<State>,
+    state: Mutex<DispatcherState>,
     /// Notified when the granted ranges change.
     granted_changed: Condvar,
     /// Notified when a process of the upstream announces that it will stop.
@@ -182,7 +147,7 @@
         timeout: Duration,
     ) -> Vec<DepartedProcess> {
         let state = sync::lock(&self.state);
-        let is_known = |state: &mut State| state.upstream.departures() == known;
+        let is_known = |state: &mut DispatcherState| state.upstream.departures() == known;
         let waited = self
             .departures_changed
             .wait_timeout_while(state, timeout, is_known);
@@ -676,32 +641,6 @@
     }
 }
 
-impl State {
-    /// Admits queued requests and wakes their threads.
-    fn wake_admitted(&mut self, now: Moment) {
-        let turns = self.admission.admit_waiting(now);
-        for ticket in turns.admitted {
-            self.wake(ticket, Turn::Admitted);
-        }
-        for ticket in turns.expired {
-            self.wake(ticket, Turn::Expired);
-        }
-    }
-
-    fn wake(&mut self, ticket: Ticket, turn: Turn) {
-        if let Some(tx) = self.waiting.remove(&ticket) {
-            // If the thread no longer waits, it ends its dispatch itself.
-            let _ = tx.try_send(turn);
-        }
-    }
-
-    /// Records all requests in flight as suspects of the crash of the upstream process `boot`.
-    fn suspect_in_flight(&mut self, now: Moment, boot: UpstreamBoot) -> Vec<CrashSuspect> {
-        self.quarantine
-            .record_crash(now, boot, self.in_flight.values().map(|r| r.fingerprint))
-    }
-}
-
 /// Returns the outcome of a request that was refused for `cause`, with the usual retry delay.
 fn refusal(cause: NotRunCause) -> UpstreamOutcome {
     let retry_after = match cause {
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -17,6 +17,7 @@
 //! | [`explanation`] | where a request would go now, and why |
 //! | `selection_report` | metrics and the log line of a selected upstream |
 //! | [`host_dispatcher`] | whether and when a request is sent to the local upstream |
+//! | `dispatcher_state` | the waiting threads and the requests at the local upstream |
 //! | [`admission`] | concurrency limit, refusals and pacing of the local upstream |
 //! | [`admission_queue`] | the order in which requests wait for the local upstream |
 //! | [`fair_queue`] | order of queued requests of equal priority, fair over teams |
@@ -63,6 +64,7 @@
 mod departure_store;
 pub mod departures;
 pub mod descriptors;
+mod dispatcher_state;
 pub mod endpoints;
 pub mod explanation;
 pub mod fair_queue;
