Take no request that may outlast a stop later than 2.7 s after its start

Callers saw: with a grace period of 10 s, uploads sent 4.2 to 4.4 s after SIGTERM with 8 s to go were read, passed on and cut off 9.7 s after the signal, without an answer.

Cause: StopSchedule took any request in the first 45 % of the grace period, whatever the time its caller waits. With 6 s that is 2.7 s, within the 3 s in which callers learn that the host is not ready; with 10 s it is 4.5 s.

Change: the time in which any request is taken is 45 % of the grace period, and at most 2.7 s. After that a request is taken only if its caller's time ends before the stop does. Why it works: what can't be finished for certain is refused before anything is sent, when the refusal is still true.

--- a/src/process/host/stop_schedule.rs
+++ b/src/process/host/stop_schedule.rs
@@ -8,6 +8,9 @@
 /// request of the second half must not be cut off, and this process learns of its stop later than
 /// the caller.
 const LAST_ADMISSION_FRACTION: f64 = 0.45;
+/// Time after which no request is taken that may outlast the grace period, however long that is.
+/// Callers that follow the readiness of the host have left it 3 s after the signal.
+const LAST_ADMISSION_MAX: Duration = Duration::from_millis(2700);
 /// Fraction of the grace period after which no new connections are accepted.
 const CLOSE_FRACTION: f64 = 0.55;
 /// Part of the grace period that is left when the last connections are closed.
@@ -37,10 +40,15 @@
         self.started + self.grace.saturating_sub(MARGIN)
     }
 
+    /// Returns until when requests are taken whatever the time that their callers wait.
+    fn last_admission(&self) -> Moment {
+        let since_start = self.grace.mul_f64(LAST_ADMISSION_FRACTION);
+        self.started + since_start.min(LAST_ADMISSION_MAX)
+    }
+
     /// Returns whether a request may be taken at `now` whose caller waits for `remaining`. One that
     /// comes late and may outlast the stop would be cut off; elsewhere it can be finished.
     pub fn admits(&self, now: Moment, remaining: Duration) -> bool {
-        now < self.started + self.grace.mul_f64(LAST_ADMISSION_FRACTION)
-            || now + remaining <= self.deadline()
+        now < self.last_admission() || now + remaining <= self.deadline()
     }
 }
