Ask one gate for all that a stopping process takes

Requests of other daemons that waited weren't looked for at all. - Handovers of keys were accepted by a process that ends with them.

Cause: the times of the stop, the flag of the router and the flag of the dispatcher were three places.

Change: StopGate decides. Callers' requests and those of other daemons ask whether they may be taken; waiting ones, further attempts and reservations of bodies whether anything may still be begun. The gate is closed before the last look for requests, which covers the calls of other daemons. A stopping process refuses handovers, and the sender logs that.

Evidence: a_request_of_another_daemon_is_not_taken_if_it_may_outlast_the_stop fails without the check of the dispatcher ("Unknown .. the upstream did not answer in time", sent), a_request_that_waits_for_its_turn_is_refused_when_a_stop_ends without the check of the wait ("TimedOut").

--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -125,6 +125,11 @@
         })
     }
 
+    /// Returns the number of requests that wait for the upstream or whose reply is being written.
+    pub fn requests_in_progress(&self) -> usize {
+        self.shared.requests.jobs()
+    }
+
     /// Closes the listener and all links, cancels the calls in progress and joins all threads.
     pub fn stop(&self) {
         self.shared.stopping.store(true, Ordering::SeqCst);
--- a/src/process/host/dispatcher_state.rs
+++ b/src/process/host/dispatcher_state.rs
@@ -41,8 +41,6 @@
     pub(super) quarantine: Quarantine,
     /// Ranges that are certainly granted to the upstream, each with the end of its grant.
     pub(super) granted: Vec<(OwnedRange, Moment)>,
-    /// Whether the dispatcher accepts no more requests.
-    pub(super) closed: bool,
     /// Requests for each granted key since the last load report, including those refused for lack
     /// of capacity.
     pub(super) arrivals: BTreeMap<u16, u32>,
--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -1,7 +1,7 @@
 //! State that all threads of the daemon share, and the handling of requests from other daemons.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use crate::connection::memory_budget::MemoryBudget;
@@ -19,7 +19,7 @@
 use crate::process::host::local_upstream::ReportEffect;
 use crate::process::host::quota_gate::QuotaGate;
 use crate::process::host::recent_requests::{RecentRequests, RequestStatus};
-use crate::process::host::stop_schedule::StopSchedule;
+use crate::process::host::stop_gate::StopGate;
 use crate::process::membership::Membership;
 use crate::process::metrics::Metrics;
 use crate::process::stop_flag::StopFlag;
@@ -44,10 +44,8 @@
     pub(super) recent_requests: RecentRequests,
     pub(super) body_reservations: Mutex<BodyReservations>,
     pub(super) metrics: Arc<Metrics>,
-    /// Set when the process has been asked to stop.
-    pub(super) stopping: Arc<StopFlag>,
-    /// The times of the stop, once it has started.
-    pub(super) stop_schedule: Arc<OnceLock<StopSchedule>>,
+    /// What the process still takes once it has been asked to stop.
+    pub(super) stop_gate: Arc<StopGate>,
     /// Set when all threads must end.
     pub(super) stop: Arc<StopFlag>,
     /// Whether the process has ever been ready.
@@ -57,7 +55,7 @@
 impl HostContext {
     /// Returns whether callers may send requests to this daemon.
     pub fn is_ready(&self) -> bool {
-        if self.stopping.is_set() {
+        if self.stop_gate.is_stopping() {
             return false;
         }
         let has_routing = self
@@ -149,7 +147,7 @@
             connections: 1,
             checks_grants: true,
         };
-        let leaving = is_leaving || self.stopping.is_set();
+        let leaving = is_leaving || self.stop_gate.is_stopping();
         self.membership.with_ownership(|o, now| {
             o.update_info(now, |info| {
                 info.upstream = Some(upstream);
@@ -207,6 +205,10 @@
         if instance != self.instance {
             return PeerReply::NotServing("another process than the one meant".to_owned());
         }
+        if self.stop_gate.is_closed() {
+            let refusal = UpstreamOutcome::not_run(NotRunCause::Stopping, Duration::ZERO);
+            return self.completed(refusal);
+        }
         let now = self.clock.now();
         let reserved = sync::lock(&self.body_reservations).reserve(now, id, attempt, bytes);
         match reserved {
@@ -293,6 +295,10 @@
                         .map(|r| Box::new((**r).clone())),
                 )
             }
+            // Handovers end with the process, so a stopping one must not accept them.
+            PeerRequest::TransferKeys(_) if self.stop_gate.is_stopping() => {
+                PeerReply::NotServing("the process stops".to_owned())
+            }
             PeerRequest::TransferKeys(handovers) => {
                 self.grant_manager.accept_handovers(handovers);
                 PeerReply::Accepted
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -18,6 +18,7 @@
 use crate::process::host::grant_wait::GrantWait;
 use crate::process::host::local_upstream::{ReportEffect, UpstreamLoss, UpstreamProcess};
 use crate::process::host::owned_range::OwnedRange;
+use crate::process::host::stop_gate::StopGate;
 use crate::process::membership::Membership;
 use crate::process::moment::Moment;
 use crate::process::sync;
@@ -59,6 +60,7 @@
     membership: Arc<Membership>,
     pool: UpstreamPool,
     drain_timeout: Duration,
+    stop_gate: Arc<StopGate>,
     state: Mutex<DispatcherState>,
     /// Notified when the granted ranges change.
     granted_changed: Condvar,
@@ -68,18 +70,20 @@
 
 impl HostDispatcher {
     /// Creates a dispatcher to an upstream that has not reported yet. An upstream that leaves gets
-    /// no more requests after `drain_timeout`.
+    /// no more requests after `drain_timeout`; `stop_gate` decides what the process takes once it stops.
     pub fn new(
         clock: Arc<dyn Clock>,
         membership: Arc<Membership>,
         pool: UpstreamPool,
         drain_timeout: Duration,
+        stop_gate: Arc<StopGate>,
     ) -> Self {
         Self {
             clock,
             membership,
             pool,
             drain_timeout,
+            stop_gate,
             state: Mutex::default(),
             granted_changed: Condvar::new(),
             departures_changed: Condvar::new(),
@@ -161,11 +165,6 @@
         sync::lock(&self.state).upstream.add_departures(processes)
     }
 
-    /// Refuses new requests; those already admitted are finished.
-    pub fn close(&self) {
-        sync::lock(&self.state).closed = true;
-    }
-
     /// Marks the upstream as down, clears its grants and connections, and broadcasts its requests
     /// in flight as crash suspects; returns whether it was up.
     fn mark_upstream_down(&self, loss: UpstreamLoss) -> bool {
@@ -263,6 +262,9 @@
         let now = self.clock.now();
         let deadline = now + request.remaining;
         let objective = now + request.objective;
+        if !self.stop_gate.admits(now, request.remaining) {
+            return refusal(NotRunCause::Stopping);
+        }
         if let Err(refusal) = self.await_grant(request, recipient) {
             return refusal;
         }
@@ -407,8 +409,7 @@
 
     /// Returns an error unless a new request may be sent to the upstream now.
     fn check_allowed(&self, request: &UpstreamRequest) -> Result<(), NotRunCause> {
-        let closed = sync::lock(&self.state).closed;
-        match closed {
+        match self.stop_gate.is_closed() {
             true => Err(NotRunCause::Stopping),
             false => self.check_serving(request).map(drop),
         }
@@ -539,17 +540,12 @@
                 Err(RecvTimeoutError::Timeout) => {}
             }
             let now = self.clock.now();
-            let caller_left = recipient.has_disconnected();
+            let ended = self.end_of_wait(now, deadline, recipient);
             let mut state = sync::lock(&self.state);
-            if (caller_left || now + REQUEST_TIME_MIN >= deadline)
+            if let Some(cause) = ended
                 && state.admission.abandon(ticket)
             {
                 state.waiting.remove(&ticket);
-                let cause = if caller_left {
-                    NotRunCause::CallerLeft
-                } else {
-                    NotRunCause::TimedOut
-                };
                 return Err(refusal(cause));
             }
             state.wake_admitted(now);
@@ -557,6 +553,22 @@
         }
     }
 
+    /// Returns why a queued request must not wait any longer, if so.
+    fn end_of_wait(
+        &self,
+        now: Moment,
+        deadline: Moment,
+        recipient: &Recipient,
+    ) -> Option<NotRunCause> {
+        if recipient.has_disconnected() {
+            Some(NotRunCause::CallerLeft)
+        } else if now + REQUEST_TIME_MIN >= deadline {
+            Some(NotRunCause::TimedOut)
+        } else {
+            self.stop_gate.is_closed().then_some(NotRunCause::Stopping)
+        }
+    }
+
     /// Checks the conditions again and records the request as in flight.
     fn begin_dispatch(
         &self,
--- a/src/process/host/host_router.rs
+++ b/src/process/host/host_router.rs
@@ -1,6 +1,6 @@
 //! Routes callers' requests to upstreams, and turns the outcomes into responses.
 
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -25,13 +25,12 @@
 use crate::process::host::retry_budgets::RetryBudgets;
 use crate::process::host::returning_callers::ReturningCallers;
 use crate::process::host::selection_report;
-use crate::process::host::stop_schedule::StopSchedule;
+use crate::process::host::stop_gate::StopGate;
 use crate::process::host::target_selector::TargetSelector;
 use crate::process::host::upstream_selector::{AttemptOutcome, UpstreamSelector};
 use crate::process::membership::Membership;
 use crate::process::metrics::Metrics;
 use crate::process::moment::Moment;
-use crate::process::stop_flag::StopFlag;
 use crate::process::sync;
 use crate::request::body::Body;
 use crate::request::fingerprint::Fingerprint;
@@ -81,10 +80,8 @@
     pub retry_budget: RetryBudgetConfig,
     /// Quotas of teams.
     pub quotas: Arc<QuotaGate>,
-    /// Set when the process starts to stop.
-    pub stop: Arc<StopFlag>,
-    /// The times of the stop, once it has started.
-    pub stop_schedule: Arc<OnceLock<StopSchedule>>,
+    /// What the process still takes once it stops.
+    pub stop_gate: Arc<StopGate>,
 }
 
 /// Router of the callers' requests on one host.
@@ -139,9 +136,8 @@
         let now = self.deps.clock.now();
         self.retry_budgets.record_request(now, &request.service);
         let mut progress = RequestProgress::new(now, request, rule.attempts);
-        if self.stops_before(now + request.remaining) {
-            let refusal = UpstreamOutcome::not_run(NotRunCause::Stopping, STOPPING_RETRY_AFTER);
-            return (refusal, progress.trace);
+        if !self.deps.stop_gate.admits(now, request.remaining) {
+            return (stopping(), progress.trace);
         }
         let permit = match self.deps.quotas.admit(routing, request) {
             Ok(permit) => permit,
@@ -162,14 +158,6 @@
         (outcome, progress.trace)
     }
 
-    /// Returns whether this process stops so soon that a request with the given deadline must not be
-    /// taken any more.
-    fn stops_before(&self, deadline: Moment) -> bool {
-        let now = self.deps.clock.now();
-        let schedule = self.deps.stop_schedule.get();
-        schedule.is_some_and(|s| !s.admits(now, deadline.since(now)))
-    }
-
     /// Sends a request to the owner of its key, and retries until the request's deadlines pass.
     fn route_by_key(
         &self,
@@ -181,6 +169,9 @@
             if !progress.update_time_left(self.deps.clock.now(), request) {
                 return progress.timeout_outcome();
             }
+            if self.deps.stop_gate.is_closed() {
+                return stopping();
+            }
             let Some(owner) = self.likely_owner(request) else {
                 if self.pause(progress, progress.no_owner_deadline, recipient) {
                     continue;
@@ -242,6 +233,9 @@
             if !progress.update_time_left(now, request) {
                 return progress.timeout_outcome();
             }
+            if self.deps.stop_gate.is_closed() {
+                return stopping();
+            }
             let members = self.deps.membership.members_taking_work(&request.service);
             let body_bytes = request.body.0.len();
             let domain = &self.deps.domain;
@@ -543,10 +537,15 @@
     }
 
     fn is_shutting_down(&self) -> bool {
-        self.deps.stop.is_set()
+        self.deps.stop_gate.is_stopping()
     }
 }
 
+/// Returns the outcome of a request that is not begun because this process stops.
+fn stopping() -> UpstreamOutcome {
+    UpstreamOutcome::not_run(NotRunCause::Stopping, STOPPING_RETRY_AFTER)
+}
+
 /// Turns "not run" into "may have run" if an earlier attempt may have run.
 fn account_for_earlier_attempts(outcome: UpstreamOutcome, may_have_run: bool) -> UpstreamOutcome {
     match outcome {
--- a/src/process/host/key_releaser.rs
+++ b/src/process/host/key_releaser.rs
@@ -7,7 +7,7 @@
 
 use thiserror::Error;
 
-use crate::connection::peer_message::{KeyHandover, PeerRequest};
+use crate::connection::peer_message::{KeyHandover, PeerReply, PeerRequest};
 use crate::connection::peer_pool::PeerPool;
 use crate::connection::protocol::{KeyRange, UpstreamProtocol};
 use crate::connection::recipient::Recipient;
@@ -154,7 +154,13 @@
                 false
             });
         match result {
-            Ok(_) => tracing::info!(event = "keys-handed-over", %peer, ranges),
+            Ok(called) if called.reply == PeerReply::Accepted => {
+                tracing::info!(event = "keys-handed-over", %peer, ranges);
+            }
+            Ok(called) => {
+                let error = called.reply.kind();
+                tracing::warn!(event = "handover-failed", %peer, ranges, error);
+            }
             Err(e) => tracing::warn!(event = "handover-failed", %peer, ranges, error = %e),
         }
     }
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -54,6 +54,7 @@
 //! | [`host_context`] | state that the threads share, and requests of other daemons |
 //! | [`host_settings`] | settings file |
 //! | [`service`] | startup, threads and graceful shutdown |
+//! | [`stop_gate`] | what a stopping process still takes |
 //! | [`stop_schedule`] | times of a graceful stop |
 
 pub mod admission;
@@ -105,6 +106,7 @@
 pub mod run_times;
 mod selection_report;
 pub mod service;
+pub mod stop_gate;
 pub mod stop_schedule;
 mod store_health;
 pub mod store_sync;
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -2,7 +2,7 @@
 
 use std::net::UdpSocket;
 use std::sync::mpsc::{self, Receiver};
-use std::sync::{Arc, Mutex, OnceLock, atomic::AtomicBool};
+use std::sync::{Arc, Mutex, atomic::AtomicBool};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -28,12 +28,11 @@
 use crate::process::host::quota_gate::QuotaGate;
 use crate::process::host::recency_monitor::RecencyMonitor;
 use crate::process::host::recent_requests::RecentRequests;
-use crate::process::host::stop_schedule::StopSchedule;
+use crate::process::host::stop_gate::StopGate;
 use crate::process::host::store_sync::StoreSync;
 use crate::process::membership::{Membership, MembershipEvent};
 use crate::process::metrics::Metrics;
 use crate::process::ownership::Ownership;
-use crate::process::stop_flag::StopFlag;
 use crate::process::store::Store;
 use crate::process::thread_pool::ThreadPool;
 use crate::version::instance_id::InstanceId;
@@ -162,9 +161,7 @@
         let started = Instant::now();
         let clock = Arc::clone(&self.context.clock);
         let grace = Duration::from_secs_f64(self.context.settings.grace_s);
-        let schedule = StopSchedule::new(clock.now(), grace);
-        let schedule = *self.context.stop_schedule.get_or_init(|| schedule);
-        self.context.stopping.set();
+        let schedule = self.context.stop_gate.start_stop(clock.now(), grace);
         self.context.set_leaving(true);
         let mut released_all = false;
         while clock.now() < schedule.close_at() {
@@ -180,7 +177,8 @@
             thread::sleep(STOP_POLL_INTERVAL);
         }
         self.callers.stop_accepting();
-        self.context.dispatcher.close();
+        // From here on nothing is taken, so that a request can't arrive after the last look for one.
+        self.context.stop_gate.close();
         while clock.now() < schedule.deadline() && !(self.is_idle() && self.has_moved_all_keys()) {
             thread::sleep(STOP_POLL_INTERVAL);
         }
@@ -207,9 +205,9 @@
         tracing::info!(event = "stopped", ms = started.elapsed().as_millis() as u64);
     }
 
-    /// Returns whether no caller is being served and no request is at the upstream.
+    /// Returns whether no caller and no other daemon is being served.
     fn is_idle(&self) -> bool {
-        self.callers.busy_connections() == 0 && self.context.dispatcher.load().in_flight == 0
+        self.callers.busy_connections() == 0 && self.peers.requests_in_progress() == 0
     }
 
     /// Returns whether this daemon is the first candidate of no slice in a table that takes its
@@ -256,11 +254,13 @@
         Arc::clone(&platform.upstream_protocol),
         peers.budget().share(settings.response_bodies_bytes()),
     );
+    let stop_gate = Arc::new(StopGate::default());
     let dispatcher = Arc::new(HostDispatcher::new(
         Arc::clone(&clock),
         Arc::clone(&membership),
         upstream_pool,
         Duration::from_millis(settings.drain_ms),
+        Arc::clone(&stop_gate),
     ));
     let grant_manager = Arc::new(GrantManager::new(
         Arc::clone(&clock),
@@ -270,8 +270,6 @@
         Arc::clone(&platform.upstream_protocol),
         Duration::from_millis(settings.hold_max_ms),
     ));
-    let stopping = Arc::new(StopFlag::default());
-    let stop_schedule = Arc::new(OnceLock::new());
     let quotas = Arc::new(QuotaGate::new(
         Arc::clone(&clock),
         Arc::clone(&membership),
@@ -290,8 +288,7 @@
         origin: settings.service.clone(),
         retry_budget: settings.retry_budget(),
         quotas: Arc::clone(&quotas),
-        stop: Arc::clone(&stopping),
-        stop_schedule: Arc::clone(&stop_schedule),
+        stop_gate: Arc::clone(&stop_gate),
     }));
     let body_reservations = Mutex::new(BodyReservations::new(settings.link_mbps));
     Ok(Arc::new(HostContext {
@@ -307,8 +304,7 @@
         recent_requests: RecentRequests::default(),
         body_reservations,
         metrics,
-        stopping,
-        stop_schedule,
+        stop_gate,
         stop: Arc::default(),
         was_ready: AtomicBool::new(false),
     }))
--- a/tests/testsuite/host/grants/daemon.rs
+++ b/tests/testsuite/host/grants/daemon.rs
@@ -17,6 +17,7 @@
 use foxtaildrift::process::host::grant_manager::GrantManager;
 use foxtaildrift::process::host::host_dispatcher::HostDispatcher;
 use foxtaildrift::process::host::local_upstream::UpstreamLoss;
+use foxtaildrift::process::host::stop_gate::StopGate;
 use foxtaildrift::process::lease_times::LeaseTimes;
 use foxtaildrift::process::membership::{Membership, MembershipEvent};
 use foxtaildrift::process::metrics::Metrics;
@@ -134,6 +135,8 @@
     pub dispatcher: Arc<HostDispatcher>,
     /// The daemon's membership.
     pub membership: Arc<Membership>,
+    /// What the daemon still takes once it stops.
+    pub stop_gate: Arc<StopGate>,
     reactor: Arc<Reactor>,
     stop: Arc<StopFlag>,
     ticking: Option<JoinHandle<()>>,
@@ -184,11 +187,13 @@
             Arc::clone(&protocol),
             MemoryBudget::new(1 << 20),
         );
+        let stop_gate = Arc::new(StopGate::default());
         let dispatcher = Arc::new(HostDispatcher::new(
             Arc::clone(&clock),
             Arc::clone(&membership),
             pool,
             Duration::from_secs(2),
+            Arc::clone(&stop_gate),
         ));
         dispatcher.apply_report(&report(upstream.address));
         let manager = Arc::new(GrantManager::new(
@@ -206,6 +211,7 @@
             manager,
             dispatcher,
             membership,
+            stop_gate,
             reactor,
             stop,
             ticking: Some(ticking),
--- a/tests/testsuite/host/grants/late_requests.rs
+++ b/tests/testsuite/host/grants/late_requests.rs
@@ -1,7 +1,9 @@
-//! Requests whose conditions change between their admission and the write to the upstream.
+//! Requests whose conditions change between their admission and the write to the upstream, and requests
+//! that come late in a stop.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::Duration;
 
 use foxtaildrift::connection::http1::ResponseHead;
@@ -23,8 +25,16 @@
 use foxtaildrift::version::routing_config::RoutingConfig;
 
 use crate::host::grants::daemon::{Daemon, OTHER, OWN, SERVICE, table};
-use crate::host::grants::upstream::{Answer, ScriptedProtocol, ScriptedUpstream};
+use crate::host::grants::upstream::{Answer, Call, ScriptedProtocol, ScriptedUpstream};
 
+/// The grace period of a stop.
+const GRACE: Duration = Duration::from_secs(6);
+/// How long after the start of a stop only requests are taken that end before it does.
+const LATE_IN_STOP: Duration = Duration::from_secs(3);
+/// The number of requests that the upstream runs at once.
+const SLOTS: usize = 9;
+/// How often a test looks at the load of the upstream.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// How long the process stands still; longer than a lease, a drain timeout and [`SHORT_TIME`].
 const PAUSE: Duration = Duration::from_secs(4);
 /// The time left for a request that can still run after the pause.
@@ -107,9 +117,14 @@
 
 impl Cell {
     fn start() -> Self {
+        Self::start_with(|_| Answer::After(Duration::ZERO))
+    }
+
+    /// Starts a daemon whose upstream answers as `script` says.
+    fn start_with(script: impl Fn(&Call) -> Answer + Send + Sync + 'static) -> Self {
         let clock = Arc::new(SettableClock::default());
         let protocol = Arc::new(InterruptedProtocol::default());
-        let upstream = ScriptedUpstream::start(|_| Answer::After(Duration::ZERO));
+        let upstream = ScriptedUpstream::start(script);
         let daemon = Daemon::start_with(
             &upstream,
             table(1, &[OWN, OTHER]),
@@ -233,3 +248,56 @@
     let outcome = cell.send(&request(None, LONG_TIME));
     cell.assert_not_sent(&outcome, NotRunCause::Down);
 }
+
+/// Guards against a request of another daemon that is taken late in a stop and cut off at its end: only
+/// callers' requests were refused then.
+#[test]
+fn a_request_of_another_daemon_is_not_taken_if_it_may_outlast_the_stop() {
+    let cell = Cell::start();
+    let now = cell.clock.now();
+    cell.daemon.stop_gate.start_stop(now, GRACE);
+    cell.clock.advance(LATE_IN_STOP);
+    let outcome = cell.send(&request(None, LONG_TIME));
+    cell.assert_not_sent(&outcome, NotRunCause::Stopping);
+    cell.send(&request(None, SHORT_TIME));
+    assert_eq!(cell.upstream.calls("request").len(), 1);
+}
+
+/// Guards against a request that waits for its turn beside a busy upstream when a stop ends, and whose
+/// caller gets no answer although nothing ran (LOST).
+#[test]
+fn a_request_that_waits_for_its_turn_is_refused_when_a_stop_ends() {
+    let cell = Cell::start_with(|call| match call.name.as_str() {
+        "request" => Answer::Never,
+        _ => Answer::After(Duration::ZERO),
+    });
+    let dispatcher = &*cell.daemon.dispatcher;
+    let send = |time| {
+        dispatcher
+            .dispatch(&request(None, time), &Recipient::none())
+            .0
+    };
+    thread::scope(|scope| {
+        for _ in 0..SLOTS {
+            scope.spawn(|| send(SHORT_TIME * 3));
+        }
+        while usize::try_from(dispatcher.load().in_flight).unwrap() < SLOTS {
+            thread::sleep(POLL_INTERVAL);
+        }
+        let waiting = scope.spawn(|| send(SHORT_TIME * 2));
+        while dispatcher.load().waiting == 0 {
+            thread::sleep(POLL_INTERVAL);
+        }
+        cell.daemon.stop_gate.close();
+        let outcome = waiting.join().unwrap();
+        let is_refused = matches!(
+            outcome,
+            UpstreamOutcome::NotRun {
+                cause: NotRunCause::Stopping,
+                ..
+            }
+        );
+        assert!(is_refused, "{outcome:?}");
+    });
+    assert_eq!(cell.upstream.calls("request").len(), SLOTS);
+}
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -24,6 +24,7 @@
 mod routing_freshness;
 mod run_times;
 mod settings;
+mod stop_gate;
 mod stop_schedule;
 mod store_sync;
 mod token_holder;
