Acknowledge a departure only once it outlives the process

Callers saw: an upstream deregistered while the store did not answer, its daemon acknowledged that, was killed and started again, and a late report brought the upstream back into use.

Cause: the announcement was answered as soon as the dispatcher knew it; another thread stored it later. The next process offered the upstream with the first report, whether it had read the store or not.

Change: an announcement is acknowledged once the store has it, or, while that doesn't answer, once two other daemons hold copies; otherwise the upstream gets 503. A process offers its upstream once it has read the store and has asked the daemons that may hold copies. A stop ends the reports before the thread that stores announcements. Why it works: what a 200 says is then known to the next process before that can send anything to the upstream.

Two new tests with real processes failed on the code before: a_departure_acknowledged_without_the_store_outlives_the_daemon ("left: 167 right: 30" requests), a_departure_that_nothing_outlives_is_not_acknowledged ("left: 200 right: 503").

--- a/crates/bench/tests/testsuite/host.rs
+++ b/crates/bench/tests/testsuite/host.rs
@@ -348,23 +348,8 @@
     let _lock = crate::daemon::lock_environment();
     let mut cluster = start_cluster();
     let leaving = 4;
-    cluster
-        .wait_until("the upstream is in use", START_TIME, |c| {
-            send_shared_requests(c, 10);
-            !HostRun::read_all(&c.journal(leaving)).is_empty()
-        })
-        .unwrap();
-    let instance = HostRun::read_all(&cluster.journal(leaving))
-        .remove(0)
-        .upstream;
-    let started = instance.split('-').nth(1).unwrap();
-    let started_ms = u64::from_str_radix(started, 16).unwrap();
-    let response = cluster.report(
-        leaving,
-        &format!("/Instances.Deregister/{instance}"),
-        &format!("{{\"born\":{started_ms}}}"),
-    );
-    assert_eq!(response.unwrap().status, 200);
+    let instance = await_use(&cluster, leaving);
+    assert_eq!(deregister(&cluster, leaving, &instance), 200);
     thread::sleep(DRAIN_TIME);
     // The upstream goes on reporting that it is ready, as late reports would.
     let before = HostRun::read_all(&cluster.journal(leaving)).len();
@@ -384,6 +369,67 @@
     assert_eq!(after, before, "requests after a restart of its daemon");
 }
 
+/// Guards against a departure that is acknowledged while the store does not answer, and lost with the
+/// process of the daemon (DRAIN).
+#[test]
+fn a_departure_acknowledged_without_the_store_outlives_the_daemon() {
+    let _lock = crate::daemon::lock_environment();
+    let mut cluster = start_cluster();
+    let leaving = 4;
+    let instance = await_use(&cluster, leaving);
+    cluster.control_store("down", "").unwrap();
+    assert_eq!(deregister(&cluster, leaving, &instance), 200);
+    cluster.kill_daemon(leaving);
+    cluster.start_daemon(leaving).unwrap();
+    thread::sleep(DRAIN_TIME);
+    // The upstream goes on reporting that it is ready, as late reports would.
+    cluster.control_store("up", "").unwrap();
+    thread::sleep(CONTACT_TIME);
+    let before = HostRun::read_all(&cluster.journal(leaving)).len();
+    send_shared_requests(&cluster, 60);
+    let after = HostRun::read_all(&cluster.journal(leaving)).len();
+    assert_eq!(after, before, "requests after it left");
+}
+
+/// Guards against the acknowledgement of a departure that only one process knows, and against an upstream
+/// whose repeated announcement is not acknowledged once it is stored.
+#[test]
+fn a_departure_that_nothing_outlives_is_not_acknowledged() {
+    let _lock = crate::daemon::lock_environment();
+    let cluster = start_ready_cluster(&["office"], UpstreamOptions::default());
+    let instance = await_use(&cluster, 0);
+    cluster.control_store("down", "").unwrap();
+    assert_eq!(deregister(&cluster, 0, &instance), 503);
+    cluster.control_store("up", "").unwrap();
+    cluster
+        .wait_until("the departure is acknowledged", START_TIME, |c| {
+            deregister(c, 0, &instance) == 200
+        })
+        .unwrap();
+}
+
+/// Waits until the upstream of a host runs requests of the shared service; returns its name.
+fn await_use(cluster: &HostCluster, number: usize) -> String {
+    cluster
+        .wait_until("the upstream is in use", START_TIME, |c| {
+            send_shared_requests(c, 10);
+            !HostRun::read_all(&c.journal(number)).is_empty()
+        })
+        .unwrap();
+    HostRun::read_all(&cluster.journal(number))
+        .remove(0)
+        .upstream
+}
+
+/// Announces in the name of the upstream `instance` that it will stop; returns the status of the response.
+fn deregister(cluster: &HostCluster, number: usize, instance: &str) -> u16 {
+    let started = instance.split('-').nth(1).unwrap();
+    let started_ms = u64::from_str_radix(started, 16).unwrap();
+    let target = format!("/Instances.Deregister/{instance}");
+    let body = format!("{{\"born\":{started_ms}}}");
+    cluster.report(number, &target, &body).unwrap().status
+}
+
 /// Sends `count` requests of the shared service to each host.
 fn send_shared_requests(cluster: &HostCluster, count: usize) {
     for entry in 0..cluster.hosts.len() {
--- a/src/connection/peer_message.rs
+++ b/src/connection/peer_message.rs
@@ -1,5 +1,6 @@
 //! The requests and replies that daemons exchange over TCP.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use crate::request::upstream_outcome::UpstreamOutcome;
 use crate::request::upstream_request::UpstreamRequest;
 use crate::version::configuration::Configuration;
+use crate::version::departed_process::DepartedProcess;
 use crate::version::epoch::Epoch;
 use crate::version::instance_id::InstanceId;
 use crate::version::routing_config::RoutingConfig;
@@ -90,6 +92,18 @@
         /// The size of the body, in bytes.
         bytes: usize,
     },
+    /// Asks the receiver to hold copies of the departures on a host, for its next daemon process.
+    HoldDepartures {
+        /// The peer address of the host's daemon.
+        host: SocketAddr,
+        /// The processes of the upstream that have announced that they will stop.
+        processes: Vec<DepartedProcess>,
+    },
+    /// Fetches the departures that are held for a host.
+    FetchDepartures {
+        /// The peer address of the host's daemon.
+        host: SocketAddr,
+    },
 }
 
 impl PeerRequest {
@@ -106,6 +120,8 @@
             PeerRequest::FetchRoutingConfig => "fetch-routing",
             PeerRequest::TransferKeys(_) => "transfer-keys",
             PeerRequest::ReserveBody { .. } => "reserve-body",
+            PeerRequest::HoldDepartures { .. } => "hold-departures",
+            PeerRequest::FetchDepartures { .. } => "fetch-departures",
         }
     }
 
@@ -128,6 +144,8 @@
                 | PeerRequest::TransferRecords(_)
                 | PeerRequest::TransferKeys(_)
                 | PeerRequest::ReserveBody { .. }
+                | PeerRequest::HoldDepartures { .. }
+                | PeerRequest::FetchDepartures { .. }
         )
     }
 
@@ -234,7 +252,7 @@
     TableDelta(Arc<TableDelta>),
     /// The configuration, if there is one.
     Configuration(Option<Box<Configuration>>),
-    /// The transferred records or keys were accepted.
+    /// The transferred records, keys or departures were accepted.
     Accepted,
     /// The outcome of an upstream request, and the load at the upstream.
     Completed {
@@ -247,6 +265,8 @@
     RoutingConfig(Option<Box<RoutingConfig>>),
     /// The request whose outcome is fetched was never received.
     UnknownRequest,
+    /// The departures that the daemon holds for a host.
+    Departures(Vec<DepartedProcess>),
 }
 
 impl PeerReply {
@@ -262,6 +282,7 @@
             PeerReply::Completed { .. } => "completed",
             PeerReply::RoutingConfig(_) => "routing",
             PeerReply::UnknownRequest => "unknown-request",
+            PeerReply::Departures(_) => "departures",
         }
     }
 }
--- a/src/process/host/departure_store.rs
+++ b/src/process/host/departure_store.rs
@@ -1,10 +1,10 @@
 //! Keeps the departures of the local upstream in the store, so that the next process of this daemon
-//! knows them.
+//! knows them, and recovers those of former processes.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::process::host::departures::DepartedProcess;
+use crate::process::host::departure_recovery::DepartureRecovery;
 use crate::process::host::host_context::HostContext;
 use crate::process::host::store_health::StoreHealth;
 use crate::process::host::store_watch::{self, RETRY_DELAY};
@@ -13,10 +13,13 @@
     CommitOutcome, DEPARTURES_PREFIX, KeyValue, Store, StoreError, Transaction,
 };
 use crate::process::store_position::StorePosition;
+use crate::version::departed_process::DepartedProcess;
 use crate::version::store_era::StoreEra;
 
 /// Interval at which the thread checks whether to stop while nothing departs.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which a process that has just started asks for the departures again.
+const RECOVERY_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest random delay before a daemon reads its departures again after the store came back from an
 /// older copy. All of 4,400 daemons make 1,100 calls a second then; the store takes 1,200 writes and
 /// 6,000 reads a second.
@@ -54,10 +57,10 @@
         }
     }
 
-    /// Reads the departures and stores new ones until the process stops.
+    /// Recovers the departures, and stores new ones until the process stops.
     pub fn run(&self, stop: &StopFlag) {
         let mut health = StoreHealth::new(CALLS);
-        let mut stored: Option<StoredDepartures> = None;
+        let mut stored = self.recover(stop, &mut health);
         while !stop.is_set() {
             let result = match &stored {
                 None => self.read().map(Some),
@@ -96,6 +99,43 @@
         }
     }
 
+    /// Reads the departures in the store and the copies that other daemons hold, until those of former
+    /// processes are known, and offers the upstream then.
+    fn recover(&self, stop: &StopFlag, health: &mut StoreHealth) -> Option<StoredDepartures> {
+        let clock = &self.context.clock;
+        let mut recovery = DepartureRecovery::new(clock.now());
+        let mut stored = None;
+        while !recovery.is_complete(clock.now()) {
+            if !recovery.is_store_read() {
+                match self.read() {
+                    Ok(read) => {
+                        stored = Some(read);
+                        recovery.record_store_read();
+                        health.record_success();
+                    }
+                    Err(e) => health.record_failure(&e),
+                }
+            }
+            let copies = self
+                .context
+                .departure_copies
+                .fetch(clock.now(), &mut recovery);
+            self.context.add_departures(&copies);
+            if stop.wait(RECOVERY_INTERVAL) {
+                return stored;
+            }
+        }
+        tracing::info!(
+            event = "departures-recovered",
+            store = recovery.is_store_read(),
+            holders = recovery.answers(),
+            count = self.context.dispatcher.departures().len(),
+            ms = recovery.elapsed(clock.now()).as_millis() as u64
+        );
+        self.context.offer_upstream();
+        stored
+    }
+
     /// Returns the newest era of the store that this daemon knows.
     fn store_era(&self) -> StoreEra {
         self.context.membership.with_ownership(|o, _| o.store_era())
@@ -111,6 +151,7 @@
         let era = range.as_of.era();
         let processes = item.map(|item| decode(&item)).unwrap_or_default();
         self.context.add_departures(&processes);
+        self.context.departure_log.record_stored(&processes);
         Ok(StoredDepartures {
             position: match is_unreadable {
                 true => None,
@@ -138,6 +179,7 @@
         match self.store.commit(&transaction)? {
             CommitOutcome::Done(position) => {
                 tracing::info!(event = "departures-stored", count = processes.len());
+                self.context.departure_log.record_stored(&processes);
                 Ok(Some(StoredDepartures {
                     position: Some(position),
                     era: position.era(),
--- a/src/process/host/departures.rs
+++ b/src/process/host/departures.rs
@@ -2,23 +2,12 @@
 
 use std::collections::VecDeque;
 
-use serde::{Deserialize, Serialize};
-
 use crate::process::moment::Moment;
+use crate::version::departed_process::DepartedProcess;
 
 /// How many departures are remembered. The processes on one host follow each other, so that older
 /// ones have ended long ago.
-const DEPARTURES_MAX: usize = 16;
-
-/// A process of the upstream that has announced that it will stop.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DepartedProcess {
-    /// Name that the process reports for itself.
-    pub instance: String,
-    /// Start time by the upstream's clock, in milliseconds since 1970; `None` if the announcement did
-    /// not state it, until the next process with this name reports.
-    pub started_ms: Option<u64>,
-}
+pub const DEPARTURES_MAX: usize = 16;
 
 /// The processes of the local upstream that have announced that they will stop, each with the time of
 /// its first announcement.
--- a/src/process/host/endpoints.rs
+++ b/src/process/host/endpoints.rs
@@ -94,10 +94,10 @@
 
     fn handle(&self, request: HttpRequest, _recipient: &Recipient) -> HttpResponse {
         match self.discovery.parse_report(&request) {
-            Ok(report) => {
-                self.context.apply_report(report);
-                self.discovery.acknowledgement()
-            }
+            Ok(report) => match self.context.apply_report(report) {
+                true => self.discovery.acknowledgement(),
+                false => HttpResponse::text(503, "the report is not stored yet\n"),
+            },
             Err(e) => {
                 tracing::warn!(event = "report-refused", target = request.head.target, error = %e);
                 HttpResponse::text(400, format!("{e}\n"))
--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -1,8 +1,9 @@
 //! State that all threads of the daemon share, and the handling of requests from other daemons.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::connection::memory_budget::MemoryBudget;
 use crate::connection::peer_message::{PeerReply, PeerRequest};
@@ -11,8 +12,10 @@
 use crate::connection::recipient::Recipient;
 use crate::process::clock::Clock;
 use crate::process::host::body_reservations::BodyReservations;
-use crate::process::host::departures::DepartedProcess;
+use crate::process::host::departure_copies::DepartureCopies;
+use crate::process::host::departure_log::DepartureLog;
 use crate::process::host::grant_manager::GrantManager;
+use crate::process::host::held_departures::HeldDepartures;
 use crate::process::host::host_dispatcher::HostDispatcher;
 use crate::process::host::host_router::HostRouter;
 use crate::process::host::host_settings::HostSettings;
@@ -26,10 +29,15 @@
 use crate::process::sync;
 use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 use crate::request::upstream_request::UpstreamRequest;
+use crate::version::departed_process::DepartedProcess;
 use crate::version::epoch::Epoch;
 use crate::version::instance_id::InstanceId;
 use crate::version::upstream::Upstream;
 
+/// How long an announcement waits until it outlives this process. The upstream waits a second for the
+/// acknowledgement.
+const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Shared state of the daemon.
 pub struct HostContext {
     pub(super) settings: HostSettings,
@@ -43,6 +51,12 @@
     pub(super) quotas: Arc<QuotaGate>,
     pub(super) recent_requests: RecentRequests,
     pub(super) body_reservations: Mutex<BodyReservations>,
+    /// Departures of the local upstream that outlive this process.
+    pub(super) departure_log: DepartureLog,
+    /// Other daemons that hold copies of them.
+    pub(super) departure_copies: DepartureCopies,
+    /// Copies that this daemon holds for others.
+    pub(super) held_departures: Mutex<HeldDepartures>,
     pub(super) metrics: Arc<Metrics>,
     /// What the process still takes once it has been asked to stop.
     pub(super) stop_gate: Arc<StopGate>,
@@ -75,9 +89,10 @@
         self.membership.table().epoch > Epoch::default()
     }
 
-    /// Applies a report of the upstream.
-    pub fn apply_report(&self, report: UpstreamReport) {
-        match report {
+    /// Applies a report of the upstream; returns whether it may be acknowledged. The announcement that
+    /// the upstream will stop may be only once it outlives this process.
+    pub fn apply_report(&self, report: UpstreamReport) -> bool {
+        let announced = match report {
             UpstreamReport::Status(status) => self.apply_status(&status),
             UpstreamReport::Deregistration {
                 instance,
@@ -87,22 +102,49 @@
                     tracing::info!(event = "upstream-leaving", instance, by = "leave");
                     self.set_leaving(true);
                 }
+                Some(DepartedProcess {
+                    instance,
+                    started_ms,
+                })
             }
+        };
+        announced.is_none_or(|announced| self.await_durable(&announced))
+    }
+
+    /// Waits until the announced departure outlives this process; returns whether it does. The store is
+    /// preferred, as it outlives all processes; copies at other daemons do while it does not answer.
+    fn await_durable(&self, announced: &DepartedProcess) -> bool {
+        if self.departure_log.is_durable(announced) {
+            return true;
+        }
+        let started = Instant::now();
+        let departures = self.dispatcher.departures();
+        if self.departure_copies.send(&departures) {
+            self.departure_log.record_copied(&departures);
         }
+        let left = ACKNOWLEDGE_TIMEOUT.saturating_sub(started.elapsed());
+        let is_durable = self.departure_log.await_stored(announced, left)
+            || self.departure_log.is_durable(announced);
+        if !is_durable {
+            let instance = &announced.instance;
+            tracing::warn!(event = "departure-not-acknowledged", instance);
+        }
+        is_durable
     }
 
-    /// Applies the departures of the upstream that former processes of this daemon have stored.
+    /// Applies the departures of the upstream that former processes of this daemon have acknowledged.
     pub(super) fn add_departures(&self, processes: &[DepartedProcess]) {
         if self.dispatcher.add_departures(processes) {
-            tracing::info!(event = "upstream-leaving", by = "store");
+            tracing::info!(event = "upstream-leaving", by = "recovered");
             self.set_leaving(true);
         }
     }
 
-    fn apply_status(&self, status: &StatusReport) {
+    /// Applies a report of the upstream's state; returns the departure that it announces, if any.
+    fn apply_status(&self, status: &StatusReport) -> Option<DepartedProcess> {
         if status.address != self.settings.upstream {
             tracing::info!(event = "report-ignored", instance = status.instance, address = %status.address, reason = "another address");
-            return;
+            return None;
         }
         let effect = self.dispatcher.apply_report(status);
         match effect {
@@ -125,29 +167,49 @@
             }
             ReportEffect::Refreshed => {}
         }
+        status.draining.then(|| DepartedProcess {
+            instance: status.instance.clone(),
+            started_ms: Some(status.started_ms),
+        })
     }
 
-    /// Logs that a process of the upstream is up, and sets it in this daemon's member info, which the
-    /// planner reads.
+    /// Logs that a process of the upstream is up, and offers it unless a former process of this daemon
+    /// may have acknowledged that it leaves.
     fn begin_process(&self, status: &StatusReport) {
         let Some(process) = self.dispatcher.upstream_process() else {
             return;
         };
-        let is_leaving = process.leaving_since.is_some();
         tracing::info!(
             event = "upstream-up", instance = status.instance, service = %status.service,
-            slots = status.slots, cold_ms = status.warmup_remaining.as_millis() as u64, draining = is_leaving
+            slots = status.slots, cold_ms = status.warmup_remaining.as_millis() as u64,
+            draining = process.leaving_since.is_some()
         );
+        if self.departure_log.is_recovered() {
+            self.publish_upstream();
+        }
+    }
+
+    /// Offers the upstream, as the departures that former processes acknowledged are known.
+    pub(super) fn offer_upstream(&self) {
+        self.departure_log.set_recovered();
+        self.publish_upstream();
+    }
+
+    /// Sets the present process of the upstream in this daemon's member info, which the planner reads.
+    fn publish_upstream(&self) {
+        let Some(process) = self.dispatcher.upstream_process() else {
+            return;
+        };
         let upstream = Upstream {
-            service: status.service.clone(),
-            address: status.address,
+            service: process.service.clone(),
+            address: self.settings.upstream,
             boot: process.boot(),
-            slots: status.slots,
+            slots: process.slots,
             cold_slots: 1,
             connections: 1,
             checks_grants: true,
         };
-        let leaving = is_leaving || self.stop_gate.is_stopping();
+        let leaving = process.leaving_since.is_some() || self.stop_gate.is_stopping();
         self.membership.with_ownership(|o, now| {
             o.update_info(now, |info| {
                 info.upstream = Some(upstream);
@@ -259,6 +321,16 @@
         }
     }
 
+    /// Holds copies of the departures on another host, unless they would end with this process.
+    fn hold_departures(&self, host: SocketAddr, processes: Vec<DepartedProcess>) -> PeerReply {
+        if self.stop_gate.is_stopping() {
+            return PeerReply::NotServing("the process stops".to_owned());
+        }
+        let now = self.clock.now();
+        sync::lock(&self.held_departures).record(now, host, processes);
+        PeerReply::Accepted
+    }
+
     fn completed(&self, outcome: UpstreamOutcome) -> PeerReply {
         PeerReply::Completed {
             outcome: Box::new(outcome),
@@ -303,6 +375,13 @@
                 self.grant_manager.accept_handovers(handovers);
                 PeerReply::Accepted
             }
+            PeerRequest::HoldDepartures { host, processes } => {
+                self.hold_departures(host, processes)
+            }
+            PeerRequest::FetchDepartures { host } => {
+                let now = self.clock.now();
+                PeerReply::Departures(sync::lock(&self.held_departures).of_host(now, host))
+            }
             PeerRequest::Forward(_)
             | PeerRequest::DispatchShared { .. }
             | PeerRequest::FetchConfiguration
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -13,7 +13,6 @@
 use crate::process::datagram::Message;
 use crate::process::host::admission::Decision;
 use crate::process::host::admission_queue::Arrival;
-use crate::process::host::departures::DepartedProcess;
 use crate::process::host::dispatcher_state::{DispatcherState, InFlight, Turn};
 use crate::process::host::grant_wait::GrantWait;
 use crate::process::host::local_upstream::{ReportEffect, UpstreamLoss, UpstreamProcess};
@@ -28,6 +27,7 @@
 use crate::request::upstream_load::UpstreamLoad;
 use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 use crate::request::upstream_request::UpstreamRequest;
+use crate::version::departed_process::DepartedProcess;
 use crate::version::key_hash::KeyHash;
 use crate::version::service_name::ServiceName;
 use crate::version::upstream::UpstreamBoot;
@@ -143,6 +143,11 @@
         is_new
     }
 
+    /// Returns the processes that have announced that they will stop.
+    pub fn departures(&self) -> Vec<DepartedProcess> {
+        sync::lock(&self.state).upstream.departures()
+    }
+
     /// Waits up to `timeout` until the processes that have announced that they will stop differ from
     /// `known`; returns them.
     pub fn await_departures(
--- a/src/process/host/local_upstream.rs
+++ b/src/process/host/local_upstream.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use crate::connection::protocol::StatusReport;
-use crate::process::host::departures::{DepartedProcess, Departures};
+use crate::process::host::departures::Departures;
 use crate::process::moment::Moment;
+use crate::version::departed_process::DepartedProcess;
 use crate::version::domain_name::DomainName;
 use crate::version::service_name::ServiceName;
 use crate::version::upstream::UpstreamBoot;
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -28,7 +28,10 @@
 //! | [`quota_config`], [`quota_terms`], [`team_limit`] | limits of teams, and how the allowance over them is divided |
 //! | [`local_upstream`] | current process of the local upstream, and its state |
 //! | [`departures`] | which processes of the local upstream have announced that they will stop |
+//! | [`departure_log`] | which announcements outlive the process and may be acknowledged |
 //! | `departure_store` | the departures in the store, for the next process of the daemon |
+//! | `departure_copies`, [`departure_holders`], [`held_departures`] | copies of them at other daemons |
+//! | [`departure_recovery`] | when a process knows what former ones acknowledged |
 //! | [`grant_manager`] | which keys are granted to the local upstream, and when they are released |
 //! | [`key_grants`] | which grants the local upstream has, and when a release is complete |
 //! | `grant_sender`, `grant_target`, `grant_attempt` | calls that grant keys, for which process, and what each of them means |
@@ -62,6 +65,10 @@
 pub mod authentication;
 pub mod body_reservations;
 mod caller_authenticator;
+mod departure_copies;
+pub mod departure_holders;
+pub mod departure_log;
+pub mod departure_recovery;
 mod departure_store;
 pub mod departures;
 pub mod descriptors;
@@ -74,6 +81,7 @@
 mod grant_sender;
 mod grant_target;
 pub mod grant_wait;
+pub mod held_departures;
 pub mod host_context;
 pub mod host_dispatcher;
 pub mod host_router;
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -16,6 +16,8 @@
 use crate::process::clock::{Clock, SystemClock};
 use crate::process::daemon::{self, DaemonError};
 use crate::process::host::body_reservations::BodyReservations;
+use crate::process::host::departure_copies::DepartureCopies;
+use crate::process::host::departure_log::DepartureLog;
 use crate::process::host::departure_store::DepartureStore;
 use crate::process::host::descriptors;
 use crate::process::host::endpoints::{ReadinessHandler, ReportHandler};
@@ -191,10 +193,12 @@
         }
         thread::sleep(STOP_POLL_INTERVAL);
         log_traffic(&self.context);
+        // While announcements are acknowledged, the thread that stores them runs.
+        self.context.departure_log.close();
+        self.reports.stop();
         self.context.stop.set();
         self.store.close();
         self.callers.stop();
-        self.reports.stop();
         self.ready.stop();
         self.peers.stop();
         self.pool.close();
@@ -290,6 +294,8 @@
         quotas: Arc::clone(&quotas),
         stop_gate: Arc::clone(&stop_gate),
     }));
+    let departure_copies =
+        DepartureCopies::new(Arc::clone(&membership), Arc::clone(peers), settings.peers);
     let body_reservations = Mutex::new(BodyReservations::new(settings.link_mbps));
     Ok(Arc::new(HostContext {
         settings,
@@ -303,6 +309,9 @@
         quotas,
         recent_requests: RecentRequests::default(),
         body_reservations,
+        departure_log: DepartureLog::default(),
+        departure_copies,
+        held_departures: Mutex::default(),
         metrics,
         stop_gate,
         stop: Arc::default(),
--- a/src/process/host/stored_cell.rs
+++ b/src/process/host/stored_cell.rs
@@ -88,6 +88,7 @@
         let mut state = sync::lock(&self.state);
         state.join_requests.retain(|key, _| range.may_hide(key));
         let has_table = range.items.iter().any(|i| i.key == TABLE_KEY);
+        let has_none = !has_table && !range.may_hide(TABLE_KEY);
         if !has_table {
             // If there is a table that can't be read, a write that expects none fails.
             let former = state.stored.filter(|_| range.may_hide(TABLE_KEY));
@@ -101,6 +102,9 @@
         self.membership
             .with_ownership(|o, now| o.observe_store_era(now, range.as_of.era()));
         self.apply(range.items.into_iter().map(KeyChange::Put).collect());
+        if has_none {
+            self.membership.record_platform_read();
+        }
     }
 
     /// Applies changes of the table and the join requests.
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -184,6 +184,11 @@
     /// Adopts the table that was read from the platform.
     pub fn adopt_platform_table(&self, table: Table) {
         self.with_ownership(|o, now| o.adopt_table(now, table.into()));
+        self.record_platform_read();
+    }
+
+    /// Records that this process has read whether the platform has a table.
+    pub fn record_platform_read(&self) {
         self.platform_read.store(true, Ordering::SeqCst);
     }
 
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -246,6 +246,8 @@
             | PeerRequest::FetchOutcome { .. }
             | PeerRequest::FetchRoutingConfig
             | PeerRequest::TransferKeys(_)
+            | PeerRequest::HoldDepartures { .. }
+            | PeerRequest::FetchDepartures { .. }
             | PeerRequest::ReserveBody { .. } => {
                 PeerReply::NotServing("this daemon takes no such call".to_owned())
             }
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -13,6 +13,7 @@
 pub mod assignment;
 pub mod burst;
 pub mod configuration;
+pub mod departed_process;
 pub mod digest;
 pub mod document;
 pub mod document_error;
--- a/tests/testsuite/host/mod.rs
+++ b/tests/testsuite/host/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod authentication;
 mod body_reservations;
+mod departures;
 mod even_load;
 mod explanation;
 mod fair_queue;
--- a/tests/testsuite/wire_properties.rs
+++ b/tests/testsuite/wire_properties.rs
@@ -36,6 +36,7 @@
 use foxtaildrift::request::upstream_request::UpstreamRequest;
 use foxtaildrift::version::api_key::ApiKeyDigest;
 use foxtaildrift::version::burst::Burst;
+use foxtaildrift::version::departed_process::DepartedProcess;
 use foxtaildrift::version::document_version::DocumentVersion;
 use foxtaildrift::version::epoch::Epoch;
 use foxtaildrift::version::instance_id::InstanceId;
@@ -383,12 +384,20 @@
     }
 }
 
+fn departed_process() -> DepartedProcess {
+    DepartedProcess {
+        instance: "i-7f3a".to_owned(),
+        started_ms: Some(1_780_000_000_000),
+    }
+}
+
 fn peer_requests() -> Vec<PeerRequest> {
     let instance = InstanceId(1);
     let keys = KeyRange {
         first: ShardKey(5),
         last: ShardKey(900),
     };
+    let host = ([10, 0, 0, 1], 8146).into();
     vec![
         PeerRequest::FetchTable { known: Epoch(2) },
         PeerRequest::Dispatch {
@@ -416,6 +425,11 @@
                 rate: 2.5,
             }],
         }]),
+        PeerRequest::HoldDepartures {
+            host,
+            processes: vec![departed_process()],
+        },
+        PeerRequest::FetchDepartures { host },
         PeerRequest::TransferRecords(vec![SliceHandover {
             service: service(),
             slice: SliceId(5),
@@ -432,6 +446,7 @@
     changed.members.remove(&session(4));
     vec![
         PeerReply::NotServing("busy".to_owned()),
+        PeerReply::Departures(vec![departed_process()]),
         PeerReply::TableDelta(Arc::new(TableDelta::between(&table, &changed))),
         PeerReply::Table(Some(Arc::new(table))),
         PeerReply::Completed {
