Refuse what still waits beside another upstream when a stop ends

Cause: only the daemon beside the upstream can tell whether a request has begun, and a call between daemons could be cancelled only whether it had begun or not.

Change: a stopping daemon withdraws its calls once its gate is closed. The other daemon replies to those that wait, as not run; those that have begun go on.

The tests of peer_pool and late_requests are new; without the check of the dispatcher a_request_whose_daemon_stops_is_refused_only_if_it_waits fails ("Overloaded", when its time runs out).

--- a/src/connection/calling_link.rs
+++ b/src/connection/calling_link.rs
@@ -24,6 +24,8 @@
     call: Arc<PeerCall>,
     /// The index of the attempt among those of the call.
     index: usize,
+    /// Whether the other daemon was asked not to begin the work any more.
+    is_withdrawn: bool,
 }
 
 /// The calls of a link.
@@ -90,7 +92,12 @@
         calls.last_number += 1;
         let number = calls.last_number;
         let call = Arc::clone(call);
-        calls.waiting.insert(number, WaitingAttempt { call, index });
+        let attempt = WaitingAttempt {
+            call,
+            index,
+            is_withdrawn: false,
+        };
+        calls.waiting.insert(number, attempt);
         drop(calls);
         let request = Cow::Borrowed(request);
         match self.link.send(&PeerFrame::Call { number, request }) {
@@ -112,6 +119,22 @@
         }
     }
 
+    /// Asks the other daemon to begin no work of the calls in progress any more. It replies to those whose
+    /// work has not begun.
+    pub fn withdraw_calls(&self) {
+        let mut numbers = Vec::new();
+        for (&number, attempt) in &mut sync::lock(&self.calls).waiting {
+            if !attempt.is_withdrawn {
+                attempt.is_withdrawn = true;
+                numbers.push(number);
+            }
+        }
+        for number in numbers {
+            // A failure closes the link, which is an event of its calls.
+            let _ = self.link.send(&PeerFrame::Withdraw { number });
+        }
+    }
+
     /// Discards the reply to a call, should it still arrive; returns whether it was awaited.
     fn forget(&self, number: u64) -> bool {
         let mut calls = sync::lock(&self.calls);
--- a/src/connection/peer_frame.rs
+++ b/src/connection/peer_frame.rs
@@ -37,6 +37,12 @@
     Ping,
     /// The response to [`PeerFrame::Ping`].
     Pong,
+    /// States that a call must not begin its work any more, as the caller's daemon stops. Work that has
+    /// begun goes on.
+    Withdraw {
+        /// The number of the call.
+        number: u64,
+    },
 }
 
 impl PeerFrame<'_> {
@@ -74,6 +80,7 @@
             PeerFrame::Cancel { .. } => "cancel",
             PeerFrame::Ping => "ping",
             PeerFrame::Pong => "pong",
+            PeerFrame::Withdraw { .. } => "withdraw",
         }
     }
 }
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
 use crate::connection::buffered_connection::BufferedConnection;
@@ -148,6 +148,8 @@
     source: IpAddr,
     timeouts: PeerTimeouts,
     links: Mutex<HashMap<(SocketAddr, LinkKind), Arc<CallingLink>>>,
+    /// Links that are presumed dead, on which calls may be in progress.
+    retired: Mutex<Vec<Weak<CallingLink>>>,
     traffic: Arc<Traffic>,
 }
 
@@ -159,6 +161,7 @@
             source,
             timeouts,
             links: Mutex::default(),
+            retired: Mutex::default(),
             traffic: Arc::default(),
         }
     }
@@ -187,6 +190,16 @@
         }
     }
 
+    /// Asks the other daemons to begin no work of the calls in progress any more; those whose work has not
+    /// begun get their replies soon.
+    pub fn withdraw_calls(&self) {
+        let links: Vec<_> = sync::lock(&self.links).values().cloned().collect();
+        let retired = sync::lock(&self.retired).clone();
+        for link in links.iter().chain(&upgrade_all(&retired)) {
+            link.withdraw_calls();
+        }
+    }
+
     /// Sends a request to the daemon at `to` and waits for its reply.
     ///
     /// The wait ends after `timeout`, when `recipient` disconnects, or when `is_pointless` returns
@@ -382,10 +395,17 @@
         let mut links = sync::lock(&self.links);
         if links.get(&(to, kind)).is_some_and(|l| Arc::ptr_eq(l, link)) {
             links.remove(&(to, kind));
+            let mut retired = sync::lock(&self.retired);
+            retired.retain(|l| l.upgrade().is_some_and(|l| !l.is_closed()));
+            retired.push(Arc::downgrade(link));
         }
     }
 }
 
+fn upgrade_all(links: &[Weak<CallingLink>]) -> Vec<Arc<CallingLink>> {
+    links.iter().filter_map(Weak::upgrade).collect()
+}
+
 fn timed_out() -> PeerError {
     PeerError::MaybeSent(FrameError::Io(io::ErrorKind::TimedOut.into()))
 }
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -268,6 +268,11 @@
                     recipient.disconnect();
                 }
             }
+            PeerFrame::Withdraw { number } => {
+                if let Some(recipient) = sync::lock(&self.running).get(&number) {
+                    recipient.withdraw();
+                }
+            }
             PeerFrame::Reply { .. } | PeerFrame::Ping | PeerFrame::Pong => {}
         }
     }
--- a/src/connection/recipient.rs
+++ b/src/connection/recipient.rs
@@ -14,6 +14,8 @@
 #[derive(Default)]
 struct State {
     disconnected: bool,
+    /// Whether work for the recipient must not begin any more.
+    withdrawn: bool,
     /// Those that wait for the same work, while this recipient is one of them.
     waiters: Option<Arc<Waiters>>,
     /// The registered wakers, by number.
@@ -64,6 +66,9 @@
             waiters.remove();
             return;
         }
+        if state.withdrawn {
+            waiters.withdraw();
+        }
         state.waiters = Some(Arc::clone(waiters));
     }
 
@@ -84,6 +89,24 @@
             || self.stream.as_ref().is_some_and(|s| is_hung_up(s))
     }
 
+    /// Records that work for the recipient must not begin any more; work that has begun goes on.
+    pub fn withdraw(&self) {
+        let Some(state) = &self.state else {
+            return;
+        };
+        let mut state = sync::lock(state);
+        state.withdrawn = true;
+        if let Some(waiters) = &state.waiters {
+            waiters.withdraw();
+        }
+    }
+
+    /// Returns whether work for the recipient must not begin any more.
+    pub fn is_withdrawn(&self) -> bool {
+        let state = self.state.as_ref();
+        state.is_some_and(|s| sync::lock(s).withdrawn)
+    }
+
     /// Records that the recipient no longer wants the result, and cancels the work for it.
     pub fn disconnect(&self) {
         self.wake_all();
--- a/src/connection/waiters.rs
+++ b/src/connection/waiters.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Lets the work not begin any more, whoever else waits.
+    pub(super) fn withdraw(&self) {
+        self.work.withdraw();
+    }
+
     /// Cancels the work whoever else waits.
     pub(super) fn cancel(&self) {
         self.work.disconnect();
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -267,7 +267,7 @@
         let now = self.clock.now();
         let deadline = now + request.remaining;
         let objective = now + request.objective;
-        if !self.stop_gate.admits(now, request.remaining) {
+        if recipient.is_withdrawn() || !self.stop_gate.admits(now, request.remaining) {
             return refusal(NotRunCause::Stopping);
         }
         if let Err(refusal) = self.await_grant(request, recipient) {
@@ -394,6 +394,9 @@
             if recipient.has_disconnected() {
                 return Err(refusal(NotRunCause::CallerLeft));
             }
+            if recipient.is_withdrawn() {
+                return Err(refusal(NotRunCause::Stopping));
+            }
             let state = sync::lock(&self.state);
             // A grant that arrives just before the wait is found by the next check.
             drop(self.granted_changed.wait_timeout(state, pause));
@@ -570,7 +573,8 @@
         } else if now + REQUEST_TIME_MIN >= deadline {
             Some(NotRunCause::TimedOut)
         } else {
-            self.stop_gate.is_closed().then_some(NotRunCause::Stopping)
+            let is_too_late = recipient.is_withdrawn() || self.stop_gate.is_closed();
+            is_too_late.then_some(NotRunCause::Stopping)
         }
     }
 
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -182,6 +182,8 @@
         // From here on nothing is taken, so that a request can't arrive after the last look for one.
         self.context.stop_gate.close();
         while clock.now() < schedule.deadline() && !(self.is_idle() && self.has_moved_all_keys()) {
+            // What waits beside another upstream is refused as not run.
+            self.pool.withdraw_calls();
             thread::sleep(STOP_POLL_INTERVAL);
         }
         let grant_manager = &self.context.grant_manager;
--- a/tests/testsuite/host/grants/late_requests.rs
+++ b/tests/testsuite/host/grants/late_requests.rs
@@ -301,3 +301,57 @@
     });
     assert_eq!(cell.upstream.calls("request").len(), SLOTS);
 }
+
+/// Guards against a request that waits beside a busy upstream while the daemon that took it stops, and
+/// whose caller gets no answer although nothing ran (LOST).
+#[test]
+fn a_request_whose_daemon_stops_is_refused_only_if_it_waits() {
+    let cell = Cell::start_with(|call| match call.name.as_str() {
+        "request" => Answer::Never,
+        _ => Answer::After(Duration::ZERO),
+    });
+    let dispatcher = &*cell.daemon.dispatcher;
+    let recipients: Vec<_> = (0..=SLOTS).map(|_| Recipient::connected()).collect();
+    let send = |recipient| {
+        dispatcher
+            .dispatch(&request(None, SHORT_TIME * 2), recipient)
+            .0
+    };
+    thread::scope(|scope| {
+        let running: Vec<_> = recipients[1..]
+            .iter()
+            .map(|recipient| scope.spawn(move || send(recipient)))
+            .collect();
+        while cell.upstream.calls("request").len() < SLOTS {
+            thread::sleep(POLL_INTERVAL);
+        }
+        let waiting = scope.spawn(|| send(&recipients[0]));
+        while dispatcher.load().waiting == 0 {
+            thread::sleep(POLL_INTERVAL);
+        }
+        for recipient in &recipients {
+            recipient.withdraw();
+        }
+        let outcome = waiting.join().unwrap();
+        let is_refused = matches!(
+            outcome,
+            UpstreamOutcome::NotRun {
+                cause: NotRunCause::Stopping,
+                ..
+            }
+        );
+        assert!(is_refused, "{outcome:?}");
+        for running in running {
+            let outcome = running.join().unwrap();
+            let has_gone_on = matches!(
+                outcome,
+                UpstreamOutcome::Unknown {
+                    timed_out: true,
+                    ..
+                }
+            );
+            assert!(has_gone_on, "{outcome:?}");
+        }
+    });
+    assert_eq!(cell.upstream.calls("request").len(), SLOTS);
+}
--- a/tests/testsuite/peer_pool.rs
+++ b/tests/testsuite/peer_pool.rs
@@ -124,6 +124,9 @@
         let delay = id.split('-').nth(1).map_or(0, |d| d.parse().unwrap());
         let until = Instant::now() + Duration::from_millis(delay);
         while Instant::now() < until {
+            if recipient.is_withdrawn() {
+                return PeerReply::NotServing("withdrawn".to_owned());
+            }
             if recipient.has_disconnected() {
                 self.left.lock().unwrap().insert(id, Instant::now());
                 return PeerReply::NotServing("left".to_owned());
@@ -441,3 +444,32 @@
         }
     }
 }
+
+/// Guards against work that begins for a daemon that stops, and a reply that comes too late for its caller
+/// (LOST).
+#[test]
+fn calls_in_progress_can_be_withdrawn() {
+    let reactor = Reactor::start().expect("no reactor");
+    let (_echo, _server, to) = echo_server(&reactor);
+    let pool = pool(&reactor);
+    let limit = Duration::from_secs(20);
+    thread::scope(|scope| {
+        let calls: Vec<_> = ["a-20000", "b-20000"]
+            .into_iter()
+            .map(|id| {
+                let pool = &pool;
+                scope.spawn(move || {
+                    pool.call(to, &dispatch(id, 10), limit, &Recipient::none(), || false)
+                })
+            })
+            .collect();
+        while calls.iter().any(|c| !c.is_finished()) {
+            pool.withdraw_calls();
+            thread::sleep(Duration::from_millis(5));
+        }
+        for call in calls {
+            let reply = call.join().unwrap().expect("no reply arrived").reply;
+            assert_eq!(reply, PeerReply::NotServing("withdrawn".to_owned()));
+        }
+    });
+}
