Split the threads of the host daemon from its start and stop

service.rs held the start, the stop and all threads in between. The threads are in host_threads.rs now, and the stop is a sequence of four steps. A stop that is about to end sends no copies of departures any more: that may take 0.3 s, which the margin before the kill does not have. One assertion of late_requests.rs stood three times.

--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -119,7 +119,8 @@
         }
         let started = Instant::now();
         let departures = self.dispatcher.departures();
-        if self.departure_copies.send(&departures) {
+        // A stop that is about to end waits for no other daemon.
+        if !self.stop_gate.is_closed() && self.departure_copies.send(&departures) {
             self.departure_log.record_copied(&departures);
         }
         let left = ACKNOWLEDGE_TIMEOUT.saturating_sub(started.elapsed());
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -56,7 +56,7 @@
 //! | [`endpoints`] | HTTP endpoints for readiness, metrics and upstream reports |
 //! | [`host_context`] | state that the threads share, and requests of other daemons |
 //! | [`host_settings`] | settings file |
-//! | [`service`] | startup, threads and graceful shutdown |
+//! | [`service`], `host_threads` | startup and graceful shutdown, and the threads in between |
 //! | [`stop_gate`] | what a stopping process still takes |
 //! | [`stop_schedule`] | times of a graceful stop |
 
@@ -86,6 +86,7 @@
 pub mod host_dispatcher;
 pub mod host_router;
 pub mod host_settings;
+mod host_threads;
 pub mod key_grants;
 mod key_releaser;
 mod known_values;
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -1,7 +1,7 @@
 //! Starts the daemon, and stops it gracefully.
 
 use std::net::UdpSocket;
-use std::sync::mpsc::{self, Receiver};
+use std::sync::mpsc;
 use std::sync::{Arc, Mutex, atomic::AtomicBool};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -18,7 +18,6 @@
 use crate::process::host::body_reservations::BodyReservations;
 use crate::process::host::departure_copies::DepartureCopies;
 use crate::process::host::departure_log::DepartureLog;
-use crate::process::host::departure_store::DepartureStore;
 use crate::process::host::descriptors;
 use crate::process::host::endpoints::{ReadinessHandler, ReportHandler};
 use crate::process::host::grant_manager::GrantManager;
@@ -26,17 +25,15 @@
 use crate::process::host::host_dispatcher::HostDispatcher;
 use crate::process::host::host_router::{HostRouter, HostRouterDeps};
 use crate::process::host::host_settings::HostSettings;
-use crate::process::host::metered_store::MeteredStore;
+use crate::process::host::host_threads;
 use crate::process::host::quota_gate::QuotaGate;
-use crate::process::host::recency_monitor::RecencyMonitor;
 use crate::process::host::recent_requests::RecentRequests;
 use crate::process::host::stop_gate::StopGate;
-use crate::process::host::store_sync::StoreSync;
+use crate::process::host::stop_schedule::StopSchedule;
 use crate::process::membership::{Membership, MembershipEvent};
 use crate::process::metrics::Metrics;
 use crate::process::ownership::Ownership;
 use crate::process::store::Store;
-use crate::process::thread_pool::ThreadPool;
 use crate::version::instance_id::InstanceId;
 use crate::version::key_hash::KeyHash;
 use crate::version::member::{MemberInfo, WEIGHT_FULL};
@@ -49,14 +46,6 @@
 };
 /// Largest number of connections to the readiness and to the report address at a time, each.
 const LOCAL_CONNECTIONS_MAX: usize = 256;
-/// Interval of the periodic tasks, among them the reconciliation of grants.
-const PERIODIC_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval of the load reports to the planner.
-const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval of the log lines on what the daemon has sent.
-const TRAFFIC_INTERVAL: Duration = Duration::from_secs(10);
-/// Interval at which the event thread checks whether to stop while there are no events.
-const EVENT_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// How long callers may still connect after the process reported that it is not ready.
 const NOT_READY_TIME: Duration = Duration::from_millis(2600);
 /// How long a graceful stop waits for the planner to move the keys.
@@ -115,7 +104,7 @@
         let context = build_context(
             settings, &platform, clock, socket, &pool, instance, event_tx,
         )?;
-        let threads = start_threads(&context, &platform, event_rx)?;
+        let threads = host_threads::start(&context, &platform, event_rx)?;
         let peer_handler = Arc::clone(&context) as Arc<dyn PeerHandler>;
         let peers = PeerServer::start_with_limit(
             &reactor,
@@ -161,12 +150,24 @@
     pub fn stop(mut self) {
         tracing::info!(event = "stop");
         let started = Instant::now();
-        let clock = Arc::clone(&self.context.clock);
         let grace = Duration::from_secs_f64(self.context.settings.grace_s);
-        let schedule = self.context.stop_gate.start_stop(clock.now(), grace);
+        let now = self.context.clock.now();
+        let schedule = self.context.stop_gate.start_stop(now, grace);
+        self.leave(&schedule, started);
+        self.finish_requests(&schedule);
+        self.end_session();
+        thread::sleep(STOP_POLL_INTERVAL);
+        host_threads::log_traffic(&self.context);
+        self.join_all();
+        tracing::info!(event = "stopped", ms = started.elapsed().as_millis() as u64);
+    }
+
+    /// Lets callers and keys go to other daemons, until nothing is left to serve or no more connections
+    /// may be accepted.
+    fn leave(&self, schedule: &StopSchedule, started: Instant) {
         self.context.set_leaving(true);
         let mut released_all = false;
-        while clock.now() < schedule.close_at() {
+        while self.context.clock.now() < schedule.close_at() {
             if !released_all && started.elapsed() >= LEAVE_TIMEOUT && !self.has_moved_all_keys() {
                 released_all = true;
                 self.context.grant_manager.release_all_and_resign(
@@ -174,27 +175,39 @@
                 );
             }
             if started.elapsed() >= NOT_READY_TIME && self.is_idle() && self.has_moved_all_keys() {
-                break;
+                return;
             }
             thread::sleep(STOP_POLL_INTERVAL);
         }
+    }
+
+    /// Takes nothing any more, and waits until what was taken has ended, or the grace period has.
+    fn finish_requests(&mut self, schedule: &StopSchedule) {
         self.callers.stop_accepting();
-        // From here on nothing is taken, so that a request can't arrive after the last look for one.
+        // Before the last look for requests, so that none can arrive after it.
         self.context.stop_gate.close();
-        while clock.now() < schedule.deadline() && !(self.is_idle() && self.has_moved_all_keys()) {
+        let deadline = schedule.deadline();
+        while self.context.clock.now() < deadline && !(self.is_idle() && self.has_moved_all_keys())
+        {
             // What waits beside another upstream is refused as not run.
             self.pool.withdraw_calls();
             thread::sleep(STOP_POLL_INTERVAL);
         }
+    }
+
+    /// Announces the end of the session, unless the upstream may still use keys.
+    fn end_session(&self) {
         let grant_manager = &self.context.grant_manager;
         let session = grant_manager.own_session();
-        if !(self.has_moved_all_keys()
-            && grant_manager.resign_if_idle(session, "the process stops"))
-        {
+        let has_ended =
+            self.has_moved_all_keys() && grant_manager.resign_if_idle(session, "the process stops");
+        if !has_ended {
             tracing::warn!(event = "stopped-with-keys");
         }
-        thread::sleep(STOP_POLL_INTERVAL);
-        log_traffic(&self.context);
+    }
+
+    /// Closes all connections and joins all threads.
+    fn join_all(&mut self) {
         // While announcements are acknowledged, the thread that stores them runs.
         self.context.departure_log.close();
         self.reports.stop();
@@ -208,7 +221,6 @@
         for thread in self.threads.drain(..) {
             let _ = thread.join();
         }
-        tracing::info!(event = "stopped", ms = started.elapsed().as_millis() as u64);
     }
 
     /// Returns whether no caller and no other daemon is being served.
@@ -346,147 +358,3 @@
     )
     .with_routing_freshness(settings.routing_freshness())
 }
-
-/// Starts the threads that run until the process stops.
-fn start_threads(
-    context: &Arc<HostContext>,
-    platform: &HostPlatform,
-    event_rx: Receiver<MembershipEvent>,
-) -> Result<Vec<JoinHandle<()>>, DaemonError> {
-    let metrics = Arc::clone(&context.metrics);
-    let traffic = Arc::clone(context.membership.traffic());
-    let store = MeteredStore::new(Arc::clone(&platform.store), metrics, traffic);
-    let store: Arc<dyn Store> = Arc::new(store);
-    let departures = DepartureStore::new(Arc::clone(&store), Arc::clone(context));
-    let store_sync = Arc::new(StoreSync::new(
-        store,
-        Arc::clone(&platform.operator_protocol),
-        Arc::clone(&context.membership),
-        context.instance,
-    ));
-    let (routing, table, planner) = (Arc::clone(&store_sync), Arc::clone(&store_sync), store_sync);
-    let fetchers = ThreadPool::new("fetch", 1);
-    let releasers = ThreadPool::new("release", 4);
-    let stop = || Arc::clone(&context.stop);
-    let (stop_routing, stop_table, stop_planning, stop_datagrams, stop_departures) =
-        (stop(), stop(), stop(), stop(), stop());
-    let membership = Arc::clone(&context.membership);
-    let (for_events, for_periodic) = (Arc::clone(context), Arc::clone(context));
-    Ok(vec![
-        spawn("routing", move || routing.sync_routing(&stop_routing))?,
-        spawn("table", move || table.sync_table(&stop_table))?,
-        spawn("plan", move || planner.run_planner(&stop_planning))?,
-        spawn("departures", move || departures.run(&stop_departures))?,
-        spawn("datagrams", move || membership.run(&stop_datagrams))?,
-        spawn("events", move || {
-            handle_events(&for_events, &event_rx, &fetchers, &releasers)
-        })?,
-        spawn("duties", move || run_periodic_tasks(&for_periodic))?,
-    ])
-}
-
-/// Handles the events of the membership until the process stops. Queued fetches are skipped then: no
-/// reply can arrive any more, and each would wait for its timeout.
-fn handle_events(
-    context: &Arc<HostContext>,
-    events: &Receiver<MembershipEvent>,
-    fetchers: &ThreadPool,
-    releasers: &ThreadPool,
-) {
-    while !context.stop.is_set() {
-        let Ok(event) = events.recv_timeout(EVENT_POLL_INTERVAL) else {
-            continue;
-        };
-        let context = Arc::clone(context);
-        match event {
-            MembershipEvent::TableAdopted(epoch) => {
-                let version = context.membership.active_configuration().version;
-                context.metrics.record_versions(epoch.0, version.number);
-                context.router.forget_former_members();
-                context.quotas.refresh();
-                releasers.submit(move || context.grant_manager.release_lost_keys());
-            }
-            MembershipEvent::LeaseLapsed | MembershipEvent::SessionEnded(_) => {
-                context.grant_manager.reconcile();
-                releasers.submit(move || context.grant_manager.release_outlasting());
-            }
-            MembershipEvent::SuspectsReported(suspects) => {
-                context.dispatcher.add_suspects(&suspects)
-            }
-            MembershipEvent::SuspectCleared(fingerprint) => {
-                context.dispatcher.clear_suspect(fingerprint)
-            }
-            MembershipEvent::QuotaAsked { from, sent, teams } => {
-                context.quotas.answer(from, sent, &teams)
-            }
-            MembershipEvent::QuotaGranted { sent, teams } => context.quotas.receive(sent, &teams),
-            MembershipEvent::QuotaHandedOver(teams) => context.quotas.accept_handovers(&teams),
-            MembershipEvent::FetchTable { from, epoch } => fetchers.submit(move || {
-                if !context.stop.is_set() && context.membership.table().epoch < epoch {
-                    context.membership.fetch_table(from);
-                }
-            }),
-            MembershipEvent::FetchConfiguration { from, version } => fetchers.submit(move || {
-                if !context.stop.is_set() && context.membership.should_fetch_routing(version) {
-                    context.membership.fetch_routing_config(from);
-                }
-            }),
-        }
-    }
-}
-
-/// Runs the periodic tasks until the process stops.
-fn run_periodic_tasks(context: &HostContext) {
-    let started = Instant::now();
-    let times = context.settings.lease_times();
-    let (mut reported_at, mut traffic_at) = (started, started);
-    let mut recency = RecencyMonitor::default();
-    while !context.stop.wait(PERIODIC_INTERVAL) {
-        context.quotas.tick();
-        recency.check(&context.membership);
-        context.grant_manager.release_former_grants();
-        context.grant_manager.reconcile();
-        let former_leases_expired = started.elapsed() > times.former_process_delay();
-        if former_leases_expired && context.membership.has_read_platform() {
-            context
-                .membership
-                .with_ownership(|o, now| o.end_former_sessions(now));
-        }
-        if reported_at.elapsed() >= REPORT_INTERVAL {
-            report_load(context, reported_at.elapsed());
-            reported_at = Instant::now();
-        }
-        if traffic_at.elapsed() >= TRAFFIC_INTERVAL {
-            log_traffic(context);
-            traffic_at = Instant::now();
-        }
-    }
-}
-
-/// Logs what this daemon has sent to other daemons and asked of the store since it started.
-fn log_traffic(context: &HostContext) {
-    let sent = context.membership.traffic().summary();
-    tracing::info!(event = "traffic", sent);
-}
-
-/// Reports the load of the last `period` to the planner.
-fn report_load(context: &HostContext, period: Duration) {
-    context.metrics.record_memory(&context.budget);
-    let load = context.dispatcher.load();
-    let waiting = usize::try_from(load.waiting).unwrap_or(usize::MAX);
-    context
-        .metrics
-        .record_upstream_load(load.in_flight, load.slots, waiting);
-    context.dispatcher.record_queue();
-    if let Some(process) = context.dispatcher.upstream_process() {
-        let report = context.grant_manager.load_report(&process, &load, period);
-        context.membership.report_load(report);
-    }
-}
-
-fn spawn(
-    name: &str,
-    work: impl FnOnce() + Send + 'static,
-) -> Result<JoinHandle<()>, std::io::Error> {
-    thread::Builder::new().name(name.to_owned()).spawn(work)
-}
--- a/tests/testsuite/host/grants/late_requests.rs
+++ b/tests/testsuite/host/grants/late_requests.rs
@@ -155,12 +155,16 @@
     fn assert_not_sent(&self, outcome: &UpstreamOutcome, expected: NotRunCause) {
         let sent = self.upstream.calls("request");
         assert!(sent.is_empty(), "{outcome:?}: {sent:?}");
-        let is_expected =
-            matches!(outcome, UpstreamOutcome::NotRun { cause, .. } if *cause == expected);
-        assert!(is_expected, "{outcome:?} in place of {expected}");
+        assert_not_run(outcome, expected);
     }
 }
 
+fn assert_not_run(outcome: &UpstreamOutcome, expected: NotRunCause) {
+    let is_expected =
+        matches!(outcome, UpstreamOutcome::NotRun { cause, .. } if *cause == expected);
+    assert!(is_expected, "{outcome:?} in place of {expected}");
+}
+
 fn request(key: Option<u16>, remaining: Duration) -> UpstreamRequest {
     UpstreamRequest {
         id: "a".to_owned(),
@@ -290,14 +294,7 @@
         }
         cell.daemon.stop_gate.close();
         let outcome = waiting.join().unwrap();
-        let is_refused = matches!(
-            outcome,
-            UpstreamOutcome::NotRun {
-                cause: NotRunCause::Stopping,
-                ..
-            }
-        );
-        assert!(is_refused, "{outcome:?}");
+        assert_not_run(&outcome, NotRunCause::Stopping);
     });
     assert_eq!(cell.upstream.calls("request").len(), SLOTS);
 }
@@ -333,14 +330,7 @@
             recipient.withdraw();
         }
         let outcome = waiting.join().unwrap();
-        let is_refused = matches!(
-            outcome,
-            UpstreamOutcome::NotRun {
-                cause: NotRunCause::Stopping,
-                ..
-            }
-        );
-        assert!(is_refused, "{outcome:?}");
+        assert_not_run(&outcome, NotRunCause::Stopping);
         for running in running {
             let outcome = running.join().unwrap();
             let has_gone_on = matches!(
