Withdraw calls only after they were sent, and on all links

A call that was not withdrawn would have waited beside a busy upstream until its host's stop cut it off.

Cause, two races: a call is registered before it is sent, so its withdrawal could go first, and the other daemon knew no such call; and of two links that calls establish at the same time the pool kept one, and did not withdraw the calls on the other.

--- a/src/connection/calling_link.rs
+++ b/src/connection/calling_link.rs
@@ -24,8 +24,18 @@
     call: Arc<PeerCall>,
     /// The index of the attempt among those of the call.
     index: usize,
-    /// Whether the other daemon was asked not to begin the work any more.
-    is_withdrawn: bool,
+    progress: Progress,
+}
+
+/// What the other daemon has been sent of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// The call is being sent. Nothing that concerns it may be sent before it.
+    Sending,
+    /// The call was sent.
+    Sent,
+    /// The other daemon was asked not to begin the work any more.
+    Withdrawn,
 }
 
 /// The calls of a link.
@@ -95,14 +105,19 @@
         let attempt = WaitingAttempt {
             call,
             index,
-            is_withdrawn: false,
+            progress: Progress::Sending,
         };
         calls.waiting.insert(number, attempt);
         drop(calls);
         let request = Cow::Borrowed(request);
         match self.link.send(&PeerFrame::Call { number, request }) {
             // The close of the link was recorded as an event of the call.
-            Ok(()) | Err(FrameError::Io(_)) => Ok(number),
+            Ok(()) | Err(FrameError::Io(_)) => {
+                if let Some(attempt) = sync::lock(&self.calls).waiting.get_mut(&number) {
+                    attempt.progress = Progress::Sent;
+                }
+                Ok(number)
+            }
             Err(e) => {
                 self.forget(number);
                 Err(e)
@@ -120,12 +135,12 @@
     }
 
     /// Asks the other daemon to begin no work of the calls in progress any more. It replies to those whose
-    /// work has not begun.
+    /// work has not begun. A call that is just being sent is left out, so this must be called again.
     pub fn withdraw_calls(&self) {
         let mut numbers = Vec::new();
         for (&number, attempt) in &mut sync::lock(&self.calls).waiting {
-            if !attempt.is_withdrawn {
-                attempt.is_withdrawn = true;
+            if attempt.progress == Progress::Sent {
+                attempt.progress = Progress::Withdrawn;
                 numbers.push(number);
             }
         }
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -148,8 +148,8 @@
     source: IpAddr,
     timeouts: PeerTimeouts,
     links: Mutex<HashMap<(SocketAddr, LinkKind), Arc<CallingLink>>>,
-    /// Links that are presumed dead, on which calls may be in progress.
-    retired: Mutex<Vec<Weak<CallingLink>>>,
+    /// All open links, also those that are presumed dead, or that two calls established at the same time.
+    started: Mutex<Vec<Weak<CallingLink>>>,
     traffic: Arc<Traffic>,
 }
 
@@ -161,7 +161,7 @@
             source,
             timeouts,
             links: Mutex::default(),
-            retired: Mutex::default(),
+            started: Mutex::default(),
             traffic: Arc::default(),
         }
     }
@@ -191,11 +191,11 @@
     }
 
     /// Asks the other daemons to begin no work of the calls in progress any more; those whose work has not
-    /// begun get their replies soon.
+    /// begun get their replies soon. Calls that are just being sent are left out, so this must be called
+    /// again while there are any.
     pub fn withdraw_calls(&self) {
-        let links: Vec<_> = sync::lock(&self.links).values().cloned().collect();
-        let retired = sync::lock(&self.retired).clone();
-        for link in links.iter().chain(&upgrade_all(&retired)) {
+        let started = sync::lock(&self.started).clone();
+        for link in started.iter().filter_map(Weak::upgrade) {
             link.withdraw_calls();
         }
     }
@@ -374,6 +374,10 @@
         let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let conn = BufferedConnection::connect(to, Some(self.source), connect_deadline)?;
         let link = CallingLink::start(&self.reactor, conn, &self.traffic)?;
+        let mut started = sync::lock(&self.started);
+        started.retain(|l| l.upgrade().is_some_and(|l| !l.is_closed()));
+        started.push(Arc::downgrade(&link));
+        drop(started);
         let mut links = sync::lock(&self.links);
         links.retain(|_, l| !l.is_closed());
         // Another thread may have connected meanwhile; this link then ends once it is idle.
@@ -395,17 +399,10 @@
         let mut links = sync::lock(&self.links);
         if links.get(&(to, kind)).is_some_and(|l| Arc::ptr_eq(l, link)) {
             links.remove(&(to, kind));
-            let mut retired = sync::lock(&self.retired);
-            retired.retain(|l| l.upgrade().is_some_and(|l| !l.is_closed()));
-            retired.push(Arc::downgrade(link));
         }
     }
 }
 
-fn upgrade_all(links: &[Weak<CallingLink>]) -> Vec<Arc<CallingLink>> {
-    links.iter().filter_map(Weak::upgrade).collect()
-}
-
 fn timed_out() -> PeerError {
     PeerError::MaybeSent(FrameError::Io(io::ErrorKind::TimedOut.into()))
 }
