--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -4,6 +4,7 @@
 //! | module | does |
 //! |---|---|
 //! | [`callers`] | sends requests on persistent connections and records the outcomes |
+//! | [`departures`] | lets upstreams leave, and kills the daemons that acknowledged it |
 //! | [`faults`] | draws, injects and reverts overlapping faults |
 //! | [`grant_faults`], [`pause_series`] | faults that delay grants, beside the others |
 //! | [`hot_keys`] | chooses the keys that callers use most for some time |
@@ -14,6 +15,7 @@
 //! `RESULT`.
 
 pub mod callers;
+pub mod departures;
 pub mod faults;
 pub mod grant_faults;
 pub mod hot_keys;
@@ -34,6 +36,7 @@
 use crate::host_cluster::HostCluster;
 use crate::network::Network;
 use crate::soak::callers::Callers;
+use crate::soak::departures::Departures;
 use crate::soak::faults::FaultSchedule;
 use crate::soak::grant_faults::GrantFaults;
 use crate::soak::store_returns::StoreReturns;
@@ -65,6 +68,8 @@
     seed: u64,
     fault_time: Duration,
     hosts: usize,
+    /// Whether upstreams announce that they will stop.
+    has_departures: bool,
 }
 
 /// Runs the soak for each seed in the range given by the arguments.
@@ -83,6 +88,11 @@
             "N",
         );
         o.optopt("", "hosts", "number of hosts, 6 to 100 (default 7)", "N");
+        o.optflag(
+            "",
+            "departures",
+            "let upstreams leave, and kill the daemons that acknowledged it",
+        );
     })?;
     let first: u64 = args::value(&matches, "seed", 1)?;
     let hosts = args::value(&matches, "hosts", 7)?;
@@ -95,6 +105,7 @@
             seed,
             fault_time: Duration::from_secs(args::value(&matches, "seconds", 12)?),
             hosts,
+            has_departures: matches.opt_present("departures"),
         };
         if let Err(e) = run_seed(&spec) {
             println!("RESULT soak seed={seed} targets=MISSED {e}");
@@ -133,8 +144,12 @@
     let mut grant_faults = GrantFaults::new(spec.seed);
     grant_faults.begin(cluster)?;
     let mut store_returns = StoreReturns::new(spec.seed);
+    let mut departures = Departures::new(spec.seed);
     let started = Instant::now();
     while started.elapsed() < spec.fault_time {
+        if spec.has_departures {
+            departures.advance(cluster)?;
+        }
         faults.advance(cluster)?;
         grant_faults.advance(cluster)?;
         store_returns.advance(cluster)?;
@@ -143,6 +158,7 @@
     faults.revert_all(cluster)?;
     grant_faults.revert_all(cluster)?;
     store_returns.revert_all(cluster)?;
+    departures.revert_all(cluster)?;
     let repaired_at = Instant::now();
     let history = format!(
         "faults: {}; of grants: {}; of the store: {}",
@@ -157,9 +173,12 @@
     let planned_stops_from = Instant::now();
     stop_as_planned(cluster, &mut faults).map_err(with_history)?;
     let calls = callers.stop();
-    let verdict = SoakVerdict::of(cluster, &calls, planned_stops_from);
+    let mut verdict = SoakVerdict::of(cluster, &calls, planned_stops_from);
+    let late = departures.violations(cluster, &calls);
+    verdict.violations.extend(late);
+    let (acknowledged, unacknowledged) = departures.counts();
     println!(
-        "RESULT soak seed={} hosts={} faults={} grant_faults={} store_returns={} requests={} ran={} \
+        "RESULT soak seed={} hosts={} faults={} grant_faults={} store_returns={} departures={acknowledged}+{unacknowledged} requests={} ran={} \
          refused={} unknown={} unanswered={} transfers={} served_again_ms={} targets={}",
         spec.seed,
         spec.hosts,
