Match departures by the start time of the process they are about

Found by reading, before callers met it. An announcement without a start time was matched by name alone: it could be acknowledged for an earlier process of that name, and its copy at another daemon could later mark another process as leaving. Now the announcement is resolved to the current process, durable means exactly that process, and only departures with a start time are held as copies.

Evidence: by reading; the two new tests (the_departure_of_a_process_does_not_make_that_of_a_later_one_durable, only_departures_with_a_start_time_are_held) replace one each that asserted the former matching, and were not run on it.

--- a/src/process/host/departure_log.rs
+++ b/src/process/host/departure_log.rs
@@ -39,22 +39,21 @@
         sync::lock(&self.state).copied = processes.to_vec();
     }
 
-    /// Returns whether the departure that was announced as `announced` outlives this process.
-    pub fn is_durable(&self, announced: &DepartedProcess) -> bool {
+    /// Returns whether the departure of `process` outlives this process.
+    pub fn is_durable(&self, process: &DepartedProcess) -> bool {
         let state = sync::lock(&self.state);
-        contains(&state.stored, announced) || contains(&state.copied, announced)
+        state.stored.contains(process) || state.copied.contains(process)
     }
 
-    /// Waits up to `timeout` until the store has the departure that was announced as `announced`; returns
-    /// whether it does.
-    pub fn await_stored(&self, announced: &DepartedProcess, timeout: Duration) -> bool {
+    /// Waits up to `timeout` until the store has the departure of `process`; returns whether it does.
+    pub fn await_stored(&self, process: &DepartedProcess, timeout: Duration) -> bool {
         let state = sync::lock(&self.state);
-        let is_pending = |s: &mut State| !s.is_closed && !contains(&s.stored, announced);
+        let is_pending = |s: &mut State| !s.is_closed && !s.stored.contains(process);
         let waited = self
             .stored_changed
             .wait_timeout_while(state, timeout, is_pending);
         let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
-        contains(&state.stored, announced)
+        state.stored.contains(process)
     }
 
     /// Records that the departures that former processes of this daemon acknowledged are known.
@@ -73,7 +72,3 @@
         self.stored_changed.notify_all();
     }
 }
-
-fn contains(processes: &[DepartedProcess], announced: &DepartedProcess) -> bool {
-    processes.iter().any(|p| p.is_announced_by(announced))
-}
--- a/src/process/host/held_departures.rs
+++ b/src/process/host/held_departures.rs
@@ -28,7 +28,8 @@
 }
 
 impl HeldDepartures {
-    /// Adds the departures that the daemon at `host` has sent to those held for it.
+    /// Adds the departures that the daemon at `host` has sent to those held for it, without those whose
+    /// start time is not known.
     pub fn record(&mut self, now: Moment, host: SocketAddr, processes: Vec<DepartedProcess>) {
         self.hosts
             .retain(|_, copies| now.since(copies.received_at) < HOLD_TIME);
@@ -43,7 +44,8 @@
             processes: Vec::new(),
         });
         copies.received_at = now;
-        for process in processes {
+        // One without a start time would stand for any later process of its name.
+        for process in processes.into_iter().filter(|p| p.started_ms.is_some()) {
             copies.add(process);
         }
     }
@@ -57,13 +59,8 @@
 }
 
 impl HostCopies {
-    /// Adds a departure. One whose start time became known replaces the copy without it, which would
-    /// stand for a later process of that name.
+    /// Adds a departure, unless it is held already.
     fn add(&mut self, process: DepartedProcess) {
-        if process.started_ms.is_some() {
-            self.processes
-                .retain(|p| p.started_ms.is_some() || p.instance != process.instance);
-        }
         if self.processes.contains(&process) {
             return;
         }
--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -98,36 +98,39 @@
                 instance,
                 started_ms,
             } => {
-                if self.dispatcher.mark_upstream_leaving(&instance, started_ms) {
+                let process = self.dispatcher.departed_process(&instance, started_ms);
+                if self
+                    .dispatcher
+                    .mark_upstream_leaving(&instance, process.started_ms)
+                {
                     tracing::info!(event = "upstream-leaving", instance, by = "leave");
                     self.set_leaving(true);
                 }
-                Some(DepartedProcess {
-                    instance,
-                    started_ms,
-                })
+                Some(process)
             }
         };
-        announced.is_none_or(|announced| self.await_durable(&announced))
+        announced.is_none_or(|process| self.await_durable(&process))
     }
 
-    /// Waits until the announced departure outlives this process; returns whether it does. The store is
+    /// Waits until the departure of `process` outlives this process; returns whether it does. The store is
     /// preferred, as it outlives all processes; copies at other daemons do while it does not answer.
-    fn await_durable(&self, announced: &DepartedProcess) -> bool {
-        if self.departure_log.is_durable(announced) {
+    fn await_durable(&self, process: &DepartedProcess) -> bool {
+        if self.departure_log.is_durable(process) {
             return true;
         }
         let started = Instant::now();
-        let departures = self.dispatcher.departures();
+        let mut departures = self.dispatcher.departures();
+        // Nobody holds copies of the others, which only their start time tells from later processes.
+        departures.retain(|p| p.started_ms.is_some());
         // A stop that is about to end waits for no other daemon.
         if !self.stop_gate.is_closed() && self.departure_copies.send(&departures) {
             self.departure_log.record_copied(&departures);
         }
         let left = ACKNOWLEDGE_TIMEOUT.saturating_sub(started.elapsed());
-        let is_durable = self.departure_log.await_stored(announced, left)
-            || self.departure_log.is_durable(announced);
+        let is_durable = self.departure_log.await_stored(process, left)
+            || self.departure_log.is_durable(process);
         if !is_durable {
-            let instance = &announced.instance;
+            let instance = &process.instance;
             tracing::warn!(event = "departure-not-acknowledged", instance);
         }
         is_durable
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -143,6 +143,13 @@
         is_new
     }
 
+    /// Returns the process that an announcement of `instance` is about.
+    pub fn departed_process(&self, instance: &str, started_ms: Option<u64>) -> DepartedProcess {
+        sync::lock(&self.state)
+            .upstream
+            .departed_process(instance, started_ms)
+    }
+
     /// Returns the processes that have announced that they will stop.
     pub fn departures(&self) -> Vec<DepartedProcess> {
         sync::lock(&self.state).upstream.departures()
--- a/src/process/host/local_upstream.rs
+++ b/src/process/host/local_upstream.rs
@@ -121,14 +121,19 @@
     /// whether that was new for the current process. `None` for `started_ms` stands for the current
     /// process, or for the next one that reports, if its name matches.
     pub fn mark_leaving(&mut self, now: Moment, instance: &str, started_ms: Option<u64>) -> bool {
+        self.departures
+            .record(now, self.departed_process(instance, started_ms));
+        self.apply_departures()
+    }
+
+    /// Returns the process that an announcement of `instance` is about. Without a start time that is the
+    /// current process, if its name matches.
+    pub fn departed_process(&self, instance: &str, started_ms: Option<u64>) -> DepartedProcess {
         let current = self.process.as_ref().filter(|p| p.instance == instance);
-        let started_ms = started_ms.or(current.map(|p| p.started_ms));
-        let process = DepartedProcess {
+        DepartedProcess {
             instance: instance.to_owned(),
-            started_ms,
-        };
-        self.departures.record(now, process);
-        self.apply_departures()
+            started_ms: started_ms.or(current.map(|p| p.started_ms)),
+        }
     }
 
     /// Returns the processes that have announced that they will stop.
--- a/src/version/departed_process.rs
+++ b/src/version/departed_process.rs
@@ -11,13 +11,3 @@
     /// not state it, until the next process with this name reports.
     pub started_ms: Option<u64>,
 }
-
-impl DepartedProcess {
-    /// Returns whether `announced`, as the upstream stated it, is this process. An announcement without
-    /// a start time is that of any process with its name.
-    pub fn is_announced_by(&self, announced: &DepartedProcess) -> bool {
-        let has_same_start =
-            announced.started_ms.is_none() || announced.started_ms == self.started_ms;
-        self.instance == announced.instance && has_same_start
-    }
-}
--- a/tests/testsuite/host/departures.rs
+++ b/tests/testsuite/host/departures.rs
@@ -85,15 +85,14 @@
     assert!(log.await_stored(&announced, Duration::ZERO));
 }
 
-/// Guards against an announcement without a start time that is never found in the store, where the
-/// process has its start time.
+/// Guards against the acknowledgement of one process's departure for that of an earlier one of its name.
 #[test]
-fn an_announcement_without_a_start_time_is_that_of_any_process_of_its_name() {
+fn the_departure_of_a_process_does_not_make_that_of_a_later_one_durable() {
     let log = DepartureLog::default();
     log.record_stored(&[departed("a", Some(10))]);
-    assert!(log.is_durable(&departed("a", None)));
+    assert!(log.is_durable(&departed("a", Some(10))));
     assert!(!log.is_durable(&departed("a", Some(11))));
-    assert!(!log.is_durable(&departed("b", None)));
+    assert!(!log.is_durable(&departed("a", None)));
 }
 
 /// Guards against a stop that waits for announcements until it is killed, and against an
@@ -149,11 +148,13 @@
 
 /// Guards against a copy without a start time that later marks another process of the same name.
 #[test]
-fn a_copy_with_a_start_time_replaces_the_one_without() {
+fn only_departures_with_a_start_time_are_held() {
     let mut held = HeldDepartures::default();
     held.record(at(0), peer(1), vec![departed("a", None)]);
+    assert_eq!(held.of_host(at(0), peer(1)), []);
     held.record(at(1), peer(1), vec![departed("a", Some(10))]);
-    held.record(at(2), peer(1), vec![departed("b", Some(5))]);
+    let more = vec![departed("a", Some(10)), departed("b", Some(5))];
+    held.record(at(2), peer(1), more);
     let expected = [departed("a", Some(10)), departed("b", Some(5))];
     assert_eq!(held.of_host(at(3), peer(1)), expected);
     assert_eq!(held.of_host(at(3), peer(2)), []);
--- a/tests/testsuite/host/local_upstream.rs
+++ b/tests/testsuite/host/local_upstream.rs
@@ -204,3 +204,14 @@
     );
     assert_eq!(upstream.running().unwrap().leaving_since, Some(at(1)));
 }
+
+/// Guards against an announcement without a start time that is acknowledged for an earlier process.
+#[test]
+fn an_announcement_without_a_start_time_is_about_the_current_process_of_its_name() {
+    let mut upstream = LocalUpstream::default();
+    assert_eq!(upstream.departed_process("a", None).started_ms, None);
+    upstream.apply_report(at(0), &report("a", 10, 1));
+    assert_eq!(upstream.departed_process("a", None).started_ms, Some(10));
+    assert_eq!(upstream.departed_process("a", Some(7)).started_ms, Some(7));
+    assert_eq!(upstream.departed_process("b", None).started_ms, None);
+}
