Read a store that refuses at the usual interval while departures are recovered

Found by reading, before operators met it: a process that starts while the store refuses each call read its departures every 50 ms, the interval at which it asks other daemons, in place of 250 ms. All hosts that restart in an outage would have made 20 calls a second each. The test is of the decision; the interval of 50 ms stood in the loop, so there was nothing to test before.

--- a/src/process/host/departure_recovery.rs
+++ b/src/process/host/departure_recovery.rs
@@ -17,6 +17,8 @@
 pub struct DepartureRecovery {
     started: Moment,
     is_store_read: bool,
+    /// When the store was last found not to answer.
+    read_failed_at: Option<Moment>,
     /// When holders were asked first.
     asked_at: Option<Moment>,
     /// Holders that have not answered.
@@ -31,6 +33,7 @@
         Self {
             started,
             is_store_read: false,
+            read_failed_at: None,
             asked_at: None,
             silent: BTreeSet::new(),
             answers: 0,
@@ -42,6 +45,17 @@
         self.is_store_read = true;
     }
 
+    /// Records that the departures in the store could not be read.
+    pub fn record_failed_read(&mut self, now: Moment) {
+        self.read_failed_at = Some(now);
+    }
+
+    /// Returns whether to read the store now, at least `delay` after a read that failed.
+    pub fn is_store_read_due(&self, now: Moment, delay: Duration) -> bool {
+        let has_waited = self.read_failed_at.is_none_or(|at| now.since(at) >= delay);
+        !self.is_store_read && has_waited
+    }
+
     /// Returns whether the departures in the store were read.
     pub fn is_store_read(&self) -> bool {
         self.is_store_read
--- a/src/process/host/departure_store.rs
+++ b/src/process/host/departure_store.rs
@@ -106,14 +106,17 @@
         let mut recovery = DepartureRecovery::new(clock.now());
         let mut stored = None;
         while !recovery.is_complete(clock.now()) {
-            if !recovery.is_store_read() {
+            if recovery.is_store_read_due(clock.now(), RETRY_DELAY) {
                 match self.read() {
                     Ok(read) => {
                         stored = Some(read);
                         recovery.record_store_read();
                         health.record_success();
                     }
-                    Err(e) => health.record_failure(&e),
+                    Err(e) => {
+                        recovery.record_failed_read(clock.now());
+                        health.record_failure(&e);
+                    }
                 }
             }
             let copies = self
--- a/tests/testsuite/host/departures.rs
+++ b/tests/testsuite/host/departures.rs
@@ -213,3 +213,16 @@
     assert!(!recovery.is_complete(at(1499)));
     assert!(recovery.is_complete(at(1500)));
 }
+
+/// Guards against a store that is asked ever again while it refuses each call.
+#[test]
+fn a_store_that_fails_is_read_again_after_a_delay_only() {
+    let delay = Duration::from_millis(250);
+    let mut recovery = DepartureRecovery::new(at(0));
+    assert!(recovery.is_store_read_due(at(0), delay));
+    recovery.record_failed_read(at(10));
+    assert!(!recovery.is_store_read_due(at(259), delay));
+    assert!(recovery.is_store_read_due(at(260), delay));
+    recovery.record_store_read();
+    assert!(!recovery.is_store_read_due(at(900), delay));
+}
