Give up a call only once the other daemon has been silent for as long as a lease

After 0.72 s without a frame on the link the daemon that had taken the request found waiting pointless, because the session had ended, cancelled the work, and so did its second attempt.

Evidence: a_call_is_not_pointless_while_the_other_daemon_is_silent_for_a_short_time fails with the silence set to zero, which is the code before ("no reply arrived"). foxtaildriftd keeps zero: there a session bounds the work.

--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -42,6 +42,9 @@
     /// How long the reply to a request that waits for an upstream may take before a ping is sent,
     /// if nothing else arrives on the link.
     pub reply: Duration,
+    /// How long nothing may arrive from the other daemon before a call to it can be found pointless. Its
+    /// work may go on behind a link that is slow.
+    pub silence: Duration,
 }
 
 impl Default for PeerTimeouts {
@@ -49,6 +52,7 @@
         Self {
             acknowledge: Duration::from_millis(30),
             reply: Duration::from_millis(200),
+            silence: Duration::ZERO,
         }
     }
 }
@@ -113,31 +117,61 @@
     LinkClosed,
 }
 
+/// An attempt of a call that was sent.
+struct SentAttempt {
+    link: Arc<CallingLink>,
+    /// The number of the call on the link.
+    number: u64,
+    /// When bytes had last been received on the link before.
+    received_before: Instant,
+}
+
+impl SentAttempt {
+    /// Returns when bytes were last received on the link since the attempt.
+    fn received_at(&self) -> Option<Instant> {
+        let received_at = self.link.received_at();
+        (received_at > self.received_before).then_some(received_at)
+    }
+}
+
 /// The attempts of a call, each on its own link; dropping it cancels those without a reply.
 struct Attempts {
     call: Arc<PeerCall>,
-    sent: Vec<(Arc<CallingLink>, u64)>,
+    started: Instant,
+    sent: Vec<SentAttempt>,
 }
 
 impl Attempts {
     /// Sends `request` on `link`; returns whether that succeeded.
     fn send(&mut self, link: &Arc<CallingLink>, request: &PeerRequest) -> Result<(), FrameError> {
         let index = self.sent.len();
+        let received_before = link.received_at();
         let number = link.start_call(&self.call, index, request)?;
-        self.sent.push((Arc::clone(link), number));
+        self.sent.push(SentAttempt {
+            link: Arc::clone(link),
+            number,
+            received_before,
+        });
         Ok(())
     }
 
+    /// Returns whether nothing has arrived on any link for `time`.
+    fn are_silent(&self, time: Duration) -> bool {
+        let received = self.sent.iter().filter_map(SentAttempt::received_at);
+        let heard_at = received.fold(self.started, Instant::max);
+        heard_at.elapsed() >= time
+    }
+
     /// Returns whether the reply may still arrive.
     fn any_open(&self) -> bool {
-        self.sent.iter().any(|(link, _)| !link.is_closed())
+        self.sent.iter().any(|a| !a.link.is_closed())
     }
 }
 
 impl Drop for Attempts {
     fn drop(&mut self) {
-        for (link, number) in &self.sent {
-            link.abandon(*number);
+        for attempt in &self.sent {
+            attempt.link.abandon(attempt.number);
         }
     }
 }
@@ -203,7 +237,8 @@
     /// Sends a request to the daemon at `to` and waits for its reply.
     ///
     /// The wait ends after `timeout`, when `recipient` disconnects, or when `is_pointless` returns
-    /// true, which is called after each timeout on a link. A call that ends without its reply is
+    /// true, which is called after each timeout on a link if the other daemon has been silent for
+    /// [`PeerTimeouts::silence`]. A call that ends without its reply is
     /// cancelled at the other daemon.
     ///
     /// # Errors
@@ -217,13 +252,16 @@
         recipient: &Recipient,
         is_pointless: impl Fn() -> bool,
     ) -> Result<PeerCallReply, PeerError> {
-        let deadline = Instant::now() + timeout;
+        let started = Instant::now();
+        let deadline = started + timeout;
+        let silence = self.timeouts.silence;
         let kind = LinkKind::of(request);
         let call = Arc::new(PeerCall::default());
         let for_waker = Arc::clone(&call);
         let _watch = recipient.on_disconnect(move || for_waker.abandon());
         let mut attempts = Attempts {
             call,
+            started,
             sent: Vec::new(),
         };
         let mut message = Cow::Borrowed(request);
@@ -268,7 +306,10 @@
             }
             let expired = Instant::now() >= deadline;
             match failure {
-                Failure::TimedOut if expired || is_pointless() => return Err(timed_out()),
+                Failure::TimedOut if expired => return Err(timed_out()),
+                Failure::TimedOut if attempts.are_silent(silence) && is_pointless() => {
+                    return Err(timed_out());
+                }
                 Failure::LinkClosed if expired || (!is_reused && resent) => {
                     return Err(link_closed());
                 }
@@ -294,7 +335,7 @@
         recipient: &Recipient,
     ) -> Result<PeerReply, Failure> {
         let last = attempts.sent.len() - 1;
-        let link = &attempts.sent[last].0;
+        let link = &attempts.sent[last].link;
         let mut patience = match request.waits_for_upstream() {
             true => self.timeouts.reply,
             false => acknowledge,
@@ -355,7 +396,8 @@
             if recipient.has_disconnected() {
                 return Err(PeerError::RecipientDisconnected);
             }
-            if Instant::now() >= deadline || is_pointless() {
+            let is_silent = attempts.are_silent(self.timeouts.silence);
+            if Instant::now() >= deadline || (is_silent && is_pointless()) {
                 return Err(timed_out());
             }
         }
--- a/tests/testsuite/host/grants/daemon.rs
+++ b/tests/testsuite/host/grants/daemon.rs
@@ -165,6 +165,7 @@
         let timeouts = PeerTimeouts {
             acknowledge: Duration::from_millis(100),
             reply: Duration::from_millis(300),
+            silence: Duration::ZERO,
         };
         let peers = Arc::new(PeerPool::new(&reactor, [127, 0, 0, 1].into(), timeouts));
         let own = info(OWN, peer(OWN));
--- a/tests/testsuite/host/store_sync.rs
+++ b/tests/testsuite/host/store_sync.rs
@@ -193,6 +193,7 @@
     let timeouts = PeerTimeouts {
         acknowledge: Duration::from_millis(100),
         reply: Duration::from_millis(500),
+        silence: Duration::ZERO,
     };
     let pool = Arc::new(PeerPool::new(
         &reactor,
--- a/tests/testsuite/peer_pool.rs
+++ b/tests/testsuite/peer_pool.rs
@@ -29,6 +29,7 @@
 const TIMEOUTS: PeerTimeouts = PeerTimeouts {
     acknowledge: Duration::from_millis(30),
     reply: Duration::from_millis(100),
+    silence: Duration::from_millis(1000),
 };
 /// The delay of the reply: several times the reply timeout.
 const REPLY_DELAY: Duration = Duration::from_millis(350);
@@ -468,3 +469,43 @@
         }
     });
 }
+
+/// Guards against running work that is given up because the session of the other daemon has ended, while
+/// its process goes on behind a slow link (LOST).
+#[test]
+fn a_call_is_not_pointless_while_the_other_daemon_is_silent_for_a_short_time() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+    let to = listener.local_addr().expect("no local address");
+    let server = thread::spawn(move || {
+        // Accepts one connection and answers no ping on it.
+        let (mut stream, _) = listener.accept().expect("no connection arrives");
+        drop(listener);
+        thread::sleep(REPLY_DELAY);
+        let reply = Cow::Owned(PeerReply::Accepted);
+        let reply = frame::encode(&PeerFrame::Reply { number: 1, reply });
+        let reply = reply.expect("could not encode the reply");
+        stream.write_all(&reply).expect("could not write the reply");
+    });
+    let reactor = Reactor::start().expect("no reactor");
+    let pool = pool(&reactor);
+    let limit = Duration::from_secs(20);
+    let called = pool.call(to, &dispatch_request(), limit, &Recipient::none(), || true);
+    server.join().expect("the server panicked");
+    assert_eq!(called.expect("no reply arrived").reply, PeerReply::Accepted);
+}
+
+/// Guards against a call that waits for a lost host until its deadline.
+#[test]
+fn a_pointless_call_ends_once_the_other_daemon_was_silent_for_long() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("could not bind a port");
+    let to = listener.local_addr().expect("no local address");
+    let reactor = Reactor::start().expect("no reactor");
+    let pool = pool(&reactor);
+    let limit = Duration::from_secs(60);
+    let started = Instant::now();
+    let called = pool.call(to, &dispatch_request(), limit, &Recipient::none(), || true);
+    assert!(called.is_err());
+    assert!(started.elapsed() >= TIMEOUTS.silence);
+    assert!(started.elapsed() < limit / 2);
+    drop(listener);
+}
