Split reports and sending conditions off, and say once what may not be begun

host_context.rs applied the upstream's reports besides sharing state and answering other daemons: report_processor.rs does that now. host_dispatcher.rs decided whether the upstream may get a request, besides queueing and sending: that is sending_conditions.rs. Whether work may still be begun was asked in two parts at three places; it is one function, which the last check before a request is sent asks as well. host_threads.rs had a copy of daemon::spawn. PeerPool::started is all_links. No change of behaviour but that last check: a withdrawn request that has just got its turn is refused.

--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -181,9 +181,10 @@
     reactor: Arc<Reactor>,
     source: IpAddr,
     timeouts: PeerTimeouts,
+    /// The links that new calls use.
     links: Mutex<HashMap<(SocketAddr, LinkKind), Arc<CallingLink>>>,
     /// All open links, also those that are presumed dead, or that two calls established at the same time.
-    started: Mutex<Vec<Weak<CallingLink>>>,
+    all_links: Mutex<Vec<Weak<CallingLink>>>,
     traffic: Arc<Traffic>,
 }
 
@@ -195,7 +196,7 @@
             source,
             timeouts,
             links: Mutex::default(),
-            started: Mutex::default(),
+            all_links: Mutex::default(),
             traffic: Arc::default(),
         }
     }
@@ -228,8 +229,8 @@
     /// begun get their replies soon. Calls that are just being sent are left out, so this must be called
     /// again while there are any.
     pub fn withdraw_calls(&self) {
-        let started = sync::lock(&self.started).clone();
-        for link in started.iter().filter_map(Weak::upgrade) {
+        let all_links = sync::lock(&self.all_links).clone();
+        for link in all_links.iter().filter_map(Weak::upgrade) {
             link.withdraw_calls();
         }
     }
@@ -416,10 +417,10 @@
         let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let conn = BufferedConnection::connect(to, Some(self.source), connect_deadline)?;
         let link = CallingLink::start(&self.reactor, conn, &self.traffic)?;
-        let mut started = sync::lock(&self.started);
-        started.retain(|l| l.upgrade().is_some_and(|l| !l.is_closed()));
-        started.push(Arc::downgrade(&link));
-        drop(started);
+        let mut all_links = sync::lock(&self.all_links);
+        all_links.retain(|l| l.upgrade().is_some_and(|l| !l.is_closed()));
+        all_links.push(Arc::downgrade(&link));
+        drop(all_links);
         let mut links = sync::lock(&self.links);
         links.retain(|_, l| !l.is_closed());
         // Another thread may have connected meanwhile; this link then ends once it is idle.
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -294,7 +294,12 @@
     }
 }
 
-fn spawn(
+/// Starts a thread named `name`.
+///
+/// # Errors
+///
+/// Returns an error if the thread can't be started.
+pub fn spawn(
     name: &str,
     work: impl FnOnce() + Send + 'static,
 ) -> Result<JoinHandle<()>, std::io::Error> {
--- a/src/process/host/endpoints.rs
+++ b/src/process/host/endpoints.rs
@@ -12,6 +12,8 @@
 use crate::connection::recipient::Recipient;
 use crate::process::host::explanation::{self, DescribedRequest, ExplainError};
 use crate::process::host::host_context::HostContext;
+use crate::process::host::report_processor::ReportProcessor;
+use crate::process::stop_flag::StopFlag;
 
 /// Limits of these endpoints.
 const LIMITS: ListenerLimits = ListenerLimits {
@@ -77,8 +79,10 @@
 
 /// Accepts the reports of the upstream.
 pub struct ReportHandler {
-    /// Shared state of the daemon.
-    pub context: Arc<HostContext>,
+    /// Applies the reports.
+    pub processor: ReportProcessor,
+    /// Set when all threads must end.
+    pub stop: Arc<StopFlag>,
     /// Protocol of the reports.
     pub discovery: Arc<dyn Discovery>,
 }
@@ -94,7 +98,7 @@
 
     fn handle(&self, request: HttpRequest, _recipient: &Recipient) -> HttpResponse {
         match self.discovery.parse_report(&request) {
-            Ok(report) => match self.context.apply_report(report) {
+            Ok(report) => match self.processor.apply(report) {
                 true => self.discovery.acknowledgement(),
                 false => HttpResponse::text(503, "the report is not stored yet\n"),
             },
@@ -110,6 +114,6 @@
     }
 
     fn is_shutting_down(&self) -> bool {
-        self.context.stop.is_set()
+        self.stop.is_set()
     }
 }
--- a/src/process/host/held_departures.rs
+++ b/src/process/host/held_departures.rs
@@ -9,9 +9,11 @@
 use crate::process::moment::Moment;
 use crate::version::departed_process::DepartedProcess;
 
-/// How long copies are held: longer than an upstream runs on, and the store is away.
+/// How long copies are held. Covers the time for which an upstream runs on after its announcement, and an
+/// outage of the store.
 const HOLD_TIME: Duration = Duration::from_secs(600);
-/// The largest number of hosts whose departures are held; that of the oldest copies gives way to a new one.
+/// The largest number of hosts whose departures are held; a new one takes the place of the host that sent
+/// nothing for longest.
 const HOSTS_MAX: usize = 1024;
 
 /// Copies of the departures on one host.
--- a/src/process/host/host_context.rs
+++ b/src/process/host/host_context.rs
@@ -3,12 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::connection::memory_budget::MemoryBudget;
 use crate::connection::peer_message::{PeerReply, PeerRequest};
 use crate::connection::peer_server::PeerHandler;
-use crate::connection::protocol::{StatusReport, UpstreamReport};
 use crate::connection::recipient::Recipient;
 use crate::process::clock::Clock;
 use crate::process::host::body_reservations::BodyReservations;
@@ -19,7 +18,6 @@
 use crate::process::host::host_dispatcher::HostDispatcher;
 use crate::process::host::host_router::HostRouter;
 use crate::process::host::host_settings::HostSettings;
-use crate::process::host::local_upstream::ReportEffect;
 use crate::process::host::quota_gate::QuotaGate;
 use crate::process::host::recent_requests::{RecentRequests, RequestStatus};
 use crate::process::host::stop_gate::StopGate;
@@ -34,10 +32,6 @@
 use crate::version::instance_id::InstanceId;
 use crate::version::upstream::Upstream;
 
-/// How long an announcement waits until it outlives this process. The upstream waits a second for the
-/// acknowledgement.
-const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Shared state of the daemon.
 pub struct HostContext {
     pub(super) settings: HostSettings,
@@ -89,53 +83,6 @@
         self.membership.table().epoch > Epoch::default()
     }
 
-    /// Applies a report of the upstream; returns whether it may be acknowledged. The announcement that
-    /// the upstream will stop may be only once it outlives this process.
-    pub fn apply_report(&self, report: UpstreamReport) -> bool {
-        let announced = match report {
-            UpstreamReport::Status(status) => self.apply_status(&status),
-            UpstreamReport::Deregistration {
-                instance,
-                started_ms,
-            } => {
-                let process = self.dispatcher.departed_process(&instance, started_ms);
-                if self
-                    .dispatcher
-                    .mark_upstream_leaving(&instance, process.started_ms)
-                {
-                    tracing::info!(event = "upstream-leaving", instance, by = "leave");
-                    self.set_leaving(true);
-                }
-                Some(process)
-            }
-        };
-        announced.is_none_or(|process| self.await_durable(&process))
-    }
-
-    /// Waits until the departure of `process` outlives this process; returns whether it does. The store is
-    /// preferred, as it outlives all processes; copies at other daemons do while it does not answer.
-    fn await_durable(&self, process: &DepartedProcess) -> bool {
-        if self.departure_log.is_durable(process) {
-            return true;
-        }
-        let started = Instant::now();
-        let mut departures = self.dispatcher.departures();
-        // Nobody holds copies of the others, which only their start time tells from later processes.
-        departures.retain(|p| p.started_ms.is_some());
-        // A stop that is about to end waits for no other daemon.
-        if !self.stop_gate.is_closed() && self.departure_copies.send(&departures) {
-            self.departure_log.record_copied(&departures);
-        }
-        let left = ACKNOWLEDGE_TIMEOUT.saturating_sub(started.elapsed());
-        let is_durable = self.departure_log.await_stored(process, left)
-            || self.departure_log.is_durable(process);
-        if !is_durable {
-            let instance = &process.instance;
-            tracing::warn!(event = "departure-not-acknowledged", instance);
-        }
-        is_durable
-    }
-
     /// Applies the departures of the upstream that former processes of this daemon have acknowledged.
     pub(super) fn add_departures(&self, processes: &[DepartedProcess]) {
         if self.dispatcher.add_departures(processes) {
@@ -144,55 +91,6 @@
         }
     }
 
-    /// Applies a report of the upstream's state; returns the departure that it announces, if any.
-    fn apply_status(&self, status: &StatusReport) -> Option<DepartedProcess> {
-        if status.address != self.settings.upstream {
-            tracing::info!(event = "report-ignored", instance = status.instance, address = %status.address, reason = "another address");
-            return None;
-        }
-        let effect = self.dispatcher.apply_report(status);
-        match effect {
-            ReportEffect::NewProcess => self.begin_process(status),
-            ReportEffect::Leaving => {
-                tracing::info!(
-                    event = "upstream-leaving",
-                    instance = status.instance,
-                    by = "report"
-                );
-                self.set_leaving(true);
-            }
-            ReportEffect::Outdated => {
-                tracing::info!(
-                    event = "report-ignored",
-                    instance = status.instance,
-                    sequence = status.sequence,
-                    reason = "outdated"
-                );
-            }
-            ReportEffect::Refreshed => {}
-        }
-        status.draining.then(|| DepartedProcess {
-            instance: status.instance.clone(),
-            started_ms: Some(status.started_ms),
-        })
-    }
-
-    /// Logs that a process of the upstream is up, and offers it unless a former process of this daemon
-    /// may have acknowledged that it leaves.
-    fn begin_process(&self, status: &StatusReport) {
-        let Some(process) = self.dispatcher.upstream_process() else {
-            return;
-        };
-        tracing::info!(
-            event = "upstream-up", instance = status.instance, service = %status.service,
-            slots = status.slots, cold_ms = status.warmup_remaining.as_millis() as u64,
-            draining = process.leaving_since.is_some()
-        );
-        if self.departure_log.is_recovered() {
-            self.publish_upstream();
-        }
-    }
-
     /// Offers the upstream, as the departures that former processes acknowledged are known.
     pub(super) fn offer_upstream(&self) {
         self.departure_log.set_recovered();
@@ -200,7 +98,7 @@
     }
 
     /// Sets the present process of the upstream in this daemon's member info, which the planner reads.
-    fn publish_upstream(&self) {
+    pub(super) fn publish_upstream(&self) {
         let Some(process) = self.dispatcher.upstream_process() else {
             return;
         };
--- a/src/process/host/host_dispatcher.rs
+++ b/src/process/host/host_dispatcher.rs
@@ -17,20 +17,19 @@
 use crate::process::host::grant_wait::GrantWait;
 use crate::process::host::local_upstream::{ReportEffect, UpstreamLoss, UpstreamProcess};
 use crate::process::host::owned_range::OwnedRange;
+use crate::process::host::sending_conditions::SendingConditions;
 use crate::process::host::stop_gate::StopGate;
 use crate::process::membership::Membership;
 use crate::process::moment::Moment;
 use crate::process::sync;
 use crate::request::fingerprint::Fingerprint;
 use crate::request::quarantine::{CrashSuspect, QuarantineState};
-use crate::request::shard_key::ShardKey;
 use crate::request::upstream_load::UpstreamLoad;
 use crate::request::upstream_outcome::{NotRunCause, UpstreamOutcome};
 use crate::request::upstream_request::UpstreamRequest;
 use crate::version::departed_process::DepartedProcess;
 use crate::version::key_hash::KeyHash;
 use crate::version::service_name::ServiceName;
-use crate::version::upstream::UpstreamBoot;
 
 /// Interval at which a queued request checks whether its caller is still connected.
 const CALLER_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -42,8 +41,6 @@
 const DOWN_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Rate of a cold upstream while the routing is unknown, in requests per second.
 const COLD_RATE_DEFAULT: f64 = 4.0;
-/// How long before the drain timeout the dispatcher stops sending requests.
-const DRAIN_MARGIN: Duration = Duration::from_millis(400);
 /// Least time left at which a request is sent.
 const REQUEST_TIME_MIN: Duration = Duration::from_millis(5);
 
@@ -59,7 +56,7 @@
     clock: Arc<dyn Clock>,
     membership: Arc<Membership>,
     pool: UpstreamPool,
-    drain_timeout: Duration,
+    conditions: SendingConditions,
     stop_gate: Arc<StopGate>,
     state: Mutex<DispatcherState>,
     /// Notified when the granted ranges change.
@@ -78,11 +75,13 @@
         drain_timeout: Duration,
         stop_gate: Arc<StopGate>,
     ) -> Self {
+        let conditions =
+            SendingConditions::new(Arc::clone(&clock), Arc::clone(&membership), drain_timeout);
         Self {
             clock,
             membership,
             pool,
-            drain_timeout,
+            conditions,
             stop_gate,
             state: Mutex::default(),
             granted_changed: Condvar::new(),
@@ -274,7 +273,7 @@
         let now = self.clock.now();
         let deadline = now + request.remaining;
         let objective = now + request.objective;
-        if recipient.is_withdrawn() || !self.stop_gate.admits(now, request.remaining) {
+        if !self.stop_gate.admits(now, request.remaining) {
             return refusal(NotRunCause::Stopping);
         }
         if let Err(refusal) = self.await_grant(request, recipient) {
@@ -287,7 +286,7 @@
             return refusal;
         }
         // The conditions may have changed while the request was queued.
-        let (dispatch, process) = match self.begin_dispatch(request, fingerprint) {
+        let (dispatch, process) = match self.begin_dispatch(request, fingerprint, recipient) {
             Ok(dispatched) => dispatched,
             Err(cause) => {
                 self.end_dispatch(None, None, None);
@@ -390,7 +389,7 @@
     ) -> Result<(), UpstreamOutcome> {
         let wait = GrantWait::new(self.clock.now(), request.objective);
         loop {
-            let Err(cause) = self.check_allowed(request) else {
+            let Err(cause) = self.check_allowed(request, recipient) else {
                 return Ok(());
             };
             let outcome = refusal(cause);
@@ -401,9 +400,6 @@
             if recipient.has_disconnected() {
                 return Err(refusal(NotRunCause::CallerLeft));
             }
-            if recipient.is_withdrawn() {
-                return Err(refusal(NotRunCause::Stopping));
-            }
             let state = sync::lock(&self.state);
             // A grant that arrives just before the wait is found by the next check.
             drop(self.granted_changed.wait_timeout(state, pause));
@@ -422,14 +418,23 @@
         })
     }
 
-    /// Returns an error unless a new request may be sent to the upstream now.
-    fn check_allowed(&self, request: &UpstreamRequest) -> Result<(), NotRunCause> {
-        match self.stop_gate.is_closed() {
+    /// Returns an error unless work on the request of `recipient` may begin now.
+    fn check_allowed(
+        &self,
+        request: &UpstreamRequest,
+        recipient: &Recipient,
+    ) -> Result<(), NotRunCause> {
+        match self.must_not_begin(recipient) {
             true => Err(NotRunCause::Stopping),
-            false => self.check_serving(request).map(drop),
+            false => self.conditions.check(&self.state, request).map(drop),
         }
     }
 
+    /// Returns whether this process or that of the recipient stops, so that nothing may be begun for it.
+    fn must_not_begin(&self, recipient: &Recipient) -> bool {
+        recipient.is_withdrawn() || self.stop_gate.is_closed()
+    }
+
     /// Returns an error unless a request that was admitted for `process` may still be written to it:
     /// since then it has waited for a connection, and this process may have been paused.
     fn check_sendable(
@@ -438,7 +443,7 @@
         process: &UpstreamProcess,
         deadline: Moment,
     ) -> Result<(), NotRunCause> {
-        if self.check_serving(request)? != process.boot() {
+        if self.conditions.check(&self.state, request)? != process.boot() {
             return Err(NotRunCause::Down);
         }
         match deadline.since(self.clock.now()) < REQUEST_TIME_MIN {
@@ -447,54 +452,6 @@
         }
     }
 
-    /// Returns the process of the upstream that may run the request now, or an error if there is
-    /// none.
-    fn check_serving(&self, request: &UpstreamRequest) -> Result<UpstreamBoot, NotRunCause> {
-        let now = self.clock.now();
-        let active = self.membership.active_configuration();
-        let state = sync::lock(&self.state);
-        let process = state.upstream.running().ok_or(NotRunCause::Down)?;
-        if process.service != request.service {
-            return Err(NotRunCause::Down);
-        }
-        if !active.document.accepts_work(&process.domain) {
-            return Err(NotRunCause::Evacuated);
-        }
-        let close_after = self.drain_timeout.saturating_sub(DRAIN_MARGIN);
-        if process
-            .leaving_since
-            .is_some_and(|at| now.since(at) >= close_after)
-        {
-            return Err(NotRunCause::Draining);
-        }
-        let boot = process.boot();
-        drop(state);
-        if let Some(key) = request.key {
-            self.check_key_granted(request, key)?;
-        }
-        Ok(boot)
-    }
-
-    /// Returns an error unless the daemon may serve the key now and it is granted to the upstream.
-    fn check_key_granted(
-        &self,
-        request: &UpstreamRequest,
-        key: ShardKey,
-    ) -> Result<(), NotRunCause> {
-        let hash = KeyHash(key.0.into());
-        let may_serve = self
-            .membership
-            .with_ownership(|o, now| o.permit_for_key(now, &request.service, hash).is_ok());
-        let now = self.clock.now();
-        let state = sync::lock(&self.state);
-        let is_granted =
-            |(range, until): &(OwnedRange, Moment)| range.contains(key.0) && *until > now;
-        match may_serve && state.granted.iter().any(is_granted) {
-            true => Ok(()),
-            false => Err(NotRunCause::NotOwner),
-        }
-    }
-
     /// Waits until the request is admitted, refused or abandoned.
     fn await_admission(
         &self,
@@ -580,8 +537,8 @@
         } else if now + REQUEST_TIME_MIN >= deadline {
             Some(NotRunCause::TimedOut)
         } else {
-            let is_too_late = recipient.is_withdrawn() || self.stop_gate.is_closed();
-            is_too_late.then_some(NotRunCause::Stopping)
+            self.must_not_begin(recipient)
+                .then_some(NotRunCause::Stopping)
         }
     }
 
@@ -590,8 +547,9 @@
         &self,
         request: &UpstreamRequest,
         fingerprint: Fingerprint,
+        recipient: &Recipient,
     ) -> Result<(u64, UpstreamProcess), NotRunCause> {
-        self.check_allowed(request)?;
+        self.check_allowed(request, recipient)?;
         let mut state = sync::lock(&self.state);
         let process = state.upstream.running().cloned();
         let process = process.ok_or(NotRunCause::Down)?;
--- a/src/process/host/host_threads.rs
+++ b/src/process/host/host_threads.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
-use std::thread::{self, JoinHandle};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use crate::process::daemon::DaemonError;
+use crate::process::daemon::{self, DaemonError};
 use crate::process::host::departure_store::DepartureStore;
 use crate::process::host::host_context::HostContext;
 use crate::process::host::metered_store::MeteredStore;
@@ -55,15 +55,15 @@
     let membership = Arc::clone(&context.membership);
     let (for_events, for_periodic) = (Arc::clone(context), Arc::clone(context));
     Ok(vec![
-        spawn("routing", move || routing.sync_routing(&stop_routing))?,
-        spawn("table", move || table.sync_table(&stop_table))?,
-        spawn("plan", move || planner.run_planner(&stop_planning))?,
-        spawn("departures", move || departures.run(&stop_departures))?,
-        spawn("datagrams", move || membership.run(&stop_datagrams))?,
-        spawn("events", move || {
+        daemon::spawn("routing", move || routing.sync_routing(&stop_routing))?,
+        daemon::spawn("table", move || table.sync_table(&stop_table))?,
+        daemon::spawn("plan", move || planner.run_planner(&stop_planning))?,
+        daemon::spawn("departures", move || departures.run(&stop_departures))?,
+        daemon::spawn("datagrams", move || membership.run(&stop_datagrams))?,
+        daemon::spawn("events", move || {
             handle_events(&for_events, &event_rx, &fetchers, &releasers)
         })?,
-        spawn("duties", move || run_periodic_tasks(&for_periodic))?,
+        daemon::spawn("duties", move || run_periodic_tasks(&for_periodic))?,
     ])
 }
 
@@ -165,10 +165,3 @@
         context.membership.report_load(report);
     }
 }
-
-fn spawn(
-    name: &str,
-    work: impl FnOnce() + Send + 'static,
-) -> Result<JoinHandle<()>, std::io::Error> {
-    thread::Builder::new().name(name.to_owned()).spawn(work)
-}
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -57,6 +57,8 @@
 //! | [`host_context`] | state that the threads share, and requests of other daemons |
 //! | [`host_settings`] | settings file |
 //! | [`service`], `host_threads` | startup and graceful shutdown, and the threads in between |
+//! | `report_processor` | what the reports of the local upstream change, and which may be acknowledged |
+//! | `sending_conditions` | whether the local upstream may get a request now |
 //! | [`stop_gate`] | what a stopping process still takes |
 //! | [`stop_schedule`] | times of a graceful stop |
 
@@ -103,6 +105,7 @@
 pub mod quota_terms;
 mod recency_monitor;
 pub mod recent_requests;
+mod report_processor;
 mod request_forwarder;
 mod request_log;
 mod request_progress;
@@ -114,6 +117,7 @@
 mod routing_values;
 pub mod run_times;
 mod selection_report;
+mod sending_conditions;
 pub mod service;
 pub mod stop_gate;
 pub mod stop_schedule;
--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -28,6 +28,7 @@
 use crate::process::host::host_threads;
 use crate::process::host::quota_gate::QuotaGate;
 use crate::process::host::recent_requests::RecentRequests;
+use crate::process::host::report_processor::ReportProcessor;
 use crate::process::host::stop_gate::StopGate;
 use crate::process::host::stop_schedule::StopSchedule;
 use crate::process::membership::{Membership, MembershipEvent};
@@ -126,7 +127,8 @@
         )?;
         let discovery = Arc::clone(&platform.discovery);
         let report_handler = ReportHandler {
-            context: Arc::clone(&context),
+            processor: ReportProcessor::new(Arc::clone(&context)),
+            stop: Arc::clone(&context.stop),
             discovery,
         };
         let reports = HttpListener::start_with_limit(
