--- a/crates/bench/tests/testsuite/host.rs
+++ b/crates/bench/tests/testsuite/host.rs
@@ -352,10 +352,8 @@
     assert_eq!(deregister(&cluster, leaving, &instance), 200);
     thread::sleep(DRAIN_TIME);
     // The upstream goes on reporting that it is ready, as late reports would.
-    let before = HostRun::read_all(&cluster.journal(leaving)).len();
-    send_shared_requests(&cluster, 60);
-    let after = HostRun::read_all(&cluster.journal(leaving)).len();
-    assert_eq!(after, before, "requests after it left");
+    let before = count_runs(&cluster, leaving);
+    assert_gets_no_requests(&cluster, leaving, before, "after it left");
     cluster.kill_daemon(leaving);
     cluster.start_daemon(leaving).unwrap();
     thread::sleep(CONTACT_TIME);
@@ -364,9 +362,7 @@
             c.is_ready(leaving)
         })
         .unwrap();
-    send_shared_requests(&cluster, 60);
-    let after = HostRun::read_all(&cluster.journal(leaving)).len();
-    assert_eq!(after, before, "requests after a restart of its daemon");
+    assert_gets_no_requests(&cluster, leaving, before, "after a restart of its daemon");
 }
 
 /// Guards against a departure that is acknowledged while the store does not answer, and lost with the
@@ -385,10 +381,8 @@
     // The upstream goes on reporting that it is ready, as late reports would.
     cluster.control_store("up", "").unwrap();
     thread::sleep(CONTACT_TIME);
-    let before = HostRun::read_all(&cluster.journal(leaving)).len();
-    send_shared_requests(&cluster, 60);
-    let after = HostRun::read_all(&cluster.journal(leaving)).len();
-    assert_eq!(after, before, "requests after it left");
+    let before = count_runs(&cluster, leaving);
+    assert_gets_no_requests(&cluster, leaving, before, "after it left");
 }
 
 /// Guards against the acknowledgement of a departure that only one process knows, and against an upstream
@@ -408,6 +402,18 @@
         .unwrap();
 }
 
+/// Returns how many requests the upstream of a host has run.
+fn count_runs(cluster: &HostCluster, number: usize) -> usize {
+    HostRun::read_all(&cluster.journal(number)).len()
+}
+
+/// Asserts that of further requests of the shared service none reaches the upstream of a host, which has
+/// run `before` requests.
+fn assert_gets_no_requests(cluster: &HostCluster, number: usize, before: usize, when: &str) {
+    send_shared_requests(cluster, 60);
+    assert_eq!(count_runs(cluster, number), before, "requests {when}");
+}
+
 /// Waits until the upstream of a host runs requests of the shared service; returns its name.
 fn await_use(cluster: &HostCluster, number: usize) -> String {
     cluster
--- a/tests/testsuite/host/grants/late_requests.rs
+++ b/tests/testsuite/host/grants/late_requests.rs
@@ -13,6 +13,7 @@
 use foxtaildrift::connection::recipient::Recipient;
 use foxtaildrift::process::clock::{Clock, SystemClock};
 use foxtaildrift::process::host::local_upstream::UpstreamLoss;
+use foxtaildrift::process::host::stop_gate::StopGate;
 use foxtaildrift::process::moment::Moment;
 use foxtaildrift::process::wall_time::WallTime;
 use foxtaildrift::request::body::Body;
@@ -267,81 +268,72 @@
     assert_eq!(cell.upstream.calls("request").len(), 1);
 }
 
-/// Guards against a request that waits for its turn beside a busy upstream when a stop ends, and whose
-/// caller gets no answer although nothing ran (LOST).
-#[test]
-fn a_request_that_waits_for_its_turn_is_refused_when_a_stop_ends() {
+/// Fills an upstream that answers no request with [`SLOTS`] requests of `running`, lets another one wait
+/// for its turn, and then runs `stop`. Returns the outcomes of the running ones and of the waiting one.
+fn outcomes_of_stop(
+    waiting: &Recipient,
+    running: &[Recipient],
+    stop: impl FnOnce(&StopGate),
+) -> (Vec<UpstreamOutcome>, UpstreamOutcome) {
     let cell = Cell::start_with(|call| match call.name.as_str() {
         "request" => Answer::Never,
         _ => Answer::After(Duration::ZERO),
     });
     let dispatcher = &*cell.daemon.dispatcher;
-    let send = |time| {
-        dispatcher
-            .dispatch(&request(None, time), &Recipient::none())
-            .0
-    };
-    thread::scope(|scope| {
-        for _ in 0..SLOTS {
-            scope.spawn(|| send(SHORT_TIME * 3));
-        }
-        while usize::try_from(dispatcher.load().in_flight).unwrap() < SLOTS {
+    let send = |time, recipient| dispatcher.dispatch(&request(None, time), recipient).0;
+    let outcomes = thread::scope(|scope| {
+        let running: Vec<_> = running
+            .iter()
+            .map(|recipient| scope.spawn(move || send(SHORT_TIME * 3, recipient)))
+            .collect();
+        while cell.upstream.calls("request").len() < SLOTS {
             thread::sleep(POLL_INTERVAL);
         }
-        let waiting = scope.spawn(|| send(SHORT_TIME * 2));
+        let waiting = scope.spawn(|| send(SHORT_TIME * 2, waiting));
         while dispatcher.load().waiting == 0 {
             thread::sleep(POLL_INTERVAL);
         }
-        cell.daemon.stop_gate.close();
-        let outcome = waiting.join().unwrap();
-        assert_not_run(&outcome, NotRunCause::Stopping);
+        stop(&cell.daemon.stop_gate);
+        let waited = waiting.join().unwrap();
+        let ran = running.into_iter().map(|r| r.join().unwrap());
+        (ran.collect(), waited)
     });
     assert_eq!(cell.upstream.calls("request").len(), SLOTS);
+    outcomes
+}
+
+/// Asserts that a request was at the upstream until its time ran out.
+fn assert_went_on(outcome: &UpstreamOutcome) {
+    let went_on = matches!(
+        outcome,
+        UpstreamOutcome::Unknown {
+            timed_out: true,
+            ..
+        }
+    );
+    assert!(went_on, "{outcome:?}");
+}
+
+/// Guards against a request that waits for its turn beside a busy upstream when a stop ends, and whose
+/// caller gets no answer although nothing ran (LOST).
+#[test]
+fn a_request_that_waits_for_its_turn_is_refused_when_a_stop_ends() {
+    let running = vec![Recipient::none(); SLOTS];
+    let (ran, waited) = outcomes_of_stop(&Recipient::none(), &running, StopGate::close);
+    assert_not_run(&waited, NotRunCause::Stopping);
+    ran.iter().for_each(assert_went_on);
 }
 
 /// Guards against a request that waits beside a busy upstream while the daemon that took it stops, and
 /// whose caller gets no answer although nothing ran (LOST).
 #[test]
 fn a_request_whose_daemon_stops_is_refused_only_if_it_waits() {
-    let cell = Cell::start_with(|call| match call.name.as_str() {
-        "request" => Answer::Never,
-        _ => Answer::After(Duration::ZERO),
-    });
-    let dispatcher = &*cell.daemon.dispatcher;
-    let recipients: Vec<_> = (0..=SLOTS).map(|_| Recipient::connected()).collect();
-    let send = |recipient| {
-        dispatcher
-            .dispatch(&request(None, SHORT_TIME * 2), recipient)
-            .0
-    };
-    thread::scope(|scope| {
-        let running: Vec<_> = recipients[1..]
-            .iter()
-            .map(|recipient| scope.spawn(move || send(recipient)))
-            .collect();
-        while cell.upstream.calls("request").len() < SLOTS {
-            thread::sleep(POLL_INTERVAL);
-        }
-        let waiting = scope.spawn(|| send(&recipients[0]));
-        while dispatcher.load().waiting == 0 {
-            thread::sleep(POLL_INTERVAL);
-        }
-        for recipient in &recipients {
-            recipient.withdraw();
-        }
-        let outcome = waiting.join().unwrap();
-        assert_not_run(&outcome, NotRunCause::Stopping);
-        for running in running {
-            let outcome = running.join().unwrap();
-            let has_gone_on = matches!(
-                outcome,
-                UpstreamOutcome::Unknown {
-                    timed_out: true,
-                    ..
-                }
-            );
-            assert!(has_gone_on, "{outcome:?}");
-        }
+    let waiting = Recipient::connected();
+    let running: Vec<_> = (0..SLOTS).map(|_| Recipient::connected()).collect();
+    let (ran, waited) = outcomes_of_stop(&waiting, &running, |_| {
+        waiting.withdraw();
+        running.iter().for_each(Recipient::withdraw);
     });
-    assert_eq!(cell.upstream.calls("request").len(), SLOTS);
+    assert_not_run(&waited, NotRunCause::Stopping);
+    ran.iter().for_each(assert_went_on);
 }
