--- a/src/process/host/service.rs
+++ b/src/process/host/service.rs
@@ -44,8 +44,8 @@
 const PEER_TIMEOUTS: PeerTimeouts = PeerTimeouts {
     acknowledge: Duration::from_millis(120),
     reply: Duration::from_millis(600),
-    // As long as a lease: a host that is lost sends nothing from before its session ends, and one whose
-    // renewals are late goes on with its work.
+    // As long as a lease: a lost host sends nothing for that time before its session ends, while one
+    // whose renewals are late goes on with its work.
     silence: Duration::from_millis(2000),
 };
 /// Largest number of connections to the readiness and to the report address at a time, each.
