--- a/review/rig-3/crashing_request.rs
+++ b/review/rig-3/crashing_request.rs
@@ -1,7 +1,7 @@
 //! A request that crashes the backends that run it, before, during and after a rolling restart.
 //!
 //! The request comes until the machines refuse it. Then the machines of the system are stopped and started in
-//! turn, and the request comes again, at one machine after the other, of those that are in touch. Broken is the
+//! turn, and the request comes again, at one machine after the other, while all that run are in touch. Broken is the
 //! rule if it reaches backends more than three times, sent by machines in touch, later than the contact
 //! time after the third crash.
 
@@ -25,14 +25,14 @@
 const CONTACT: Duration = Duration::from_millis(3000);
 const GRACE: Duration = Duration::from_secs(6);
 /// Pause between the stops of two machines: each is back before the next one stops.
-const STOP_GAP: Duration = Duration::from_secs(4);
+const STOP_GAP: Duration = Duration::from_secs(6);
 /// How long a process that has ended stays down.
 const DOWN: Duration = Duration::from_millis(500);
 /// How long a backend that has crashed stays down.
 const BACKEND_DOWN: Duration = Duration::from_millis(2000);
 /// How often the request comes during the restart, and how long afterwards.
-const INTERVAL: Duration = Duration::from_millis(400);
-const AFTERWARDS: Duration = Duration::from_secs(20);
+const INTERVAL: Duration = Duration::from_millis(300);
+const AFTERWARDS: Duration = Duration::from_secs(10);
 /// How often the request comes before the restart, at most.
 const TRIES_BEFORE: usize = 12;
 /// The most retries after the third crash that the rule allows.
@@ -48,8 +48,8 @@
     deployment: Mutex<Deployment>,
     callers: Vec<SocketAddr>,
     record: Arc<Record>,
-    /// When the daemon of each host was last started or stopped by the test.
-    touched: Mutex<Vec<Instant>>,
+    /// When the daemon of each host was started; `None` while it stops.
+    started: Mutex<Vec<Option<Instant>>>,
     arrivals: Mutex<Vec<Arrival>>,
     bystanders_lost: AtomicU32,
     stopping: AtomicBool,
@@ -57,7 +57,7 @@
 
 pub fn run(trouble: bool, record: &Arc<Record>) -> Verdict {
     let zones = ["ljubljana-a", "ljubljana-b", "ljubljana-c"];
-    let names = ["h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8", "h9"];
+    let names = ["h1", "h2", "h3", "h4", "h5", "h6", "h7"];
     let specs: Vec<HostSpec> = names
         .into_iter()
         .enumerate()
@@ -72,12 +72,12 @@
         Ok(deployment) => deployment,
         Err(e) => return Verdict::CouldNotRun(e.to_string()),
     };
-    if !deployment.await_ready(Duration::from_secs(30)) {
+    if !deployment.await_ready(Duration::from_secs(30), record) {
         return Verdict::CouldNotRun("the daemons are not ready".to_owned());
     }
     let run = Arc::new(Run {
         callers: deployment.hosts.iter().map(|h| h.callers).collect(),
-        touched: Mutex::new(vec![Instant::now(); deployment.hosts.len()]),
+        started: Mutex::new(vec![Some(Instant::now()); deployment.hosts.len()]),
         deployment: Mutex::new(deployment),
         record: Arc::clone(record),
         arrivals: Mutex::default(),
@@ -138,7 +138,7 @@
         thread::sleep(INTERVAL);
         number += 1;
         let index = number % run.callers.len();
-        if run.is_in_touch(index) {
+        if run.is_in_touch(index) && run.are_all_in_touch() {
             run.send_crashing(index, &format!("after-{number}"));
         }
     }
@@ -169,7 +169,14 @@
 
     /// Returns whether the daemon of a host has run for the contact time.
     fn is_in_touch(&self, index: usize) -> bool {
-        self.touched.lock().unwrap()[index].elapsed() >= CONTACT
+        let started = self.started.lock().unwrap()[index];
+        started.is_some_and(|at| at.elapsed() >= CONTACT)
+    }
+
+    /// Returns whether all daemons that run have done so for the contact time.
+    fn are_all_in_touch(&self) -> bool {
+        let started = self.started.lock().unwrap();
+        started.iter().flatten().all(|at| at.elapsed() >= CONTACT)
     }
 
     /// Sends the crashing request to a machine: always the same path, caller and body.
@@ -199,7 +206,7 @@
             self.record
                 .line(&format!("SIGTERM to {}", deployment.hosts[index].name));
             deployment.signal_daemon(index, sys::SIGTERM);
-            self.touched.lock().unwrap()[index] = Instant::now() + GRACE;
+            self.started.lock().unwrap()[index] = None;
             deployment.take_daemon(index)
         };
         Deployment::await_end(daemon, GRACE);
@@ -210,7 +217,7 @@
         if let Err(e) = deployment.start_daemon(index) {
             self.record.say(&format!("not started: {e}"));
         }
-        self.touched.lock().unwrap()[index] = Instant::now();
+        self.started.lock().unwrap()[index] = Some(Instant::now());
     }
 
     fn end(&self, threads: Vec<JoinHandle<()>>, verdict: Verdict) -> Verdict {
--- a/review/rig-3/deployment.rs
+++ b/review/rig-3/deployment.rs
@@ -63,9 +63,7 @@
         let mut hosts = Vec::new();
         for (index, spec) in specs.iter().enumerate() {
             let ip = IpAddr::V4(Ipv4Addr::new(127, 77, block, 10 + index as u8));
-            let address = || http::free_port(ip).map(|port| SocketAddr::new(ip, port));
-            let (callers, peers, ready, reports, upstream) =
-                (address()?, address()?, address()?, address()?, address()?);
+            let [callers, peers, ready, reports, upstream] = http::free_addresses(ip)?;
             let path = folder.join(format!("{}.yaml", spec.name));
             // The fields of deploy/host.yaml.
             let text = format!(
@@ -173,7 +171,7 @@
     }
 
     /// Waits until all daemons report that they are ready.
-    pub fn await_ready(&self, timeout: Duration) -> bool {
+    pub fn await_ready(&self, timeout: Duration, record: &Record) -> bool {
         let until = Instant::now() + timeout;
         let is_ready = |h: &Host| {
             let headers = [("Host", "node".to_owned())];
@@ -193,6 +191,11 @@
             }
             thread::sleep(Duration::from_millis(100));
         }
+        for host in self.hosts.iter().filter(|h| !is_ready(h)) {
+            let log = fs::read_to_string(&host.log).unwrap_or_default();
+            let last = log.lines().last().unwrap_or_default();
+            record.say(&format!("{} is not ready: {last}", host.name));
+        }
         false
     }
 }
--- a/review/rig-3/http.rs
+++ b/review/rig-3/http.rs
@@ -169,7 +169,16 @@
         .ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
 
-/// Returns a free port of `ip`.
-pub fn free_port(ip: IpAddr) -> io::Result<u16> {
-    Ok(std::net::TcpListener::bind((ip, 0))?.local_addr()?.port())
+/// Returns addresses of `ip` with different free ports.
+pub fn free_addresses<const N: usize>(ip: IpAddr) -> io::Result<[SocketAddr; N]> {
+    // All are bound at the same time, so that no port comes twice.
+    let mut listeners = Vec::new();
+    for _ in 0..N {
+        listeners.push(std::net::TcpListener::bind((ip, 0))?);
+    }
+    let mut addresses = [SocketAddr::new(ip, 0); N];
+    for (address, listener) in addresses.iter_mut().zip(&listeners) {
+        *address = listener.local_addr()?;
+    }
+    Ok(addresses)
 }
--- a/review/rig-3/lost_departure.rs
+++ b/review/rig-3/lost_departure.rs
@@ -54,7 +54,7 @@
         Ok(deployment) => deployment,
         Err(e) => return Verdict::CouldNotRun(e.to_string()),
     };
-    if !deployment.await_ready(Duration::from_secs(30)) {
+    if !deployment.await_ready(Duration::from_secs(30), record) {
         return Verdict::CouldNotRun("the daemons are not ready".to_owned());
     }
     let requesters =
