--- a/review/rig-3/backend.rs
+++ b/review/rig-3/backend.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a backend: heartbeats, grants and requests, as PROTOCOL.md tells them.
 //!
-//! The query of a request says what it is: `w` the milliseconds of work, `b` the bytes of the answer.
+//! The query of a request says what it is: `w` the milliseconds of work, `b` the bytes of the answer, `p`
+//! the milliseconds of work before the body is read.
 
 use std::collections::BTreeMap;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -15,6 +16,8 @@
 
 /// Interval at which a backend looks for new connections.
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
+/// What a backend's machine has room for, for each connection, while the backend does not read.
+const RECEIVE_BUFFER: i32 = 16 * 1024;
 /// Interval of the heartbeats.
 const BEAT: Duration = Duration::from_millis(870);
 
@@ -90,6 +93,7 @@
             record: Arc::clone(record),
         });
         let listener = TcpListener::bind(address).expect("the backend's port");
+        crate::sys::set_receive_buffer(&listener, RECEIVE_BUFFER).expect("a buffer");
         listener.set_nonblocking(true).expect("a listener");
         let served = Arc::clone(&backend);
         thread::spawn(move || {
@@ -171,16 +175,39 @@
     }
 
     fn serve(&self, mut conn: Conn) {
-        while let Ok(Some(request)) = conn.read() {
+        while let Ok(Some(mut request)) = conn.read_head() {
             if self.ended.load(Ordering::SeqCst) {
                 return;
             }
-            if self.answer(&mut conn, &request).is_err() {
+            let answered = self
+                .read_body(&mut conn, &mut request)
+                .and_then(|()| self.answer(&mut conn, &request));
+            if answered.is_err() {
                 return;
             }
         }
     }
 
+    /// Reads the body of a request; that of a slow one late, while the backend is at work on it already.
+    fn read_body(&self, conn: &mut Conn, request: &mut Message) -> std::io::Result<()> {
+        let target = request.first.get(1).cloned().unwrap_or_default();
+        let pause = parameter(&target, 'p');
+        if pause == 0 {
+            return conn.read_body(request);
+        }
+        let id = request.header("request-id").unwrap_or_default().to_owned();
+        self.record
+            .line(&format!("at work on {id} at {}", self.name));
+        thread::sleep(Duration::from_millis(pause));
+        let read = conn.read_body(request);
+        let result = read
+            .as_ref()
+            .map_or_else(|e| e.to_string(), |()| "whole".to_owned());
+        self.record
+            .line(&format!("body of {id} after {pause} ms: {result}"));
+        read
+    }
+
     fn answer(&self, conn: &mut Conn, request: &Message) -> std::io::Result<()> {
         let target = request.first.get(1).cloned().unwrap_or_default();
         let instance = ("Instance-Id", self.id.clone());
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -9,8 +9,8 @@
 mod http;
 mod json;
 mod lost_departure;
-mod power_loss;
 mod record;
+mod slow_backend;
 mod slow_readers;
 mod store;
 mod sys;
@@ -45,7 +45,7 @@
     let verdict = match case.as_str() {
         "crashing-request" => crashing_request::run(trouble, &record),
         "lost-departure" => lost_departure::run(trouble, &record),
-        "power-loss" => power_loss::run(trouble, &record),
+        "slow-backend" => slow_backend::run(trouble, &record),
         "slow-readers" => slow_readers::run(trouble, &record),
         _ => Verdict::CouldNotRun("no such case".to_owned()),
     };
--- a/review/rig-3/sys.rs
+++ b/review/rig-3/sys.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
-use std::os::fd::FromRawFd;
+use std::os::fd::{AsRawFd, FromRawFd};
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -12,6 +12,9 @@
     fn c_connect(fd: i32, address: *const u8, length: u32) -> i32;
 }
 
+const SOL_SOCKET: i32 = 1;
+const SO_RCVBUF: i32 = 8;
+
 pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 
@@ -25,8 +28,6 @@
 pub fn connect(to: SocketAddr, bytes: i32) -> io::Result<TcpStream> {
     const AF_INET: i32 = 2;
     const SOCK_STREAM: i32 = 1;
-    const SOL_SOCKET: i32 = 1;
-    const SO_RCVBUF: i32 = 8;
     let SocketAddr::V4(to) = to else {
         return Err(io::ErrorKind::Unsupported.into());
     };
@@ -49,3 +50,12 @@
         Ok(stream)
     }
 }
+
+/// Sets the size of the receive buffers of the connections that a listener will accept.
+pub fn set_receive_buffer(listener: &impl AsRawFd, bytes: i32) -> io::Result<()> {
+    // SAFETY: the pointer is to a value that lives until the call returns, with its length.
+    match unsafe { setsockopt(listener.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) } {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    }
+}
