--- a/review/rig-3/crashing_request.rs
+++ b/review/rig-3/crashing_request.rs
@@ -266,15 +266,18 @@
         while !run.stopping.load(Ordering::SeqCst) {
             count += 1;
             let id = format!("r{number}-{count}");
+            run.record.line(&format!("sent {id}"));
             match send(&mut conn, run.callers[number % run.callers.len()], &id) {
-                Ok(200) => {}
                 Ok(status) => {
                     run.record.line(&format!("answered {id} {status}"));
                     if status == 502 {
                         run.bystanders_lost.fetch_add(1, Ordering::SeqCst);
                     }
                 }
-                Err(_) => conn = None,
+                Err(e) => {
+                    run.record.line(&format!("failed {id}: {e}"));
+                    conn = None;
+                }
             }
             thread::sleep(Duration::from_millis(20));
         }
