--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -4,6 +4,7 @@
 //! disruption is left out.
 
 mod backend;
+mod changed_weights;
 mod crashing_request;
 mod deployment;
 mod http;
@@ -43,6 +44,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
     let verdict = match case.as_str() {
+        "changed-weights" => changed_weights::run(trouble, &record),
         "crashing-request" => crashing_request::run(trouble, &record),
         "lost-departure" => lost_departure::run(trouble, &record),
         "slow-backend" => slow_backend::run(trouble, &record),
